--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+READY := $(VENV)/.ready
+
+.DEFAULT_GOAL := help
+
+.PHONY: help
+help: ## Show the targets
+	@grep -E '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 12
+
+$(READY): pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --editable '.[dev]'
+	@touch $(READY)
+
+.PHONY: demo
+demo: $(READY) ## Run both example deployments on loopback and show what they answer
+	@$(BIN)/python -m demo.run
+
+.PHONY: test
+test: $(READY) ## Run the tests
+	@$(BIN)/nose2 -s tests -t .
+
+.PHONY: lint
+lint: $(READY) ## Check formatting and style
+	@$(BIN)/ruff format --check .
+	@$(BIN)/ruff check .
+
+.PHONY: format
+format: $(READY) ## Format the code
+	@$(BIN)/ruff format .
+	@$(BIN)/ruff check --fix .
+
+.PHONY: clean
+clean: ## Remove what the other targets made
+	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/beechbridge/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool."""
--- /dev/null
+++ b/beechbridge/core/configuration.py
@@ -0,0 +1,248 @@
+"""
+Controller of the configuration: which document is in force, and how it spreads.
+
+Generations order documents. The first valid document of the highest generation wins and is
+never replaced by an older one, wherever that comes from.
+"""
+
+from ..actions import LogChange, ReadConfiguration, SendPeer
+from ..document import Configuration, Delta, Document, apply_delta, check_document, difference
+from ..events import ConfigurationRead
+from ..failures import Failure, Reason
+from ..messages import ConfigurationOffered, ConfigurationWanted
+from ..models import Vm
+from ..record import Record
+from .hashing import rank_names
+
+WATCH_MS = 10_000
+"""How long the service may hold a watch."""
+
+FIRST_RETRY_MS = 250.0
+LONGEST_RETRY_MS = 5_000.0
+FALLBACK_READ_MS = 10_000.0
+"""How often a VM that is no reader looks at the service itself."""
+
+KEPT_DOCUMENTS = 8
+"""Documents kept, the newest included, to send peers differences from them."""
+
+REQUEST_INTERVAL_MS = 200.0
+"""Least time between two requests for the same generation to peers."""
+
+
+class ReadTimer(Record):
+    """Fires when the configuration service may be read again."""
+
+    __slots__ = ('sequence',)
+
+    def __init__(self, sequence: int):
+        self.sequence = sequence
+
+
+class ConfigurationController:
+    """
+    The document in force, and the reading of newer ones.
+
+    :param current: checked configuration, or None before the first
+    :param kept: accepted documents, newest first
+    :param service_answered: whether the service has answered since the start
+    """
+
+    __slots__ = (
+        'accepted_ms',
+        'conflict',
+        'current',
+        'is_reading',
+        'kept',
+        'read_failures',
+        'rejected_digests',
+        'sequence',
+        'service_answered',
+        'wanted_generation',
+        'wanted_ms',
+    )
+
+    def __init__(self):
+        self.current: Configuration | None = None
+        self.kept: list[Document] = []
+        self.service_answered = False
+        self.is_reading = False
+        self.read_failures = 0
+        self.sequence = 0
+        self.wanted_generation = 0
+        self.wanted_ms = float('-inf')
+        self.accepted_ms = 0.0
+        self.rejected_digests: set[str] = set()
+        self.conflict = False
+
+    @property
+    def generation(self) -> int:
+        """Return the generation in force, 0 before the first."""
+        return self.current.generation if self.current else 0
+
+    @property
+    def digest(self) -> str:
+        """Return the digest in force, '' before the first."""
+        return self.current.digest if self.current else ''
+
+    def is_reader(self, core) -> bool:
+        """Tell whether this VM watches the service for its place."""
+        names = core.membership.names_in_place(core.place, core.now_ms)
+        count = self.current.fleet.readers_per_place if self.current else 1
+        return core.identity.name in rank_names('configuration', names)[:count]
+
+    def offer(self, document: Document, source: str, core) -> Failure | None:
+        """Put a document in force if it is newer and valid; return why not."""
+        if document.generation < self.generation:
+            core.counters.add('documents_refused', Reason.STALE_GENERATION.value)
+            return Failure(Reason.STALE_GENERATION, detail=f'{source}: older than in force')
+        if document.generation == self.generation:
+            return self.compare_equal(document, source, core)
+        if document.digest in self.rejected_digests:
+            return Failure(Reason.INVALID_DOCUMENT, detail=f'{source}: refused before')
+        checked = check_document(document)
+        if isinstance(checked, Failure):
+            self.rejected_digests.add(document.digest)
+            core.counters.add('documents_refused', Reason.INVALID_DOCUMENT.value)
+            subject = f'configuration {document.generation}'
+            core.act(LogChange(subject, 'offered', f'refused ({checked.detail})'))
+            return checked
+        self.put_in_force(document, checked, core)
+        return None
+
+    def compare_equal(self, document: Document, source: str, core) -> Failure | None:
+        """Refuse another document of the generation in force."""
+        if document.digest == self.digest:
+            return None
+        core.counters.add('documents_refused', Reason.GENERATION_CONFLICT.value)
+        self.note_conflict(core)
+        detail = f'{source}: another document has generation {document.generation}'
+        return Failure(Reason.GENERATION_CONFLICT, detail=detail)
+
+    def note_conflict(self, core) -> None:
+        """Report once that two documents of the generation in force exist."""
+        if self.conflict:
+            return
+        self.conflict = True
+        core.act(LogChange(f'configuration {self.generation}', 'unique', 'in conflict'))
+
+    def put_in_force(self, document: Document, checked: Configuration, core) -> None:
+        """Swap the configuration and tell everyone it concerns."""
+        core.act(LogChange('configuration', str(self.generation), str(document.generation)))
+        self.current = checked
+        self.kept.insert(0, document)
+        del self.kept[KEPT_DOCUMENTS:]
+        self.rejected_digests.clear()
+        self.conflict = False
+        self.accepted_ms = core.now_ms
+        core.counters.add('documents_accepted')
+        core.snapshots.forget_all()
+        core.upstreams.apply_configuration(checked, core)
+        core.membership.gossip_now(core)
+
+    def compare_gossip(self, sender: Vm | None, generation: int, digest: str, core) -> None:
+        """Ask a peer for what it has and this VM lacks."""
+        if generation == self.generation and generation and digest != self.digest:
+            core.counters.add('generation_conflicts_seen')
+            self.note_conflict(core)
+            return
+        if generation <= self.generation or sender is None or digest in self.rejected_digests:
+            return
+        recent = core.now_ms - self.wanted_ms < REQUEST_INTERVAL_MS
+        if recent and self.wanted_generation >= generation:
+            return
+        self.wanted_generation = generation
+        self.wanted_ms = core.now_ms
+        core.act(SendPeer(sender, ConfigurationWanted(self.generation, self.digest)))
+
+    def answer_wanted(self, vm: Vm, message: ConfigurationWanted, core) -> None:
+        """Send a peer the difference to what it holds, or the whole document."""
+        if not self.kept or message.generation >= self.generation:
+            return
+        newest = self.kept[0]
+        for document in self.kept:
+            if (document.generation, document.digest) != (message.generation, message.digest):
+                continue
+            core.counters.add('documents_sent', 'delta')
+            core.act(SendPeer(vm, ConfigurationOffered(difference(document, newest))))
+            return
+        core.counters.add('documents_sent', 'whole')
+        core.act(SendPeer(vm, ConfigurationOffered(newest)))
+
+    def take_offered(self, vm: Vm | None, content: Document | Delta, core) -> None:
+        """Take a document or a difference that a peer sent."""
+        if isinstance(content, Document):
+            self.offer(content, 'peer', core)
+            return
+        if content.generation <= self.generation or not self.kept:
+            return
+        document = apply_delta(self.kept[0], content)
+        if document is not None:
+            self.offer(document, 'peer', core)
+            return
+        core.counters.add('documents_refused', Reason.DIGEST_MISMATCH.value)
+        if vm is not None:
+            core.act(SendPeer(vm, ConfigurationWanted(0, '')))
+
+    def refresh(self, core) -> None:
+        """Look at the service soon: an upstream knows of a newer shard map."""
+        if not self.is_reading:
+            self.read(core)
+
+    def read(self, core) -> None:
+        """Watch the service as a reader, or read it once."""
+        if self.is_reading:
+            return
+        self.is_reading = True
+        wait_ms = WATCH_MS if self.is_reader(core) and self.service_answered else 0
+        core.counters.add('service_calls', 'configuration')
+        core.act(ReadConfiguration(self.generation, wait_ms))
+
+    def arm_read(self, delay_ms: float, core) -> None:
+        """Read the service again after a delay with jitter."""
+        self.sequence += 1
+        due_ms = core.now_ms + delay_ms * core.rng.uniform(0.5, 1.0)
+        core.timers.arm(due_ms, ReadTimer(self.sequence))
+
+    def describe(self, core) -> dict:
+        """Return the state for a dump."""
+        return {
+            'generation': self.generation,
+            'digest': self.digest,
+            'age_ms': round(core.now_ms - self.accepted_ms) if self.current else None,
+            'is_reader': self.is_reader(core),
+            'service_answered': self.service_answered,
+            'read_failures': self.read_failures,
+            'conflict': self.conflict,
+        }
+
+
+def handle_configuration_read(event: ConfigurationRead, core) -> None:
+    """Take what the service answered and plan the next read."""
+    controller = core.configuration
+    controller.is_reading = False
+    result = event.result
+    if isinstance(result, Failure):
+        controller.read_failures += 1
+        core.counters.add('service_failures', 'configuration')
+        exponent = min(controller.read_failures, 10) - 1
+        delay_ms = min(LONGEST_RETRY_MS, FIRST_RETRY_MS * 2**exponent)
+        controller.arm_read(delay_ms, core)
+        return
+    controller.read_failures = 0
+    controller.service_answered = True
+    refusal = None
+    if result is not None:
+        refusal = controller.offer(result, 'service', core)
+    core.membership.note_evidence(core)
+    if not controller.is_reader(core):
+        controller.arm_read(FALLBACK_READ_MS, core)
+        return
+    # A stale or refused document answers every watch at once; those are read slowly.
+    stale = refusal is not None or (result is not None and result.generation < 1)
+    controller.arm_read(LONGEST_RETRY_MS if stale else FIRST_RETRY_MS, core)
+
+
+def fire_read(timer: ReadTimer, core) -> None:
+    """Read the service unless a later timer was armed."""
+    if timer.sequence == core.configuration.sequence:
+        core.configuration.read(core)
--- /dev/null
+++ b/beechbridge/core/connections.py
@@ -0,0 +1,102 @@
+"""Accounting of one replica's connections. The driver only opens and closes what it is told."""
+
+from ..record import Record
+
+IDLE_TRUST_MS = 20_000.0
+"""Idle time after which a connection is closed rather than used."""
+
+SILENT_HOLD_MS = 30_000.0
+"""How long a connection that went silent still counts: the upstream may not know it is gone."""
+
+CANCEL_HOLD_MS = 100.0
+"""How long a connection closed on a running exchange still counts."""
+
+
+class Lease(Record):
+    """A connection taken for one exchange."""
+
+    __slots__ = ('connection_id', 'is_new')
+
+    def __init__(self, connection_id: int, is_new: bool):
+        self.connection_id = connection_id
+        self.is_new = is_new
+
+
+class ConnectionPool:
+    """
+    Connections to one replica, never more than the share.
+
+    :param share: connections that this VM may hold
+    """
+
+    __slots__ = ('busy', 'held_until_ms', 'idle', 'opened', 'share')
+
+    def __init__(self):
+        self.share = 0
+        self.idle: list[tuple[int, float]] = []
+        self.busy: dict[int, float] = {}
+        self.held_until_ms: list[float] = []
+        self.opened = 0
+
+    def open_count(self, now_ms: float) -> int:
+        """Return how many connections the upstream may count as ours."""
+        self.held_until_ms = [until for until in self.held_until_ms if until > now_ms]
+        return len(self.idle) + len(self.busy) + len(self.held_until_ms)
+
+    def acquire(self, now_ms: float, next_id: int, fresh: bool) -> Lease | None:
+        """
+        Take the most recently used idle connection, or a new one; None when at the share.
+
+        :param next_id: identifier for a new connection
+        :param fresh: take no connection that carried an exchange before
+        """
+        if self.idle and not fresh:
+            connection_id, _ = self.idle.pop()
+            self.busy[connection_id] = now_ms
+            return Lease(connection_id, False)
+        if self.open_count(now_ms) >= self.share:
+            return None
+        self.busy[next_id] = now_ms
+        self.opened += 1
+        return Lease(next_id, True)
+
+    def acquire_oldest(self, now_ms: float) -> Lease | None:
+        """Take the idle connection that has waited longest, so that a probe can test it."""
+        if not self.idle:
+            return None
+        connection_id, _ = self.idle.pop(0)
+        self.busy[connection_id] = now_ms
+        return Lease(connection_id, False)
+
+    def can_make_room(self) -> bool:
+        """Tell whether closing an idle connection would allow a new one."""
+        return bool(self.idle)
+
+    def release(self, connection_id: int, now_ms: float, reusable: bool) -> bool:
+        """Give a connection back; True if it was kept, False if the driver should close it."""
+        if self.busy.pop(connection_id, None) is None:
+            return False
+        if not reusable or self.open_count(now_ms) >= self.share:
+            return False
+        self.idle.append((connection_id, now_ms))
+        return True
+
+    def forget(self, connection_id: int, now_ms: float, hold_ms: float = 0.0) -> None:
+        """Drop a closed connection; count it for a while longer if the upstream may."""
+        if self.busy.pop(connection_id, None) is None:
+            return
+        if hold_ms > 0:
+            self.held_until_ms.append(now_ms + hold_ms)
+
+    def retire_idle(self, before_ms: float) -> list[int]:
+        """Drop idle connections last used before a time, for the driver to close."""
+        retired = [pair[0] for pair in self.idle if pair[1] < before_ms]
+        self.idle = [pair for pair in self.idle if pair[1] >= before_ms]
+        return retired
+
+    def shrink(self, now_ms: float) -> list[int]:
+        """Drop idle connections above the share, for the driver to close."""
+        retired = []
+        while self.idle and self.open_count(now_ms) > self.share:
+            retired.append(self.idle.pop(0)[0])
+        return retired
--- /dev/null
+++ b/beechbridge/core/counters.py
@@ -0,0 +1,23 @@
+"""Counters of the core, read by the metrics and by the state dump."""
+
+
+class Counters:
+    """Monotonic counts by name and label."""
+
+    __slots__ = ('values',)
+
+    def __init__(self):
+        self.values: dict[tuple[str, str], int] = {}
+
+    def add(self, name: str, label: str = '', amount: int = 1) -> None:
+        """Count something."""
+        key = (name, label)
+        self.values[key] = self.values.get(key, 0) + amount
+
+    def get(self, name: str, label: str = '') -> int:
+        """Return a count, 0 if it was never touched."""
+        return self.values.get((name, label), 0)
+
+    def total(self, name: str) -> int:
+        """Return a count over all its labels."""
+        return sum(value for (key, _), value in self.values.items() if key == name)
--- /dev/null
+++ b/beechbridge/core/filters.py
@@ -0,0 +1,123 @@
+"""
+Filter chain that every query passes before its first sub-request.
+
+A filter returns None to pass the query on, or the failure that refuses it; nothing has run by
+then, so that every refusal here is truly `not_run`.
+"""
+
+from collections.abc import Callable
+
+from ..actions import AnswerCaller
+from ..events import QueryArrived
+from ..failures import Failure, Reason, not_run
+from .plans import Plan, start_plan
+
+RETRY_SOON_MS = 200
+LOW_URGENCY_SHARE = 0.75
+"""Share of the active queries that the least urgent classes may fill."""
+
+
+def check_identity(plan: Plan, core) -> Failure | None:
+    """Refuse a request identifier that is in use."""
+    if plan.request_id in core.plans:
+        return not_run(Reason.DUPLICATE_REQUEST, 'a request with this identifier is running')
+    return None
+
+
+def check_readiness(plan: Plan, core) -> Failure | None:
+    """Refuse work before there is a configuration, after a pause, and at the end of a stop."""
+    return core.refuse_if_not_ready()
+
+
+def check_rules(plan: Plan, core) -> Failure | None:
+    """Find the query's class and back end, and take its deadlines."""
+    query = plan.query
+    configuration = core.configuration.current
+    rules = configuration.classes.get(query.query_class)
+    if rules is None:
+        known = ', '.join(sorted(configuration.classes))
+        return not_run(Reason.UNKNOWN_CLASS, f'no class {query.query_class!r}; known: {known}')
+    if query.back_end != rules.back_end:
+        detail = f'class {query.query_class!r} queries back end {rules.back_end!r}'
+        return not_run(Reason.UNKNOWN_BACK_END, detail)
+    if not rules.idempotent:
+        detail = f'class {query.query_class!r} is not idempotent; use a ticket'
+        return not_run(Reason.NOT_IDEMPOTENT, detail)
+    plan.apply_rules(rules)
+    return None
+
+
+def check_capacity(plan: Plan, core) -> Failure | None:
+    """Refuse what exceeds the active queries; the more urgent classes may fill all of them."""
+    limit = core.limits.active_queries
+    highest = max(rules.urgency for rules in core.configuration.current.classes.values())
+    if plan.urgency < highest:
+        spread = (1.0 - LOW_URGENCY_SHARE) * plan.urgency / highest
+        limit = int(limit * (LOW_URGENCY_SHARE + spread))
+    if len(core.plans) < limit:
+        return None
+    return not_run(Reason.OVERLOADED, f'{len(core.plans)} queries are active', RETRY_SOON_MS)
+
+
+def check_finish(plan: Plan, core) -> Failure | None:
+    """Refuse a query whose shards are not expected to answer in its time."""
+    back_end = core.configuration.current.back_ends[plan.query.back_end]
+    choice = core.snapshots.choose(back_end, plan.query.minimum_snapshot, core)
+    if choice is None:
+        return not_run(Reason.SNAPSHOT_NOT_YET, 'no shard map for this snapshot')
+    hard_ms = plan.hard_at_ms - plan.arrived_ms
+    late_count = 0
+    latest_ms = 0.0
+    expected_by_service: dict[str, float] = {}
+    for shard in choice.shard_map.shards:
+        expected_ms = expected_by_service.get(shard.service)
+        if expected_ms is None:
+            expected_ms = expect_shard(plan, back_end.services[shard.service], core)
+            expected_by_service[shard.service] = expected_ms
+        if expected_ms <= hard_ms:
+            continue
+        late_count += 1
+        latest_ms = max(latest_ms, expected_ms)
+    total = len(choice.shard_map.shards)
+    if total - late_count >= plan.rules.minimum_coverage * total and late_count < total:
+        return None
+    retry_after_ms = max(1, int(latest_ms - hard_ms))
+    detail = f'{late_count} of {total} shards are expected to answer too late'
+    return not_run(Reason.WOULD_BE_LATE, detail, retry_after_ms)
+
+
+def expect_shard(plan: Plan, service, core) -> float:
+    """Return how long the service's best replica is expected to take, 0 if nothing is known."""
+    best_ms = None
+    for replica in service.replicas:
+        state = core.upstreams.states.get(replica.replica_id)
+        if state is None or state.is_draining:
+            continue
+        expected_ms = state.expected_ms(plan.urgency, core.now_ms)
+        best_ms = expected_ms if best_ms is None else min(best_ms, expected_ms)
+    return best_ms or 0.0
+
+
+QUERY_FILTERS: tuple[Callable[[Plan, object], Failure | None], ...] = (
+    check_identity,
+    check_readiness,
+    check_rules,
+    check_capacity,
+    check_finish,
+)
+
+
+def handle_query(event: QueryArrived, core) -> None:
+    """Run the filter chain; start the query or refuse it."""
+    plan = Plan(event.request_id, event.query, core.now_ms)
+    for query_filter in QUERY_FILTERS:
+        failure = query_filter(plan, core)
+        if failure is None:
+            continue
+        core.counters.add('refusals', failure.reason.value)
+        core.act(AnswerCaller(event.request_id, failure))
+        return
+    core.counters.add('queries', plan.query.query_class)
+    back_end = core.configuration.current.back_ends[plan.query.back_end]
+    choice = core.snapshots.choose(back_end, plan.query.minimum_snapshot, core)
+    start_plan(plan, choice, core)
--- /dev/null
+++ b/beechbridge/core/hashing.py
@@ -0,0 +1,15 @@
+"""Rendezvous hashing: roles as pure functions of a set of names."""
+
+import hashlib
+from collections.abc import Iterable
+
+
+def rank_score(key: str, name: str) -> int:
+    """Return a name's score for a key; the highest score owns the key."""
+    digest = hashlib.blake2b(f'{key}\0{name}'.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, 'big')
+
+
+def rank_names(key: str, names: Iterable[str]) -> list[str]:
+    """Return names by falling score for a key."""
+    return sorted(names, key=lambda name: (-rank_score(key, name), name))
--- /dev/null
+++ b/beechbridge/core/latency.py
@@ -0,0 +1,31 @@
+"""Running estimates of latency."""
+
+SAMPLES = 128
+REFRESH_EVERY = 16
+EWMA_WEIGHT = 0.2
+
+
+class LatencyEstimate:
+    """Moving average and median of the latest samples, in milliseconds."""
+
+    __slots__ = ('average_ms', 'count', 'median_ms', 'samples')
+
+    def __init__(self, initial_ms: float):
+        self.average_ms = initial_ms
+        self.median_ms = initial_ms
+        self.count = 0
+        self.samples: list[float] = []
+
+    def add(self, latency_ms: float) -> None:
+        """Take a sample in."""
+        if self.count == 0:
+            self.average_ms = latency_ms
+        self.average_ms += EWMA_WEIGHT * (latency_ms - self.average_ms)
+        if len(self.samples) < SAMPLES:
+            self.samples.append(latency_ms)
+        else:
+            self.samples[self.count % SAMPLES] = latency_ms
+        self.count += 1
+        if self.count < REFRESH_EVERY or self.count % REFRESH_EVERY == 0:
+            ordered = sorted(self.samples)
+            self.median_ms = ordered[len(ordered) // 2]
--- /dev/null
+++ b/beechbridge/core/membership.py
@@ -0,0 +1,415 @@
+"""
+Controller of the VMs: the platform's list, heartbeats and gossip.
+
+The list says which VMs exist; heartbeats say which of them answer. Connection shares follow
+the list alone, so that a partition cannot make a half believe it is the fleet.
+"""
+
+from functools import singledispatch
+
+from ..actions import AnswerCaller, LogChange, ReadVmList, SendPeer
+from ..events import EntryWanted, PeerMessageArrived, VmListRead
+from ..failures import Failure
+from ..messages import (
+    ConfigurationOffered,
+    ConfigurationWanted,
+    Gossip,
+    MemberView,
+    RelayedOutcome,
+    RelayedRequest,
+)
+from ..models import EntryAnswer, Vm, VmIdentity, VmState
+from ..record import Record
+from .hashing import rank_score
+
+GOSSIP_INTERVAL_MS = 500.0
+GOSSIP_FANOUT = 4
+SHARED_VIEWS = 16
+"""Views of other VMs in one gossip message at most."""
+
+SUSPECT_AFTER_MS = 2_500.0
+"""Silence after which a VM is taken for unreachable."""
+
+LEAST_GOSSIP_GAP_MS = 20.0
+LIST_INTERVAL_MS = 1_000.0
+LIST_STABLE_MS = 10_000.0
+"""How long a VM must be off the list before shares grow on its account."""
+
+EVIDENCE_TIMEOUT_MS = 3_000.0
+"""How long a start, or a wake-up from a pause, waits for news before it goes on."""
+
+
+class GossipTimer(Record):
+    """Fires every gossip period."""
+
+    __slots__ = ()
+
+
+class ListTimer(Record):
+    """Fires when the VM list is due to be read."""
+
+    __slots__ = ('sequence',)
+
+    def __init__(self, sequence: int):
+        self.sequence = sequence
+
+
+class EvidenceTimer(Record):
+    """Fires when a VM has waited long enough for news of the fleet."""
+
+    __slots__ = ('round_number',)
+
+    def __init__(self, round_number: int):
+        self.round_number = round_number
+
+
+class Member(Record):
+    """
+    What is known of another VM's process.
+
+    :param heard_ms: when its heartbeat last moved on
+    """
+
+    __slots__ = ('heard_ms', 'heartbeat', 'identity', 'leaving')
+
+    def __init__(self, identity: VmIdentity, heartbeat: int, leaving: bool, heard_ms: float):
+        self.identity = identity
+        self.heartbeat = heartbeat
+        self.leaving = leaving
+        self.heard_ms = heard_ms
+
+
+class MembershipController:
+    """
+    View of the fleet of VMs.
+
+    :param listed: the platform's list by name, or None before it was read
+    :param last_listed_ms: when each name was last on the list
+    :param is_trusted: False from a start or a pause until there is news of the fleet
+    """
+
+    __slots__ = (
+        'gossiped_ms',
+        'heartbeat',
+        'is_trusted',
+        'last_listed_ms',
+        'list_read',
+        'list_sequence',
+        'listed',
+        'listed_ms',
+        'members',
+        'own',
+        'peer_heard',
+        'round_number',
+    )
+
+    def __init__(self, own: VmIdentity):
+        self.own = own
+        self.listed: dict[str, Vm] | None = None
+        self.listed_ms = 0.0
+        self.list_sequence = 0
+        self.last_listed_ms: dict[str, float] = {}
+        self.members: dict[str, Member] = {}
+        self.heartbeat = 0
+        self.gossiped_ms = float('-inf')
+        self.is_trusted = False
+        self.round_number = 0
+        self.list_read = False
+        self.peer_heard = False
+
+    def share_names(self, now_ms: float) -> list[str] | None:
+        """Return the VMs that share connection limits: listed now or until recently."""
+        if self.listed is None:
+            return None
+        names = []
+        for name, seen_ms in self.last_listed_ms.items():
+            if name in self.listed or now_ms - seen_ms < LIST_STABLE_MS:
+                names.append(name)
+        return names
+
+    def is_answering(self, name: str, now_ms: float) -> bool:
+        """Tell whether a VM's heartbeat moved lately."""
+        if name == self.own.name:
+            return True
+        member = self.members.get(name)
+        return member is not None and now_ms - member.heard_ms < SUSPECT_AFTER_MS
+
+    def is_leaving(self, name: str) -> bool:
+        """Tell whether a VM announced that it leaves, or the list says so."""
+        vm = self.find_vm(name)
+        if vm is not None and vm.state is VmState.LEAVING:
+            return True
+        member = self.members.get(name)
+        return member is not None and member.leaving
+
+    def serving_names(self, now_ms: float) -> tuple[str, ...]:
+        """Return the VMs that answer and do not leave, this one included."""
+        names = []
+        for name in self.listed or ():
+            if not self.is_answering(name, now_ms) or self.is_leaving(name):
+                continue
+            names.append(name)
+        return tuple(names)
+
+    def names_in_place(self, place: str, now_ms: float) -> list[str]:
+        """Return the serving VMs of one data centre."""
+        names = self.serving_names(now_ms)
+        return [name for name in names if self.listed[name].place == place]
+
+    def owns(self, key: str, names: tuple[str, ...]) -> bool:
+        """Tell whether this VM ranks first among the named ones for a key."""
+        own = self.own.name
+        if own not in names:
+            return not names
+        own_rank = (-rank_score(key, own), own)
+        return all((-rank_score(key, name), name) >= own_rank for name in names)
+
+    def find_vm(self, name: str) -> Vm | None:
+        """Return a VM's entry on the list."""
+        return self.listed.get(name) if self.listed else None
+
+    def others(self) -> list[Vm]:
+        """Return the other VMs on the list."""
+        if not self.listed:
+            return []
+        return [vm for name, vm in self.listed.items() if name != self.own.name]
+
+    def take_list(self, vms: tuple[Vm, ...], core) -> None:
+        """Take a new list. Shares shrink at once; they grow after the list has been stable."""
+        listed = {vm.name: vm for vm in vms}
+        for name in listed:
+            self.last_listed_ms[name] = core.now_ms
+        for name, seen_ms in list(self.last_listed_ms.items()):
+            if core.now_ms - seen_ms > LIST_STABLE_MS:
+                del self.last_listed_ms[name]
+                self.members.pop(name, None)
+        if self.listed is None or listed.keys() != self.listed.keys():
+            before = str(len(self.listed or ()))
+            core.act(LogChange('VM list', f'{before} VMs', f'{len(listed)} VMs'))
+        self.listed = listed
+        self.listed_ms = core.now_ms
+        self.list_read = True
+        core.upstreams.apply_shares(core)
+        self.note_evidence(core)
+
+    def distrust(self, core) -> None:
+        """Ask for news of the fleet, and take no new work until there is some."""
+        self.is_trusted = False
+        self.list_read = False
+        self.peer_heard = False
+        self.round_number += 1
+        core.act(ReadVmList())
+        core.configuration.refresh(core)
+        self.gossip_now(core)
+        due_ms = core.now_ms + EVIDENCE_TIMEOUT_MS
+        core.timers.arm(due_ms, EvidenceTimer(self.round_number))
+
+    def note_evidence(self, core) -> None:
+        """Trust the view again once the list was read and a peer was heard, or there is none."""
+        if self.is_trusted or not self.list_read:
+            return
+        if self.peer_heard or not self.others():
+            self.trust(core)
+
+    def trust(self, core) -> None:
+        """Take new work."""
+        self.is_trusted = True
+        core.act(LogChange('fleet view', 'stale', 'current'))
+        core.upstreams.pump_all(core)
+
+    def take_views(self, sender: VmIdentity, gossip: Gossip, core) -> None:
+        """Take the heartbeats that a peer shares."""
+        for view in gossip.members:
+            name = view.identity.name
+            if name == self.own.name:
+                continue
+            if name not in self.last_listed_ms:
+                core.counters.add('views_unlisted')
+                continue
+            self.take_view(view, core)
+        if sender.name in self.last_listed_ms and not self.peer_heard:
+            self.peer_heard = True
+            self.note_evidence(core)
+
+    def take_view(self, view: MemberView, core) -> None:
+        """Take one VM's heartbeat if it is newer than what is known."""
+        name = view.identity.name
+        known = self.members.get(name)
+        if known is None or view.identity.incarnation > known.identity.incarnation:
+            self.members[name] = Member(view.identity, view.heartbeat, view.leaving, core.now_ms)
+            core.act(LogChange(f'VM {name}', 'unknown', f'up ({view.identity.incarnation:x})'))
+            return
+        if view.identity.incarnation < known.identity.incarnation:
+            return
+        if view.heartbeat <= known.heartbeat:
+            return
+        known.heartbeat = view.heartbeat
+        known.heard_ms = core.now_ms
+        if view.leaving and not known.leaving:
+            known.leaving = True
+            core.act(LogChange(f'VM {name}', 'up', 'leaving'))
+
+    def gossip_now(self, core) -> None:
+        """Send a round of gossip to a few VMs."""
+        if core.now_ms - self.gossiped_ms < LEAST_GOSSIP_GAP_MS:
+            return
+        self.gossiped_ms = core.now_ms
+        self.heartbeat += 1
+        peers = self.others()
+        if len(peers) > GOSSIP_FANOUT:
+            peers = core.rng.sample(peers, GOSSIP_FANOUT)
+        if not peers:
+            return
+        message = self.build_gossip(core)
+        for vm in peers:
+            core.counters.add('gossip_sent')
+            core.act(SendPeer(vm, message))
+
+    def build_gossip(self, core) -> Gossip:
+        """Return this VM's heartbeat, the freshest views of others, and the replica signs."""
+        views = [MemberView(self.own, self.heartbeat, core.stopping.is_leaving)]
+        freshest = sorted(self.members.values(), key=lambda member: -member.heard_ms)
+        for member in freshest[:SHARED_VIEWS]:
+            views.append(MemberView(member.identity, member.heartbeat, member.leaving))
+        configuration = core.configuration
+        signs = core.upstreams.signs(core)
+        return Gossip(views, configuration.generation, configuration.digest, signs)
+
+    def best_entries(self, place: str | None, caller: str, core) -> list[Vm]:
+        """Return the serving VMs, nearest first, in an order that spreads callers."""
+        configuration = core.configuration.current
+        places = configuration.places if configuration else {}
+        vms = [self.listed[name] for name in self.serving_names(core.now_ms)]
+        if core.stopping.is_leaving:
+            vms = [vm for vm in vms if vm.name != self.own.name]
+        return sorted(
+            vms,
+            key=lambda vm: (distance(place, vm.place, places), -rank_score(caller, vm.name)),
+        )
+
+    def describe(self, now_ms: float) -> dict:
+        """Return the state for a dump."""
+        vms = {}
+        for name, vm in sorted((self.listed or {}).items()):
+            member = self.members.get(name)
+            vms[name] = {
+                'place': vm.place,
+                'address': f'{vm.host}:{vm.caller_port}',
+                'listed_as': vm.state.value,
+                'answering': self.is_answering(name, now_ms),
+                'leaving': self.is_leaving(name),
+                'incarnation': member.identity.incarnation if member else None,
+                'heard_age_ms': round(now_ms - member.heard_ms) if member else None,
+            }
+        return {
+            'trusted': self.is_trusted,
+            'list_age_ms': round(now_ms - self.listed_ms) if self.listed is not None else None,
+            'sharing_connections': len(self.share_names(now_ms) or ()),
+            'vms': vms,
+        }
+
+
+def distance(place: str | None, vm_place: str, places: dict) -> int:
+    """Return 0 for the same data centre, 1 for the same region, 2 for any other."""
+    if place == vm_place:
+        return 0
+    own, other = places.get(place), places.get(vm_place)
+    if own is not None and other is not None and own.region == other.region:
+        return 1
+    return 2
+
+
+def handle_entry(event: EntryWanted, core) -> None:
+    """Tell a caller which VMs to use."""
+    failure = core.refuse_if_no_view()
+    if failure is not None:
+        core.act(AnswerCaller(event.request_id, failure))
+        return
+    vms = core.membership.best_entries(event.place, event.caller, core)
+    keep_ms = core.configuration.current.fleet.entry_keep_ms
+    core.act(AnswerCaller(event.request_id, EntryAnswer(vms, keep_ms)))
+
+
+def handle_vm_list(event: VmListRead, core) -> None:
+    """Take the list and plan the next read."""
+    membership = core.membership
+    membership.list_sequence += 1
+    due_ms = core.now_ms + LIST_INTERVAL_MS * core.rng.uniform(0.8, 1.2)
+    core.timers.arm(due_ms, ListTimer(membership.list_sequence))
+    if isinstance(event.result, Failure):
+        core.counters.add('service_failures', 'vm_list')
+        return
+    membership.take_list(event.result.vms, core)
+
+
+def handle_peer_message(event: PeerMessageArrived, core) -> None:
+    """Pass a peer's message to the controller it concerns."""
+    sender = core.membership.find_vm(event.sender.name)
+    take_message(event.message, event.sender, sender, core)
+
+
+@singledispatch
+def take_message(message: object, identity: VmIdentity, vm: Vm | None, core) -> None:
+    """
+    Act on one kind of peer message.
+
+    :param vm: the sender's entry on the list, or None where it is not listed
+    """
+    raise TypeError(f'no handler for {type(message).__name__}')
+
+
+@take_message.register
+def take_gossip(message: Gossip, identity: VmIdentity, vm: Vm | None, core) -> None:
+    """Take heartbeats, compare configurations, and learn of replicas."""
+    core.membership.take_views(identity, message, core)
+    core.configuration.compare_gossip(vm, message.generation, message.digest, core)
+    for sign in message.signs:
+        core.upstreams.take_sign(sign, core)
+
+
+@take_message.register
+def take_wanted(message: ConfigurationWanted, identity: VmIdentity, vm: Vm | None, core) -> None:
+    """Send a peer what it lacks."""
+    if vm is not None:
+        core.configuration.answer_wanted(vm, message, core)
+
+
+@take_message.register
+def take_offered(message: ConfigurationOffered, identity: VmIdentity, vm: Vm | None, core) -> None:
+    """Take a newer configuration."""
+    core.configuration.take_offered(vm, message.content, core)
+
+
+@take_message.register
+def take_relayed(message: RelayedRequest, identity: VmIdentity, vm: Vm | None, core) -> None:
+    """Run a request under a ticket of this process for a peer's caller."""
+    if vm is not None:
+        core.tickets.take_relayed(message, identity, core)
+
+
+@take_message.register
+def take_outcome(message: RelayedOutcome, identity: VmIdentity, vm: Vm | None, core) -> None:
+    """Pass the outcome of a relayed request to its caller."""
+    core.tickets.take_outcome(message, identity, core)
+
+
+def fire_gossip(timer: GossipTimer, core) -> None:
+    """Gossip and arm the next round with jitter."""
+    core.membership.gossip_now(core)
+    due_ms = core.now_ms + GOSSIP_INTERVAL_MS * core.rng.uniform(0.9, 1.1)
+    core.timers.arm(due_ms, timer)
+
+
+def fire_list(timer: ListTimer, core) -> None:
+    """Read the VM list unless a later timer was armed."""
+    if timer.sequence != core.membership.list_sequence:
+        return
+    core.counters.add('service_calls', 'vm_list')
+    core.act(ReadVmList())
+
+
+def fire_evidence(timer: EvidenceTimer, core) -> None:
+    """Go on without news of the fleet."""
+    membership = core.membership
+    if timer.round_number == membership.round_number and not membership.is_trusted:
+        membership.trust(core)
--- /dev/null
+++ b/beechbridge/core/node.py
@@ -0,0 +1,293 @@
+"""The core of one VM: events with the time in, actions out."""
+
+import random
+from functools import singledispatch
+
+from ..actions import Action, LogChange
+from ..events import (
+    AttemptFailed,
+    ConfigurationRead,
+    EntryWanted,
+    Event,
+    PeerMessageArrived,
+    QueryArrived,
+    ReplyArrived,
+    RequestArrived,
+    StopWanted,
+    Tick,
+    TicketWanted,
+    VmListRead,
+)
+from ..failures import Failure, Reason, not_run
+from ..models import VmIdentity
+from ..record import Record
+from .budgets import ExtraBudget
+from .configuration import ConfigurationController, ReadTimer, fire_read, handle_configuration_read
+from .counters import Counters
+from .filters import handle_query
+from .limits import Limits
+from .membership import (
+    EvidenceTimer,
+    GossipTimer,
+    ListTimer,
+    MembershipController,
+    fire_evidence,
+    fire_gossip,
+    fire_list,
+    handle_entry,
+    handle_peer_message,
+    handle_vm_list,
+)
+from .plans import (
+    HardDeadlineTimer,
+    HedgeTimer,
+    Plan,
+    RetryTimer,
+    SoftDeadlineTimer,
+    fire_hard_deadline,
+    fire_hedge,
+    fire_retry,
+    fire_soft_deadline,
+)
+from .snapshots import SnapshotsController
+from .stopping import (
+    LeaveTimer,
+    StopBoundTimer,
+    StoppingController,
+    fire_leave,
+    fire_stop_bound,
+    handle_stop,
+)
+from .tickets import (
+    ForgetTimer,
+    RelayTimer,
+    RunDeadlineTimer,
+    RunRetryTimer,
+    TicketsController,
+    fire_forget,
+    fire_relay,
+    fire_run_deadline,
+    fire_run_retry,
+    handle_request,
+    handle_ticket_wanted,
+)
+from .timers import Timers
+from .upstreams import (
+    ProbeTimer,
+    StallTimer,
+    UpstreamsController,
+    fire_probe,
+    fire_stall,
+    handle_attempt_failed,
+    handle_reply,
+)
+
+PAUSE_MS = 2_000.0
+"""Lateness of a timer from which the process counts as having been paused."""
+
+NOT_READY_RETRY_MS = 500
+
+
+class Core:
+    """
+    All decisions of one VM. Not thread-safe: its driver serialises the events.
+
+    :param identity: this process
+    :param place: this VM's data centre
+    :param rng: source of all randomness
+    """
+
+    __slots__ = (
+        'actions',
+        'budgets',
+        'configuration',
+        'counters',
+        'identity',
+        'limits',
+        'membership',
+        'now_ms',
+        'place',
+        'plans',
+        'rng',
+        'snapshots',
+        'stopping',
+        'tickets',
+        'timers',
+        'upstreams',
+    )
+
+    def __init__(self, identity: VmIdentity, place: str, limits: Limits, rng: random.Random):
+        self.identity = identity
+        self.place = place
+        self.limits = limits
+        self.rng = rng
+        self.now_ms = 0.0
+        self.actions: list[Action] = []
+        self.timers = Timers()
+        self.counters = Counters()
+        self.configuration = ConfigurationController()
+        self.membership = MembershipController(identity)
+        self.upstreams = UpstreamsController()
+        self.snapshots = SnapshotsController()
+        self.budgets: dict[str, ExtraBudget] = {}
+        self.tickets = TicketsController()
+        self.stopping = StoppingController()
+        self.plans: dict[str, Plan] = {}
+
+    def start(self, now_ms: float) -> list[Action]:
+        """Arm the periodic timers and ask for the first news of the fleet."""
+        self.now_ms = now_ms
+        for timer in (GossipTimer(), ProbeTimer()):
+            self.timers.arm(now_ms + self.rng.uniform(0, 500), timer)
+        self.membership.distrust(self)
+        return self.take_actions()
+
+    def handle(self, event: Event, now_ms: float) -> list[Action]:
+        """Take an event at a time that never falls; return what to do."""
+        due_ms = self.timers.next_due_ms()
+        self.now_ms = max(self.now_ms, now_ms)
+        if due_ms is not None and self.now_ms - due_ms > PAUSE_MS:
+            self.wake_from_pause(self.now_ms - due_ms)
+        self.fire_timers()
+        handle_event(event, self)
+        return self.take_actions()
+
+    def next_wake_ms(self) -> float | None:
+        """Return when the driver should hand in a tick."""
+        return self.timers.next_due_ms()
+
+    def act(self, action: Action) -> None:
+        """Ask the driver for something."""
+        self.actions.append(action)
+
+    def take_actions(self) -> list[Action]:
+        """Return the actions asked for since the last call."""
+        actions, self.actions = self.actions, []
+        return actions
+
+    def fire_timers(self) -> None:
+        """Fire every timer that is due."""
+        while True:
+            timer = self.timers.pop_due(self.now_ms)
+            if timer is None:
+                return
+            fire_timer(timer, self)
+
+    def wake_from_pause(self, late_ms: float) -> None:
+        """Trust no connection and no view of the fleet from before a pause."""
+        self.counters.add('pauses')
+        self.act(LogChange('process', 'paused', f'awake {late_ms:.0f} ms late'))
+        self.upstreams.distrust_connections(self)
+        self.membership.distrust(self)
+
+    def refuse_if_no_view(self) -> Failure | None:
+        """Refuse what needs the list of VMs and a configuration before they are there."""
+        if self.configuration.current is None:
+            detail = 'no configuration yet'
+            return not_run(Reason.NOT_READY, detail, NOT_READY_RETRY_MS)
+        if self.membership.listed is None:
+            return not_run(Reason.NOT_READY, 'no VM list yet', NOT_READY_RETRY_MS)
+        return None
+
+    def refuse_if_not_ready(self) -> Failure | None:
+        """Refuse new work that this process cannot vouch for."""
+        failure = self.refuse_if_no_view()
+        if failure is not None:
+            return failure
+        if not self.membership.is_trusted:
+            detail = 'waiting for news of the fleet'
+            return not_run(Reason.NOT_READY, detail, NOT_READY_RETRY_MS)
+        return self.stopping.refuse()
+
+    def budget(self, back_end: str) -> ExtraBudget:
+        """Return a back end's budget of extra sub-requests."""
+        budget = self.budgets.get(back_end)
+        if budget is None:
+            budget = self.budgets[back_end] = ExtraBudget()
+        return budget
+
+    def is_ready(self) -> bool:
+        """Tell whether new work is taken."""
+        return self.refuse_if_not_ready() is None
+
+    def describe(self) -> dict:
+        """Return the whole state for a dump."""
+        budgets = {}
+        for name, budget in sorted(self.budgets.items()):
+            budgets[name] = {
+                'tokens': round(budget.tokens, 2),
+                'primaries': budget.primaries,
+                'extras': budget.extras,
+            }
+        return {
+            'vm': self.identity.name,
+            'incarnation': self.identity.incarnation,
+            'place': self.place,
+            'ready': self.is_ready(),
+            'phase': self.stopping.phase.value,
+            'active_queries': len(self.plans),
+            'configuration': self.configuration.describe(self),
+            'membership': self.membership.describe(self.now_ms),
+            'replicas': self.upstreams.describe(self.now_ms),
+            'budgets': budgets,
+            'tickets': self.tickets.describe(),
+            'counters': {
+                f'{name}.{label}' if label else name: value
+                for (name, label), value in sorted(self.counters.values.items())
+            },
+        }
+
+
+@singledispatch
+def handle_event(event: object, core: Core) -> None:
+    """Act on one kind of event."""
+    raise TypeError(f'no handler for {type(event).__name__}')
+
+
+@singledispatch
+def fire_timer(timer: Record, core: Core) -> None:
+    """Act on one kind of timer."""
+    raise TypeError(f'no handler for {type(timer).__name__}')
+
+
+def ignore_tick(event: Tick, core: Core) -> None:
+    """Do nothing: due timers fire before every event."""
+
+
+EVENT_HANDLERS = {
+    QueryArrived: handle_query,
+    TicketWanted: handle_ticket_wanted,
+    RequestArrived: handle_request,
+    EntryWanted: handle_entry,
+    ReplyArrived: handle_reply,
+    AttemptFailed: handle_attempt_failed,
+    ConfigurationRead: handle_configuration_read,
+    VmListRead: handle_vm_list,
+    PeerMessageArrived: handle_peer_message,
+    Tick: ignore_tick,
+    StopWanted: handle_stop,
+}
+
+TIMER_HANDLERS = {
+    GossipTimer: fire_gossip,
+    ListTimer: fire_list,
+    EvidenceTimer: fire_evidence,
+    ProbeTimer: fire_probe,
+    StallTimer: fire_stall,
+    ReadTimer: fire_read,
+    SoftDeadlineTimer: fire_soft_deadline,
+    HardDeadlineTimer: fire_hard_deadline,
+    HedgeTimer: fire_hedge,
+    RetryTimer: fire_retry,
+    RunDeadlineTimer: fire_run_deadline,
+    RunRetryTimer: fire_run_retry,
+    RelayTimer: fire_relay,
+    ForgetTimer: fire_forget,
+    LeaveTimer: fire_leave,
+    StopBoundTimer: fire_stop_bound,
+}
+
+for event_type, handler in EVENT_HANDLERS.items():
+    handle_event.register(event_type, handler)
+for timer_type, handler in TIMER_HANDLERS.items():
+    fire_timer.register(timer_type, handler)
--- /dev/null
+++ b/beechbridge/core/snapshots.py
@@ -0,0 +1,81 @@
+"""Controller of snapshots: which one a query reads."""
+
+from ..document import BackEnd
+from ..models import ShardMap
+from ..record import Record
+
+LAG_LIMIT = 2
+"""Snapshots that a replica may lag before the choice stops waiting for it."""
+
+
+class SnapshotChoice(Record):
+    """A snapshot and the shard map that belongs to it."""
+
+    __slots__ = ('shard_map', 'snapshot')
+
+    def __init__(self, snapshot: int, shard_map: ShardMap):
+        self.snapshot = snapshot
+        self.shard_map = shard_map
+
+
+class SnapshotsController:
+    """Newest snapshot of each back end that its shards can serve together."""
+
+    __slots__ = ('choices',)
+
+    def __init__(self):
+        self.choices: dict[str, SnapshotChoice] = {}
+
+    def forget_choice(self, back_end: str) -> None:
+        """Choose anew: a replica reported other snapshots."""
+        self.choices.pop(back_end, None)
+
+    def forget_all(self) -> None:
+        """Choose anew everywhere: the shard maps may have changed."""
+        self.choices.clear()
+
+    def choose(self, back_end: BackEnd, minimum: int, core) -> SnapshotChoice | None:
+        """Return a snapshot, at least the minimum, that every shard should have."""
+        choice = self.choices.get(back_end.name)
+        if choice is None:
+            choice = self.find_common(back_end, core)
+            self.choices[back_end.name] = choice
+        if choice.snapshot >= minimum:
+            return choice
+        shard_map = back_end.map_at(minimum)
+        if shard_map is None:
+            return None
+        return SnapshotChoice(minimum, shard_map)
+
+    def find_common(self, back_end: BackEnd, core) -> SnapshotChoice:
+        """Return the newest snapshot that all shards of its own map can serve."""
+        for first_snapshot, shard_map in back_end.shard_maps:
+            common = self.common_newest(back_end, shard_map, core)
+            if common >= first_snapshot:
+                return SnapshotChoice(common, shard_map)
+        oldest_first, oldest_map = back_end.shard_maps[-1]
+        return SnapshotChoice(oldest_first, oldest_map)
+
+    def common_newest(self, back_end: BackEnd, shard_map: ShardMap, core) -> int:
+        """
+        Return the newest snapshot that the replicas of every shard reported.
+
+        Replicas a little behind are waited for, so that all of them can be chosen.
+        """
+        reported = []
+        reachable = None
+        for name in sorted({shard.service for shard in shard_map.shards}):
+            newest = 0
+            for replica in back_end.services[name].replicas:
+                state = core.upstreams.states.get(replica.replica_id)
+                if state is None or state.is_draining or state.is_ejected:
+                    continue
+                newest = max(newest, state.newest_snapshot)
+                reported.append(state.newest_snapshot)
+            if newest == 0:
+                continue
+            reachable = newest if reachable is None else min(reachable, newest)
+        if reachable is None:
+            return 0
+        near = [newest for newest in reported if reachable - LAG_LIMIT <= newest <= reachable]
+        return min(near, default=reachable)
--- /dev/null
+++ b/beechbridge/core/stopping.py
@@ -0,0 +1,117 @@
+"""
+Controller of a graceful stop.
+
+A leaving VM drops out of entry answers at once and serves on for as long as callers may still
+hold its address and its tickets; then it finishes what is in flight and exits. The whole stop
+takes at most the serving time, plus the longest deadline of a class, plus a margin.
+"""
+
+import enum
+
+from ..actions import Exit, LogChange
+from ..events import StopWanted
+from ..failures import Failure, Reason, not_run
+from ..record import Record
+
+SPREAD_MS = 1_500.0
+"""Time for the announcement to reach all VMs and the answers they were writing to leave."""
+
+FINISH_MARGIN_MS = 2_000.0
+
+
+class Phase(enum.Enum):
+    """How far a stop has come."""
+
+    SERVING = 'serving'
+    LEAVING = 'leaving'
+    FINISHING = 'finishing'
+    STOPPED = 'stopped'
+
+
+class LeaveTimer(Record):
+    """Fires when no caller holds this VM's address any more."""
+
+    __slots__ = ()
+
+
+class StopBoundTimer(Record):
+    """Fires when the stop must end."""
+
+    __slots__ = ()
+
+
+class StoppingController:
+    """
+    Phase of the stop.
+
+    :param serve_until_ms: when a leaving VM takes no new work any more
+    """
+
+    __slots__ = ('phase', 'serve_until_ms')
+
+    def __init__(self):
+        self.phase = Phase.SERVING
+        self.serve_until_ms = float('inf')
+
+    @property
+    def is_leaving(self) -> bool:
+        """Tell whether a stop is under way."""
+        return self.phase is not Phase.SERVING
+
+    def remaining_ms(self, core) -> float:
+        """Return how long this VM still takes new work."""
+        return self.serve_until_ms - core.now_ms
+
+    def refuse(self) -> Failure | None:
+        """Refuse new work once the serving time is over."""
+        if self.phase in (Phase.SERVING, Phase.LEAVING):
+            return None
+        return not_run(Reason.STOPPING, 'this VM stops; use another address', 1)
+
+    def start(self, core) -> None:
+        """Announce the stop and serve on for a bounded time."""
+        if self.is_leaving:
+            return
+        self.enter(Phase.LEAVING, core)
+        keep_ms = core.limits.ticket_keep_ms
+        if core.configuration.current is not None:
+            keep_ms = max(keep_ms, core.configuration.current.fleet.entry_keep_ms)
+        self.serve_until_ms = core.now_ms + keep_ms + SPREAD_MS
+        core.timers.arm(self.serve_until_ms, LeaveTimer())
+        core.membership.gossip_now(core)
+
+    def enter(self, phase: Phase, core) -> None:
+        """Go on to a phase."""
+        core.act(LogChange('stop', self.phase.value, phase.value))
+        self.phase = phase
+
+    def check(self, core) -> None:
+        """Exit once nothing is in flight."""
+        if self.phase is Phase.FINISHING and not core.plans and core.tickets.is_idle():
+            self.enter(Phase.STOPPED, core)
+            core.act(Exit())
+
+
+def handle_stop(event: StopWanted, core) -> None:
+    """Start a graceful stop."""
+    core.stopping.start(core)
+
+
+def fire_leave(timer: LeaveTimer, core) -> None:
+    """Take no new work and wait for what is in flight."""
+    stopping = core.stopping
+    stopping.enter(Phase.FINISHING, core)
+    longest_ms = 0
+    if core.configuration.current is not None:
+        for rules in core.configuration.current.classes.values():
+            longest_ms = max(longest_ms, rules.hard_deadline_ms)
+    due_ms = core.now_ms + longest_ms + FINISH_MARGIN_MS
+    core.timers.arm(due_ms, StopBoundTimer())
+    stopping.check(core)
+
+
+def fire_stop_bound(timer: StopBoundTimer, core) -> None:
+    """Exit whatever is left."""
+    if core.stopping.phase is Phase.FINISHING:
+        core.stopping.enter(Phase.STOPPED, core)
+        core.act(Exit())
--- /dev/null
+++ b/beechbridge/daemon/bodies.py
@@ -0,0 +1,227 @@
+"""JSON bodies of the callers' interface."""
+
+from functools import singledispatch
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from ..failures import CoverageFailure, Failure, InputFailure, Reason
+from ..fields import convert, decode_json
+from ..models import (
+    Answer,
+    Coverage,
+    Done,
+    DurationMs,
+    EntryAnswer,
+    Name,
+    Query,
+    Snapshot,
+    Ticket,
+    TicketedRequest,
+    TicketGrant,
+)
+
+SOURCE = 'request body'
+DEFAULT_REQUEST_DEADLINE_MS = 5_000
+
+
+class QueryBody(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, rename={'query_class': 'class'}
+):
+    """Body of a query."""
+
+    back_end: Name
+    query_class: Name
+    match: dict = {}
+    deadline_ms: DurationMs | None = None
+    urgency: Annotated[int, Meta(ge=1, le=100)] | None = None
+    minimum_snapshot: Snapshot = 0
+    limit: Annotated[int, Meta(ge=1, le=100_000)] = 1000
+
+
+class BatchBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of a batch; each query is checked on its own."""
+
+    queries: list
+
+
+class TicketBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of a wish for a ticket."""
+
+    back_end: Name
+
+
+class RequestBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of a non-idempotent request."""
+
+    ticket: Annotated[str, Meta(min_length=1, max_length=256)]
+    back_end: Name
+    key: Annotated[str, Meta(min_length=1, max_length=1024)]
+    body: dict = {}
+    deadline_ms: DurationMs = DEFAULT_REQUEST_DEADLINE_MS
+
+
+STATUS_BY_REASON = {
+    Reason.INVALID_INPUT: '400 Bad Request',
+    Reason.TICKET_BACK_END: '400 Bad Request',
+    Reason.NOT_IDEMPOTENT: '400 Bad Request',
+    Reason.NOT_FOUND: '404 Not Found',
+    Reason.UNKNOWN_BACK_END: '404 Not Found',
+    Reason.UNKNOWN_CLASS: '404 Not Found',
+    Reason.METHOD_NOT_ALLOWED: '405 Method Not Allowed',
+    Reason.DUPLICATE_REQUEST: '409 Conflict',
+    Reason.TOO_LARGE: '413 Content Too Large',
+    Reason.INTERNAL: '500 Internal Server Error',
+    Reason.NOT_READY: '503 Service Unavailable',
+    Reason.STOPPING: '503 Service Unavailable',
+    Reason.OVERLOADED: '503 Service Unavailable',
+    Reason.WOULD_BE_LATE: '503 Service Unavailable',
+    Reason.TICKET_TABLE_FULL: '503 Service Unavailable',
+    Reason.NO_REPLICA: '503 Service Unavailable',
+    Reason.SHED: '503 Service Unavailable',
+    Reason.DRAINING: '503 Service Unavailable',
+    Reason.QUEUE_FULL: '503 Service Unavailable',
+    Reason.SNAPSHOT_NOT_YET: '503 Service Unavailable',
+    Reason.CONNECT_FAILED: '503 Service Unavailable',
+}
+DEFAULT_STATUS = '504 Gateway Timeout'
+
+
+def parse_query(text: bytes) -> Query | InputFailure:
+    """Read the body of a query."""
+    body = decode_json(text, QueryBody, SOURCE)
+    return body if isinstance(body, Failure) else to_query(body)
+
+
+def to_query(body: QueryBody) -> Query:
+    """Convert a checked body."""
+    return Query(
+        body.back_end,
+        body.query_class,
+        msgspec.json.encode(body.match),
+        body.deadline_ms,
+        body.urgency,
+        body.minimum_snapshot,
+        body.limit,
+    )
+
+
+def parse_batch(text: bytes, most: int) -> list[Query | InputFailure] | InputFailure:
+    """Read the body of a batch; an invalid query spoils only itself."""
+    body = decode_json(text, BatchBody, SOURCE)
+    if isinstance(body, Failure):
+        return body
+    if not 1 <= len(body.queries) <= most:
+        return InputFailure(SOURCE, 'queries', len(body.queries), f'1 to {most} queries')
+    queries = []
+    for number, value in enumerate(body.queries):
+        item = convert(value, QueryBody, SOURCE, f'queries[{number}]')
+        queries.append(item if isinstance(item, Failure) else to_query(item))
+    return queries
+
+
+def parse_ticket_wish(text: bytes) -> str | InputFailure:
+    """Read which back end a ticket is wanted for."""
+    body = decode_json(text, TicketBody, SOURCE)
+    return body if isinstance(body, Failure) else body.back_end
+
+
+def parse_request(text: bytes) -> TicketedRequest | InputFailure:
+    """Read the body of a non-idempotent request."""
+    body = decode_json(text, RequestBody, SOURCE)
+    if isinstance(body, Failure):
+        return body
+    ticket = Ticket.decode(body.ticket)
+    if ticket is None:
+        return InputFailure(SOURCE, 'ticket', body.ticket, 'a ticket that /v1/tickets gave')
+    content = msgspec.json.encode(body.body)
+    return TicketedRequest(ticket, body.back_end, body.key, content, body.deadline_ms)
+
+
+@singledispatch
+def to_json(answer: object, request_id: str) -> dict:
+    """Return an answer as a JSON object."""
+    raise TypeError(f'no JSON for {type(answer).__name__}')
+
+
+@to_json.register
+def answer_to_json(answer: Answer, request_id: str) -> dict:
+    """Show a query's answer."""
+    return {
+        'request_id': request_id,
+        'snapshot': answer.snapshot,
+        'coverage': coverage_to_json(answer.coverage),
+        'elapsed_ms': round(answer.elapsed_ms, 2),
+        'truncated': answer.truncated,
+        'rows': answer.rows,
+    }
+
+
+def coverage_to_json(coverage: Coverage) -> dict:
+    """Show how much was answered and what is missing."""
+    missing = [{'shard': item.shard_id, 'reason': item.reason.value} for item in coverage.missing]
+    return {
+        'complete': coverage.complete,
+        'shards_total': coverage.shards_total,
+        'shards_answered': coverage.shards_answered,
+        'missing': missing,
+    }
+
+
+@to_json.register
+def entry_to_json(answer: EntryAnswer, request_id: str) -> dict:
+    """Show the VMs to use."""
+    addresses = []
+    for vm in answer.vms:
+        addresses.append(
+            {'vm': vm.name, 'place': vm.place, 'address': f'{vm.host}:{vm.caller_port}'}
+        )
+    return {'request_id': request_id, 'addresses': addresses, 'keep_ms': answer.keep_ms}
+
+
+@to_json.register
+def grant_to_json(answer: TicketGrant, request_id: str) -> dict:
+    """Show a ticket."""
+    return {
+        'request_id': request_id,
+        'ticket': answer.ticket.encode(),
+        'keep_ms': answer.keep_ms,
+    }
+
+
+@to_json.register
+def done_to_json(answer: Done, request_id: str) -> dict:
+    """Show a non-idempotent request that ran."""
+    return {
+        'request_id': request_id,
+        'outcome': 'done',
+        'snapshot': answer.snapshot,
+        'result': answer.result,
+    }
+
+
+@to_json.register
+def failure_to_json(answer: Failure, request_id: str) -> dict:
+    """Show a failure."""
+    shown = {
+        'reason': answer.reason.value,
+        'executed': answer.executed.value,
+        'detail': answer.detail,
+    }
+    if answer.retry_after_ms is not None:
+        shown['retry_after_ms'] = answer.retry_after_ms
+    if isinstance(answer, InputFailure):
+        shown['field'] = answer.field
+        shown['value'] = answer.value
+        shown['allowed'] = answer.allowed
+    if isinstance(answer, CoverageFailure):
+        shown['coverage'] = coverage_to_json(answer.coverage)
+    return {'request_id': request_id, 'outcome': answer.executed.value, 'failure': shown}
+
+
+def status_of(answer: object) -> str:
+    """Return the HTTP status line of an answer."""
+    if not isinstance(answer, Failure):
+        return '200 OK'
+    return STATUS_BY_REASON.get(answer.reason, DEFAULT_STATUS)
--- /dev/null
+++ b/beechbridge/daemon/driver.py
@@ -0,0 +1,82 @@
+"""Driver of the core: serialises events, performs actions, keeps time."""
+
+import threading
+import time
+from collections.abc import Callable
+
+from ..actions import Action
+from ..core.node import Core
+from ..events import Event, Tick
+
+LONGEST_SLEEP_S = 1.0
+
+
+def read_clock_ms() -> float:
+    """Return milliseconds on a clock that never falls and counts suspension."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
+
+
+class Driver:
+    """
+    Runs the core under a lock, in the thread that brings the event.
+
+    :param perform: carries out one action; must not block and must not post
+    """
+
+    __slots__ = ('clock_ms', 'core', 'is_closed', 'lock', 'perform', 'wake', 'wake_at_ms')
+
+    def __init__(
+        self,
+        core: Core,
+        perform: Callable[[Action], None],
+        clock_ms: Callable[[], float] = read_clock_ms,
+    ):
+        self.core = core
+        self.perform = perform
+        self.clock_ms = clock_ms
+        self.lock = threading.Lock()
+        self.wake = threading.Event()
+        self.wake_at_ms = float('inf')
+        self.is_closed = False
+
+    def start(self) -> None:
+        """Start the core and the thread that keeps its time."""
+        with self.lock:
+            for action in self.core.start(self.clock_ms()):
+                self.perform(action)
+        threading.Thread(target=self.keep_time, name='timers', daemon=True).start()
+
+    def post(self, event: Event) -> None:
+        """Hand an event to the core and perform what it asks for."""
+        with self.lock:
+            for action in self.core.handle(event, self.clock_ms()):
+                self.perform(action)
+            due_ms = self.core.next_wake_ms()
+        if due_ms is not None and due_ms < self.wake_at_ms:
+            self.wake.set()
+
+    def describe(self) -> dict:
+        """Return the core's state for a dump."""
+        with self.lock:
+            self.core.now_ms = max(self.core.now_ms, self.clock_ms())
+            return self.core.describe()
+
+    def keep_time(self) -> None:
+        """Post a tick whenever a timer is due."""
+        while not self.is_closed:
+            self.wake.clear()
+            due_ms = self.core.next_wake_ms()
+            now_ms = self.clock_ms()
+            if due_ms is not None and due_ms <= now_ms:
+                self.post(Tick())
+                continue
+            delay_s = LONGEST_SLEEP_S
+            if due_ms is not None:
+                delay_s = min(delay_s, (due_ms - now_ms) / 1000.0)
+            self.wake_at_ms = now_ms + delay_s * 1000.0
+            self.wake.wait(delay_s)
+
+    def close(self) -> None:
+        """End the time-keeping thread."""
+        self.is_closed = True
+        self.wake.set()
--- /dev/null
+++ b/beechbridge/daemon/server.py
@@ -0,0 +1,220 @@
+"""The running daemon: the core, its driver, and the adapters around it."""
+
+import random
+import secrets
+import threading
+import time
+from functools import singledispatch
+
+import logbook
+import waitress
+from waitress.server import BaseWSGIServer
+
+from ..actions import (
+    AnswerCaller,
+    CloseConnection,
+    Exit,
+    LogChange,
+    ReadConfiguration,
+    ReadVmList,
+    Send,
+    SendPeer,
+)
+from ..core.node import Core
+from ..events import StopWanted
+from ..models import VmIdentity
+from .callers import CallersApp
+from .driver import Driver
+from .operations import OperationsApp
+from .peers import PeerLink
+from .platform import (
+    ConfigurationService,
+    HttpConfigurationService,
+    HttpVmListService,
+    PlatformClient,
+    VmListService,
+)
+from .settings import Settings
+from .upstream_client import UpstreamClient
+
+OPERATIONS_THREADS = 2
+QUIET_S = 0.3
+"""Time without a request after which no accepted one can still be on its way."""
+
+QUIET_LIMIT_S = 3.0
+SLOW_CALLER_S = 30
+RANDOM_INCARNATION_BITS = 20
+
+logger = logbook.Logger('beechbridged')
+
+
+def draw_incarnation() -> int:
+    """Return a number that rises from one start of a VM's daemon to the next."""
+    return (int(time.time() * 1000) << RANDOM_INCARNATION_BITS) | secrets.randbits(
+        RANDOM_INCARNATION_BITS
+    )
+
+
+class Daemon:
+    """One VM's daemon."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        configuration_service: ConfigurationService | None = None,
+        vm_list_service: VmListService | None = None,
+    ):
+        vm = settings.vm
+        limits = settings.limits
+        platform = settings.platform
+        self.settings = settings
+        self.identity = VmIdentity(vm.name, draw_incarnation())
+        rng = random.Random(secrets.randbits(64))
+        self.core = Core(self.identity, vm.place, settings.core_limits(), rng)
+        self.driver = Driver(self.core, self.perform)
+        post = self.driver.post
+        self.upstreams = UpstreamClient(post, limits.upstream_threads)
+        self.platform = PlatformClient(
+            post,
+            configuration_service or HttpConfigurationService(platform.host, platform.port),
+            vm_list_service or HttpVmListService(platform.host, platform.port),
+        )
+        self.peers = PeerLink(self.identity, vm.host, vm.peer_port, post)
+        self.callers = CallersApp(
+            self.identity,
+            post,
+            lambda: self.core.stopping.is_leaving,
+            limits.caller_threads,
+            limits.batch_queries,
+        )
+        self.caller_server = waitress.create_server(
+            self.callers,
+            host=vm.host,
+            port=vm.caller_port,
+            threads=limits.caller_threads,
+            max_request_body_size=limits.body_bytes,
+            channel_timeout=SLOW_CALLER_S,
+            connection_limit=1000,
+            ident=None,
+        )
+        self.operations_server = waitress.create_server(
+            OperationsApp(self.driver, self.peers.counts),
+            host=vm.host,
+            port=vm.operations_port,
+            threads=OPERATIONS_THREADS,
+            ident=None,
+        )
+        self.exit_wanted = threading.Event()
+
+    @property
+    def caller_port(self) -> int:
+        """Return the port that callers use."""
+        return self.caller_server.effective_port
+
+    @property
+    def operations_port(self) -> int:
+        """Return the port that operators use."""
+        return self.operations_server.effective_port
+
+    def start(self) -> None:
+        """Start serving."""
+        self.peers.start()
+        for server in (self.caller_server, self.operations_server):
+            threading.Thread(target=server.run, daemon=True).start()
+        self.driver.start()
+        logger.info(
+            '{} serves callers on port {}, peers on {}, operators on {}',
+            self.identity.name,
+            self.caller_port,
+            self.peers.port,
+            self.operations_port,
+        )
+
+    def perform(self, action) -> None:
+        """Carry out an action of the core."""
+        perform_action(action, self)
+
+    def request_stop(self) -> None:
+        """Start a graceful stop."""
+        self.driver.post(StopWanted())
+
+    def finish(self) -> None:
+        """Let the last answers leave and close everything."""
+        limit_s = time.monotonic() + QUIET_LIMIT_S
+        while time.monotonic() < limit_s:
+            if self.callers.is_quiet(QUIET_S) and not has_unsent(self.caller_server):
+                break
+            time.sleep(QUIET_S / 10)
+        self.close()
+        logger.info('{} stopped', self.identity.name)
+
+    def close(self) -> None:
+        """Close everything at once."""
+        self.caller_server.close()
+        self.operations_server.close()
+        self.driver.close()
+        self.peers.close()
+        self.upstreams.close()
+        self.platform.close()
+
+
+def has_unsent(server: BaseWSGIServer) -> bool:
+    """Tell whether a server still holds bytes of answers."""
+    for channel in list(server.active_channels.values()):
+        if channel.total_outbufs_len or channel.requests:
+            return True
+    return False
+
+
+@singledispatch
+def perform_action(action: object, daemon: Daemon) -> None:
+    """Carry out one kind of action."""
+    raise TypeError(f'no adapter for {type(action).__name__}')
+
+
+@perform_action.register
+def perform_send(action: Send, daemon: Daemon) -> None:
+    """Start an exchange with an upstream."""
+    daemon.upstreams.send(action)
+
+
+@perform_action.register
+def perform_close(action: CloseConnection, daemon: Daemon) -> None:
+    """Close a connection to an upstream."""
+    daemon.upstreams.close_connection(action)
+
+
+@perform_action.register
+def perform_answer(action: AnswerCaller, daemon: Daemon) -> None:
+    """Give a caller the answer."""
+    daemon.callers.deliver(action.request_id, action.answer)
+
+
+@perform_action.register
+def perform_send_peer(action: SendPeer, daemon: Daemon) -> None:
+    """Send a message to another VM."""
+    daemon.peers.send(action)
+
+
+@perform_action.register
+def perform_read_configuration(action: ReadConfiguration, daemon: Daemon) -> None:
+    """Read the configuration service."""
+    daemon.platform.read_configuration(action)
+
+
+@perform_action.register
+def perform_read_list(action: ReadVmList, daemon: Daemon) -> None:
+    """Read the VM list."""
+    daemon.platform.read_vm_list()
+
+
+@perform_action.register
+def perform_log(action: LogChange, daemon: Daemon) -> None:
+    """Log a change of state."""
+    logger.info('{}: {} -> {}', action.subject, action.before, action.after)
+
+
+@perform_action.register
+def perform_exit(action: Exit, daemon: Daemon) -> None:
+    """Let the main thread end the process."""
+    daemon.exit_wanted.set()
--- /dev/null
+++ b/beechbridge/fields.py
@@ -0,0 +1,66 @@
+"""Checked reading of values from outside, with failures that name the field."""
+
+import re
+import tomllib
+
+import msgspec
+
+from .failures import InputFailure
+
+ERROR_FORM = re.compile(r'^(?P<allowed>.*?)(?: - at `\$?(?P<path>[^`]*)`)?$', re.DOTALL)
+PATH_STEP = re.compile(r'\.([^.\[\]]+)|\[(\d+)\]')
+
+
+def convert(value: object, kind: type, source: str, prefix: str = '') -> object | InputFailure:
+    """Check a plain value against a type; return an instance or a failure."""
+    try:
+        return msgspec.convert(value, type=kind)
+    except msgspec.ValidationError as error:
+        return describe_error(error, source, value, prefix)
+
+
+def decode_json(text: bytes, kind: type, source: str) -> object | InputFailure:
+    """Read JSON text as a type; return an instance or a failure."""
+    try:
+        value = msgspec.json.decode(text)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        return InputFailure(source, 'body', shorten(text), f'JSON ({error})')
+    return convert(value, kind, source)
+
+
+def decode_toml(text: str, kind: type, source: str) -> object | InputFailure:
+    """Read TOML text as a type; return an instance or a failure."""
+    try:
+        value = tomllib.loads(text)
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
+        return InputFailure(source, 'file', shorten(text.encode()), f'TOML ({error})')
+    return convert(value, kind, source)
+
+
+def describe_error(error: Exception, source: str, value: object, prefix: str = '') -> InputFailure:
+    """Turn a validation error into a failure that names field, value and what is allowed."""
+    match = ERROR_FORM.match(str(error))
+    path = match['path'] or ''
+    field = (prefix + path).lstrip('.') or 'document'
+    return InputFailure(source, field, find_value(value, path), match['allowed'])
+
+
+def find_value(value: object, path: str) -> object:
+    """Return the value at a path such as `.replicas[2].port`, or None."""
+    for name, index in PATH_STEP.findall(path):
+        if name and isinstance(value, dict):
+            value = value.get(name)
+            continue
+        if index and isinstance(value, list) and int(index) < len(value):
+            value = value[int(index)]
+            continue
+        return None
+    if isinstance(value, (dict, list)):
+        return type(value).__name__
+    return value
+
+
+def shorten(text: bytes, size: int = 40) -> str:
+    """Return the start of a text for a message."""
+    start = text[:size].decode('utf-8', 'replace')
+    return start if len(text) <= size else f'{start}...'
--- /dev/null
+++ b/beechbridge/wire/peer.thrift
@@ -0,0 +1,100 @@
+// Messages between VMs. Regenerate with:
+//   thrift -out beechbridge/wire --gen py:slots beechbridge/wire/peer.thrift
+
+namespace py peer
+
+struct MemberView {
+  1: required string name
+  2: required i64 incarnation
+  3: required i64 heartbeat
+  4: required bool leaving
+}
+
+struct ReplicaSign {
+  1: required string replica_id
+  2: required i64 age_ms
+  3: required bool draining
+  4: required i64 oldest_snapshot
+  5: required i64 newest_snapshot
+}
+
+struct Gossip {
+  1: required list<MemberView> members
+  2: required i64 generation
+  3: required string digest
+  4: required list<ReplicaSign> signs
+}
+
+struct ConfigurationWanted {
+  1: required i64 generation
+  2: required string digest
+}
+
+// Entries are JSON objects by entry key.
+struct Document {
+  1: required i64 generation
+  2: required string digest
+  3: required map<string, binary> entries
+}
+
+struct Delta {
+  1: required i64 base_generation
+  2: required string base_digest
+  3: required i64 generation
+  4: required string digest
+  5: required map<string, binary> changed
+  6: required list<string> removed
+}
+
+struct TicketedRequest {
+  1: required string issuer_name
+  2: required i64 issuer_incarnation
+  3: required string number
+  4: required string back_end
+  5: required string key
+  6: required binary body
+  7: required i64 deadline_ms
+}
+
+struct RelayedRequest {
+  1: required string relay_id
+  2: required TicketedRequest request
+}
+
+// The result is a JSON value.
+struct Done {
+  1: required i64 snapshot
+  2: required binary result
+}
+
+struct Failure {
+  1: required string reason
+  2: required string executed
+  3: required string detail
+  4: optional i64 retry_after_ms
+}
+
+union Outcome {
+  1: Done done
+  2: Failure failure
+}
+
+struct RelayedOutcome {
+  1: required string relay_id
+  2: required Outcome outcome
+}
+
+union Body {
+  1: Gossip gossip
+  2: ConfigurationWanted configuration_wanted
+  3: Document document
+  4: Delta delta
+  5: RelayedRequest relayed_request
+  6: RelayedOutcome relayed_outcome
+}
+
+struct Envelope {
+  1: required string sender_name
+  2: required i64 sender_incarnation
+  3: required Body body
+}
--- /dev/null
+++ b/beechbridge/wire/peer/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/demo/fleet.py
@@ -0,0 +1,213 @@
+"""One example deployment on loopback: stand-ins, platform and VMs as separate processes."""
+
+import http.client
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import msgspec
+
+from beechbridge.document import Document
+from beechbridge.failures import Failure
+from beechbridge.inventory import parse_inventory
+from beechbridge.models import Vm
+from beechbridge.rules import build_document, parse_rules
+
+from .platform import PlatformServer
+
+HOST = '127.0.0.1'
+READY_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 40.0
+
+SETTINGS = """\
+[vm]
+name = "{name}"
+place = "{place}"
+host = "{host}"
+caller_port = {caller_port}
+peer_port = {peer_port}
+operations_port = {operations_port}
+
+[platform]
+host = "{host}"
+port = {platform_port}
+
+[limits]
+ticket_keep_ms = {ticket_keep_ms}
+"""
+
+
+class BackEndProcess:
+    """Process of one back end's stand-ins."""
+
+    __slots__ = ('process',)
+
+    def __init__(self, folder: Path, back_end: str):
+        arguments = [str(folder / 'inventory.csv'), str(folder / 'rules.toml'), back_end]
+        self.process = subprocess.Popen(
+            [sys.executable, '-m', 'demo.host', *arguments],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        )
+
+    def ask(self, command: str, **fields) -> dict:
+        """Send a command and return its reply."""
+        line = msgspec.json.encode({'command': command, **fields})
+        self.process.stdin.write(line + b'\n')
+        self.process.stdin.flush()
+        return msgspec.json.decode(self.process.stdout.readline())
+
+    def close(self) -> None:
+        """End the process."""
+        self.process.stdin.close()
+        self.process.wait(STOP_TIMEOUT_S)
+
+
+class VmProcess:
+    """Process of one VM's daemon."""
+
+    __slots__ = ('log', 'process', 'vm')
+
+    def __init__(self, vm: Vm, settings_path: Path, log_path: Path):
+        self.vm = vm
+        self.log = log_path.open('wb')
+        self.process = subprocess.Popen(
+            [sys.executable, '-m', 'beechbridge.daemon', '--settings', str(settings_path)],
+            stderr=self.log,
+        )
+
+    def stop(self) -> int:
+        """Stop gracefully; return the exit status."""
+        self.process.send_signal(signal.SIGTERM)
+        return self.wait()
+
+    def wait(self) -> int:
+        """Wait for the exit status."""
+        status = self.process.wait(STOP_TIMEOUT_S)
+        self.log.close()
+        return status
+
+
+class Fleet:
+    """A deployment that runs."""
+
+    def __init__(self, folder: Path, vm_count: int, ticket_keep_ms: int = 3000):
+        self.folder = folder
+        self.scratch = Path(tempfile.mkdtemp(prefix='beechbridge-'))
+        self.ticket_keep_ms = ticket_keep_ms
+        self.rows = read_or_exit(parse_inventory, folder / 'inventory.csv')
+        self.rules = read_or_exit(parse_rules, folder / 'rules.toml')
+        fleet_rules = msgspec.structs.replace(self.rules.fleet, entry_keep_ms=2000)
+        self.rules = msgspec.structs.replace(self.rules, fleet=fleet_rules)
+        self.platform = PlatformServer()
+        self.platform.start()
+        self.back_ends: dict[str, BackEndProcess] = {}
+        for name in sorted({row.back_end for row in self.rows}):
+            self.back_ends[name] = BackEndProcess(folder, name)
+        ports = {}
+        for back_end in self.back_ends.values():
+            ports.update(back_end.ask('ports'))
+        self.rows = [
+            msgspec.structs.replace(row, host=HOST, port=ports[row.replica]) for row in self.rows
+        ]
+        self.platform.publish(self.build(1))
+        self.vms: list[VmProcess] = []
+        places = sorted(self.rules.places)
+        for number in range(vm_count):
+            self.start_vm(f'vm-{number + 1}', places[number % len(places)])
+
+    def build(self, generation: int) -> Document:
+        """Return the document of a generation."""
+        document = build_document(self.rows, self.rules, generation)
+        if isinstance(document, Failure):
+            raise SystemExit(document.detail)
+        return document
+
+    def start_vm(self, name: str, place: str) -> VmProcess:
+        """Put a VM on the list and start its daemon."""
+        vm = Vm(name, place, HOST, *free_ports(3))
+        settings_path = self.scratch / f'{name}.toml'
+        settings_path.write_text(
+            SETTINGS.format(
+                name=name,
+                place=place,
+                host=HOST,
+                caller_port=vm.caller_port,
+                peer_port=vm.peer_port,
+                operations_port=vm.operations_port,
+                platform_port=self.platform.port,
+                ticket_keep_ms=self.ticket_keep_ms,
+            )
+        )
+        self.platform.list_vm(vm)
+        process = VmProcess(vm, settings_path, self.scratch / f'{name}.log')
+        self.vms.append(process)
+        return process
+
+    def wait_ready(self) -> None:
+        """Wait until every VM takes work."""
+        limit_s = time.monotonic() + READY_TIMEOUT_S
+        for process in self.vms:
+            while not self.is_ready(process):
+                if time.monotonic() > limit_s:
+                    raise SystemExit(f'{process.vm.name} did not become ready')
+                time.sleep(0.05)
+
+    def is_ready(self, process: VmProcess) -> bool:
+        """Tell whether a VM takes work and sees the others."""
+        try:
+            status, state = call(process.vm.operations_port, 'GET', '/v1/state')
+        except OSError:
+            return False
+        views = state['membership']['vms'].values()
+        return status == 200 and state['ready'] and all(view['answering'] for view in views)
+
+    def stop(self) -> list[int]:
+        """Stop all VMs gracefully; return their exit statuses."""
+        for process in self.vms:
+            self.platform.mark_leaving(process.vm.name)
+            process.process.send_signal(signal.SIGTERM)
+        return [process.wait() for process in self.vms]
+
+    def close(self) -> None:
+        """End what is left."""
+        for process in self.vms:
+            if process.process.poll() is None:
+                process.process.kill()
+                process.wait()
+        for back_end in self.back_ends.values():
+            back_end.close()
+        self.platform.shutdown()
+
+
+def read_or_exit(parse, path: Path):
+    """Parse a file of the example."""
+    value = parse(path.read_text(), str(path))
+    if isinstance(value, Failure):
+        raise SystemExit(value.detail)
+    return value
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that the system had free a moment ago."""
+    sockets = [socket.create_server((HOST, 0)) for _ in range(count)]
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+def call(port: int, method: str, path: str, body: dict | None = None) -> tuple[int, dict]:
+    """Make one HTTP call with JSON in and out."""
+    client = http.client.HTTPConnection(HOST, port, timeout=60)
+    text = msgspec.json.encode(body) if body is not None else None
+    try:
+        client.request(method, path, text)
+        response = client.getresponse()
+        return response.status, msgspec.json.decode(response.read())
+    finally:
+        client.close()
--- /dev/null
+++ b/demo/host.py
@@ -0,0 +1,94 @@
+"""
+Process that hosts the stand-in replicas of one back end.
+
+Reads one JSON command a line on standard input and writes one JSON reply a line.
+"""
+
+import sys
+from pathlib import Path
+
+import msgspec
+
+from beechbridge.document import check_document
+from beechbridge.failures import Failure
+from beechbridge.inventory import parse_inventory
+from beechbridge.rules import build_document, parse_rules
+
+from .upstream import Behaviour, Index, ReplicaServer
+
+ROW_COUNT = 400
+
+
+class BackEndHost:
+    """All replicas of one back end."""
+
+    __slots__ = ('index', 'replicas')
+
+    def __init__(self, inventory_path: Path, rules_path: Path, back_end: str):
+        rows = parse_inventory(inventory_path.read_text(), str(inventory_path))
+        rules = parse_rules(rules_path.read_text(), str(rules_path))
+        for value in (rows, rules):
+            if isinstance(value, Failure):
+                raise SystemExit(value.detail)
+        configuration = check_document(build_document(rows, rules, 1))
+        self.index = Index(configuration.back_ends[back_end].shard_maps, ROW_COUNT)
+        self.replicas: dict[str, ReplicaServer] = {}
+        for number, row in enumerate(rows):
+            if row.back_end != back_end:
+                continue
+            server = ReplicaServer(
+                self.index,
+                row.service,
+                row.slots,
+                row.connection_limit,
+                row.connection_cost_ms,
+                Behaviour(),
+                seed=number,
+            )
+            server.start()
+            self.replicas[row.replica] = server
+
+    def obey(self, command: dict) -> dict:
+        """Run one command."""
+        name = command['command']
+        if name == 'ports':
+            return {replica_id: server.port for replica_id, server in self.replicas.items()}
+        if name == 'executions':
+            return dict(self.index.executions)
+        if name == 'advance':
+            return {'newest': self.index.advance()}
+        if name == 'behave':
+            for replica_id in command.get('replicas') or self.replicas:
+                for field, value in command['fields'].items():
+                    setattr(self.replicas[replica_id].behaviour, field, value)
+            return {}
+        if name == 'restart_cold':
+            self.replicas[command['replica']].restart_cold()
+            return {}
+        if name == 'kill':
+            self.replicas[command['replica']].kill()
+            return {}
+        return self.count()
+
+    def count(self) -> dict:
+        """Return what the replicas counted."""
+        totals = {'connection_overruns': 0}
+        for server in self.replicas.values():
+            totals['connection_overruns'] += server.refused_connections
+            for key, value in server.counts.items():
+                totals[key] = totals.get(key, 0) + value
+        return totals
+
+
+def main() -> None:
+    """Serve until standard input ends."""
+    inventory_path, rules_path, back_end = sys.argv[1:4]
+    host = BackEndHost(Path(inventory_path), Path(rules_path), back_end)
+    for line in sys.stdin:
+        reply = host.obey(msgspec.json.decode(line))
+        sys.stdout.write(msgspec.json.encode(reply).decode() + '\n')
+        sys.stdout.flush()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/demo/platform.py
@@ -0,0 +1,103 @@
+"""Stand-in for the platform: configuration service and VM list, read and watch only."""
+
+import threading
+from collections import Counter
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+
+from beechbridge.document import Document, encode_document
+from beechbridge.models import Vm, VmList, VmState
+
+
+class PlatformServer(ThreadingHTTPServer):
+    """
+    The platform's services and what an operator or a fault does to them.
+
+    :param document: what the service shows now; an operator publishes, a fault restores
+    :param is_down: answer every call with an error
+    """
+
+    daemon_threads = True
+    request_queue_size = 128
+
+    def __init__(self, host: str = '127.0.0.1', port: int = 0):
+        self.document: Document | None = None
+        self.vms: dict[str, Vm] = {}
+        self.is_down = False
+        self.calls: Counter[str] = Counter()
+        self.changed = threading.Condition()
+        super().__init__((host, port), PlatformHandler)
+        self.port = self.server_address[1]
+
+    def start(self) -> None:
+        """Serve in a thread."""
+        threading.Thread(target=self.serve_forever, args=(0.05,), daemon=True).start()
+
+    def publish(self, document: Document) -> None:
+        """Show a document, whatever was shown before."""
+        with self.changed:
+            self.document = document
+            self.changed.notify_all()
+
+    def list_vm(self, vm: Vm) -> None:
+        """Put a VM on the list."""
+        self.vms[vm.name] = vm
+
+    def mark_leaving(self, name: str) -> None:
+        """Show a VM as leaving."""
+        self.vms[name] = msgspec.structs.replace(self.vms[name], state=VmState.LEAVING)
+
+    def unlist_vm(self, name: str) -> None:
+        """Take a VM off the list."""
+        self.vms.pop(name, None)
+
+
+class PlatformHandler(BaseHTTPRequestHandler):
+    """The platform's published protocol."""
+
+    protocol_version = 'HTTP/1.1'
+    disable_nagle_algorithm = True
+    server: PlatformServer
+
+    def log_message(self, *arguments) -> None:
+        """Log nothing."""
+
+    def do_GET(self) -> None:
+        """Serve a read or a watch."""
+        url = urlsplit(self.path)
+        self.server.calls[url.path] += 1
+        if self.server.is_down:
+            self.reply(503, b'')
+            return
+        if url.path == '/v1/vms':
+            body = msgspec.json.encode(VmList(tuple(self.server.vms.values())))
+            self.reply(200, body)
+            return
+        parameters = parse_qs(url.query)
+        after = int(parameters.get('after', ['0'])[0])
+        wait_ms = int(parameters.get('wait_ms', ['0'])[0])
+        self.serve_document(after, wait_ms)
+
+    def serve_document(self, after: int, wait_ms: int) -> None:
+        """Show the document once it differs from the generation that the reader has."""
+        server = self.server
+
+        def has_news() -> bool:
+            return server.document is not None and server.document.generation > after
+
+        with server.changed:
+            server.changed.wait_for(has_news, wait_ms / 1000.0)
+            document = server.document
+        if document is None or not has_news():
+            self.reply(304, b'')
+            return
+        self.reply(200, encode_document(document))
+
+    def reply(self, status: int, body: bytes) -> None:
+        """Write a reply."""
+        self.send_response(status)
+        self.send_header('Content-Length', str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
--- /dev/null
+++ b/demo/run.py
@@ -0,0 +1,162 @@
+"""Demonstration: both example deployments on loopback, three VMs each."""
+
+import sys
+import time
+from pathlib import Path
+
+from hdrh.histogram import HdrHistogram
+
+from .fleet import Fleet, call
+
+EXAMPLES = Path(__file__).parent.parent / 'examples'
+VM_COUNT = 3
+QUERIES = 60
+BATCH_SIZE = 40
+
+
+class Example:
+    """What the demonstration does with one deployment."""
+
+    __slots__ = ('back_end', 'folder', 'query_class', 'title', 'write_back_end', 'write_key')
+
+    def __init__(self, folder, title, query_class, back_end, write_back_end, write_key):
+        self.folder = folder
+        self.title = title
+        self.query_class = query_class
+        self.back_end = back_end
+        self.write_back_end = write_back_end
+        self.write_key = write_key
+
+
+DEPLOYMENTS = (
+    Example(
+        'liftwatch',
+        'Midlands Metro Lift Status Authority',
+        'passenger-alert',
+        'alert-feed',
+        'fault-intake',
+        'lift-nottingham-station-2',
+    ),
+    Example(
+        'notaries',
+        'Van Heerden & Brouwer Notarissen',
+        'estate-search',
+        'estate-desk',
+        'deed-register',
+        'deed-2026-1203',
+    ),
+)
+
+
+def show(label: str, text: str) -> None:
+    """Print one line of the report."""
+    print(f'  {label:<22}{text}', flush=True)
+
+
+def show_entry(fleet: Fleet) -> None:
+    """Ask which VMs to use."""
+    place = fleet.vms[0].vm.place
+    _, entry = call(fleet.vms[1].vm.caller_port, 'GET', f'/v1/entry?place={place}')
+    names = ', '.join(f'{item["vm"]} ({item["place"]})' for item in entry['addresses'])
+    show('entry', f'from {place}: {names}; keep {entry["keep_ms"]} ms')
+
+
+def show_queries(fleet: Fleet, example: Example) -> None:
+    """Ask queries one after the other and show latency and coverage."""
+    histogram = HdrHistogram(1, 60_000_000, 3)
+    complete = 0
+    answer = {}
+    for number in range(QUERIES):
+        port = fleet.vms[number % VM_COUNT].vm.caller_port
+        body = {'back_end': example.back_end, 'class': example.query_class, 'limit': 1000}
+        start_s = time.perf_counter()
+        _, answer = call(port, 'POST', '/v1/query', body)
+        histogram.record_value(int((time.perf_counter() - start_s) * 1e6))
+        complete += answer.get('coverage', {}).get('complete', False)
+    coverage = answer['coverage']
+    show('one query', f'{len(answer["rows"])} rows from snapshot {answer["snapshot"]}')
+    show('its coverage', f'{coverage["shards_answered"]} of {coverage["shards_total"]} shards')
+    p50_ms = histogram.get_value_at_percentile(50) / 1000
+    p99_ms = histogram.get_value_at_percentile(99) / 1000
+    show(f'{QUERIES} queries', f'{complete} complete, p50 {p50_ms:.1f} ms, p99 {p99_ms:.1f} ms')
+
+
+def show_batch(fleet: Fleet, example: Example) -> None:
+    """Ask a batch and show what became of each query."""
+    query = {'back_end': example.back_end, 'class': example.query_class, 'limit': 5}
+    body = {'queries': [query] * BATCH_SIZE}
+    start_s = time.perf_counter()
+    _, reply = call(fleet.vms[0].vm.caller_port, 'POST', '/v1/queries', body)
+    elapsed_ms = (time.perf_counter() - start_s) * 1000
+    complete = sum(item.get('coverage', {}).get('complete', False) for item in reply['answers'])
+    refused = sum('failure' in item for item in reply['answers'])
+    partial = BATCH_SIZE - complete - refused
+    text = f'{complete} complete, {partial} partial, {refused} refused in {elapsed_ms:.0f} ms'
+    show(f'batch of {BATCH_SIZE}', text)
+
+
+def show_ticket(fleet: Fleet, example: Example) -> bool:
+    """File under a ticket, repeat it at another VM, and read it back."""
+    first, second = fleet.vms[0].vm.caller_port, fleet.vms[1].vm.caller_port
+    back_end = example.write_back_end
+    _, grant = call(first, 'POST', '/v1/tickets', {'back_end': back_end})
+    body = {
+        'ticket': grant['ticket'],
+        'back_end': back_end,
+        'key': example.write_key,
+        'body': {'reported': True},
+    }
+    _, outcome = call(first, 'POST', '/v1/requests', body)
+    _, repeated = call(second, 'POST', '/v1/requests', body)
+    executions = fleet.back_ends[back_end].ask('executions')
+    runs = sum(executions.values())
+    show('filed under a ticket', f'{example.write_key}: {outcome["outcome"]}')
+    show('repeated elsewhere', f'{repeated["outcome"]}; the upstream ran it {runs} time(s)')
+    return runs == 1 and outcome['outcome'] == repeated['outcome'] == 'done'
+
+
+def show_load(fleet: Fleet) -> None:
+    """Show the load on the upstreams beyond one sub-request a shard."""
+    totals = {}
+    for process in fleet.vms:
+        _, state = call(process.vm.operations_port, 'GET', '/v1/state')
+        for name, value in state['counters'].items():
+            totals[name] = totals.get(name, 0) + value
+    primaries = sum(value for name, value in totals.items() if name.startswith('primaries.'))
+    exchanges = totals.get('exchanges.ShardQuery', 0)
+    extra = exchanges - primaries
+    share = 100 * extra / max(1, primaries)
+    show('sub-requests', f'{primaries} primaries, {extra} extra ({share:.1f}%)')
+    show('connections opened', str(totals.get('connections_opened', 0)))
+
+
+def run_example(example: Example) -> bool:
+    """Run one deployment; tell whether all went as promised."""
+    print(f'\n{example.title}', flush=True)
+    start_s = time.monotonic()
+    fleet = Fleet(EXAMPLES / example.folder, VM_COUNT)
+    try:
+        fleet.wait_ready()
+        show('started', f'{VM_COUNT} VMs, {len(fleet.rows)} stand-in replicas')
+        show_entry(fleet)
+        show_queries(fleet, example)
+        show_batch(fleet, example)
+        ran_once = show_ticket(fleet, example)
+        show_load(fleet)
+        statuses = fleet.stop()
+        seconds = time.monotonic() - start_s
+        show('stopped', f'exit statuses {statuses} after {seconds:.0f} s in all')
+        return ran_once and not any(statuses)
+    finally:
+        fleet.close()
+
+
+def main() -> int:
+    """Run both deployments."""
+    results = [run_example(example) for example in DEPLOYMENTS]
+    print('\nall as promised' if all(results) else '\nsomething went wrong, see above')
+    return 0 if all(results) else 1
+
+
+if __name__ == '__main__':
+    sys.exit(main())
