Test the core on virtual time, and mend what the tests found

Written from the list of failures, they found that a run whose replicas all refuse was still being tried at its deadline, so that its outcome was unknown where not run could have been said; and that a VM which becomes a reader waited up to 10 s for its next look at the service. Change: a run stops trying 100 ms before its deadline and settles as not run; a new reader reads at once.

--- a/beechbridge/core/configuration.py
+++ b/beechbridge/core/configuration.py
@@ -59,6 +59,7 @@
         'service_answered',
         'wanted_generation',
         'wanted_ms',
+        'was_reader',
     )
 
     def __init__(self):
@@ -73,6 +74,7 @@
         self.accepted_ms = 0.0
         self.rejected_digests: set[str] = set()
         self.conflict = False
+        self.was_reader = False
 
     @property
     def generation(self) -> int:
@@ -90,6 +92,13 @@
         count = self.current.fleet.readers_per_place if self.current else 1
         return core.identity.name in rank_names('configuration', names)[:count]
 
+    def follow_role(self, core) -> None:
+        """Read at once when this VM becomes a reader; its next look may be far away."""
+        is_reader = self.is_reader(core)
+        if is_reader and not self.was_reader and self.service_answered:
+            self.refresh(core)
+        self.was_reader = is_reader
+
     def offer(self, document: Document, source: str, core) -> Failure | None:
         """Put a document in force if it is newer and valid; return why not."""
         if document.generation < self.generation:
--- a/beechbridge/core/membership.py
+++ b/beechbridge/core/membership.py
@@ -396,6 +396,7 @@
 def fire_gossip(timer: GossipTimer, core) -> None:
     """Gossip and arm the next round with jitter."""
     core.membership.gossip_now(core)
+    core.configuration.follow_role(core)
     due_ms = core.now_ms + GOSSIP_INTERVAL_MS * core.rng.uniform(0.9, 1.1)
     core.timers.arm(due_ms, timer)
 
--- a/beechbridge/core/tickets.py
+++ b/beechbridge/core/tickets.py
@@ -22,6 +22,10 @@
 """Shortest time a ticket must stay usable to be worth giving out."""
 
 RETRY_PAUSE_MS = 20.0
+RETRY_LATER_MS = 1_000
+LEAST_RUN_MS = 100.0
+"""Time that a run needs before its deadline to be tried again after a refusal."""
+
 NOT_RUN_STATUSES = frozenset(
     (ReplyStatus.SHED, ReplyStatus.DRAINING, ReplyStatus.MOVED, ReplyStatus.NOT_YET)
 )
@@ -275,6 +279,10 @@
 
     def try_replica(self, run: Run, core) -> None:
         """Send the request to one replica, over a new connection."""
+        if run.tried and run.deadline_at_ms - core.now_ms < LEAST_RUN_MS:
+            detail = 'every replica refused and too little time is left'
+            self.settle(run, not_run(run.reason, detail, RETRY_LATER_MS), core)
+            return
         back_end = core.configuration.current.back_ends.get(run.request.back_end)
         if back_end is None:
             self.settle(run, not_run(Reason.UNKNOWN_BACK_END, 'the back end was removed'), core)
@@ -287,7 +295,6 @@
             self.settle(run, not_run(Reason.NO_REPLICA, 'no replica takes work', 1000), core)
             return
         if state is None:
-            run.tried.clear()
             due_ms = core.now_ms + RETRY_PAUSE_MS * core.rng.uniform(0.5, 1.5)
             core.timers.arm(due_ms, RunRetryTimer(run.entry.number))
             return
@@ -363,8 +370,11 @@
 def fire_run_retry(timer: RunRetryTimer, core) -> None:
     """Try a run again that certainly has not run."""
     run = core.tickets.runs.get(timer.number)
-    if run is not None and run.attempt is None:
-        core.tickets.try_replica(run, core)
+    if run is None or run.attempt is not None:
+        return
+    if run.deadline_at_ms - core.now_ms >= LEAST_RUN_MS:
+        run.tried.clear()
+    core.tickets.try_replica(run, core)
 
 
 def fire_relay(timer: RelayTimer, core) -> None:
--- /dev/null
+++ b/tests/test_repartition.py
@@ -0,0 +1,78 @@
+"""Coverage counts the shards of the snapshot's map, also while shards split and merge."""
+
+import unittest
+
+from nose2.tools import params
+
+from beechbridge.document import Document
+from beechbridge.events import ConfigurationRead
+from beechbridge.failures import Reason
+
+from .utils import World, make_entries, make_shards
+
+
+def repartition(services, first_snapshot, count):
+    entries = make_entries(services=services)
+    shards = make_shards(count, first=10)
+    entries[f'map/b/{first_snapshot}'] = {'shards': shards}
+    return Document(2, entries)
+
+
+class RepartitionTest(unittest.TestCase):
+    @params(('split', 3, 4), ('merge', 3, 2))
+    def test_query_under_way_keeps_its_map(self, _, old_count, new_count):
+        services = max(old_count, new_count)
+        world = World()
+        world.ask()
+        world.run(1)
+        self.assertEqual(world.answers, {})
+        document = repartition(services, 2, new_count)
+        world.hand('v1', ConfigurationRead(document))
+        world.upstreams.newest = 2
+        world.run(100)
+        answer = world.answer('q1')
+        self.assertEqual((answer.snapshot, answer.coverage.shards_total), (1, old_count))
+        self.assertTrue(answer.coverage.complete)
+
+    @params(('split', 3, 4), ('merge', 3, 2))
+    def test_gone_in_mid_query_moves_to_the_new_map(self, _, old_count, new_count):
+        services = max(old_count, new_count)
+        world = World()
+        upstreams = world.upstreams
+        document = repartition(services, 2, new_count)
+
+        def repartition_now(action):
+            upstreams.oldest = upstreams.newest = 2
+            world.document = document
+            return upstreams
+
+        upstreams.script = {'svc1-a': repartition_now, 'svc1-b': repartition_now}
+        world.ask()
+        world.run(2)
+        world.hand('v1', ConfigurationRead(document))
+        world.run(300)
+        answer = world.answer('q1')
+        self.assertEqual((answer.snapshot, answer.coverage.shards_total), (2, new_count))
+        self.assertTrue(answer.coverage.complete)
+        keys = [row.key for row in answer.rows]
+        self.assertEqual(len(keys), len(set(keys)))
+        self.assertEqual(
+            {key.split('-')[0] for key in keys}, {f's{10 + n}' for n in range(new_count)}
+        )
+
+    def test_reply_with_another_range_counts_for_nothing(self):
+        world = World()
+        upstreams = world.upstreams
+
+        def answer_as_parent(action):
+            reply = upstreams.default(action)
+            reply.high += 100
+            return reply
+
+        upstreams.script = {'svc0-a': answer_as_parent, 'svc0-b': answer_as_parent}
+        world.ask(deadline_ms=500)
+        world.run(600)
+        failure = world.answer()
+        self.assertEqual(failure.coverage.shards_answered, 2)
+        missing = failure.coverage.missing
+        self.assertEqual([(m.shard_id, m.reason) for m in missing], [('s0', Reason.MISMATCHED)])
--- /dev/null
+++ b/tests/utils.py
@@ -0,0 +1,329 @@
+"""Fakes at the core's interfaces, on virtual time."""
+
+import heapq
+import random
+
+import msgspec
+
+from beechbridge.actions import (
+    AnswerCaller,
+    CloseConnection,
+    Exit,
+    ReadConfiguration,
+    ReadVmList,
+    Send,
+    SendPeer,
+)
+from beechbridge.core.limits import Limits
+from beechbridge.core.node import Core
+from beechbridge.document import Document
+from beechbridge.events import (
+    AttemptFailed,
+    ConfigurationRead,
+    PeerMessageArrived,
+    QueryArrived,
+    ReplyArrived,
+    RequestArrived,
+    Tick,
+    TicketWanted,
+    VmListRead,
+)
+from beechbridge.failures import AttemptFailure, Executed, PlatformFailure, Reason
+from beechbridge.messages import (
+    LoadProbe,
+    Reply,
+    ReplyStatus,
+    Row,
+    ShardQuery,
+    ShardRequest,
+)
+from beechbridge.models import (
+    KEY_SPACE,
+    Query,
+    Ticket,
+    TicketedRequest,
+    Vm,
+    VmIdentity,
+    VmList,
+)
+
+LATENCY_MS = 5.0
+PEER_DELAY_MS = 1.0
+LOST = AttemptFailure(Reason.CONNECTION_LOST, Executed.UNKNOWN, 'reset')
+REFUSED = AttemptFailure(Reason.CONNECT_FAILED, Executed.NOT_RUN, 'refused')
+
+
+def make_shards(count, first=0):
+    shards = []
+    for number in range(count):
+        low = KEY_SPACE * number // count
+        high = KEY_SPACE * (number + 1) // count
+        shard = {'shard_id': f's{first + number}', 'low': low, 'high': high}
+        shards.append({**shard, 'service': f'svc{number}'})
+    return shards
+
+
+def make_entries(services=3, replicas=2, limit=25, **rules):
+    entries = {'place/p': {'region': 'r'}, 'place/q': {'region': 'r'}}
+    for number in range(services):
+        listed = []
+        for letter in 'abcdefgh'[:replicas]:
+            replica = {
+                'replica_id': f'svc{number}-{letter}',
+                'place': 'p',
+                'host': '127.0.0.1',
+                'port': 1000 + number,
+                'slots': 2,
+                'connection_limit': limit,
+                'connection_cost_ms': 6,
+            }
+            listed.append(replica)
+        entries[f'service/b/svc{number}'] = {'replicas': listed}
+    entries['map/b/1'] = {'shards': make_shards(services)}
+    query_class = {
+        'back_end': 'b',
+        'urgency': 50,
+        'soft_deadline_ms': 1000,
+        'hard_deadline_ms': 1000,
+        'minimum_coverage': 1.0,
+    }
+    entries['class/c'] = query_class | rules
+    return entries
+
+
+def make_document(generation=1, **changes):
+    return Document(generation, make_entries(**changes))
+
+
+class FakeUpstreams:
+    """Answers sends as scripted by replica; everything else with one row a shard."""
+
+    def __init__(self):
+        self.newest = 1
+        self.oldest = 1
+        self.latency_ms = {}
+        self.script = {}
+        self.executions = {}
+        self.sends = []
+
+    def answer(self, action):
+        self.sends.append(action)
+        replica_id = action.replica.replica_id
+        scripted = self.script.get(replica_id)
+        if scripted is not None:
+            result = scripted(action)
+            if result is not self:
+                return result
+        return self.default(action)
+
+    def default(self, action):
+        message = action.message
+        if isinstance(message, ShardQuery):
+            return self.answer_query(action, message)
+        reply = self.reply(action, ReplyStatus.DONE)
+        if isinstance(message, ShardRequest):
+            runs = self.executions.get(message.request_id, 0)
+            self.executions[message.request_id] = runs + 1
+            self.newest += 1
+            reply.request_id = message.request_id
+            reply.snapshot = self.newest
+            reply.result = 'filed'
+        return reply
+
+    def answer_query(self, action, message):
+        if message.snapshot < self.oldest:
+            return self.reply(action, ReplyStatus.GONE, executed=False)
+        if message.snapshot > self.newest:
+            return self.reply(action, ReplyStatus.NOT_YET, executed=False)
+        reply = self.reply(action, ReplyStatus.DONE)
+        shard = message.shard
+        reply.request_id = message.request_id
+        reply.shard_id, reply.low, reply.high = shard.shard_id, shard.low, shard.high
+        reply.snapshot = message.snapshot
+        value = msgspec.Raw(b'%d' % message.snapshot)
+        reply.rows = [Row(f'{shard.shard_id}-row', value)]
+        return reply
+
+    def reply(self, action, status, executed=True):
+        return Reply(
+            status,
+            attempt_id=action.attempt_id,
+            executed=executed,
+            oldest_snapshot=self.oldest,
+            newest_snapshot=self.newest,
+        )
+
+    def queries(self):
+        return [action for action in self.sends if isinstance(action.message, ShardQuery)]
+
+    def requests(self):
+        return [action for action in self.sends if isinstance(action.message, ShardRequest)]
+
+    def probes(self):
+        return [action for action in self.sends if isinstance(action.message, LoadProbe)]
+
+
+class World:
+    """Cores, fake upstreams and a fake platform on one virtual clock."""
+
+    def __init__(self, names=('v1',), document=None, limits=None, seed=1):
+        self.now_ms = 1000.0
+        self.events = []
+        self.sequence = 0
+        self.limits = limits or Limits()
+        self.seed = seed
+        self.upstreams = FakeUpstreams()
+        self.document = document or make_document()
+        self.platform_down = False
+        self.list_down = False
+        self.hidden = {}
+        self.vms = {}
+        self.cores = {}
+        self.answers = {}
+        self.exited = set()
+        self.paused = set()
+        self.cut = set()
+        self.log = []
+        self.peer_filter = None
+        self.incarnations = 0
+        for name in names:
+            self.list_vm(name)
+        for name in names:
+            self.start(name)
+        self.run(100)
+
+    def list_vm(self, name, place='p'):
+        self.vms[name] = Vm(name, place, '127.0.0.1', 1, 2, 3)
+
+    def start(self, name):
+        self.incarnations += 1
+        identity = VmIdentity(name, self.incarnations)
+        rng = random.Random(f'{self.seed}-{name}')
+        core = Core(identity, self.vms[name].place, self.limits, rng)
+        self.cores[name] = core
+        self.perform(name, core.start(self.now_ms))
+        return core
+
+    def schedule(self, delay_ms, name, event):
+        self.sequence += 1
+        core = self.cores.get(name)
+        entry = (self.now_ms + delay_ms, self.sequence, name, core, event)
+        heapq.heappush(self.events, entry)
+
+    def hand(self, name, event):
+        self.perform(name, self.cores[name].handle(event, self.now_ms))
+
+    def perform(self, name, actions):
+        for action in actions:
+            self.log.append((name, action))
+            if isinstance(action, Send):
+                self.perform_send(name, action)
+            elif isinstance(action, CloseConnection):
+                self.perform_close(name, action)
+            elif isinstance(action, AnswerCaller):
+                self.answers.setdefault(action.request_id, []).append(action.answer)
+            elif isinstance(action, SendPeer):
+                self.perform_peer(name, action)
+            elif isinstance(action, ReadConfiguration):
+                self.perform_read(name, action)
+            elif isinstance(action, ReadVmList):
+                vms = [vm for key, vm in self.vms.items() if key not in self.hidden.get(name, ())]
+                failure = PlatformFailure(Reason.PLATFORM_UNAVAILABLE)
+                result = failure if self.list_down else VmList(tuple(vms))
+                self.schedule(1.0, name, VmListRead(result))
+            elif isinstance(action, Exit):
+                self.exited.add(name)
+
+    def perform_send(self, name, action):
+        result = self.upstreams.answer(action)
+        self.under_way = getattr(self, 'under_way', {})
+        self.under_way[(name, action.connection_id)] = action
+        if result is None:
+            return
+        delay_ms = self.upstreams.latency_ms.get(action.replica.replica_id, LATENCY_MS)
+        if isinstance(result, AttemptFailure):
+            event = AttemptFailed(action.attempt_id, result)
+        else:
+            event = ReplyArrived(action.attempt_id, result, True)
+        self.schedule(delay_ms, name, event)
+
+    def perform_close(self, name, action):
+        sent = self.under_way.pop((name, action.connection_id), None)
+        if sent is not None and sent.attempt_id in self.cores[name].upstreams.attempts:
+            self.schedule(0.1, name, AttemptFailed(sent.attempt_id, LOST))
+
+    def perform_peer(self, name, action):
+        if (name, action.vm.name) in self.cut:
+            return
+        event = PeerMessageArrived(self.cores[name].identity, action.message)
+        if self.peer_filter is not None and not self.peer_filter(name, action.vm.name, event):
+            return
+        self.schedule(PEER_DELAY_MS, action.vm.name, event)
+
+    def perform_read(self, name, action):
+        if self.platform_down:
+            result = PlatformFailure(Reason.PLATFORM_UNAVAILABLE)
+            self.schedule(1.0, name, ConfigurationRead(result))
+            return
+        newer = self.document.generation > action.after_generation
+        result = self.document if newer else None
+        self.schedule(1.0 if newer else max(1, action.wait_ms), name, ConfigurationRead(result))
+
+    def run(self, duration_ms):
+        until_ms = self.now_ms + duration_ms
+        while True:
+            due_ms, name = self.next_due()
+            if due_ms is None or due_ms > until_ms:
+                break
+            self.now_ms = max(self.now_ms, due_ms)
+            if name is not None:
+                self.hand(name, Tick())
+                continue
+            _, _, name, core, event = heapq.heappop(self.events)
+            if name in self.paused:
+                self.schedule(50.0, name, event)
+                continue
+            if name in self.cores and core in (None, self.cores[name]):
+                self.hand(name, event)
+        self.now_ms = until_ms
+
+    def next_due(self):
+        due_ms, owner = (self.events[0][0], None) if self.events else (None, None)
+        for name, core in self.cores.items():
+            wake_ms = core.next_wake_ms()
+            if name in self.paused or name in self.exited or wake_ms is None:
+                continue
+            if due_ms is None or wake_ms < due_ms:
+                due_ms, owner = wake_ms, name
+        return due_ms, owner
+
+    def kill(self, name):
+        del self.cores[name]
+
+    def part(self, left, right):
+        for one in left:
+            for other in right:
+                self.cut |= {(one, other), (other, one)}
+
+    def ask(self, name='v1', request_id='q1', **fields):
+        self.hand(name, QueryArrived(request_id, Query('b', 'c', **fields)))
+
+    def answer(self, request_id='q1'):
+        answers = self.answers.get(request_id, [])
+        assert len(answers) == 1, f'{len(answers)} answers to {request_id}'
+        return answers[0]
+
+    def ticket(self, name='v1', request_id='t1'):
+        self.hand(name, TicketWanted(request_id, 'b'))
+        return self.answer(request_id).ticket
+
+    def submit(self, name, ticket: Ticket, request_id='r1', deadline_ms=1000, key='k'):
+        request = TicketedRequest(ticket, 'b', key, b'{}', deadline_ms)
+        self.hand(name, RequestArrived(request_id, request))
+
+    def actions(self, kind, name=None):
+        return [
+            action
+            for owner, action in self.log
+            if isinstance(action, kind) and name in (None, owner)
+        ]
