Test the daemon over real sockets, and name fields and failures better

Cause: the first run of a daemon in a test never became ready and nothing said why: the server gave its port as text, the VM list was refused as invalid, and neither that nor a defect in a pool thread left a line. Bodies with an unknown or missing field named the whole document instead of the field. Change: ports are numbers; a platform service that starts or stops failing, and a defect while handling an event, are logged; unknown and missing fields are named. Ruled out: the configuration (it was in force) and gossip (one VM needs none).

--- a/beechbridge/core/configuration.py
+++ b/beechbridge/core/configuration.py
@@ -231,12 +231,16 @@
     controller.is_reading = False
     result = event.result
     if isinstance(result, Failure):
+        if not controller.read_failures:
+            core.act(LogChange('configuration service', 'answering', result.detail))
         controller.read_failures += 1
         core.counters.add('service_failures', 'configuration')
         exponent = min(controller.read_failures, 10) - 1
         delay_ms = min(LONGEST_RETRY_MS, FIRST_RETRY_MS * 2**exponent)
         controller.arm_read(delay_ms, core)
         return
+    if controller.read_failures:
+        core.act(LogChange('configuration service', 'failing', 'answering'))
     controller.read_failures = 0
     controller.service_answered = True
     refusal = None
--- a/beechbridge/core/membership.py
+++ b/beechbridge/core/membership.py
@@ -93,6 +93,7 @@
         'heartbeat',
         'is_trusted',
         'last_listed_ms',
+        'list_failing',
         'list_read',
         'list_sequence',
         'listed',
@@ -115,6 +116,7 @@
         self.is_trusted = False
         self.round_number = 0
         self.list_read = False
+        self.list_failing = False
         self.peer_heard = False
 
     def share_names(self, now_ms: float) -> list[str] | None:
@@ -338,7 +340,13 @@
     core.timers.arm(due_ms, ListTimer(membership.list_sequence))
     if isinstance(event.result, Failure):
         core.counters.add('service_failures', 'vm_list')
+        if not membership.list_failing:
+            core.act(LogChange('VM list service', 'answering', event.result.detail))
+        membership.list_failing = True
         return
+    if membership.list_failing:
+        core.act(LogChange('VM list service', 'failing', 'answering'))
+    membership.list_failing = False
     membership.take_list(event.result.vms, core)
 
 
--- a/beechbridge/daemon/driver.py
+++ b/beechbridge/daemon/driver.py
@@ -4,12 +4,16 @@
 import time
 from collections.abc import Callable
 
+import logbook
+
 from ..actions import Action
 from ..core.node import Core
 from ..events import Event, Tick
 
 LONGEST_SLEEP_S = 1.0
 
+logger = logbook.Logger('driver')
+
 
 def read_clock_ms() -> float:
     """Return milliseconds on a clock that never falls and counts suspension."""
@@ -48,10 +52,15 @@
 
     def post(self, event: Event) -> None:
         """Hand an event to the core and perform what it asks for."""
-        with self.lock:
-            for action in self.core.handle(event, self.clock_ms()):
-                self.perform(action)
-            due_ms = self.core.next_wake_ms()
+        try:
+            with self.lock:
+                for action in self.core.handle(event, self.clock_ms()):
+                    self.perform(action)
+                due_ms = self.core.next_wake_ms()
+        except Exception:
+            # Callers run in pools that would swallow a defect without a word.
+            logger.exception('defect while handling {}', type(event).__name__)
+            raise
         if due_ms is not None and due_ms < self.wake_at_ms:
             self.wake.set()
 
--- a/beechbridge/daemon/server.py
+++ b/beechbridge/daemon/server.py
@@ -43,6 +43,7 @@
 
 QUIET_LIMIT_S = 3.0
 SLOW_CALLER_S = 30
+TASK_SHUTDOWN_S = 1.0
 RANDOM_INCARNATION_BITS = 20
 
 logger = logbook.Logger('beechbridged')
@@ -109,12 +110,12 @@
     @property
     def caller_port(self) -> int:
         """Return the port that callers use."""
-        return self.caller_server.effective_port
+        return int(self.caller_server.effective_port)
 
     @property
     def operations_port(self) -> int:
         """Return the port that operators use."""
-        return self.operations_server.effective_port
+        return int(self.operations_server.effective_port)
 
     def start(self) -> None:
         """Start serving."""
@@ -150,8 +151,9 @@
 
     def close(self) -> None:
         """Close everything at once."""
-        self.caller_server.close()
-        self.operations_server.close()
+        for server in (self.caller_server, self.operations_server):
+            server.task_dispatcher.shutdown(timeout=TASK_SHUTDOWN_S)
+            server.close()
         self.driver.close()
         self.peers.close()
         self.upstreams.close()
--- a/beechbridge/fields.py
+++ b/beechbridge/fields.py
@@ -8,6 +8,8 @@
 from .failures import InputFailure
 
 ERROR_FORM = re.compile(r'^(?P<allowed>.*?)(?: - at `\$?(?P<path>[^`]*)`)?$', re.DOTALL)
+UNKNOWN_FIELD = re.compile(r'^Object contains unknown field `(?P<name>[^`]*)`')
+MISSING_FIELD = re.compile(r'^Object missing required field `(?P<name>[^`]*)`')
 PATH_STEP = re.compile(r'\.([^.\[\]]+)|\[(\d+)\]')
 
 
@@ -41,8 +43,17 @@
     """Turn a validation error into a failure that names field, value and what is allowed."""
     match = ERROR_FORM.match(str(error))
     path = match['path'] or ''
+    allowed = match['allowed']
+    unknown = UNKNOWN_FIELD.match(allowed)
+    missing = MISSING_FIELD.match(allowed)
+    if unknown is not None:
+        path = f'{path}.{unknown["name"]}'
+        allowed = 'no field of this name'
+    if missing is not None:
+        path = f'{path}.{missing["name"]}'
+        allowed = 'a value; the field is required'
     field = (prefix + path).lstrip('.') or 'document'
-    return InputFailure(source, field, find_value(value, path), match['allowed'])
+    return InputFailure(source, field, find_value(value, path), allowed)
 
 
 def find_value(value: object, path: str) -> object:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -4,6 +4,7 @@
 
 from nose2.tools import params
 
+from beechbridge.actions import LogChange
 from beechbridge.document import Document
 from beechbridge.messages import ConfigurationOffered
 
@@ -146,3 +147,13 @@
         world.cut.clear()
         world.run(FORCE_MS)
         self.assertEqual(generations(world), {4})
+
+    def test_failing_platform_is_logged_once(self):
+        world = fleet()
+        mark = len(world.log)
+        world.platform_down = True
+        world.list_down = True
+        world.run(30_000)
+        lines = [a for n, a in world.log[mark:] if n == 'v1' and isinstance(a, LogChange)]
+        subjects = sorted(line.subject for line in lines)
+        self.assertEqual(subjects, ['VM list service', 'configuration service'])
--- /dev/null
+++ b/tests/test_daemon_stop.py
@@ -0,0 +1,62 @@
+"""A stop over real sockets: callers that follow the entry answers lose nothing."""
+
+import http.client
+import threading
+import unittest
+
+import msgspec
+
+from .deployment import HOST, Deployment, call, wait_for
+
+QUERY = msgspec.json.encode({'back_end': 'b', 'class': 'c'})
+
+
+class Caller(threading.Thread):
+    """Asks queries over one kept connection until told to stop."""
+
+    def __init__(self, entry_port):
+        super().__init__(daemon=True)
+        self.entry_port = entry_port
+        self.statuses = []
+        self.is_over = False
+
+    def run(self):
+        while not self.is_over:
+            _, entry = call(self.entry_port, 'GET', '/v1/entry')
+            port = int(entry['addresses'][0]['address'].rpartition(':')[2])
+            self.use(port)
+
+    def use(self, port):
+        client = http.client.HTTPConnection(HOST, port, timeout=30)
+        for _ in range(20):
+            client.request('POST', '/v1/query', QUERY)
+            response = client.getresponse()
+            response.read()
+            self.statuses.append(response.status)
+            if response.will_close:
+                break
+        client.close()
+
+
+class DaemonStopTest(unittest.TestCase):
+    def test_no_request_is_cut_off(self):
+        deployment = Deployment(('v1', 'v2', 'v3'))
+        self.addCleanup(deployment.close)
+        stays = deployment.daemons['v3'].caller_port
+        callers = [Caller(stays) for _ in range(4)]
+        for caller in callers:
+            caller.start()
+        wait_for(lambda: all(len(caller.statuses) > 20 for caller in callers))
+        for name in ('v1', 'v2'):
+            daemon = deployment.daemons[name]
+            daemon.request_stop()
+            self.assertTrue(daemon.exit_wanted.wait(60))
+            daemon.finish()
+            deployment.platform.unlist_vm(name)
+        counts = [len(caller.statuses) for caller in callers]
+        wait_for(lambda: all(len(c.statuses) > n for c, n in zip(callers, counts, strict=True)))
+        for caller in callers:
+            caller.is_over = True
+            caller.join(60)
+            self.assertFalse(caller.is_alive())
+            self.assertEqual(set(caller.statuses), {200})
