--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,10 @@
 test: $(READY) ## Run the tests
 	@$(BIN)/nose2 -s tests -t .
 
+.PHONY: cost
+cost: $(READY) ## Measure processor time and memory against a bare loop
+	@$(BIN)/python -m measure.cost
+
 .PHONY: lint
 lint: $(READY) ## Check formatting and style
 	@$(BIN)/ruff format --check .
--- /dev/null
+++ b/beechbridge/cli/options.py
@@ -0,0 +1,189 @@
+"""Commands and options of the tool, as data."""
+
+import enum
+
+from absl import flags
+
+from ..record import Record
+
+
+class OptionKind(enum.Enum):
+    """Type of an option's value."""
+
+    TEXT = 'text'
+    NUMBER = 'number'
+    LIST = 'list'
+    SWITCH = 'switch'
+
+
+class Option(Record):
+    """
+    One option.
+
+    :param default: value when it is not given, or None
+    :param required: whether it must be given
+    """
+
+    __slots__ = ('default', 'help_text', 'kind', 'name', 'required')
+
+    def __init__(
+        self,
+        name: str,
+        kind: OptionKind,
+        help_text: str,
+        default: object = None,
+        required: bool = False,
+    ):
+        self.name = name
+        self.kind = kind
+        self.help_text = help_text
+        self.default = default
+        self.required = required
+
+
+class Command(Record):
+    """
+    One command.
+
+    :param words: its name, one word or two
+    :param operands: names of its operands, in order
+    """
+
+    __slots__ = ('operands', 'options', 'summary', 'words')
+
+    def __init__(
+        self,
+        words: tuple[str, ...],
+        summary: str,
+        options: tuple[Option, ...] = (),
+        operands: tuple[str, ...] = (),
+    ):
+        self.words = words
+        self.summary = summary
+        self.options = options
+        self.operands = operands
+
+    @property
+    def usage(self) -> str:
+        """Return how the command is called."""
+        parts = ['beechbridge', *self.words, *self.operands]
+        parts += [f'--{option.name}=...' for option in self.options if option.required]
+        if any(not option.required for option in self.options):
+            parts.append('[options]')
+        return ' '.join(parts)
+
+
+TEXT = OptionKind.TEXT
+NUMBER = OptionKind.NUMBER
+LIST = OptionKind.LIST
+SWITCH = OptionKind.SWITCH
+
+ENTRY = Option('entry', LIST, 'host:port of VMs to ask, tried in order', required=True)
+BACK_END = Option('back_end', TEXT, 'back end', required=True)
+DEADLINE = Option('deadline_ms', NUMBER, 'time to answer in')
+PLACE = Option('place', TEXT, 'data centre of the caller')
+
+COMMANDS = (
+    Command(
+        ('query',),
+        'ask one query and show its rows and coverage',
+        (
+            ENTRY,
+            BACK_END,
+            Option('class', TEXT, 'query class from the rules', required=True),
+            Option('match', TEXT, 'what to look for, a JSON object', '{}'),
+            DEADLINE,
+            Option('urgency', NUMBER, 'urgency, at most that of the class'),
+            Option('minimum_snapshot', NUMBER, 'oldest snapshot to accept', 0),
+            Option('limit', NUMBER, 'most rows', 100),
+            PLACE,
+        ),
+    ),
+    Command(
+        ('submit',),
+        'run a non-idempotent request under a ticket',
+        (
+            ENTRY,
+            BACK_END,
+            Option('key', TEXT, 'key that decides the shard', required=True),
+            Option('body', TEXT, 'content, a JSON object', '{}'),
+            Option('ticket', TEXT, 'ticket of an earlier try, to repeat it'),
+            DEADLINE,
+            PLACE,
+        ),
+    ),
+    Command(('entry',), 'show which VMs to use', (ENTRY, PLACE)),
+    Command(
+        ('state',),
+        'dump the state of VMs and point out differences',
+        (
+            Option('operations', LIST, 'host:port of operations addresses', required=True),
+            Option('all', SWITCH, 'also ask every VM that the first one lists', False),
+            Option('full', SWITCH, 'show the whole dump rather than a summary', False),
+        ),
+    ),
+    Command(
+        ('config', 'check'),
+        'check an inventory with its rules',
+        operands=('INVENTORY', 'RULES'),
+    ),
+    Command(
+        ('config', 'build'),
+        'make the document to publish from an inventory and rules',
+        (
+            Option('generation', NUMBER, 'generation, higher than any published', required=True),
+            Option('output', TEXT, 'file to write; standard output if not given'),
+        ),
+        ('INVENTORY', 'RULES'),
+    ),
+    Command(
+        ('config', 'diff'),
+        'show what changes from one document to another',
+        operands=('OLD', 'NEW'),
+    ),
+    Command(('settings', 'check'), "check a daemon's settings", operands=('SETTINGS',)),
+)
+
+DEFINERS = {
+    OptionKind.TEXT: flags.DEFINE_string,
+    OptionKind.NUMBER: flags.DEFINE_integer,
+    OptionKind.LIST: flags.DEFINE_list,
+    OptionKind.SWITCH: flags.DEFINE_boolean,
+}
+
+
+def find_command(arguments: list[str]) -> Command | None:
+    """Return the command that the first words name."""
+    for command in COMMANDS:
+        if tuple(arguments[: len(command.words)]) == command.words:
+            return command
+    return None
+
+
+def define_options(command: Command) -> flags.FlagValues:
+    """Return parsers for a command's options."""
+    values = flags.FlagValues()
+    for option in command.options:
+        define = DEFINERS[option.kind]
+        define(option.name, option.default, option.help_text, flag_values=values)
+        if option.required:
+            flags.mark_flag_as_required(option.name, values)
+    return values
+
+
+def describe_commands() -> str:
+    """Return the help text."""
+    lines = ['usage: beechbridge COMMAND [options]', '']
+    for command in COMMANDS:
+        lines.append(f'  {" ".join(command.words):<16}{command.summary}')
+    lines += ['', 'beechbridge COMMAND --help shows the options of a command']
+    return '\n'.join(lines)
+
+
+def describe_command(command: Command) -> str:
+    """Return the help text of one command."""
+    lines = [f'usage: {command.usage}', '', f'  {command.summary}', '']
+    for option in command.options:
+        default = '' if option.default is None else f' (default: {option.default})'
+        lines.append(f'  --{option.name:<18}{option.help_text}{default}')
+    return '\n'.join(lines)
--- /dev/null
+++ b/beechbridge/context.py
@@ -0,0 +1,26 @@
+"""Environment of a run of the command-line tool, explicit so that tests can give their own."""
+
+import sys
+from typing import TextIO
+
+
+class Environment:
+    """
+    Streams of one run.
+
+    :param stdout: where results go
+    :param stderr: where errors go
+    :param is_terminal: whether a person reads the results
+    """
+
+    __slots__ = ('is_terminal', 'stderr', 'stdout')
+
+    def __init__(
+        self,
+        stdout: TextIO | None = None,
+        stderr: TextIO | None = None,
+        is_terminal: bool | None = None,
+    ):
+        self.stdout = stdout if stdout is not None else sys.stdout
+        self.stderr = stderr if stderr is not None else sys.stderr
+        self.is_terminal = self.stdout.isatty() if is_terminal is None else is_terminal
--- a/beechbridge/core/membership.py
+++ b/beechbridge/core/membership.py
@@ -297,6 +297,7 @@
             vms[name] = {
                 'place': vm.place,
                 'address': f'{vm.host}:{vm.caller_port}',
+                'operations': f'{vm.host}:{vm.operations_port}',
                 'listed_as': vm.state.value,
                 'answering': self.is_answering(name, now_ms),
                 'leaving': self.is_leaving(name),
--- a/beechbridge/core/replicas.py
+++ b/beechbridge/core/replicas.py
@@ -40,6 +40,7 @@
         'newest_snapshot',
         'oldest_snapshot',
         'pool',
+        'probed_ms',
         'probing',
         'queue',
         'removed',
@@ -73,6 +74,7 @@
         self.seen_ms = 0.0
         self.removed = False
         self.probing = False
+        self.probed_ms = 0.0
 
     @property
     def in_flight(self) -> int:
--- a/beechbridge/core/upstreams.py
+++ b/beechbridge/core/upstreams.py
@@ -13,6 +13,12 @@
 from .shares import connection_share
 
 PROBE_INTERVAL_MS = 2_000.0
+"""Time between two probes of a replica by the VM that watches it."""
+
+PROBE_ROUND_MS = 330.0
+PROBES_PER_ROUND = 2
+"""Most probes in a round; bounds what a VM that watches many replicas spends on them."""
+
 PROBE_DEADLINE_MS = 1_000.0
 MIN_STALL_MS = 250.0
 STALL_FACTOR = 20.0
@@ -317,22 +323,30 @@
         core.timers.arm(deadline_ms, StallTimer(attempt_id))
 
     def probe_due(self, core) -> None:
-        """Probe the replicas that this VM watches, and those it has given up on itself."""
+        """Probe the replicas that are due, those that wait longest first."""
         watched = self.find_watched(core)
+        due = []
         for replica_id, state in self.states.items():
             if state.probing or state.removed or state.pool.share == 0:
                 continue
             ejection_over = state.is_ejected and state.ejected_until_ms <= core.now_ms
-            if replica_id not in watched and not ejection_over:
-                continue
-            lease = state.pool.acquire_oldest(core.now_ms)
-            if lease is None:
-                next_id = self.next_connection_id + 1
-                lease = state.pool.acquire(core.now_ms, next_id, True)
-            if lease is None:
-                continue
-            state.probing = True
-            self.start_control(state, Probe(replica_id), lease, core)
+            is_due = core.now_ms - state.probed_ms >= PROBE_INTERVAL_MS
+            if ejection_over or (replica_id in watched and is_due):
+                due.append(state)
+        due.sort(key=lambda state: state.probed_ms)
+        for state in due[:PROBES_PER_ROUND]:
+            self.probe(state, core)
+
+    def probe(self, state: ReplicaState, core) -> None:
+        """Probe a replica over its longest idle connection, or a new one."""
+        lease = state.pool.acquire_oldest(core.now_ms)
+        if lease is None:
+            lease = state.pool.acquire(core.now_ms, self.next_connection_id + 1, True)
+        if lease is None:
+            return
+        state.probing = True
+        state.probed_ms = core.now_ms
+        self.start_control(state, Probe(state.replica.replica_id), lease, core)
 
     def mark_draining(self, state: ReplicaState, sign_ms: float, core) -> None:
         """Stop new work on a replica that showed a sign of leaving."""
@@ -525,7 +539,7 @@
 def fire_probe(timer: ProbeTimer, core) -> None:
     """Probe what is due and arm the next round with jitter."""
     core.upstreams.probe_due(core)
-    jitter_ms = core.rng.uniform(0.8, 1.2) * PROBE_INTERVAL_MS
+    jitter_ms = core.rng.uniform(0.8, 1.2) * PROBE_ROUND_MS
     core.timers.arm(core.now_ms + jitter_ms, timer)
 
 
--- a/beechbridge/daemon/driver.py
+++ b/beechbridge/daemon/driver.py
@@ -54,6 +54,8 @@
         """Hand an event to the core and perform what it asks for."""
         try:
             with self.lock:
+                if self.is_closed:
+                    return
                 for action in self.core.handle(event, self.clock_ms()):
                     self.perform(action)
                 due_ms = self.core.next_wake_ms()
@@ -86,6 +88,7 @@
             self.wake.wait(delay_s)
 
     def close(self) -> None:
-        """End the time-keeping thread."""
-        self.is_closed = True
+        """Take no more events and end the time-keeping thread."""
+        with self.lock:
+            self.is_closed = True
         self.wake.set()
--- /dev/null
+++ b/beechbridge/output/__init__.py
@@ -0,0 +1,1 @@
+"""Results of the command-line tool for people and for pipes."""
--- a/demo/platform.py
+++ b/demo/platform.py
@@ -1,6 +1,7 @@
 """Stand-in for the platform: configuration service and VM list, read and watch only."""
 
 import threading
+import time
 from collections import Counter
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlsplit
@@ -10,6 +11,8 @@
 from beechbridge.document import Document, encode_document
 from beechbridge.models import Vm, VmList, VmState
 
+CALLS_PER_S = 2000
+
 
 class PlatformServer(ThreadingHTTPServer):
     """
@@ -27,6 +30,8 @@
         self.vms: dict[str, Vm] = {}
         self.is_down = False
         self.calls: Counter[str] = Counter()
+        self.calls_by_second: Counter[int] = Counter()
+        self.refused_calls = 0
         self.changed = threading.Condition()
         super().__init__((host, port), PlatformHandler)
         self.port = self.server_address[1]
@@ -35,6 +40,17 @@
         """Serve in a thread."""
         threading.Thread(target=self.serve_forever, args=(0.05,), daemon=True).start()
 
+    def count_call(self, path: str) -> bool:
+        """Count a call; False if it exceeds the budget of all readers together."""
+        second = int(time.monotonic())
+        with self.changed:
+            self.calls[path] += 1
+            self.calls_by_second[second] += 1
+            if self.calls_by_second[second] <= CALLS_PER_S:
+                return True
+            self.refused_calls += 1
+            return False
+
     def publish(self, document: Document) -> None:
         """Show a document, whatever was shown before."""
         with self.changed:
@@ -67,8 +83,7 @@
     def do_GET(self) -> None:
         """Serve a read or a watch."""
         url = urlsplit(self.path)
-        self.server.calls[url.path] += 1
-        if self.server.is_down:
+        if not self.server.count_call(url.path) or self.server.is_down:
             self.reply(503, b'')
             return
         if url.path == '/v1/vms':
--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the tier on this machine."""
