Prove the core protocols, drive the code through them, and break both

Cause: that the protocols hold rested on examples, and nothing showed that the tests of the guards can fail. Ruled out: pyModelChecking (explicit states, no counterexamples for people). Before: two of the code mutants went unnoticed: an older configuration was only ever offered by a service that hides it, and no check told the reasons of unknown apart.

--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,15 @@
 test: $(READY) ## Run the tests
 	@$(BIN)/nose2 -s tests -t .
 
+.PHONY: measure
+measure: $(READY) ## Run the scenarios with the current and the naive policy
+	@$(BIN)/python -m measure.run
+
+.PHONY: model
+model: $(READY) ## Prove the specifications of the core protocols and break their mutants
+	@$(BIN)/python -m model.check
+	@$(BIN)/python -m model.mutants
+
 .PHONY: cost
 cost: $(READY) ## Measure processor time and memory against a bare loop
 	@$(BIN)/python -m measure.cost
--- a/beechbridge/core/filters.py
+++ b/beechbridge/core/filters.py
@@ -49,6 +49,8 @@
 
 def check_capacity(plan: Plan, core) -> Failure | None:
     """Refuse what exceeds the active queries; the more urgent classes may fill all of them."""
+    if not core.policy.admits:
+        return None
     limit = core.limits.active_queries
     highest = max(rules.urgency for rules in core.configuration.current.classes.values())
     if plan.urgency < highest:
@@ -65,6 +67,8 @@
     choice = core.snapshots.choose(back_end, plan.query.minimum_snapshot, core)
     if choice is None:
         return not_run(Reason.SNAPSHOT_NOT_YET, 'no shard map for this snapshot')
+    if not core.policy.admits:
+        return None
     hard_ms = plan.hard_at_ms - plan.arrived_ms
     late_count = 0
     latest_ms = 0.0
--- a/beechbridge/core/node.py
+++ b/beechbridge/core/node.py
@@ -49,6 +49,7 @@
     fire_retry,
     fire_soft_deadline,
 )
+from .policy import CURRENT, Policy
 from .snapshots import SnapshotsController
 from .stopping import (
     LeaveTimer,
@@ -95,6 +96,7 @@
     :param identity: this process
     :param place: this VM's data centre
     :param rng: source of all randomness
+    :param policy: what it decides by
     """
 
     __slots__ = (
@@ -108,6 +110,7 @@
         'now_ms',
         'place',
         'plans',
+        'policy',
         'rng',
         'snapshots',
         'stopping',
@@ -116,11 +119,19 @@
         'upstreams',
     )
 
-    def __init__(self, identity: VmIdentity, place: str, limits: Limits, rng: random.Random):
+    def __init__(
+        self,
+        identity: VmIdentity,
+        place: str,
+        limits: Limits,
+        rng: random.Random,
+        policy: Policy = CURRENT,
+    ):
         self.identity = identity
         self.place = place
         self.limits = limits
         self.rng = rng
+        self.policy = policy
         self.now_ms = 0.0
         self.actions: list[Action] = []
         self.timers = Timers()
@@ -224,6 +235,7 @@
             'incarnation': self.identity.incarnation,
             'place': self.place,
             'ready': self.is_ready(),
+            'policy': self.policy.name,
             'phase': self.stopping.phase.value,
             'active_queries': len(self.plans),
             'configuration': self.configuration.describe(self),
--- a/beechbridge/core/plans.py
+++ b/beechbridge/core/plans.py
@@ -410,6 +410,8 @@
     core.upstreams.arm_stall(attempt, core)
     if attempt.is_extra or owner.hedged or owner.plan.rules.hedge_percent == 0:
         return
+    if not core.policy.hedges:
+        return
     due_ms = core.now_ms + hedge_delay_ms(owner, core)
     core.timers.arm(due_ms, HedgeTimer(attempt.attempt_id))
 
--- a/beechbridge/core/replicas.py
+++ b/beechbridge/core/replicas.py
@@ -91,9 +91,16 @@
         """Tell whether the replica failed too often and has not passed a probe since."""
         return self.ejected_until_ms > 0
 
-    def enqueue(self, attempt: Attempt, length: int) -> Attempt | None:
-        """Put an attempt in its place in the queue; return the one that no longer fits."""
+    def enqueue(self, attempt: Attempt, length: int, is_ordered: bool = True) -> Attempt | None:
+        """
+        Put an attempt in its place in the queue; return the one that no longer fits.
+
+        :param is_ordered: whether urgency and deadline decide the place
+        """
         self.sequence += 1
+        if not is_ordered:
+            self.queue.append((0, 0.0, self.sequence, attempt))
+            return self.queue.pop()[3] if len(self.queue) > length else None
         entry = (-attempt.urgency, attempt.deadline_ms, self.sequence, attempt)
         bisect.insort(self.queue, entry)
         if len(self.queue) <= length:
--- a/beechbridge/core/upstreams.py
+++ b/beechbridge/core/upstreams.py
@@ -191,6 +191,8 @@
             if 0 < state.newest_snapshot < snapshot:
                 continue
             preferred.append(state)
+        if not core.policy.balances:
+            return core.rng.choice(usable) if usable else None
         pool = preferred or [state for state in usable if not state.is_ejected] or usable
         if len(pool) > 2:
             pool = core.rng.sample(pool, 2)
@@ -207,7 +209,7 @@
     def submit(self, state: ReplicaState, attempt: Attempt, core) -> None:
         """Queue an attempt and send what the window allows."""
         self.attempts[attempt.attempt_id] = attempt
-        displaced = state.enqueue(attempt, core.limits.queue_length)
+        displaced = state.enqueue(attempt, core.limits.queue_length, core.policy.orders)
         if displaced is not None:
             core.counters.add('queue_displaced')
             self.drop(displaced, Reason.QUEUE_FULL, core)
@@ -239,7 +241,9 @@
                 core.counters.add('queue_expired')
                 self.drop(attempt, Reason.DEADLINE, core)
                 continue
-            if state.in_flight >= int(state.window) or not core.membership.is_trusted:
+            if core.policy.adapts and state.in_flight >= int(state.window):
+                return
+            if not core.membership.is_trusted:
                 return
             if not self.send(state, attempt, core):
                 return
@@ -291,7 +295,9 @@
     def arm_stall(self, attempt: Attempt, core) -> None:
         """Give up on an exchange of idempotent work that makes no progress."""
         state = self.states[attempt.replica_id]
-        stall_ms = max(MIN_STALL_MS, STALL_FACTOR * state.latency.median_ms)
+        stall_ms = core.policy.stall_ms
+        if stall_ms is None:
+            stall_ms = max(MIN_STALL_MS, STALL_FACTOR * state.latency.median_ms)
         core.timers.arm(core.now_ms + stall_ms, StallTimer(attempt.attempt_id))
 
     def cancel(self, attempt: Attempt, core, hold_ms: float = CANCEL_HOLD_MS) -> None:
--- a/beechbridge/daemon/main.py
+++ b/beechbridge/daemon/main.py
@@ -8,6 +8,7 @@
 import logbook
 from absl import app, flags
 
+from ..core.policy import POLICIES
 from ..failures import Failure
 from ..status import ExitStatus
 from .server import Daemon
@@ -20,6 +21,7 @@
 def define_flags() -> None:
     """Define the daemon's flags."""
     flags.DEFINE_string('settings', None, 'path of the settings file, in TOML', required=True)
+    flags.DEFINE_enum('policy', 'current', sorted(POLICIES), 'policy, for experiments')
 
 
 def main(arguments: list[str]) -> ExitStatus:
@@ -30,7 +32,7 @@
         return ExitStatus.INVALID_SETTINGS
     logbook.StreamHandler(sys.stderr, format_string=LOG_FORMAT).push_application()
     try:
-        daemon = Daemon(settings)
+        daemon = Daemon(settings, policy=POLICIES[FLAGS.policy])
     except OSError as error:
         print(f'beechbridged: cannot listen: {error}', file=sys.stderr)
         return ExitStatus.CANNOT_LISTEN
--- a/beechbridge/daemon/server.py
+++ b/beechbridge/daemon/server.py
@@ -21,6 +21,7 @@
     SendPeer,
 )
 from ..core.node import Core
+from ..core.policy import CURRENT, Policy
 from ..events import StopWanted
 from ..models import VmIdentity
 from .callers import CallersApp
@@ -64,6 +65,7 @@
         settings: Settings,
         configuration_service: ConfigurationService | None = None,
         vm_list_service: VmListService | None = None,
+        policy: Policy = CURRENT,
     ):
         vm = settings.vm
         limits = settings.limits
@@ -71,7 +73,7 @@
         self.settings = settings
         self.identity = VmIdentity(vm.name, draw_incarnation())
         rng = random.Random(secrets.randbits(64))
-        self.core = Core(self.identity, vm.place, settings.core_limits(), rng)
+        self.core = Core(self.identity, vm.place, settings.core_limits(), rng, policy)
         self.driver = Driver(self.core, self.perform)
         post = self.driver.post
         self.upstreams = UpstreamClient(post, limits.upstream_threads)
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -14,8 +14,8 @@
 from beechbridge.document import Document
 from beechbridge.failures import Failure
 from beechbridge.inventory import parse_inventory
-from beechbridge.models import Vm
-from beechbridge.rules import build_document, parse_rules
+from beechbridge.models import ShardMap, Vm
+from beechbridge.rules import Rules, build_document, parse_rules
 
 from .platform import PlatformServer
 
@@ -46,8 +46,9 @@
 
     __slots__ = ('process',)
 
-    def __init__(self, folder: Path, back_end: str):
-        arguments = [str(folder / 'inventory.csv'), str(folder / 'rules.toml'), back_end]
+    def __init__(self, folder: Path, back_end: str, part: int = 0, parts: int = 1):
+        paths = [str(folder / 'inventory.csv'), str(folder / 'rules.toml')]
+        arguments = [*paths, back_end, str(part), str(parts)]
         self.process = subprocess.Popen(
             [sys.executable, '-m', 'demo.host', *arguments],
             stdin=subprocess.PIPE,
@@ -72,11 +73,17 @@
 
     __slots__ = ('log', 'process', 'vm')
 
-    def __init__(self, vm: Vm, settings_path: Path, log_path: Path):
+    def __init__(self, vm: Vm, settings_path: Path, log_path: Path, policy: str):
         self.vm = vm
         self.log = log_path.open('wb')
         self.process = subprocess.Popen(
-            [sys.executable, '-m', 'beechbridge.daemon', '--settings', str(settings_path)],
+            [
+                sys.executable,
+                '-m',
+                'beechbridge.daemon',
+                f'--settings={settings_path}',
+                f'--policy={policy}',
+            ],
             stderr=self.log,
         )
 
@@ -95,41 +102,72 @@
 class Fleet:
     """A deployment that runs."""
 
-    def __init__(self, folder: Path, vm_count: int, ticket_keep_ms: int = 3000):
+    def __init__(
+        self,
+        folder: Path,
+        vm_count: int,
+        ticket_keep_ms: int = 3000,
+        policy: str = 'current',
+        split_back_ends: tuple[str, ...] = (),
+        rules: Rules | None = None,
+    ):
         self.folder = folder
         self.scratch = Path(tempfile.mkdtemp(prefix='beechbridge-'))
         self.ticket_keep_ms = ticket_keep_ms
+        self.policy = policy
         self.rows = read_or_exit(parse_inventory, folder / 'inventory.csv')
-        self.rules = read_or_exit(parse_rules, folder / 'rules.toml')
+        self.rules = rules or read_or_exit(parse_rules, folder / 'rules.toml')
         fleet_rules = msgspec.structs.replace(self.rules.fleet, entry_keep_ms=2000)
         self.rules = msgspec.structs.replace(self.rules, fleet=fleet_rules)
         self.platform = PlatformServer()
         self.platform.start()
-        self.back_ends: dict[str, BackEndProcess] = {}
+        self.hosts: dict[str, list[BackEndProcess]] = {}
         for name in sorted({row.back_end for row in self.rows}):
-            self.back_ends[name] = BackEndProcess(folder, name)
+            parts = 2 if name in split_back_ends else 1
+            self.hosts[name] = [BackEndProcess(folder, name, part, parts) for part in range(parts)]
         ports = {}
-        for back_end in self.back_ends.values():
-            ports.update(back_end.ask('ports'))
+        for host in self.all_hosts():
+            ports.update(host.ask('ports'))
         self.rows = [
             msgspec.structs.replace(row, host=HOST, port=ports[row.replica]) for row in self.rows
         ]
-        self.platform.publish(self.build(1))
+        self.generation = 0
+        self.maps: dict[str, dict] = {}
+        self.publish_next()
         self.vms: list[VmProcess] = []
         places = sorted(self.rules.places)
         for number in range(vm_count):
             self.start_vm(f'vm-{number + 1}', places[number % len(places)])
 
+    def all_hosts(self) -> list[BackEndProcess]:
+        """Return the processes of all back ends."""
+        return [host for hosts in self.hosts.values() for host in hosts]
+
+    def ask_hosts(self, back_end: str, command: str, **fields) -> list[dict]:
+        """Send a command to each process of a back end."""
+        return [host.ask(command, **fields) for host in self.hosts[back_end]]
+
     def build(self, generation: int) -> Document:
         """Return the document of a generation."""
         document = build_document(self.rows, self.rules, generation)
         if isinstance(document, Failure):
             raise SystemExit(document.detail)
-        return document
+        return Document(generation, document.entries | self.maps)
+
+    def add_map(self, back_end: str, first_snapshot: int, shard_map: ShardMap) -> None:
+        """Add a shard map to what is published next."""
+        entry = msgspec.json.decode(msgspec.json.encode(shard_map))
+        self.maps[f'map/{back_end}/{first_snapshot}'] = entry
+
+    def publish_next(self) -> None:
+        """Publish the next generation."""
+        self.generation += 1
+        self.platform.publish(self.build(self.generation))
 
     def start_vm(self, name: str, place: str) -> VmProcess:
         """Put a VM on the list and start its daemon."""
         vm = Vm(name, place, HOST, *free_ports(3))
+        listed = msgspec.structs.replace(vm, peer_port=self.published_peer_port(vm))
         settings_path = self.scratch / f'{name}.toml'
         settings_path.write_text(
             SETTINGS.format(
@@ -143,11 +181,16 @@
                 ticket_keep_ms=self.ticket_keep_ms,
             )
         )
-        self.platform.list_vm(vm)
-        process = VmProcess(vm, settings_path, self.scratch / f'{name}.log')
+        self.platform.list_vm(listed)
+        log_path = self.scratch / f'{name}.log'
+        process = VmProcess(vm, settings_path, log_path, self.policy)
         self.vms.append(process)
         return process
 
+    def published_peer_port(self, vm: Vm) -> int:
+        """Return the port at which other VMs reach a VM."""
+        return vm.peer_port
+
     def wait_ready(self) -> None:
         """Wait until every VM takes work."""
         limit_s = time.monotonic() + READY_TIMEOUT_S
@@ -179,8 +222,8 @@
             if process.process.poll() is None:
                 process.process.kill()
                 process.wait()
-        for back_end in self.back_ends.values():
-            back_end.close()
+        for host in self.all_hosts():
+            host.close()
         self.platform.shutdown()
 
 
--- a/demo/host.py
+++ b/demo/host.py
@@ -5,6 +5,8 @@
 """
 
 import sys
+import time
+import zlib
 from pathlib import Path
 
 import msgspec
@@ -12,6 +14,7 @@
 from beechbridge.document import check_document
 from beechbridge.failures import Failure
 from beechbridge.inventory import parse_inventory
+from beechbridge.models import ShardMap
 from beechbridge.rules import build_document, parse_rules
 
 from .upstream import Behaviour, Index, ReplicaServer
@@ -24,7 +27,9 @@
 
     __slots__ = ('index', 'replicas')
 
-    def __init__(self, inventory_path: Path, rules_path: Path, back_end: str):
+    def __init__(
+        self, inventory_path: Path, rules_path: Path, back_end: str, part: int, parts: int
+    ):
         rows = parse_inventory(inventory_path.read_text(), str(inventory_path))
         rules = parse_rules(rules_path.read_text(), str(rules_path))
         for value in (rows, rules):
@@ -34,7 +39,7 @@
         self.index = Index(configuration.back_ends[back_end].shard_maps, ROW_COUNT)
         self.replicas: dict[str, ReplicaServer] = {}
         for number, row in enumerate(rows):
-            if row.back_end != back_end:
+            if row.back_end != back_end or hash_part(row.service, parts) != part:
                 continue
             server = ReplicaServer(
                 self.index,
@@ -59,9 +64,23 @@
             return {'newest': self.index.advance()}
         if name == 'behave':
             for replica_id in command.get('replicas') or self.replicas:
+                if replica_id not in self.replicas:
+                    continue
                 for field, value in command['fields'].items():
                     setattr(self.replicas[replica_id].behaviour, field, value)
             return {}
+        if name == 'silence_open':
+            for server in self.replicas.values():
+                server.behaviour.silent_before_s = time.monotonic()
+            return {}
+        if name == 'add_map':
+            shard_map = msgspec.convert(command['map'], ShardMap)
+            self.index.shard_maps.insert(0, (command['first_snapshot'], shard_map))
+            return {}
+        if name == 'ran':
+            asked = set(command['request_ids'])
+            ran = [server.seen_requests & asked for server in self.replicas.values()]
+            return {'ran': sorted(set().union(*ran))}
         if name == 'restart_cold':
             self.replicas[command['replica']].restart_cold()
             return {}
@@ -72,7 +91,7 @@
 
     def count(self) -> dict:
         """Return what the replicas counted."""
-        totals = {'connection_overruns': 0}
+        totals = {'connection_overruns': 0, 'newest': self.index.newest}
         for server in self.replicas.values():
             totals['connection_overruns'] += server.refused_connections
             for key, value in server.counts.items():
@@ -80,10 +99,16 @@
         return totals
 
 
+def hash_part(service: str, parts: int) -> int:
+    """Return which of several processes hosts a service."""
+    return zlib.crc32(service.encode()) % parts
+
+
 def main() -> None:
     """Serve until standard input ends."""
-    inventory_path, rules_path, back_end = sys.argv[1:4]
-    host = BackEndHost(Path(inventory_path), Path(rules_path), back_end)
+    inventory_path, rules_path, back_end, part, parts = sys.argv[1:6]
+    paths = (Path(inventory_path), Path(rules_path))
+    host = BackEndHost(*paths, back_end, int(part), int(parts))
     for line in sys.stdin:
         reply = host.obey(msgspec.json.decode(line))
         sys.stdout.write(msgspec.json.encode(reply).decode() + '\n')
--- a/demo/platform.py
+++ b/demo/platform.py
@@ -57,6 +57,9 @@
             self.document = document
             self.changed.notify_all()
 
+    def handle_error(self, request, client_address) -> None:
+        """Keep quiet about readers that went away."""
+
     def list_vm(self, vm: Vm) -> None:
         """Put a VM on the list."""
         self.vms[vm.name] = vm
--- a/demo/run.py
+++ b/demo/run.py
@@ -108,7 +108,7 @@
     }
     _, outcome = call(first, 'POST', '/v1/requests', body)
     _, repeated = call(second, 'POST', '/v1/requests', body)
-    executions = fleet.back_ends[back_end].ask('executions')
+    (executions,) = fleet.ask_hosts(back_end, 'executions')
     runs = sum(executions.values())
     show('filed under a ticket', f'{example.write_key}: {outcome["outcome"]}')
     show('repeated elsewhere', f'{repeated["outcome"]}; the upstream ran it {runs} time(s)')
--- a/demo/upstream.py
+++ b/demo/upstream.py
@@ -14,6 +14,8 @@
 RETAINED_SNAPSHOTS = 50
 COLD_START_S = 2.0
 COLD_FACTOR = 5.0
+SILENT_TIMEOUT_S = 25.0
+"""Time after which a replica itself gives a silent connection up."""
 
 
 class Behaviour:
@@ -24,6 +26,9 @@
     :param straggler_share: share of sub-requests that take straggler_factor as long
     :param queue_length: sub-requests that wait for a slot before more are shed
     :param health_lies: the load endpoint goes on saying healthy while the replica drains
+    :param silent: answer nothing, as a process that hangs
+    :param silent_before_s: answer nothing on connections opened before this time
+    :param marks: add a row to each partial answer that tells its snapshot
     :param fault: what to do to replies: '', 'truncate', 'duplicate', 'cross' or 'drop'
     """
 
@@ -33,10 +38,12 @@
         'fault',
         'health_lies',
         'lag',
+        'marks',
         'moved',
         'queue_length',
         'service_ms',
         'silent',
+        'silent_before_s',
         'straggler_factor',
         'straggler_share',
     )
@@ -49,6 +56,8 @@
         self.draining = False
         self.health_lies = False
         self.silent = False
+        self.silent_before_s = 0.0
+        self.marks = False
         self.fault = ''
         self.cold_until_s = 0.0
         self.lag = 0
@@ -132,6 +141,7 @@
         self.counts: Counter[str] = Counter()
         self.cancelled: set[str] = set()
         self.previous_reply: bytes | None = None
+        self.seen_requests: set[str] = set()
         super().__init__((host, port), UpstreamHandler)
         self.port = self.server_address[1]
 
@@ -215,6 +225,7 @@
     def setup(self) -> None:
         """Charge the cost of a new connection."""
         super().setup()
+        self.opened_s = time.monotonic()
         time.sleep(self.server.connection_cost_ms / 1000.0)
 
     def log_message(self, *arguments) -> None:
@@ -248,9 +259,11 @@
 
     def hang_if_silent(self) -> bool:
         """Never answer on a connection that something in between has forgotten."""
-        if not self.server.behaviour.silent:
+        behaviour = self.server.behaviour
+        if not behaviour.silent and self.opened_s >= behaviour.silent_before_s:
             return False
-        time.sleep(3600)
+        time.sleep(SILENT_TIMEOUT_S)
+        self.close_connection = True
         return True
 
     def serve_in_slot(self, body: bytes) -> None:
@@ -297,7 +310,10 @@
             self.reply('moved', executed=False)
             return
         time.sleep(server.service_s())
+        server.seen_requests.add(self.headers['X-Request-Id'])
         rows = server.index.find(int(low), int(high), snapshot)
+        if server.behaviour.marks:
+            rows.append({'key': f'~{self.headers["X-Shard"]}', 'value': {'snapshot': snapshot}})
         self.reply('done', rows=rows, snapshot=snapshot, low=int(low), high=int(high))
 
     def holds_shard(self, snapshot: int, low: int, high: int) -> bool:
--- /dev/null
+++ b/measure/load.py
@@ -0,0 +1,251 @@
+"""Open-loop load: callers that follow the entry answers, and what became of each request."""
+
+import random
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from demo.fleet import call
+
+CALLER_THREADS = 500
+CALLERS = 16
+CALL_SLACK_MS = 30.0
+"""Time a call may take beyond its deadline for the way to the VM and back on loopback."""
+
+
+class Call:
+    """
+    One planned request.
+
+    :param at_s: when it is due, from the start of the load
+    :param key: key of a non-idempotent request, or None for a query
+    """
+
+    __slots__ = ('at_s', 'caller', 'hard_ms', 'key', 'query_class', 'urgency')
+
+    def __init__(
+        self,
+        at_s: float,
+        query_class: str,
+        urgency: int,
+        hard_ms: int,
+        caller: int,
+        key: str | None = None,
+    ):
+        self.at_s = at_s
+        self.query_class = query_class
+        self.urgency = urgency
+        self.hard_ms = hard_ms
+        self.caller = caller
+        self.key = key
+
+
+class Result:
+    """
+    What became of one request.
+
+    :param latency_ms: from when it was due to its whole answer
+    :param status: HTTP status, or 0 where the connection broke after the request was sent
+    :param share: share of shards that answered
+    """
+
+    __slots__ = (
+        'at_s',
+        'call',
+        'cut',
+        'executed',
+        'false_coverage',
+        'latency_ms',
+        'mixed',
+        'number',
+        'outcome',
+        'reason',
+        'request_id',
+        'share',
+        'snapshot',
+        'status',
+    )
+
+    def __init__(self, call: Call):
+        self.call = call
+        self.at_s = call.at_s
+        self.latency_ms = 0.0
+        self.status = 0
+        self.cut = False
+        self.reason = ''
+        self.executed = ''
+        self.share = 0.0
+        self.mixed = False
+        self.false_coverage = False
+        self.request_id = ''
+        self.snapshot = 0
+        self.outcome = ''
+        self.number = ''
+
+    @property
+    def is_in_time(self) -> bool:
+        """Tell whether the request was answered by its deadline."""
+        return self.status == 200 and self.latency_ms <= self.call.hard_ms + CALL_SLACK_MS
+
+
+class EntryCache:
+    """One caller's answer to which VMs to use."""
+
+    __slots__ = ('addresses', 'caller', 'lock', 'ports', 'until_s')
+
+    def __init__(self, caller: int, ports: list[int]):
+        self.caller = caller
+        self.ports = ports
+        self.addresses: list[int] = []
+        self.until_s = 0.0
+        self.lock = threading.Lock()
+
+    def entries(self) -> list[int]:
+        """Return the ports to use, best first."""
+        with self.lock:
+            if time.monotonic() >= self.until_s:
+                self.refresh()
+            return self.addresses
+
+    def refresh(self) -> None:
+        """Ask the first VM that can be reached."""
+        for port in [*self.addresses, *self.ports]:
+            try:
+                status, entry = call(port, 'GET', f'/v1/entry?caller=caller-{self.caller}')
+            except OSError:
+                continue
+            if status != 200 or not entry['addresses']:
+                continue
+            self.addresses = [
+                int(item['address'].rpartition(':')[2]) for item in entry['addresses']
+            ]
+            self.until_s = time.monotonic() + entry['keep_ms'] / 1000.0
+            return
+
+
+class Load:
+    """Runs planned calls at their times and collects their results."""
+
+    def __init__(self, back_end: str, ports: list[int]):
+        self.back_end = back_end
+        self.ports = ports
+        self.caches = [EntryCache(number, ports) for number in range(CALLERS)]
+        self.results: list[Result] = []
+
+    def run(self, calls: list[Call]) -> list[Result]:
+        """Make all calls, each at its time."""
+        start_s = time.monotonic()
+        with ThreadPoolExecutor(CALLER_THREADS) as executor:
+            futures = []
+            for planned in calls:
+                delay_s = start_s + planned.at_s - time.monotonic()
+                if delay_s > 0:
+                    time.sleep(delay_s)
+                futures.append(executor.submit(self.make, planned, start_s))
+            return [future.result() for future in futures]
+
+    def make(self, planned: Call, start_s: float) -> Result:
+        """Make one call."""
+        result = Result(planned)
+        if planned.key is not None:
+            self.submit(planned, result)
+        else:
+            self.query(planned, result)
+        result.latency_ms = (time.monotonic() - start_s - planned.at_s) * 1000.0
+        return result
+
+    def query(self, planned: Call, result: Result) -> None:
+        """Ask one query at the best VM that can be reached."""
+        body = {'back_end': self.back_end, 'class': planned.query_class, 'limit': 100_000}
+        answer = self.post(planned, '/v1/query', body, result)
+        if answer is None:
+            return
+        result.request_id = answer['request_id']
+        if 'failure' in answer:
+            note_failure(answer, result)
+            coverage = answer['failure'].get('coverage')
+        else:
+            coverage = answer['coverage']
+            check_answer(answer, result)
+        if coverage is not None:
+            result.share = coverage['shards_answered'] / coverage['shards_total']
+
+    def submit(self, planned: Call, result: Result) -> None:
+        """Take a ticket and file under it, repeating at other VMs until it is done."""
+        grant = self.post(planned, '/v1/tickets', {'back_end': self.back_end}, result)
+        if grant is None or 'failure' in grant:
+            if grant is not None:
+                note_failure(grant, result)
+            return
+        result.number = grant['ticket'].rpartition(':')[2]
+        body = {
+            'ticket': grant['ticket'],
+            'back_end': self.back_end,
+            'key': planned.key,
+            'deadline_ms': planned.hard_ms,
+        }
+        for port in self.caches[planned.caller].entries():
+            try:
+                result.status, answer = call(port, 'POST', '/v1/requests', body)
+            except OSError:
+                continue
+            result.outcome = answer['outcome']
+            if result.outcome == 'done':
+                return
+            note_failure(answer, result)
+
+    def post(self, planned: Call, path: str, body: dict, result: Result) -> dict | None:
+        """Post to the best VM that can be reached; None where the answer was cut off."""
+        for port in self.caches[planned.caller].entries():
+            try:
+                result.status, answer = call(port, 'POST', path, body)
+            except ConnectionRefusedError:
+                continue
+            except Exception as error:
+                result.status = 0
+                result.cut = True
+                result.reason = type(error).__name__
+                return None
+            return answer
+        result.reason = 'no VM reachable'
+        return None
+
+
+def note_failure(answer: dict, result: Result) -> None:
+    """Note why a request failed."""
+    result.reason = answer['failure']['reason']
+    result.executed = answer['failure']['executed']
+
+
+def check_answer(answer: dict, result: Result) -> None:
+    """Check an answer against the marks that the stand-ins leave in each partial answer."""
+    result.snapshot = answer['snapshot']
+    marks = [row['value']['snapshot'] for row in answer['rows'] if row['key'][0] == '~']
+    result.mixed = any(mark != answer['snapshot'] for mark in marks)
+    coverage = answer['coverage']
+    is_counted = len(marks) == coverage['shards_answered']
+    is_complete = len(coverage['missing']) == coverage['shards_total'] - len(marks)
+    result.false_coverage = not (is_counted and is_complete)
+
+
+def plan_calls(
+    classes: list[tuple[str, int, int]],
+    phases: list[tuple[float, float]],
+    rng: random.Random,
+) -> list[Call]:
+    """
+    Plan calls with exponential gaps.
+
+    :param classes: name, urgency and hard deadline of each class, taken in equal parts
+    :param phases: duration in seconds and calls a second of each phase
+    """
+    calls = []
+    phase_start_s = 0.0
+    for duration_s, rate in phases:
+        at_s = phase_start_s + rng.expovariate(rate)
+        while at_s < phase_start_s + duration_s:
+            name, urgency, hard_ms = rng.choice(classes)
+            calls.append(Call(at_s, name, urgency, hard_ms, rng.randrange(CALLERS)))
+            at_s += rng.expovariate(rate)
+        phase_start_s += duration_s
+    return calls
--- /dev/null
+++ b/model/__init__.py
@@ -0,0 +1,1 @@
+"""Small specifications of the core protocols, proved with z3's fixed-point engine."""
--- /dev/null
+++ b/model/mutants.py
@@ -0,0 +1,252 @@
+"""
+Leaves out one guard of the code at a time and shows that the tests notice.
+
+Each mutant is one replacement in one file, made in a copy of the tree, and the test modules that
+must fail with it. The exit status is 0 only if every mutant fails.
+"""
+
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+from beechbridge.record import Record
+
+ROOT = Path(__file__).parent.parent
+COPIED = ('beechbridge', 'demo', 'model', 'tests', 'examples')
+WORKERS = 4
+TIMEOUT_S = 300
+
+
+class Mutant(Record):
+    """
+    One guard left out.
+
+    :param old: text in the file, found exactly once
+    :param new: what stands there instead
+    :param tests: test modules of which one must fail
+    """
+
+    __slots__ = ('file', 'name', 'new', 'old', 'tests')
+
+    def __init__(self, name: str, file: str, old: str, new: str, tests: tuple[str, ...]):
+        self.name = name
+        self.file = file
+        self.old = old
+        self.new = new
+        self.tests = tests
+
+
+TICKETS = 'beechbridge/core/tickets.py'
+PLANS = 'beechbridge/core/plans.py'
+UPSTREAMS = 'beechbridge/core/upstreams.py'
+CONFIGURATION = 'beechbridge/core/configuration.py'
+
+MUTANTS = (
+    Mutant(
+        'a settled ticket runs again',
+        TICKETS,
+        'if entry.state is TicketState.SETTLED:\n            core.counters',
+        'if False:\n            core.counters',
+        ('test_tickets', 'test_machine'),
+    ),
+    Mutant(
+        'a running ticket starts again',
+        TICKETS,
+        'if entry.state is TicketState.RUNNING:\n            core.counters',
+        'if False:\n            core.counters',
+        ('test_tickets', 'test_machine'),
+    ),
+    Mutant(
+        'a lost attempt is tried again',
+        TICKETS,
+        'if failure.executed is not Executed.NOT_RUN:',
+        'if False:',
+        ('test_tickets', 'test_machine'),
+    ),
+    Mutant(
+        'not run is said of a sent attempt',
+        TICKETS,
+        'if attempt is not None and attempt.sent_ms is not None:',
+        'if False:',
+        ('test_tickets', 'test_machine'),
+    ),
+    Mutant(
+        'a forgotten ticket is said not to have run',
+        TICKETS,
+        "unknown(Reason.TICKET_FORGOTTEN, 'ticket not in the table')",
+        "not_run(Reason.TICKET_FORGOTTEN, 'ticket not in the table')",
+        ('test_tickets', 'test_machine'),
+    ),
+    Mutant(
+        'a successor takes a ticket of the same address',
+        TICKETS,
+        'if issuer == core.identity:',
+        'if issuer.name == core.identity.name:',
+        ('test_tickets',),
+    ),
+    Mutant(
+        'a request uses an old connection',
+        TICKETS,
+        'TICKET_URGENCY, run.deadline_at_ms, fresh=True',
+        'TICKET_URGENCY, run.deadline_at_ms, fresh=False',
+        ('test_tickets',),
+    ),
+    Mutant(
+        'an older configuration is accepted',
+        CONFIGURATION,
+        'if document.generation < self.generation:',
+        'if False:',
+        ('test_configuration', 'test_machine'),
+    ),
+    Mutant(
+        'a second document of a generation is accepted',
+        CONFIGURATION,
+        'if document.generation == self.generation:',
+        'if False:',
+        ('test_configuration', 'test_machine'),
+    ),
+    Mutant(
+        'configuration is not compared by gossip',
+        'beechbridge/core/membership.py',
+        'core.configuration.compare_gossip(vm, message.generation, message.digest, core)',
+        'pass',
+        ('test_configuration',),
+    ),
+    Mutant(
+        'partials of another range are counted',
+        PLANS,
+        'if found != expected:',
+        'if False:',
+        ('test_repartition', 'test_snapshots'),
+    ),
+    Mutant(
+        'replies of another attempt are taken',
+        UPSTREAMS,
+        'return reply.attempt_id == attempt.attempt_id',
+        'return True',
+        ('test_replies',),
+    ),
+    Mutant(
+        'collected partials survive a new snapshot',
+        PLANS,
+        'plan.tasks = {shard.shard_id: Task(plan, shard) for shard in choice.shard_map.shards}',
+        'plan.tasks = plan.tasks or {s.shard_id: Task(plan, s) for s in choice.shard_map.shards}',
+        ('test_snapshots', 'test_repartition'),
+    ),
+    Mutant(
+        'a drain sign is not heeded',
+        UPSTREAMS,
+        'if state is None or state.is_draining or state.pool.share == 0:',
+        'if state is None or state.pool.share == 0:',
+        ('test_drain',),
+    ),
+    Mutant(
+        'a healthy endpoint ends a drain at once',
+        UPSTREAMS,
+        'if state.drain_sign_ms is None or core.now_ms - state.drain_sign_ms < DRAIN_HOLD_MS:',
+        'if state.drain_sign_ms is None:',
+        ('test_drain',),
+    ),
+    Mutant(
+        'drain signs are not passed on',
+        UPSTREAMS,
+        'if not draining and replica_id not in watched:',
+        'if replica_id not in watched:',
+        ('test_drain',),
+    ),
+    Mutant(
+        'silent connections do not count any more',
+        UPSTREAMS,
+        'attempt.hold_ms = SILENT_HOLD_MS',
+        'attempt.hold_ms = 0.0',
+        ('test_silent',),
+    ),
+    Mutant(
+        'exchanges never stall',
+        UPSTREAMS,
+        'core.timers.arm(core.now_ms + stall_ms, StallTimer(attempt.attempt_id))',
+        'pass',
+        ('test_silent',),
+    ),
+    Mutant(
+        'a pause goes unnoticed',
+        'beechbridge/core/node.py',
+        'if due_ms is not None and self.now_ms - due_ms > PAUSE_MS:',
+        'if False:',
+        ('test_pause',),
+    ),
+    Mutant(
+        'spare VMs are not reserved for',
+        'beechbridge/core/shares.py',
+        'fleet_size = len(vm_names) + spare_vms',
+        'fleet_size = max(1, len(vm_names))',
+        ('test_shares',),
+    ),
+    Mutant(
+        'shares follow heartbeats rather than the list',
+        UPSTREAMS,
+        'names = core.membership.share_names(core.now_ms)',
+        'names = list(core.membership.serving_names(core.now_ms))',
+        ('test_shares',),
+    ),
+    Mutant(
+        'a stopping VM exits with work in flight',
+        'beechbridge/core/stopping.py',
+        'if self.phase is Phase.FINISHING and not core.plans and core.tickets.is_idle():',
+        'if self.phase is Phase.FINISHING:',
+        ('test_stop',),
+    ),
+    Mutant(
+        'a leaving VM stays in entry answers',
+        'beechbridge/core/membership.py',
+        'if core.stopping.is_leaving:\n            vms =',
+        'if False:\n            vms =',
+        ('test_stop',),
+    ),
+    Mutant(
+        'a leaving VM serves no further',
+        'beechbridge/core/stopping.py',
+        'self.serve_until_ms = core.now_ms + keep_ms + SPREAD_MS',
+        'self.serve_until_ms = core.now_ms',
+        ('test_stop',),
+    ),
+)
+
+
+def run_mutant(mutant: Mutant) -> str:
+    """Return 'noticed', or what is wrong with the mutant."""
+    with tempfile.TemporaryDirectory(prefix='mutant-') as folder:
+        root = Path(folder)
+        for name in COPIED:
+            ignored = shutil.ignore_patterns('__pycache__')
+            shutil.copytree(ROOT / name, root / name, ignore=ignored)
+        path = root / mutant.file
+        text = path.read_text()
+        if text.count(mutant.old) != 1:
+            return f'NOT MADE: text found {text.count(mutant.old)} times'
+        path.write_text(text.replace(mutant.old, mutant.new))
+        modules = [f'tests.{name}' for name in mutant.tests]
+        done = subprocess.run(
+            [sys.executable, '-m', 'nose2', '-F', '-s', 'tests', '-t', '.', *modules],
+            cwd=root,
+            capture_output=True,
+            timeout=TIMEOUT_S,
+            check=False,
+        )
+        return 'noticed' if done.returncode else 'MISSED'
+
+
+def main() -> int:
+    """Run all mutants."""
+    with ThreadPoolExecutor(WORKERS) as executor:
+        verdicts = list(executor.map(run_mutant, MUTANTS))
+    for mutant, verdict in zip(MUTANTS, verdicts, strict=True):
+        print(f'{mutant.name:<50}{verdict}')
+    return 0 if all(verdict == 'noticed' for verdict in verdicts) else 1
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -6,6 +6,7 @@
 
 from beechbridge.actions import LogChange
 from beechbridge.document import Document
+from beechbridge.events import ConfigurationRead, PeerMessageArrived
 from beechbridge.messages import ConfigurationOffered
 
 from .utils import World, make_document, make_entries
@@ -57,12 +58,20 @@
         world.run(100)
         self.assertTrue(world.answer().coverage.complete)
 
-    @params('restored', 'stale')
-    def test_older_document_is_refused(self, _):
+    @params('service', 'peer')
+    def test_older_document_is_refused(self, source):
         world = fleet()
         world.document = make_document(5)
         world.run(FORCE_MS)
-        world.document = make_document(3)
+        older = make_document(3)
+        world.document = older
+        for name in NAMES:
+            if source == 'service':
+                world.hand(name, ConfigurationRead(older))
+                continue
+            identity = world.cores['v1'].identity
+            world.hand(name, PeerMessageArrived(identity, ConfigurationOffered(older)))
+        self.assertEqual(generations(world), {5})
         world.run(60_000)
         self.assertEqual(generations(world), {5})
 
--- /dev/null
+++ b/tests/test_model.py
@@ -0,0 +1,27 @@
+"""The specifications hold, and their mutants do not."""
+
+import unittest
+
+from nose2.tools import params
+
+from model import configuration, drain, shares, stopping, tickets
+from model.spec import find_trace, format_trace, prove
+
+QUICK_MUTANTS = (tickets, stopping, drain, shares)
+
+
+class ModelTest(unittest.TestCase):
+    @params(tickets, configuration, stopping, drain, shares)
+    def test_specification_is_proved(self, module):
+        self.assertTrue(prove(module.build_spec()))
+
+    def test_division_is_proved_for_any_sizes(self):
+        self.assertTrue(shares.prove_division())
+
+    @params(*(mutant for module in QUICK_MUTANTS for mutant in module.build_spec().mutants()))
+    def test_mutant_breaks_with_a_readable_trace(self, mutant):
+        trace = find_trace(mutant)
+        self.assertIsNotNone(trace, mutant.name)
+        lines = format_trace(mutant, trace).splitlines()
+        self.assertEqual(len(lines), len(trace))
+        self.assertIn('start', lines[0])
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -136,7 +136,8 @@
         world.run(1000)
         for request_id in ('early', 'at-successor', 'relayed'):
             self.assertEqual(world.answer(request_id).executed, Executed.UNKNOWN)
-        self.assertEqual(world.answer('relayed').reason, Reason.ISSUER_RESTARTED)
+        for request_id in ('at-successor', 'relayed'):
+            self.assertEqual(world.answer(request_id).reason, Reason.ISSUER_RESTARTED)
         self.assertEqual(world.upstreams.executions, {})
 
     @params('duplicate', 'drop-every-other', 'reorder')
