Recover from silent connections and hung replicas without losing coverage

Cause (state dump of a VM and counters): connections opened from the reserve were kept, so that all of a share could go silent at once and count for 30 s; attempts stayed queued at a replica without a free connection until their deadline; a hung replica was never ejected, because only new connections speak against a replica and there was one a VM. Change: connections beyond the usable part are closed after use; a replica that cannot carry anything is passed over and its queue moves on; work from a failed old connection goes over a new one to another replica; a fresh probe tells a hung replica from its connections and ejects it; silent connections of three replicas within 2 s speak against all old ones; what is retired so still counts.

--- a/beechbridge/core/connections.py
+++ b/beechbridge/core/connections.py
@@ -75,6 +75,10 @@
         self.busy[connection_id] = now_ms
         return Lease(connection_id, False)
 
+    def can_carry(self, now_ms: float) -> bool:
+        """Tell whether an exchange can be sent now or when a running one ends."""
+        return bool(self.idle or self.busy) or self.open_count(now_ms) < self.share
+
     def can_make_room(self) -> bool:
         """Tell whether closing an idle connection would allow a new one."""
         return bool(self.idle)
@@ -83,7 +87,8 @@
         """Give a connection back; True if it was kept, False if the driver should close it."""
         if self.busy.pop(connection_id, None) is None:
             return False
-        if not reusable or self.open_count(now_ms) >= self.share:
+        is_full = len(self.idle) + len(self.busy) >= self.usable
+        if not reusable or is_full or self.open_count(now_ms) >= self.share:
             return False
         self.idle.append((connection_id, now_ms))
         return True
@@ -95,10 +100,16 @@
         if hold_ms > 0:
             self.held_until_ms.append(now_ms + hold_ms)
 
-    def retire_idle(self, before_ms: float) -> list[int]:
-        """Drop idle connections last used before a time, for the driver to close."""
+    def retire_idle(self, before_ms: float, hold_until_ms: float | None = None) -> list[int]:
+        """
+        Drop idle connections last used before a time, for the driver to close.
+
+        :param hold_until_ms: until when they still count, where the upstream may not notice
+        """
         retired = [pair[0] for pair in self.idle if pair[1] < before_ms]
         self.idle = [pair for pair in self.idle if pair[1] >= before_ms]
+        if hold_until_ms is not None:
+            self.held_until_ms += [hold_until_ms] * len(retired)
         return retired
 
     def shrink(self, now_ms: float) -> list[int]:
--- a/beechbridge/core/plans.py
+++ b/beechbridge/core/plans.py
@@ -5,7 +5,7 @@
 from ..actions import AnswerCaller
 from ..failures import AttemptFailure, CoverageFailure, Executed, Failure, Reason
 from ..messages import Reply, ReplyStatus, ShardQuery, UpstreamMessage
-from ..models import Answer, Coverage, MissingShard, Query, QueryClass, Shard
+from ..models import Answer, Coverage, MissingShard, Query, QueryClass, Service, Shard
 from ..record import Record
 from .attempts import Attempt, build_message, on_dropped, on_failure, on_reply, on_sent
 from .snapshots import SnapshotChoice
@@ -207,11 +207,16 @@
     fan_out(plan, choice, core)
 
 
+def find_service(task: Task, core) -> Service | None:
+    """Return the service of a task's shard, if the configuration still has it."""
+    back_end = core.configuration.current.back_ends.get(task.plan.query.back_end)
+    return back_end.services.get(task.shard.service) if back_end else None
+
+
 def ask_replica(task: Task, core, is_extra: bool = False) -> None:
     """Send a task to a replica, or pause or fail it where none can be asked."""
     plan = task.plan
-    back_end = core.configuration.current.back_ends.get(plan.query.back_end)
-    service = back_end.services.get(task.shard.service) if back_end else None
+    service = find_service(task, core)
     if service is None:
         fail_task(task, Reason.SHARD_MOVED, core)
         return
@@ -221,7 +226,7 @@
         return
     if task.attempts:
         return
-    if not task.tried:
+    if not task.tried and not core.upstreams.is_held_up(service, core):
         fail_task(task, Reason.NO_REPLICA, core)
         return
     pause_task(task, core)
@@ -361,8 +366,7 @@
     task = attempt.owner
     if not task.is_open or task.hedged:
         return
-    back_end = core.configuration.current.back_ends.get(task.plan.query.back_end)
-    service = back_end.services.get(task.shard.service) if back_end else None
+    service = find_service(task, core)
     if service is None:
         return
     exclude = task.tried | {other.replica_id for other in task.attempts}
@@ -494,15 +498,23 @@
         owner.tried.add(attempt.replica_id)
         ask_replica(owner, core)
         return
-    if not attempt.is_new:
-        # The connection failed, not the replica: the same work goes over a new one.
-        state = core.upstreams.states.get(attempt.replica_id)
-        if state is not None and not state.is_draining and not owner.attempts:
-            core.counters.add('retries', 'fresh_connection')
-            send_to(owner, state, core, is_extra=True, fresh=True)
-            return
     owner.tried.add(attempt.replica_id)
-    retry_task(owner, core)
+    if attempt.is_new or owner.attempts:
+        retry_task(owner, core)
+        return
+    # An old connection failed: a new one to another replica avoids both suspects.
+    service = find_service(owner, core)
+    state = None
+    if service is not None:
+        plan = owner.plan
+        state = core.upstreams.choose(service, plan.snapshot, owner.tried, plan.urgency, core)
+    if state is None:
+        state = core.upstreams.states.get(attempt.replica_id)
+    if state is None or state.is_draining:
+        retry_task(owner, core)
+        return
+    core.counters.add('retries', 'fresh_connection')
+    send_to(owner, state, core, is_extra=True, fresh=True)
 
 
 def take_out(task: Task, attempt: Attempt) -> bool:
--- a/beechbridge/core/tickets.py
+++ b/beechbridge/core/tickets.py
@@ -291,7 +291,8 @@
         run.shard = shard_map.shard_of(run.request.key)
         service = back_end.services[run.shard.service]
         state = core.upstreams.choose(service, 0, run.tried, TICKET_URGENCY, core)
-        if state is None and not run.tried:
+        is_waiting = run.tried or core.upstreams.is_held_up(service, core)
+        if state is None and not is_waiting:
             self.settle(run, not_run(Reason.NO_REPLICA, 'no replica takes work', 1000), core)
             return
         if state is None:
--- a/beechbridge/core/upstreams.py
+++ b/beechbridge/core/upstreams.py
@@ -24,6 +24,10 @@
 STALL_FACTOR = 20.0
 """Multiple of a replica's median latency after which an exchange counts as stalled."""
 
+SUSPECT_WINDOW_MS = 2_000.0
+SUSPECT_REPLICAS = 3
+"""Replicas whose connections fail within the window before all old connections are retired."""
+
 OWN_FAILURES = frozenset(
     (
         Reason.CONNECT_FAILED,
@@ -82,6 +86,7 @@
         'next_connection_id',
         'next_number',
         'states',
+        'suspects',
         'watched',
         'watched_for',
     )
@@ -90,6 +95,7 @@
         self.states: dict[str, ReplicaState] = {}
         self.attempts: dict[str, Attempt] = {}
         self.next_number = 0
+        self.suspects: list[tuple[float, str]] = []
         self.next_connection_id = 0
         self.watched: frozenset[str] = frozenset()
         self.watched_for: tuple | None = None
@@ -163,6 +169,24 @@
         for connection_id in state.pool.retire_idle(float('inf')):
             core.act(CloseConnection(connection_id))
 
+    def suspect_connections(self, state: ReplicaState, attempt: Attempt, core) -> None:
+        """
+        Retire the connections that are as old as one that broke or went silent.
+
+        Several replicas at once speak against the path to all of them.
+        """
+        recent = [pair for pair in self.suspects if core.now_ms - pair[0] < SUSPECT_WINDOW_MS]
+        recent.append((core.now_ms, state.replica.replica_id))
+        self.suspects = recent
+        states = [state]
+        if len({replica_id for _, replica_id in recent}) >= SUSPECT_REPLICAS:
+            states = list(self.states.values())
+        hold_until_ms = core.now_ms + SILENT_HOLD_MS
+        for suspect in states:
+            for connection_id in suspect.pool.retire_idle(attempt.sent_ms, hold_until_ms):
+                core.counters.add('connections_suspected')
+                core.act(CloseConnection(connection_id))
+
     def distrust_connections(self, core) -> None:
         """Close all idle connections, as after a pause."""
         for state in self.states.values():
@@ -183,7 +207,7 @@
             state = self.states.get(replica.replica_id)
             if state is None or state.is_draining or state.pool.share == 0:
                 continue
-            if replica.replica_id in exclude:
+            if replica.replica_id in exclude or not state.pool.can_carry(core.now_ms):
                 continue
             usable.append(state)
             if state.is_ejected or state.closing_until_ms > core.now_ms:
@@ -206,6 +230,16 @@
             return core.rng.choice(pool)
         return first if difference < 0 else second
 
+    def is_held_up(self, service: Service, core) -> bool:
+        """Tell whether a replica could serve if it had a free connection."""
+        for replica in service.replicas:
+            state = self.states.get(replica.replica_id)
+            if state is None or state.is_draining or state.pool.share == 0:
+                continue
+            if not state.pool.can_carry(core.now_ms):
+                return True
+        return False
+
     def submit(self, state: ReplicaState, attempt: Attempt, core) -> None:
         """Queue an attempt and send what the window allows."""
         self.attempts[attempt.attempt_id] = attempt
@@ -222,11 +256,11 @@
             return
         on_dropped(attempt.owner, attempt, reason, core)
 
-    def flush_queue(self, state: ReplicaState, core) -> None:
-        """Take all unsent attempts off a replica that must get no new work."""
+    def flush_queue(self, state: ReplicaState, core, reason: Reason = Reason.DRAINING) -> None:
+        """Take all unsent attempts off a replica that cannot or must not get them."""
         queue, state.queue = state.queue, []
         for _, _, _, attempt in queue:
-            self.drop(attempt, Reason.DRAINING, core)
+            self.drop(attempt, reason, core)
 
     def pump(self, state: ReplicaState, core) -> None:
         """Send queued attempts as far as window and connections allow."""
@@ -246,6 +280,8 @@
             if not core.membership.is_trusted:
                 return
             if not self.send(state, attempt, core):
+                if not state.pool.can_carry(core.now_ms):
+                    self.flush_queue(state, core, Reason.NO_PROGRESS)
                 return
             state.queue.pop(0)
 
@@ -349,9 +385,13 @@
         for state in due[:PROBES_PER_ROUND]:
             self.probe(state, core)
 
-    def probe(self, state: ReplicaState, core) -> None:
-        """Probe a replica over its longest idle connection, or a new one."""
-        lease = state.pool.acquire_oldest(core.now_ms)
+    def probe(self, state: ReplicaState, core, fresh: bool = False) -> None:
+        """
+        Probe a replica over its longest idle connection, or a new one.
+
+        :param fresh: use a new connection in any case, to tell the replica from its connections
+        """
+        lease = None if fresh else state.pool.acquire_oldest(core.now_ms)
         if lease is None:
             lease = state.pool.acquire(core.now_ms, self.next_connection_id + 1, True)
         if lease is None:
@@ -415,9 +455,10 @@
         return signs
 
     def log_ejection(self, state: ReplicaState, core) -> None:
-        """Report a replica's ejection."""
+        """Report a replica's ejection, and send what waits for it elsewhere."""
         core.counters.add('ejections')
         core.act(LogChange(state.replica.replica_id, 'serving', 'ejected'))
+        self.flush_queue(state, core, Reason.NO_PROGRESS)
 
     def finish(self, attempt: Attempt, reusable: bool, core) -> ReplicaState | None:
         """Account for the end of an exchange's connection."""
@@ -530,9 +571,7 @@
     if state is not None and is_own and state.count_failure(core.now_ms):
         core.upstreams.log_ejection(state, core)
     if state is not None and not attempt.is_new:
-        # One connection that broke or went silent speaks against those as old as it.
-        for connection_id in state.pool.retire_idle(attempt.sent_ms):
-            core.act(CloseConnection(connection_id))
+        core.upstreams.suspect_connections(state, attempt, core)
     on_failure(attempt.owner, attempt, failure, core)
 
 
@@ -547,10 +586,15 @@
     core.counters.add('connections_silent')
     core.act(CloseConnection(attempt.connection_id))
     if was_abandoned:
+        state = core.upstreams.states.get(attempt.replica_id)
+        if state is not None and not attempt.is_new and not state.probing:
+            core.upstreams.probe(state, core, fresh=True)
         return
     state = core.upstreams.states.get(attempt.replica_id)
     failure = AttemptFailure(Reason.NO_PROGRESS, Executed.UNKNOWN, 'no reply in time')
     pass_failure(attempt, state, failure, core)
+    if state is not None and not attempt.is_new and not state.probing:
+        core.upstreams.probe(state, core, fresh=True)
 
 
 def fire_probe(timer: ProbeTimer, core) -> None:
@@ -597,3 +641,8 @@
     state.probing = False
     if state.is_ejected and state.ejected_until_ms <= core.now_ms:
         state.eject(core.now_ms)
+        return
+    if not state.is_ejected and attempt.is_new and failure.reason is Reason.NO_PROGRESS:
+        # Not even a new connection gets an answer.
+        state.eject(core.now_ms)
+        core.upstreams.log_ejection(state, core)
