--- a/beechbridge/core/latency.py
+++ b/beechbridge/core/latency.py
@@ -5,14 +5,22 @@
 EWMA_WEIGHT = 0.2
 
 
+HEDGE_QUANTILE = 0.95
+
+
 class LatencyEstimate:
-    """Moving average and median of the latest samples, in milliseconds."""
+    """
+    Moving average and quantiles of the latest samples, in milliseconds.
+
+    :param slow_ms: the quantile above which an exchange counts as slow
+    """
 
-    __slots__ = ('average_ms', 'count', 'median_ms', 'samples')
+    __slots__ = ('average_ms', 'count', 'median_ms', 'samples', 'slow_ms')
 
     def __init__(self, initial_ms: float):
         self.average_ms = initial_ms
         self.median_ms = initial_ms
+        self.slow_ms = 2 * initial_ms
         self.count = 0
         self.samples: list[float] = []
 
@@ -29,3 +37,4 @@
         if self.count < REFRESH_EVERY or self.count % REFRESH_EVERY == 0:
             ordered = sorted(self.samples)
             self.median_ms = ordered[len(ordered) // 2]
+            self.slow_ms = ordered[int(len(ordered) * HEDGE_QUANTILE)]
--- a/beechbridge/core/plans.py
+++ b/beechbridge/core/plans.py
@@ -13,9 +13,13 @@
 FIRST_BACKOFF_MS = 5.0
 LONGEST_BACKOFF_MS = 200.0
 MAX_REPLANS = 4
-HEDGE_FACTOR = 2.0
-"""Multiple of the service's median latency after which a second replica is asked."""
+HEDGE_FACTOR = 1.5
+"""Least multiple of the service's median latency after which a second replica is asked."""
 
+HEDGE_AFTER_SHARE = 0.5
+"""Share of a query's shards that must have answered before a slow one is worth a hedge."""
+
+HEDGE_RECHECK_FACTOR = 0.25
 MIN_HEDGE_MS = 2.0
 REPLY_MARGIN_MS = 5.0
 """How long before a query's deadline its upstreams are told to be done."""
@@ -366,30 +370,44 @@
     task = attempt.owner
     if not task.is_open or task.hedged:
         return
+    if not try_hedge(task, core):
+        due_ms = core.now_ms + HEDGE_RECHECK_FACTOR * hedge_delay_ms(task, core)
+        core.timers.arm(due_ms, timer)
+
+
+def try_hedge(task: Task, core) -> bool:
+    """Hedge a task if that helps its query and the budget allows; True if it was done."""
+    plan = task.plan
+    if plan.answered_count < HEDGE_AFTER_SHARE * len(plan.tasks) - 1:
+        # The whole query is slow, which another replica cannot mend.
+        return False
     service = find_service(task, core)
     if service is None:
-        return
+        return False
     exclude = task.tried | {other.replica_id for other in task.attempts}
-    state = core.upstreams.choose(service, task.plan.snapshot, exclude, task.plan.urgency, core)
+    state = core.upstreams.choose(service, plan.snapshot, exclude, plan.urgency, core)
     if state is None or state.is_ejected or state.in_flight >= int(state.window):
-        return
-    if not core.budget(task.plan.query.back_end).take():
+        return False
+    if not core.budget(plan.query.back_end).take():
         core.counters.add('hedges_denied')
-        return
+        return False
     task.hedged = True
     core.counters.add('hedges')
     send_to(task, state, core, is_extra=True)
+    return True
 
 
 def hedge_delay_ms(task: Task, core) -> float:
-    """Return how long the replicas of a task's service usually take, with a margin."""
-    back_end = core.configuration.current.back_ends[task.plan.query.back_end]
-    medians = []
-    for replica in back_end.services[task.shard.service].replicas:
+    """Return how long all but the slowest exchanges of a task's service take."""
+    service = find_service(task, core)
+    delays = []
+    for replica in service.replicas if service else ():
         state = core.upstreams.states.get(replica.replica_id)
-        if state is not None:
-            medians.append(state.latency.median_ms)
-    return max(MIN_HEDGE_MS, HEDGE_FACTOR * min(medians, default=MIN_HEDGE_MS))
+        if state is None:
+            continue
+        latency = state.latency
+        delays.append(max(latency.slow_ms, HEDGE_FACTOR * latency.median_ms))
+    return max(MIN_HEDGE_MS, min(delays, default=MIN_HEDGE_MS))
 
 
 @build_message.register
--- /dev/null
+++ b/tests/test_hedging.py
@@ -0,0 +1,77 @@
+"""Hedges mend stragglers within the budget for extra load, and nothing else."""
+
+import unittest
+
+from beechbridge.core.budgets import MAX_TOKENS
+
+from .utils import World, make_document
+
+EXTRA_SHARE = 0.05
+"""Extra load that the stated target allows."""
+
+
+def start(**rules):
+    world = World(('v1',), make_document(services=10, **rules))
+    world.run(500)
+    for number in range(30):
+        world.ask('v1', f'warm-{number}')
+        world.run(20)
+    return world
+
+
+class HedgingTest(unittest.TestCase):
+    def straggle(self, world, every):
+        upstreams = world.upstreams
+        seen = [0]
+        replica_ids = sorted(world.cores['v1'].upstreams.states)
+
+        def answer(action):
+            seen[0] += 1
+            is_slow = seen[0] % every == 0
+            upstreams.latency_ms[action.replica.replica_id] = 50.0 if is_slow else 5.0
+            return upstreams
+
+        upstreams.script = dict.fromkeys(replica_ids, answer)
+
+    def test_straggler_is_answered_by_another_replica(self):
+        world = start()
+        self.straggle(world, every=40)
+        slow = 0
+        for number in range(200):
+            world.ask('v1', f'q{number}')
+            world.run(60)
+            slow += world.answer(f'q{number}').elapsed_ms > 25.0
+        core = world.cores['v1']
+        self.assertGreater(core.counters.get('hedges'), 20)
+        self.assertLess(slow, 10)
+
+    def test_extra_load_stays_within_the_budget(self):
+        world = start()
+        self.straggle(world, every=5)
+        for number in range(200):
+            world.ask('v1', f'q{number}')
+            world.run(60)
+        core = world.cores['v1']
+        primaries = core.counters.total('primaries')
+        extra = core.counters.get('exchanges', 'ShardQuery') - primaries
+        self.assertLessEqual(extra, EXTRA_SHARE * primaries + MAX_TOKENS)
+        self.assertGreater(core.counters.get('hedges_denied'), 0)
+
+    def test_query_that_is_slow_as_a_whole_is_not_hedged(self):
+        world = start()
+        for replica_id in world.cores['v1'].upstreams.states:
+            world.upstreams.latency_ms[replica_id] = 40.0
+        world.ask('v1', 'q')
+        world.run(100)
+        self.assertTrue(world.answer('q').coverage.complete)
+        self.assertEqual(world.cores['v1'].counters.get('hedges'), 0)
+
+    def test_loser_counts_for_nothing(self):
+        world = start(hedge_percent=100.0)
+        self.straggle(world, every=7)
+        for number in range(50):
+            world.ask('v1', f'q{number}')
+            world.run(100)
+            answer = world.answer(f'q{number}')
+            self.assertEqual(answer.coverage.shards_answered, 10)
+            self.assertEqual(len({row.key for row in answer.rows}), len(answer.rows))
