Split the large modules of the core, and refuse large bodies with a typed answer

A test that posts a body over the limit failed once in some runs: the server answers 413 and closes while the caller still sends, and the reset may overtake the answer. waitress would also have put large bodies and answers into files, and the VMs have no disks. Change: upstreams becomes upstreams, health and exchanges; plans becomes plans, fanout, hedging and endings; no statement changed. Bodies up to twice the limit are read and refused as `too_large`; buffers stay in memory.

--- /dev/null
+++ b/beechbridge/core/exchanges.py
@@ -0,0 +1,135 @@
+"""Ends of exchanges: replies, failures and stalls, and what they say of a replica."""
+
+from ..actions import CloseConnection
+from ..events import AttemptFailed, ReplyArrived
+from ..failures import AttemptFailure, Executed, Reason
+from ..messages import Reply, ReplyStatus
+from .attempts import Attempt, on_failure, on_reply
+from .connections import SILENT_HOLD_MS
+from .health import Probe, readmit
+from .replicas import CLOSING_HOLD_MS, ReplicaState
+from .upstreams import Cancellation, StallTimer
+
+OWN_FAILURES = frozenset(
+    (
+        Reason.CONNECT_FAILED,
+        Reason.CONNECTION_LOST,
+        Reason.NO_PROGRESS,
+        Reason.TRUNCATED,
+        Reason.MISMATCHED,
+        Reason.UPSTREAM_ERROR,
+    )
+)
+"""Failures that speak against the replica rather than for its load."""
+
+
+def matches(attempt: Attempt, reply: Reply) -> bool:
+    """Tell whether a reply is to this attempt. Refusals that echo nothing speak for themselves."""
+    return reply.attempt_id == attempt.attempt_id
+
+
+def handle_reply(event: ReplyArrived, core) -> None:
+    """Free the connection, learn from the reply, and pass it to the attempt's owner."""
+    upstreams = core.upstreams
+    attempt = upstreams.attempts.pop(event.attempt_id, None)
+    if attempt is None:
+        core.counters.add('replies_unexpected')
+        return
+    reply = event.reply
+    if not matches(attempt, reply):
+        core.counters.add('replies_mismatched')
+        failure = AttemptFailure(Reason.MISMATCHED, Executed.UNKNOWN, 'reply to another attempt')
+        state = upstreams.finish(attempt, False, core)
+        core.act(CloseConnection(attempt.connection_id))
+        if not attempt.abandoned:
+            pass_failure(attempt, state, failure, core)
+        return
+    state = upstreams.finish(attempt, event.reusable and not reply.closing, core)
+    if state is not None:
+        learn_from_reply(state, attempt, reply, core)
+    if attempt.abandoned:
+        core.counters.add('replies_late')
+    else:
+        on_reply(attempt.owner, attempt, reply, core)
+    if state is not None:
+        upstreams.pump(state, core)
+
+
+def learn_from_reply(state: ReplicaState, attempt: Attempt, reply: Reply, core) -> None:
+    """Update what is known of a replica from its reply."""
+    if state.note_snapshots(reply.oldest_snapshot, reply.newest_snapshot, core.now_ms):
+        core.snapshots.forget_choice(state.back_end)
+    if reply.status is ReplyStatus.DRAINING:
+        core.health.mark_draining(state, core.now_ms, core)
+        return
+    if reply.closing:
+        state.closing_until_ms = core.now_ms + CLOSING_HOLD_MS
+    if reply.status is ReplyStatus.SHED:
+        state.shrink_window(core.now_ms)
+        return
+    if reply.status is ReplyStatus.ERROR:
+        if state.count_failure(core.now_ms):
+            core.health.log_ejection(state, core)
+        return
+    if reply.status is not ReplyStatus.DONE or attempt.abandoned:
+        return
+    if isinstance(attempt.owner, (Probe, Cancellation)):
+        return
+    state.failures = 0
+    if state.is_ejected:
+        readmit(state, core)
+    state.add_latency(core.now_ms - attempt.sent_ms, core.now_ms)
+    state.adapt_window(core.now_ms - attempt.sent_ms)
+
+
+def handle_attempt_failed(event: AttemptFailed, core) -> None:
+    """Free the connection and pass the failure to the attempt's owner."""
+    attempt = core.upstreams.attempts.pop(event.attempt_id, None)
+    if attempt is None:
+        core.counters.add('replies_unexpected')
+        return
+    if event.failure.reason is Reason.NO_PROGRESS:
+        attempt.hold_ms = SILENT_HOLD_MS
+    state = core.upstreams.finish(attempt, False, core)
+    if attempt.abandoned:
+        core.counters.add('attempts_failed', event.failure.reason.value)
+    else:
+        pass_failure(attempt, state, event.failure, core)
+    if state is not None:
+        core.upstreams.pump(state, core)
+
+
+def pass_failure(
+    attempt: Attempt, state: ReplicaState | None, failure: AttemptFailure, core
+) -> None:
+    """Hold a failure against the replica where it is its own, and tell the owner."""
+    core.counters.add('attempts_failed', failure.reason.value)
+    is_own = failure.reason in OWN_FAILURES and attempt.is_new
+    if state is not None and is_own and state.count_failure(core.now_ms):
+        core.health.log_ejection(state, core)
+    if state is not None and not attempt.is_new:
+        is_silent = failure.reason is Reason.NO_PROGRESS
+        core.health.suspect_connections(state, attempt, is_silent, core)
+    on_failure(attempt.owner, attempt, failure, core)
+
+
+def fire_stall(timer: StallTimer, core) -> None:
+    """Retire the connection of an exchange that made no progress, and tell the owner."""
+    attempt = core.upstreams.attempts.get(timer.attempt_id)
+    if attempt is None or attempt.sent_ms is None or attempt.hold_ms > 0:
+        return
+    was_abandoned = attempt.abandoned
+    attempt.abandoned = True
+    attempt.hold_ms = SILENT_HOLD_MS
+    core.counters.add('connections_silent')
+    core.act(CloseConnection(attempt.connection_id))
+    if was_abandoned:
+        state = core.upstreams.states.get(attempt.replica_id)
+        if state is not None and not attempt.is_new and not state.probing:
+            core.health.probe(state, core, fresh=True)
+        return
+    state = core.upstreams.states.get(attempt.replica_id)
+    failure = AttemptFailure(Reason.NO_PROGRESS, Executed.UNKNOWN, 'no reply in time')
+    pass_failure(attempt, state, failure, core)
+    if state is not None and not attempt.is_new and not state.probing:
+        core.health.probe(state, core, fresh=True)
--- a/beechbridge/core/filters.py
+++ b/beechbridge/core/filters.py
@@ -10,7 +10,9 @@
 from ..actions import AnswerCaller
 from ..events import QueryArrived
 from ..failures import Failure, Reason, not_run
-from .plans import Plan, note_shortage, start_plan
+from .endings import note_shortage
+from .fanout import start_plan
+from .plans import Plan
 
 RETRY_SOON_MS = 200
 ADMISSION_MARGIN = 0.6
--- /dev/null
+++ b/beechbridge/core/health.py
@@ -0,0 +1,230 @@
+"""Controller of the replicas' health: probes, signs of leaving, ejection, silent connections."""
+
+from ..actions import CloseConnection, LogChange
+from ..failures import AttemptFailure, Reason
+from ..messages import LoadProbe, ReplicaSign, Reply, ReplyStatus, UpstreamMessage
+from ..record import Record
+from .attempts import Attempt, build_message, on_failure, on_reply
+from .connections import SILENT_HOLD_MS
+from .replicas import DRAIN_HOLD_MS, ReplicaState
+
+PROBE_INTERVAL_MS = 2_000.0
+"""Time between two probes of a replica by the VM that watches it."""
+
+PROBE_ROUND_MS = 330.0
+
+PROBES_PER_ROUND = 2
+"""Most probes in a round; bounds what a VM that watches many replicas spends on them."""
+
+SUSPECT_WINDOW_MS = 2_000.0
+
+SUSPECT_REPLICAS = 3
+"""Replicas whose connections fail within the window before all old connections are retired."""
+
+
+class ProbeTimer(Record):
+    """Fires when the replicas are due for a probe."""
+
+    __slots__ = ()
+
+
+class Probe(Record):
+    """Owner of a probe's exchange."""
+
+    __slots__ = ('replica_id',)
+
+    def __init__(self, replica_id: str):
+        self.replica_id = replica_id
+
+
+class HealthController:
+    """
+    What this VM watches, and the signs of leaving and of silence.
+
+    :param watched: replicas that this VM probes for the fleet
+    :param suspects: times and replicas of connections that went silent lately
+    """
+
+    __slots__ = ('suspects', 'watched', 'watched_for')
+
+    def __init__(self):
+        self.suspects: list[tuple[float, str]] = []
+        self.watched: frozenset[str] = frozenset()
+        self.watched_for: tuple | None = None
+
+    def find_watched(self, core) -> frozenset[str]:
+        """Return the replicas that this VM probes for the fleet."""
+        names = core.membership.serving_names(core.now_ms)
+        key = (names, core.configuration.generation)
+        if key == self.watched_for:
+            return self.watched
+        owned = [name for name in core.upstreams.states if core.membership.owns(name, names)]
+        self.watched = frozenset(owned)
+        self.watched_for = key
+        return self.watched
+
+    def suspect_connections(
+        self, state: ReplicaState, attempt: Attempt, is_silent: bool, core
+    ) -> None:
+        """
+        Retire the connections that are as old as one that broke or went silent.
+
+        Where several replicas go silent at once, so may the others. An upstream that broke a
+        connection does not count it any more; one behind a silent connection may.
+        """
+        if not is_silent:
+            for connection_id in state.pool.retire_idle(attempt.sent_ms):
+                core.act(CloseConnection(connection_id))
+            return
+        recent = [pair for pair in self.suspects if core.now_ms - pair[0] < SUSPECT_WINDOW_MS]
+        recent.append((core.now_ms, state.replica.replica_id))
+        self.suspects = recent
+        states = [state]
+        if len({replica_id for _, replica_id in recent}) >= SUSPECT_REPLICAS:
+            states = list(core.upstreams.states.values())
+        hold_until_ms = core.now_ms + SILENT_HOLD_MS
+        for suspect in states:
+            for connection_id in suspect.pool.retire_idle(attempt.sent_ms, hold_until_ms):
+                core.counters.add('connections_suspected')
+                core.act(CloseConnection(connection_id))
+
+    def probe_due(self, core) -> None:
+        """Probe the replicas that are due, those that wait longest first."""
+        watched = self.find_watched(core)
+        due = []
+        for replica_id, state in core.upstreams.states.items():
+            if state.probing or state.removed or state.pool.share == 0:
+                continue
+            ejection_over = state.is_ejected and state.ejected_until_ms <= core.now_ms
+            is_due = core.now_ms - state.probed_ms >= PROBE_INTERVAL_MS
+            if ejection_over or (replica_id in watched and is_due):
+                due.append(state)
+        due.sort(key=lambda state: state.probed_ms)
+        for state in due[:PROBES_PER_ROUND]:
+            self.probe(state, core)
+
+    def probe(self, state: ReplicaState, core, fresh: bool = False) -> None:
+        """
+        Probe a replica over its longest idle connection, or a new one.
+
+        :param fresh: use a new connection in any case, to tell the replica from its connections
+        """
+        lease = None if fresh else state.pool.acquire_oldest(core.now_ms)
+        if lease is None:
+            lease = state.pool.acquire(core.now_ms, core.upstreams.next_connection_id + 1, True)
+        if lease is None:
+            return
+        state.probing = True
+        state.probed_ms = core.now_ms
+        core.upstreams.start_control(state, Probe(state.replica.replica_id), lease, core)
+
+    def mark_draining(self, state: ReplicaState, sign_ms: float, core) -> None:
+        """Stop new work on a replica that showed a sign of leaving."""
+        is_news = state.drain_sign_ms is None
+        state.drain_sign_ms = max(sign_ms, state.drain_sign_ms or 0.0)
+        if not is_news:
+            return
+        core.counters.add('drain_signs')
+        core.act(LogChange(state.replica.replica_id, 'serving', 'draining'))
+        core.upstreams.flush_queue(state, core)
+        core.membership.gossip_now(core)
+
+    def end_drain(self, state: ReplicaState, core) -> None:
+        """Give a replica work again."""
+        state.drain_sign_ms = None
+        core.act(LogChange(state.replica.replica_id, 'draining', 'serving'))
+
+    def take_sign(self, sign: ReplicaSign, core) -> None:
+        """Take what a peer saw of a replica."""
+        state = core.upstreams.states.get(sign.replica_id)
+        if state is None:
+            return
+        seen_ms = core.now_ms - sign.age_ms
+        if sign.draining and seen_ms > core.now_ms - DRAIN_HOLD_MS:
+            self.mark_draining(state, seen_ms, core)
+        held_ms = seen_ms - state.drain_sign_ms if state.drain_sign_ms is not None else 0.0
+        if not sign.draining and held_ms >= DRAIN_HOLD_MS:
+            self.end_drain(state, core)
+        if seen_ms <= state.seen_ms:
+            return
+        if state.note_snapshots(sign.oldest_snapshot, sign.newest_snapshot, seen_ms):
+            core.snapshots.forget_choice(state.back_end)
+
+    def signs(self, core) -> list[ReplicaSign]:
+        """Return what peers should hear: drains, and the replicas this VM watches."""
+        watched = self.find_watched(core)
+        signs = []
+        for replica_id, state in core.upstreams.states.items():
+            draining = state.drain_sign_ms is not None
+            if not draining and replica_id not in watched:
+                continue
+            seen_ms = state.drain_sign_ms if draining else state.seen_ms
+            if seen_ms <= 0:
+                continue
+            signs.append(
+                ReplicaSign(
+                    replica_id,
+                    int(core.now_ms - seen_ms),
+                    draining,
+                    state.oldest_snapshot,
+                    state.newest_snapshot,
+                )
+            )
+        return signs
+
+    def log_ejection(self, state: ReplicaState, core) -> None:
+        """Report a replica's ejection, and send what waits for it elsewhere."""
+        core.counters.add('ejections')
+        core.act(LogChange(state.replica.replica_id, 'serving', 'ejected'))
+        core.upstreams.flush_queue(state, core, Reason.NO_PROGRESS)
+
+
+def readmit(state: ReplicaState, core) -> None:
+    """Take an ejected replica back."""
+    state.readmit()
+    core.act(LogChange(state.replica.replica_id, 'ejected', 'serving'))
+
+
+def fire_probe(timer: ProbeTimer, core) -> None:
+    """Probe what is due and arm the next round with jitter."""
+    core.health.probe_due(core)
+    jitter_ms = core.rng.uniform(0.8, 1.2) * PROBE_ROUND_MS
+    core.timers.arm(core.now_ms + jitter_ms, timer)
+
+
+@build_message.register
+def build_probe(owner: Probe, attempt: Attempt, core) -> UpstreamMessage:
+    """Ask for health and load."""
+    return LoadProbe()
+
+
+@on_reply.register
+def take_probe_reply(owner: Probe, attempt: Attempt, reply: Reply, core) -> None:
+    """Readmit an ejected replica; end a drain only long after its last sign."""
+    state = core.upstreams.states.get(owner.replica_id)
+    if state is None:
+        return
+    state.probing = False
+    if reply.status is not ReplyStatus.DONE:
+        return
+    if state.is_ejected and state.ejected_until_ms <= core.now_ms:
+        readmit(state, core)
+    if state.drain_sign_ms is None or core.now_ms - state.drain_sign_ms < DRAIN_HOLD_MS:
+        return
+    core.health.end_drain(state, core)
+
+
+@on_failure.register
+def take_probe_failure(owner: Probe, attempt: Attempt, failure: AttemptFailure, core) -> None:
+    """Let the next probe go out."""
+    state = core.upstreams.states.get(owner.replica_id)
+    if state is None:
+        return
+    state.probing = False
+    if state.is_ejected and state.ejected_until_ms <= core.now_ms:
+        state.eject(core.now_ms)
+        return
+    if not state.is_ejected and attempt.is_new and failure.reason is Reason.NO_PROGRESS:
+        # Not even a new connection gets an answer.
+        state.eject(core.now_ms)
+        core.health.log_ejection(state, core)
--- /dev/null
+++ b/beechbridge/core/hedging.py
@@ -0,0 +1,76 @@
+"""Hedging: a second replica for the shards that keep a query waiting."""
+
+from .attempts import Attempt, on_sent
+from .fanout import find_service, send_to
+from .plans import HedgeTimer, Task
+
+HEDGE_FACTOR = 1.5
+"""Least multiple of the service's median latency after which a second replica is asked."""
+
+HEDGE_AFTER_SHARE = 0.5
+"""Share of a query's shards that must have answered before a slow one is worth a hedge."""
+
+HEDGE_RECHECK_FACTOR = 0.25
+
+MIN_HEDGE_MS = 2.0
+
+
+def fire_hedge(timer: HedgeTimer, core) -> None:
+    """Ask a second replica for a slow task if the budget allows."""
+    attempt = core.upstreams.attempts.get(timer.attempt_id)
+    if attempt is None or attempt.abandoned:
+        return
+    task = attempt.owner
+    if not task.is_open or task.hedged:
+        return
+    if not try_hedge(task, core):
+        due_ms = core.now_ms + HEDGE_RECHECK_FACTOR * hedge_delay_ms(task, core)
+        core.timers.arm(due_ms, timer)
+
+
+def try_hedge(task: Task, core) -> bool:
+    """Hedge a task if that helps its query and the budget allows; True if it was done."""
+    plan = task.plan
+    if plan.answered_count < HEDGE_AFTER_SHARE * len(plan.tasks) - 1:
+        # The whole query is slow, which another replica cannot mend.
+        return False
+    service = find_service(task, core)
+    if service is None:
+        return False
+    exclude = task.tried | {other.replica_id for other in task.attempts}
+    state = core.upstreams.choose(service, plan.snapshot, exclude, plan.urgency, core)
+    if state is None or state.is_ejected or state.in_flight >= int(state.window):
+        return False
+    if not core.budget(plan.query.back_end).take():
+        core.counters.add('hedges_denied')
+        return False
+    task.hedged = True
+    core.counters.add('hedges')
+    send_to(task, state, core, is_extra=True)
+    return True
+
+
+def hedge_delay_ms(task: Task, core) -> float:
+    """Return how long all but the slowest exchanges of a task's service take."""
+    service = find_service(task, core)
+    delays = []
+    for replica in service.replicas if service else ():
+        state = core.upstreams.states.get(replica.replica_id)
+        if state is None:
+            continue
+        latency = state.latency
+        delays.append(max(latency.slow_ms, HEDGE_FACTOR * latency.median_ms))
+    return max(MIN_HEDGE_MS, min(delays, default=MIN_HEDGE_MS))
+
+
+@on_sent.register
+def note_task_sent(owner: Task, attempt: Attempt, core) -> None:
+    """Watch a sent attempt for slowness and for silence."""
+    owner.plan.was_sent = True
+    core.upstreams.arm_stall(attempt, core)
+    if attempt.is_extra or owner.hedged or owner.plan.rules.hedge_percent == 0:
+        return
+    if not core.policy.hedges:
+        return
+    due_ms = core.now_ms + hedge_delay_ms(owner, core)
+    core.timers.arm(due_ms, HedgeTimer(attempt.attempt_id))
--- a/beechbridge/core/membership.py
+++ b/beechbridge/core/membership.py
@@ -277,7 +277,7 @@
         for member in freshest[:SHARED_VIEWS]:
             views.append(MemberView(member.identity, member.heartbeat, member.leaving))
         configuration = core.configuration
-        signs = core.upstreams.signs(core)
+        signs = core.health.signs(core)
         return Gossip(views, configuration.generation, configuration.digest, signs)
 
     def best_entries(self, place: str | None, caller: str, core) -> list[Vm]:
@@ -382,7 +382,7 @@
     core.membership.take_views(identity, message, core)
     core.configuration.compare_gossip(vm, message.generation, message.digest, core)
     for sign in message.signs:
-        core.upstreams.take_sign(sign, core)
+        core.health.take_sign(sign, core)
 
 
 @take_message.register
--- a/beechbridge/core/node.py
+++ b/beechbridge/core/node.py
@@ -24,7 +24,12 @@
 from .budgets import ExtraBudget
 from .configuration import ConfigurationController, ReadTimer, fire_read, handle_configuration_read
 from .counters import Counters
+from .endings import fire_hard_deadline, fire_soft_deadline
+from .exchanges import fire_stall, handle_attempt_failed, handle_reply
+from .fanout import fire_retry
 from .filters import handle_query
+from .health import HealthController, ProbeTimer, fire_probe
+from .hedging import fire_hedge
 from .limits import Limits
 from .membership import (
     EvidenceTimer,
@@ -39,17 +44,7 @@
     handle_vm_list,
 )
 from .overload import OverloadController
-from .plans import (
-    HardDeadlineTimer,
-    HedgeTimer,
-    Plan,
-    RetryTimer,
-    SoftDeadlineTimer,
-    fire_hard_deadline,
-    fire_hedge,
-    fire_retry,
-    fire_soft_deadline,
-)
+from .plans import HardDeadlineTimer, HedgeTimer, Plan, RetryTimer, SoftDeadlineTimer
 from .policy import CURRENT, Policy
 from .snapshots import SnapshotsController
 from .stopping import (
@@ -74,15 +69,7 @@
     handle_ticket_wanted,
 )
 from .timers import Timers
-from .upstreams import (
-    ProbeTimer,
-    StallTimer,
-    UpstreamsController,
-    fire_probe,
-    fire_stall,
-    handle_attempt_failed,
-    handle_reply,
-)
+from .upstreams import StallTimer, UpstreamsController
 
 PAUSE_MS = 2_000.0
 """Lateness of a timer from which the process counts as having been paused."""
@@ -105,6 +92,7 @@
         'budgets',
         'configuration',
         'counters',
+        'health',
         'identity',
         'limits',
         'membership',
@@ -141,6 +129,7 @@
         self.configuration = ConfigurationController()
         self.membership = MembershipController(identity)
         self.upstreams = UpstreamsController()
+        self.health = HealthController()
         self.snapshots = SnapshotsController()
         self.budgets: dict[str, ExtraBudget] = {}
         self.tickets = TicketsController()
--- a/beechbridge/core/upstreams.py
+++ b/beechbridge/core/upstreams.py
@@ -1,52 +1,23 @@
-"""Controller of the replicas: queues, sending, and what their replies say about them."""
+"""Controller of the replicas: choice, queues, sending, and their connections."""
 
-from ..actions import CloseConnection, LogChange, Send
+from ..actions import CloseConnection, Send
 from ..document import Configuration
-from ..events import AttemptFailed, ReplyArrived
-from ..failures import AttemptFailure, Executed, Reason
-from ..messages import CancelOrder, LoadProbe, ReplicaSign, Reply, ReplyStatus, UpstreamMessage
+from ..failures import Reason
+from ..messages import CancelOrder, UpstreamMessage
 from ..models import Service
 from ..record import Record
-from .attempts import (
-    Attempt,
-    build_message,
-    on_dropped,
-    on_failure,
-    on_reply,
-    on_sent,
-)
-from .connections import IDLE_TRUST_MS, SILENT_HOLD_MS
-from .replicas import CLOSING_HOLD_MS, DRAIN_HOLD_MS, ReplicaState
+from .attempts import Attempt, build_message, on_dropped, on_sent
+from .connections import IDLE_TRUST_MS
+from .replicas import ReplicaState
 from .shares import connection_share
 
-PROBE_INTERVAL_MS = 2_000.0
-"""Time between two probes of a replica by the VM that watches it."""
+CONTROL_DEADLINE_MS = 1_000.0
 
-PROBE_ROUND_MS = 330.0
-PROBES_PER_ROUND = 2
-"""Most probes in a round; bounds what a VM that watches many replicas spends on them."""
-
-PROBE_DEADLINE_MS = 1_000.0
 MIN_STALL_MS = 250.0
+
 STALL_FACTOR = 20.0
 """Multiple of a replica's median latency after which an exchange counts as stalled."""
 
-SUSPECT_WINDOW_MS = 2_000.0
-SUSPECT_REPLICAS = 3
-"""Replicas whose connections fail within the window before all old connections are retired."""
-
-OWN_FAILURES = frozenset(
-    (
-        Reason.CONNECT_FAILED,
-        Reason.CONNECTION_LOST,
-        Reason.NO_PROGRESS,
-        Reason.TRUNCATED,
-        Reason.MISMATCHED,
-        Reason.UPSTREAM_ERROR,
-    )
-)
-"""Failures that speak against the replica rather than for its load."""
-
 
 class StallTimer(Record):
     """Fires when an exchange has had no reply for too long."""
@@ -57,21 +28,6 @@
         self.attempt_id = attempt_id
 
 
-class ProbeTimer(Record):
-    """Fires when the replicas are due for a probe."""
-
-    __slots__ = ()
-
-
-class Probe(Record):
-    """Owner of a probe's exchange."""
-
-    __slots__ = ('replica_id',)
-
-    def __init__(self, replica_id: str):
-        self.replica_id = replica_id
-
-
 class Cancellation(Record):
     """Owner of a cancel order's exchange."""
 
@@ -88,35 +44,13 @@
     :param attempts: exchanges that wait in a queue or run, by identifier
     """
 
-    __slots__ = (
-        'attempts',
-        'next_connection_id',
-        'next_number',
-        'states',
-        'suspects',
-        'watched',
-        'watched_for',
-    )
+    __slots__ = ('attempts', 'next_connection_id', 'next_number', 'states')
 
     def __init__(self):
         self.states: dict[str, ReplicaState] = {}
         self.attempts: dict[str, Attempt] = {}
         self.next_number = 0
-        self.suspects: list[tuple[float, str]] = []
         self.next_connection_id = 0
-        self.watched: frozenset[str] = frozenset()
-        self.watched_for: tuple | None = None
-
-    def find_watched(self, core) -> frozenset[str]:
-        """Return the replicas that this VM probes for the fleet."""
-        names = core.membership.serving_names(core.now_ms)
-        key = (names, core.configuration.generation)
-        if key == self.watched_for:
-            return self.watched
-        owned = [name for name in self.states if core.membership.owns(name, names)]
-        self.watched = frozenset(owned)
-        self.watched_for = key
-        return self.watched
 
     def apply_configuration(self, configuration: Configuration, core) -> None:
         """Add, change and remove replicas as the configuration says."""
@@ -176,31 +110,6 @@
         for connection_id in state.pool.retire_idle(float('inf')):
             core.act(CloseConnection(connection_id))
 
-    def suspect_connections(
-        self, state: ReplicaState, attempt: Attempt, is_silent: bool, core
-    ) -> None:
-        """
-        Retire the connections that are as old as one that broke or went silent.
-
-        Where several replicas go silent at once, so may the others. An upstream that broke a
-        connection does not count it any more; one behind a silent connection may.
-        """
-        if not is_silent:
-            for connection_id in state.pool.retire_idle(attempt.sent_ms):
-                core.act(CloseConnection(connection_id))
-            return
-        recent = [pair for pair in self.suspects if core.now_ms - pair[0] < SUSPECT_WINDOW_MS]
-        recent.append((core.now_ms, state.replica.replica_id))
-        self.suspects = recent
-        states = [state]
-        if len({replica_id for _, replica_id in recent}) >= SUSPECT_REPLICAS:
-            states = list(self.states.values())
-        hold_until_ms = core.now_ms + SILENT_HOLD_MS
-        for suspect in states:
-            for connection_id in suspect.pool.retire_idle(attempt.sent_ms, hold_until_ms):
-                core.counters.add('connections_suspected')
-                core.act(CloseConnection(connection_id))
-
     def distrust_connections(self, core) -> None:
         """Close all idle connections, as after a pause."""
         for state in self.states.values():
@@ -378,102 +287,12 @@
     def start_control(self, state: ReplicaState, owner: object, lease, core) -> None:
         """Send a probe or a cancel order past the queue over a connection already taken."""
         attempt_id = self.new_attempt_id(core)
-        deadline_ms = core.now_ms + PROBE_DEADLINE_MS
+        deadline_ms = core.now_ms + CONTROL_DEADLINE_MS
         attempt = Attempt(attempt_id, state.replica.replica_id, owner, 0, deadline_ms)
         self.attempts[attempt_id] = attempt
         self.carry(state, attempt, lease, core)
         core.timers.arm(deadline_ms, StallTimer(attempt_id))
 
-    def probe_due(self, core) -> None:
-        """Probe the replicas that are due, those that wait longest first."""
-        watched = self.find_watched(core)
-        due = []
-        for replica_id, state in self.states.items():
-            if state.probing or state.removed or state.pool.share == 0:
-                continue
-            ejection_over = state.is_ejected and state.ejected_until_ms <= core.now_ms
-            is_due = core.now_ms - state.probed_ms >= PROBE_INTERVAL_MS
-            if ejection_over or (replica_id in watched and is_due):
-                due.append(state)
-        due.sort(key=lambda state: state.probed_ms)
-        for state in due[:PROBES_PER_ROUND]:
-            self.probe(state, core)
-
-    def probe(self, state: ReplicaState, core, fresh: bool = False) -> None:
-        """
-        Probe a replica over its longest idle connection, or a new one.
-
-        :param fresh: use a new connection in any case, to tell the replica from its connections
-        """
-        lease = None if fresh else state.pool.acquire_oldest(core.now_ms)
-        if lease is None:
-            lease = state.pool.acquire(core.now_ms, self.next_connection_id + 1, True)
-        if lease is None:
-            return
-        state.probing = True
-        state.probed_ms = core.now_ms
-        self.start_control(state, Probe(state.replica.replica_id), lease, core)
-
-    def mark_draining(self, state: ReplicaState, sign_ms: float, core) -> None:
-        """Stop new work on a replica that showed a sign of leaving."""
-        is_news = state.drain_sign_ms is None
-        state.drain_sign_ms = max(sign_ms, state.drain_sign_ms or 0.0)
-        if not is_news:
-            return
-        core.counters.add('drain_signs')
-        core.act(LogChange(state.replica.replica_id, 'serving', 'draining'))
-        self.flush_queue(state, core)
-        core.membership.gossip_now(core)
-
-    def end_drain(self, state: ReplicaState, core) -> None:
-        """Give a replica work again."""
-        state.drain_sign_ms = None
-        core.act(LogChange(state.replica.replica_id, 'draining', 'serving'))
-
-    def take_sign(self, sign: ReplicaSign, core) -> None:
-        """Take what a peer saw of a replica."""
-        state = self.states.get(sign.replica_id)
-        if state is None:
-            return
-        seen_ms = core.now_ms - sign.age_ms
-        if sign.draining and seen_ms > core.now_ms - DRAIN_HOLD_MS:
-            self.mark_draining(state, seen_ms, core)
-        held_ms = seen_ms - state.drain_sign_ms if state.drain_sign_ms is not None else 0.0
-        if not sign.draining and held_ms >= DRAIN_HOLD_MS:
-            self.end_drain(state, core)
-        if seen_ms <= state.seen_ms:
-            return
-        if state.note_snapshots(sign.oldest_snapshot, sign.newest_snapshot, seen_ms):
-            core.snapshots.forget_choice(state.back_end)
-
-    def signs(self, core) -> list[ReplicaSign]:
-        """Return what peers should hear: drains, and the replicas this VM watches."""
-        watched = self.find_watched(core)
-        signs = []
-        for replica_id, state in self.states.items():
-            draining = state.drain_sign_ms is not None
-            if not draining and replica_id not in watched:
-                continue
-            seen_ms = state.drain_sign_ms if draining else state.seen_ms
-            if seen_ms <= 0:
-                continue
-            signs.append(
-                ReplicaSign(
-                    replica_id,
-                    int(core.now_ms - seen_ms),
-                    draining,
-                    state.oldest_snapshot,
-                    state.newest_snapshot,
-                )
-            )
-        return signs
-
-    def log_ejection(self, state: ReplicaState, core) -> None:
-        """Report a replica's ejection, and send what waits for it elsewhere."""
-        core.counters.add('ejections')
-        core.act(LogChange(state.replica.replica_id, 'serving', 'ejected'))
-        self.flush_queue(state, core, Reason.NO_PROGRESS)
-
     def finish(self, attempt: Attempt, reusable: bool, core) -> ReplicaState | None:
         """Account for the end of an exchange's connection."""
         state = self.states.get(attempt.replica_id)
@@ -494,170 +313,7 @@
         return [self.states[replica_id].describe(now_ms) for replica_id in sorted(self.states)]
 
 
-def matches(attempt: Attempt, reply: Reply) -> bool:
-    """Tell whether a reply is to this attempt. Refusals that echo nothing speak for themselves."""
-    return reply.attempt_id == attempt.attempt_id
-
-
-def handle_reply(event: ReplyArrived, core) -> None:
-    """Free the connection, learn from the reply, and pass it to the attempt's owner."""
-    upstreams = core.upstreams
-    attempt = upstreams.attempts.pop(event.attempt_id, None)
-    if attempt is None:
-        core.counters.add('replies_unexpected')
-        return
-    reply = event.reply
-    if not matches(attempt, reply):
-        core.counters.add('replies_mismatched')
-        failure = AttemptFailure(Reason.MISMATCHED, Executed.UNKNOWN, 'reply to another attempt')
-        state = upstreams.finish(attempt, False, core)
-        core.act(CloseConnection(attempt.connection_id))
-        if not attempt.abandoned:
-            pass_failure(attempt, state, failure, core)
-        return
-    state = upstreams.finish(attempt, event.reusable and not reply.closing, core)
-    if state is not None:
-        learn_from_reply(state, attempt, reply, core)
-    if attempt.abandoned:
-        core.counters.add('replies_late')
-    else:
-        on_reply(attempt.owner, attempt, reply, core)
-    if state is not None:
-        upstreams.pump(state, core)
-
-
-def learn_from_reply(state: ReplicaState, attempt: Attempt, reply: Reply, core) -> None:
-    """Update what is known of a replica from its reply."""
-    if state.note_snapshots(reply.oldest_snapshot, reply.newest_snapshot, core.now_ms):
-        core.snapshots.forget_choice(state.back_end)
-    if reply.status is ReplyStatus.DRAINING:
-        core.upstreams.mark_draining(state, core.now_ms, core)
-        return
-    if reply.closing:
-        state.closing_until_ms = core.now_ms + CLOSING_HOLD_MS
-    if reply.status is ReplyStatus.SHED:
-        state.shrink_window(core.now_ms)
-        return
-    if reply.status is ReplyStatus.ERROR:
-        if state.count_failure(core.now_ms):
-            core.upstreams.log_ejection(state, core)
-        return
-    if reply.status is not ReplyStatus.DONE or attempt.abandoned:
-        return
-    if isinstance(attempt.owner, (Probe, Cancellation)):
-        return
-    state.failures = 0
-    if state.is_ejected:
-        readmit(state, core)
-    state.add_latency(core.now_ms - attempt.sent_ms, core.now_ms)
-    state.adapt_window(core.now_ms - attempt.sent_ms)
-
-
-def readmit(state: ReplicaState, core) -> None:
-    """Take an ejected replica back."""
-    state.readmit()
-    core.act(LogChange(state.replica.replica_id, 'ejected', 'serving'))
-
-
-def handle_attempt_failed(event: AttemptFailed, core) -> None:
-    """Free the connection and pass the failure to the attempt's owner."""
-    attempt = core.upstreams.attempts.pop(event.attempt_id, None)
-    if attempt is None:
-        core.counters.add('replies_unexpected')
-        return
-    if event.failure.reason is Reason.NO_PROGRESS:
-        attempt.hold_ms = SILENT_HOLD_MS
-    state = core.upstreams.finish(attempt, False, core)
-    if attempt.abandoned:
-        core.counters.add('attempts_failed', event.failure.reason.value)
-    else:
-        pass_failure(attempt, state, event.failure, core)
-    if state is not None:
-        core.upstreams.pump(state, core)
-
-
-def pass_failure(
-    attempt: Attempt, state: ReplicaState | None, failure: AttemptFailure, core
-) -> None:
-    """Hold a failure against the replica where it is its own, and tell the owner."""
-    core.counters.add('attempts_failed', failure.reason.value)
-    is_own = failure.reason in OWN_FAILURES and attempt.is_new
-    if state is not None and is_own and state.count_failure(core.now_ms):
-        core.upstreams.log_ejection(state, core)
-    if state is not None and not attempt.is_new:
-        is_silent = failure.reason is Reason.NO_PROGRESS
-        core.upstreams.suspect_connections(state, attempt, is_silent, core)
-    on_failure(attempt.owner, attempt, failure, core)
-
-
-def fire_stall(timer: StallTimer, core) -> None:
-    """Retire the connection of an exchange that made no progress, and tell the owner."""
-    attempt = core.upstreams.attempts.get(timer.attempt_id)
-    if attempt is None or attempt.sent_ms is None or attempt.hold_ms > 0:
-        return
-    was_abandoned = attempt.abandoned
-    attempt.abandoned = True
-    attempt.hold_ms = SILENT_HOLD_MS
-    core.counters.add('connections_silent')
-    core.act(CloseConnection(attempt.connection_id))
-    if was_abandoned:
-        state = core.upstreams.states.get(attempt.replica_id)
-        if state is not None and not attempt.is_new and not state.probing:
-            core.upstreams.probe(state, core, fresh=True)
-        return
-    state = core.upstreams.states.get(attempt.replica_id)
-    failure = AttemptFailure(Reason.NO_PROGRESS, Executed.UNKNOWN, 'no reply in time')
-    pass_failure(attempt, state, failure, core)
-    if state is not None and not attempt.is_new and not state.probing:
-        core.upstreams.probe(state, core, fresh=True)
-
-
-def fire_probe(timer: ProbeTimer, core) -> None:
-    """Probe what is due and arm the next round with jitter."""
-    core.upstreams.probe_due(core)
-    jitter_ms = core.rng.uniform(0.8, 1.2) * PROBE_ROUND_MS
-    core.timers.arm(core.now_ms + jitter_ms, timer)
-
-
-@build_message.register
-def build_probe(owner: Probe, attempt: Attempt, core) -> UpstreamMessage:
-    """Ask for health and load."""
-    return LoadProbe()
-
-
 @build_message.register
 def build_cancel(owner: Cancellation, attempt: Attempt, core) -> UpstreamMessage:
     """Tell the upstream which attempt to stop."""
     return CancelOrder(owner.cancelled_attempt_id)
-
-
-@on_reply.register
-def take_probe_reply(owner: Probe, attempt: Attempt, reply: Reply, core) -> None:
-    """Readmit an ejected replica; end a drain only long after its last sign."""
-    state = core.upstreams.states.get(owner.replica_id)
-    if state is None:
-        return
-    state.probing = False
-    if reply.status is not ReplyStatus.DONE:
-        return
-    if state.is_ejected and state.ejected_until_ms <= core.now_ms:
-        readmit(state, core)
-    if state.drain_sign_ms is None or core.now_ms - state.drain_sign_ms < DRAIN_HOLD_MS:
-        return
-    core.upstreams.end_drain(state, core)
-
-
-@on_failure.register
-def take_probe_failure(owner: Probe, attempt: Attempt, failure: AttemptFailure, core) -> None:
-    """Let the next probe go out."""
-    state = core.upstreams.states.get(owner.replica_id)
-    if state is None:
-        return
-    state.probing = False
-    if state.is_ejected and state.ejected_until_ms <= core.now_ms:
-        state.eject(core.now_ms)
-        return
-    if not state.is_ejected and attempt.is_new and failure.reason is Reason.NO_PROGRESS:
-        # Not even a new connection gets an answer.
-        state.eject(core.now_ms)
-        core.upstreams.log_ejection(state, core)
--- a/beechbridge/daemon/callers.py
+++ b/beechbridge/daemon/callers.py
@@ -42,6 +42,7 @@
     __slots__ = (
         'active',
         'batch_queries',
+        'body_bytes',
         'identity',
         'is_leaving',
         'last_request_s',
@@ -59,12 +60,14 @@
         is_leaving: Callable[[], bool],
         thread_count: int,
         batch_queries: int,
+        body_bytes: int,
     ):
         self.identity = identity
         self.post = post
         self.is_leaving = is_leaving
         self.thread_count = thread_count
         self.batch_queries = batch_queries
+        self.body_bytes = body_bytes
         self.numbers = itertools.count(1)
         self.pending: dict[str, Future] = {}
         self.active = 0
@@ -111,6 +114,9 @@
         if environ['REQUEST_METHOD'] != method:
             detail = f'{path} takes {method}'
             return encode_answer(not_run(Reason.METHOD_NOT_ALLOWED, detail), request_id)
+        if int(environ.get('CONTENT_LENGTH') or 0) > self.body_bytes:
+            detail = f'a body has at most {self.body_bytes} bytes'
+            return encode_answer(not_run(Reason.TOO_LARGE, detail), request_id)
         return route(self, environ, request_id)
 
     def new_request_id(self) -> str:
--- a/beechbridge/daemon/server.py
+++ b/beechbridge/daemon/server.py
@@ -44,6 +44,13 @@
 
 QUIET_LIMIT_S = 3.0
 SLOW_CALLER_S = 30
+CALLER_CONNECTIONS = 512
+BODY_READ_FACTOR = 2
+"""Multiple of the largest body that is still read, to refuse it with a typed answer."""
+
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+"""Answers are buffered in memory up to this size: the VMs have no disks."""
+
 TASK_SHUTDOWN_S = 1.0
 RANDOM_INCARNATION_BITS = 20
 
@@ -89,15 +96,18 @@
             lambda: self.core.stopping.is_leaving,
             limits.caller_threads,
             limits.batch_queries,
+            limits.body_bytes,
         )
         self.caller_server = waitress.create_server(
             self.callers,
             host=vm.host,
             port=vm.caller_port,
             threads=limits.caller_threads,
-            max_request_body_size=limits.body_bytes,
+            max_request_body_size=BODY_READ_FACTOR * limits.body_bytes,
+            inbuf_overflow=BODY_READ_FACTOR * limits.body_bytes + 1,
+            outbuf_overflow=MAX_ANSWER_BYTES,
             channel_timeout=SLOW_CALLER_S,
-            connection_limit=1000,
+            connection_limit=CALLER_CONNECTIONS,
             ident=None,
         )
         self.operations_server = waitress.create_server(
