Move work that waits behind slow exchanges, and keep hedges for outliers

Cause (virtual time, six VMs, one straggler a service at 10x on 5%): slow exchanges hold both slots of a replica and the windows towards it; what queued behind them was not hedged, since the delay counted from its sending. Hedges at 1.5 times the median were spent on ordinary exchanges, 37 of them a VM before any fault, so that none was left when a replica hung. Change: an attempt that waits in its queue for the hedge delay moves to another replica that can send it, at no extra load; the delay is at least 2.5 times the median; 10 tokens may be saved up.

--- a/beechbridge/core/attempts.py
+++ b/beechbridge/core/attempts.py
@@ -67,6 +67,11 @@
     raise TypeError(f'no message for {type(owner).__name__}')
 
 
+@singledispatch
+def on_queued(owner: object, attempt: Attempt, core) -> None:
+    """Note that an attempt has to wait in its queue."""
+
+
 @singledispatch
 def on_sent(owner: object, attempt: Attempt, core) -> None:
     """Note that an attempt left its queue."""
--- a/beechbridge/core/budgets.py
+++ b/beechbridge/core/budgets.py
@@ -1,6 +1,6 @@
 """Budget of extra sub-requests: hedges and retries share it."""
 
-MAX_TOKENS = 5.0
+MAX_TOKENS = 10.0
 """Extra sub-requests that a quiet time saves up at most."""
 
 
--- a/beechbridge/core/hedging.py
+++ b/beechbridge/core/hedging.py
@@ -1,10 +1,10 @@
 """Hedging: a second replica for the shards that keep a query waiting."""
 
-from .attempts import Attempt, on_sent
+from .attempts import Attempt, on_queued, on_sent
 from .fanout import find_service, send_to
-from .plans import HedgeTimer, Task
+from .plans import HedgeTimer, MoveTimer, Task
 
-HEDGE_FACTOR = 1.5
+HEDGE_FACTOR = 2.5
 """Least multiple of the service's median latency after which a second replica is asked."""
 
 HEDGE_AFTER_SHARE = 0.5
@@ -28,6 +28,37 @@
         core.timers.arm(due_ms, timer)
 
 
+@on_queued.register
+def note_task_queued(owner: Task, attempt: Attempt, core) -> None:
+    """Watch an attempt that waits, for its replica may be held up by slow exchanges."""
+    if not core.policy.hedges:
+        return
+    due_ms = core.now_ms + hedge_delay_ms(owner, core)
+    core.timers.arm(due_ms, MoveTimer(attempt.attempt_id))
+
+
+def fire_move(timer: MoveTimer, core) -> None:
+    """Take an attempt that still waits to another replica that can send it now."""
+    attempt = core.upstreams.attempts.get(timer.attempt_id)
+    if attempt is None or attempt.abandoned or attempt.sent_ms is not None:
+        return
+    task = attempt.owner
+    service = find_service(task, core)
+    if not task.is_open or service is None:
+        return
+    exclude = task.tried | {other.replica_id for other in task.attempts}
+    plan = task.plan
+    state = core.upstreams.choose(service, plan.snapshot, exclude, plan.urgency, core)
+    if state is None or state.is_ejected or state.in_flight >= int(state.window):
+        due_ms = core.now_ms + HEDGE_RECHECK_FACTOR * hedge_delay_ms(task, core)
+        core.timers.arm(due_ms, timer)
+        return
+    core.counters.add('attempts_moved')
+    core.upstreams.cancel(attempt, core)
+    task.attempts.remove(attempt)
+    send_to(task, state, core)
+
+
 def try_hedge(task: Task, core) -> bool:
     """Hedge a task if that helps its query and the budget allows; True if it was done."""
     plan = task.plan
--- a/beechbridge/core/node.py
+++ b/beechbridge/core/node.py
@@ -29,7 +29,7 @@
 from .fanout import fire_retry
 from .filters import handle_query
 from .health import HealthController, ProbeTimer, fire_probe
-from .hedging import fire_hedge
+from .hedging import fire_hedge, fire_move
 from .limits import Limits
 from .membership import (
     EvidenceTimer,
@@ -44,7 +44,7 @@
     handle_vm_list,
 )
 from .overload import OverloadController
-from .plans import HardDeadlineTimer, HedgeTimer, Plan, RetryTimer, SoftDeadlineTimer
+from .plans import HardDeadlineTimer, HedgeTimer, MoveTimer, Plan, RetryTimer, SoftDeadlineTimer
 from .policy import CURRENT, Policy
 from .snapshots import SnapshotsController
 from .stopping import (
@@ -289,6 +289,7 @@
     SoftDeadlineTimer: fire_soft_deadline,
     HardDeadlineTimer: fire_hard_deadline,
     HedgeTimer: fire_hedge,
+    MoveTimer: fire_move,
     RetryTimer: fire_retry,
     RunDeadlineTimer: fire_run_deadline,
     RunRetryTimer: fire_run_retry,
--- a/beechbridge/core/plans.py
+++ b/beechbridge/core/plans.py
@@ -139,6 +139,15 @@
         self.attempt_id = attempt_id
 
 
+class MoveTimer(Record):
+    """Fires when a task's attempt has waited long in its queue."""
+
+    __slots__ = ('attempt_id',)
+
+    def __init__(self, attempt_id: str):
+        self.attempt_id = attempt_id
+
+
 class RetryTimer(Record):
     """Fires when a task may ask again."""
 
--- a/beechbridge/core/upstreams.py
+++ b/beechbridge/core/upstreams.py
@@ -6,7 +6,7 @@
 from ..messages import CancelOrder, UpstreamMessage
 from ..models import Service
 from ..record import Record
-from .attempts import Attempt, build_message, on_dropped, on_sent
+from .attempts import Attempt, build_message, on_dropped, on_queued, on_sent
 from .connections import IDLE_TRUST_MS
 from .replicas import ReplicaState
 from .shares import connection_share
@@ -171,6 +171,8 @@
             core.counters.add('queue_displaced')
             self.drop(displaced, Reason.QUEUE_FULL, core)
         self.pump(state, core)
+        if attempt.sent_ms is None and not attempt.abandoned:
+            on_queued(attempt.owner, attempt, core)
 
     def drop(self, attempt: Attempt, reason: Reason, core) -> None:
         """Take an unsent attempt out and tell its owner."""
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -75,3 +75,16 @@
             answer = world.answer(f'q{number}')
             self.assertEqual(answer.coverage.shards_answered, 10)
             self.assertEqual(len({row.key for row in answer.rows}), len(answer.rows))
+
+    def test_work_behind_a_slow_exchange_moves_to_another_replica(self):
+        world = start(hedge_percent=0.0)
+        world.upstreams.latency_ms = {f'svc{n}-a': 200.0 for n in range(10)}
+        for number in range(30):
+            world.ask('v1', f'q{number}')
+        world.run(1000)
+        core = world.cores['v1']
+        self.assertGreater(core.counters.get('attempts_moved'), 0)
+        extra = core.counters.get('exchanges', 'ShardQuery') - core.counters.total('primaries')
+        self.assertEqual(extra, 0)
+        for number in range(30):
+            self.assertTrue(world.answer(f'q{number}').coverage.complete)
