Mend what a reading of the core and the driver found

Cause: (1) a replica whose address changed kept its pool, so that a busy connection to the old address could serve for the new one; (2) a timer armed between the look at the timers and the wait was missed for up to 1 s; (3) a VM restarted with its clock set back got a lower incarnation and stayed unheard while listed; (4) the state of a replica sign with a negative age lasted longer than it should. Change: a moved replica starts over with an empty pool; the time keeper is woken by any event from the moment it looks; a VM that fell silent may come back with any incarnation; ages are not negative.

--- a/beechbridge/core/health.py
+++ b/beechbridge/core/health.py
@@ -139,7 +139,7 @@
         state = core.upstreams.states.get(sign.replica_id)
         if state is None:
             return
-        seen_ms = core.now_ms - sign.age_ms
+        seen_ms = core.now_ms - max(0, sign.age_ms)
         if sign.draining and seen_ms > core.now_ms - DRAIN_HOLD_MS:
             self.mark_draining(state, seen_ms, core)
         held_ms = seen_ms - state.drain_sign_ms if state.drain_sign_ms is not None else 0.0
--- a/beechbridge/core/membership.py
+++ b/beechbridge/core/membership.py
@@ -240,7 +240,12 @@
         """Take one VM's heartbeat if it is newer than what is known."""
         name = view.identity.name
         known = self.members.get(name)
-        if known is None or view.identity.incarnation > known.identity.incarnation:
+        is_successor = known is not None and (
+            view.identity.incarnation > known.identity.incarnation
+            # A clock that was set back gives a successor a lower number.
+            or (view.identity != known.identity and not self.is_answering(name, core.now_ms))
+        )
+        if known is None or is_successor:
             self.members[name] = Member(view.identity, view.heartbeat, view.leaving, core.now_ms)
             core.act(LogChange(f'VM {name}', 'unknown', f'up ({view.identity.incarnation:x})'))
             return
--- a/beechbridge/core/upstreams.py
+++ b/beechbridge/core/upstreams.py
@@ -77,8 +77,11 @@
             self.states[replica.replica_id] = ReplicaState(replica, back_end, service)
             return
         if (state.replica.host, state.replica.port) != (replica.host, replica.port):
+            # Connections to the old address that are still busy find no place in the new pool.
             self.close_all(state, core)
-            state.drain_sign_ms = None
+            self.states[replica.replica_id] = ReplicaState(replica, back_end, service)
+            self.flush_queue(state, core)
+            return
         if state.replica.draining and not replica.draining:
             state.drain_sign_ms = None
         state.replica = replica
--- a/beechbridge/daemon/driver.py
+++ b/beechbridge/daemon/driver.py
@@ -75,6 +75,8 @@
     def keep_time(self) -> None:
         """Post a tick whenever a timer is due."""
         while not self.is_closed:
+            # Any event that arms an earlier timer from here on wakes the wait below.
+            self.wake_at_ms = float('inf')
             self.wake.clear()
             due_ms = self.core.next_wake_ms()
             now_ms = self.clock_ms()
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -4,11 +4,13 @@
 
 from nose2.tools import params
 
-from beechbridge.actions import CloseConnection
+from beechbridge.actions import CloseConnection, Send
 from beechbridge.core.connections import SILENT_HOLD_MS, ConnectionPool
+from beechbridge.document import Document
+from beechbridge.events import ConfigurationRead
 from beechbridge.messages import CancelOrder, LoadProbe, ShardQuery
 
-from .utils import LOST, REFUSED, World, make_document
+from .utils import LOST, REFUSED, World, make_document, make_entries
 
 
 def make_pool(share):
@@ -166,3 +168,28 @@
         self.assertTrue(world.answer('q').coverage.complete)
         for state in states.values():
             self.assertEqual(state.pool.held_until_ms, [])
+
+    def test_replica_that_moved_is_never_reached_at_its_old_address(self):
+        world = World(('v1',))
+        world.run(500)
+        for number in range(4):
+            world.ask('v1', f'warm-{number}')
+            world.run(20)
+        world.ask('v1', 'under-way')
+        world.run(1)
+        entries = make_entries()
+        for listed in entries['service/b/svc1']['replicas']:
+            listed['port'] = 4321
+        world.hand('v1', ConfigurationRead(Document(2, entries)))
+        world.run(100)
+        self.assertTrue(world.answer('under-way').coverage.complete)
+        old = {a.connection_id for a in world.actions(Send) if a.is_new}
+        mark = len(world.log)
+        for number in range(10):
+            world.ask('v1', f'q{number}')
+            world.run(20)
+            self.assertTrue(world.answer(f'q{number}').coverage.complete)
+        sends = [a for _, a in world.log[mark:] if isinstance(a, Send)]
+        moved = [a for a in sends if a.replica.replica_id.startswith('svc1')]
+        self.assertEqual({a.replica.port for a in moved}, {4321})
+        self.assertFalse({a.connection_id for a in moved} & old)
