Split the state of tickets and the inbox of peer messages from their controllers

Change: ticket_state holds the entries, runs, relays and timers; inbox passes peer messages on. No statement changed.

--- a/beechbridge/core/membership.py
+++ b/beechbridge/core/membership.py
@@ -5,25 +5,21 @@
 the list alone, so that a partition cannot make a half believe it is the fleet.
 """
 
-from functools import singledispatch
-
 from ..actions import AnswerCaller, LogChange, ReadVmList, SendPeer
-from ..events import EntryWanted, PeerMessageArrived, VmListRead
+from ..events import EntryWanted, VmListRead
 from ..failures import Failure
 from ..messages import (
-    ConfigurationOffered,
-    ConfigurationWanted,
     Gossip,
     MemberView,
-    RelayedOutcome,
-    RelayedRequest,
 )
 from ..models import EntryAnswer, Vm, VmIdentity, VmState
 from ..record import Record
 from .hashing import rank_score
 
 GOSSIP_INTERVAL_MS = 500.0
+
 GOSSIP_FANOUT = 4
+
 SHARED_VIEWS = 16
 """Views of other VMs in one gossip message at most."""
 
@@ -31,7 +27,9 @@
 """Silence after which a VM is taken for unreachable."""
 
 LEAST_GOSSIP_GAP_MS = 20.0
+
 LIST_INTERVAL_MS = 1_000.0
+
 LIST_INTERVAL_PER_VM_MS = 1.0
 """Least time between two reads for each listed VM, which bounds the calls of all together."""
 
@@ -365,57 +363,6 @@
     membership.take_list(event.result.vms, core)
 
 
-def handle_peer_message(event: PeerMessageArrived, core) -> None:
-    """Pass a peer's message to the controller it concerns."""
-    sender = core.membership.find_vm(event.sender.name)
-    take_message(event.message, event.sender, sender, core)
-
-
-@singledispatch
-def take_message(message: object, identity: VmIdentity, vm: Vm | None, core) -> None:
-    """
-    Act on one kind of peer message.
-
-    :param vm: the sender's entry on the list, or None where it is not listed
-    """
-    raise TypeError(f'no handler for {type(message).__name__}')
-
-
-@take_message.register
-def take_gossip(message: Gossip, identity: VmIdentity, vm: Vm | None, core) -> None:
-    """Take heartbeats, compare configurations, and learn of replicas."""
-    core.membership.take_views(identity, message, core)
-    core.configuration.compare_gossip(vm, message.generation, message.digest, core)
-    for sign in message.signs:
-        core.health.take_sign(sign, core)
-
-
-@take_message.register
-def take_wanted(message: ConfigurationWanted, identity: VmIdentity, vm: Vm | None, core) -> None:
-    """Send a peer what it lacks."""
-    if vm is not None:
-        core.configuration.answer_wanted(vm, message, core)
-
-
-@take_message.register
-def take_offered(message: ConfigurationOffered, identity: VmIdentity, vm: Vm | None, core) -> None:
-    """Take a newer configuration."""
-    core.configuration.take_offered(vm, message.content, core)
-
-
-@take_message.register
-def take_relayed(message: RelayedRequest, identity: VmIdentity, vm: Vm | None, core) -> None:
-    """Run a request under a ticket of this process for a peer's caller."""
-    if vm is not None:
-        core.tickets.take_relayed(message, identity, core)
-
-
-@take_message.register
-def take_outcome(message: RelayedOutcome, identity: VmIdentity, vm: Vm | None, core) -> None:
-    """Pass the outcome of a relayed request to its caller."""
-    core.tickets.take_outcome(message, identity, core)
-
-
 def fire_gossip(timer: GossipTimer, core) -> None:
     """Gossip and arm the next round with jitter."""
     core.membership.gossip_now(core)
--- a/beechbridge/core/node.py
+++ b/beechbridge/core/node.py
@@ -30,6 +30,7 @@
 from .filters import handle_query
 from .health import HealthController, ProbeTimer, fire_probe
 from .hedging import fire_hedge, fire_move
+from .inbox import handle_peer_message
 from .limits import Limits
 from .membership import (
     EvidenceTimer,
@@ -40,7 +41,6 @@
     fire_gossip,
     fire_list,
     handle_entry,
-    handle_peer_message,
     handle_vm_list,
 )
 from .overload import OverloadController
--- a/beechbridge/core/tickets.py
+++ b/beechbridge/core/tickets.py
@@ -6,23 +6,36 @@
 outcome is `unknown`, and a refusal spends the ticket, so that it stays true.
 """
 
-import enum
-
 from ..actions import AnswerCaller, SendPeer
 from ..events import RequestArrived, TicketWanted
 from ..failures import AttemptFailure, Executed, Failure, Reason, not_run, unknown
 from ..messages import RelayedOutcome, RelayedRequest, Reply, ReplyStatus, ShardRequest
 from ..models import Done, Outcome, Ticket, TicketedRequest, TicketGrant, VmIdentity
-from ..record import Record
 from .attempts import Attempt, build_message, on_dropped, on_failure, on_reply
+from .ticket_state import (
+    ForgetTimer,
+    LocalWaiter,
+    Relay,
+    RelayTimer,
+    RelayWaiter,
+    Run,
+    RunDeadlineTimer,
+    RunRetryTimer,
+    TicketEntry,
+    TicketState,
+)
 
 TICKET_URGENCY = 100
+
 RELAY_REPEAT_MS = 300.0
+
 LEAST_KEEP_MS = 500.0
 """Shortest time a ticket must stay usable to be worth giving out."""
 
 RETRY_PAUSE_MS = 20.0
+
 RETRY_LATER_MS = 1_000
+
 LEAST_RUN_MS = 100.0
 """Time that a run needs before its deadline to be tried again after a refusal."""
 
@@ -31,120 +44,6 @@
 )
 
 
-class TicketState(enum.Enum):
-    """What became of a ticket."""
-
-    ISSUED = 'issued'
-    RUNNING = 'running'
-    SETTLED = 'settled'
-
-
-class TicketEntry:
-    """
-    One ticket of this process.
-
-    :param waiting: callers and relays that wait for the outcome
-    :param until_ms: when the entry may be forgotten
-    """
-
-    __slots__ = ('back_end', 'number', 'outcome', 'state', 'until_ms', 'waiting')
-
-    def __init__(self, number: str, back_end: str, until_ms: float):
-        self.number = number
-        self.back_end = back_end
-        self.state = TicketState.ISSUED
-        self.outcome: Outcome | None = None
-        self.waiting: list[LocalWaiter | RelayWaiter] = []
-        self.until_ms = until_ms
-
-
-class LocalWaiter(Record):
-    """A caller of this VM."""
-
-    __slots__ = ('request_id',)
-
-    def __init__(self, request_id: str):
-        self.request_id = request_id
-
-
-class RelayWaiter(Record):
-    """A caller of another VM."""
-
-    __slots__ = ('relay_id', 'vm_name')
-
-    def __init__(self, vm_name: str, relay_id: str):
-        self.vm_name = vm_name
-        self.relay_id = relay_id
-
-
-class Run:
-    """
-    The one run of a ticket's request; owner of its attempts, one at a time.
-
-    :param attempt: the attempt under way, or None
-    """
-
-    __slots__ = ('attempt', 'deadline_at_ms', 'entry', 'reason', 'request', 'shard', 'tried')
-
-    def __init__(self, entry: TicketEntry, request: TicketedRequest, deadline_at_ms: float):
-        self.entry = entry
-        self.request = request
-        self.shard = None
-        self.deadline_at_ms = deadline_at_ms
-        self.tried: set[str] = set()
-        self.attempt: Attempt | None = None
-        self.reason = Reason.DEADLINE
-
-
-class Relay:
-    """A request passed to its ticket's issuer."""
-
-    __slots__ = ('deadline_at_ms', 'issuer', 'relay_id', 'request', 'request_id')
-
-    def __init__(self, relay_id: str, request_id: str, request: TicketedRequest, until_ms: float):
-        self.relay_id = relay_id
-        self.request_id = request_id
-        self.request = request
-        self.issuer = request.ticket.issuer
-        self.deadline_at_ms = until_ms
-
-
-class RunDeadlineTimer(Record):
-    """Fires when a run must have an outcome."""
-
-    __slots__ = ('number',)
-
-    def __init__(self, number: str):
-        self.number = number
-
-
-class RunRetryTimer(Record):
-    """Fires when a run that certainly has not run may be tried again."""
-
-    __slots__ = ('number',)
-
-    def __init__(self, number: str):
-        self.number = number
-
-
-class RelayTimer(Record):
-    """Fires when a relay is due to be repeated or given up."""
-
-    __slots__ = ('relay_id',)
-
-    def __init__(self, relay_id: str):
-        self.relay_id = relay_id
-
-
-class ForgetTimer(Record):
-    """Fires when a ticket's entry may be forgotten."""
-
-    __slots__ = ('number',)
-
-    def __init__(self, number: str):
-        self.number = number
-
-
 class TicketsController:
     """Tickets of this process, runs under way, and requests relayed to other issuers."""
 
--- a/model/mutants.py
+++ b/model/mutants.py
@@ -112,7 +112,7 @@
     ),
     Mutant(
         'configuration is not compared by gossip',
-        'beechbridge/core/membership.py',
+        'beechbridge/core/inbox.py',
         'core.configuration.compare_gossip(vm, message.generation, message.digest, core)',
         'pass',
         ('test_configuration',),
