Count the losers of hedges in the latency of their replica

Cause (trace of the slowest queries, shard by shard): with stragglers the budget for hedges ran dry, since the straggling replica went on being chosen. The losers of hedges are its slow exchanges, and their replies were not sampled, so that it looked as fast as the other one. Change: the late reply to an abandoned exchange is sampled too. Possible since an abandoned exchange keeps its connection until its reply. Ruled out: the rule that half of the shards answer first (18 of 20 had), windows.

--- a/beechbridge/core/exchanges.py
+++ b/beechbridge/core/exchanges.py
@@ -71,10 +71,14 @@
         if state.count_failure(core.now_ms):
             core.health.log_ejection(state, core)
         return
-    if reply.status is not ReplyStatus.DONE or attempt.abandoned:
-        return
     if isinstance(attempt.owner, (Probe, Cancellation)):
         return
+    if attempt.abandoned:
+        # The losers of hedges are the slow ones; without them the replica would look fast.
+        state.add_latency(core.now_ms - attempt.sent_ms, core.now_ms)
+        return
+    if reply.status is not ReplyStatus.DONE:
+        return
     state.failures = 0
     if state.is_ejected:
         readmit(state, core)
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -88,3 +88,18 @@
         self.assertEqual(extra, 0)
         for number in range(30):
             self.assertTrue(world.answer(f'q{number}').coverage.complete)
+
+    def test_losers_count_against_their_replica(self):
+        world = start(hedge_percent=100.0)
+        world.upstreams.latency_ms = {f'svc{n}-a': 100.0 for n in range(10)}
+        for number in range(10):
+            world.ask('v1', f'q{number}')
+            world.run(200)
+        core = world.cores['v1']
+        self.assertGreater(core.counters.get('hedges'), 0)
+        sent = {}
+        for action in world.upstreams.queries():
+            replica_id = action.replica.replica_id
+            sent[replica_id] = sent.get(replica_id, 0) + 1
+        sampled = {key: state.latency.count for key, state in core.upstreams.states.items()}
+        self.assertEqual({key: count for key, count in sampled.items() if count}, sent)
