Break connections of a stand-in replica in one place

Cause: losing a replica and restarting it cold each had the same loop. Change: both call drop_connections.

--- a/demo/upstream.py
+++ b/demo/upstream.py
@@ -178,6 +178,10 @@
         """Lose the replica: no connection stays, none is taken."""
         self.shutdown()
         self.server_close()
+        self.drop_connections()
+
+    def drop_connections(self) -> None:
+        """Break every open connection."""
         with self.state_lock:
             sockets = list(self.open_sockets)
         for sock in sockets:
@@ -189,13 +193,7 @@
     def restart_cold(self) -> None:
         """Drop all connections and be slow for a while."""
         self.behaviour.cold_until_s = time.monotonic() + COLD_START_S
-        with self.state_lock:
-            sockets = list(self.open_sockets)
-        for sock in sockets:
-            try:
-                sock.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass
+        self.drop_connections()
 
     def snapshots(self) -> tuple[int, int]:
         """Return the oldest and newest snapshot that this replica serves."""
