End a query once, and choose a free replica in one place

Cause: reading the whole change. build_answer noted a shortage while it built the answer; where a higher floor was in force and the query was unsent, the shortage ended that same query, and ending it again raised KeyError. Queries that missed their coverage were counted as refusals, which are said to come before any sub-request. The choice of a replica that can send at once stood in the hedge and in the move, and the probe after a stall twice in its handler. Change: the shortage is noted after the query has ended; only refusals are counted as such; find_free_replica serves hedge and move; one probe in fire_stall. Before: the new test raises KeyError, seen on the code without the change. Conclusion: the order of ending and noting is what the defect was; no bound changed.

--- a/beechbridge/core/endings.py
+++ b/beechbridge/core/endings.py
@@ -37,14 +37,16 @@
 
 def finish_plan(plan: Plan, core) -> None:
     """Give the caller the answer and end all that still runs for it."""
-    if not plan.is_finished:
-        end_plan(plan, build_answer(plan, core), core)
+    if plan.is_finished:
+        return
+    answer = build_answer(plan, core)
+    end_plan(plan, answer, core)
+    if isinstance(answer, Failure) and core.now_ms >= plan.hard_at_ms:
+        note_shortage(plan, core)
 
 
 def end_plan(plan: Plan, answer: Answer | Failure, core) -> None:
     """Take a plan out and answer its caller."""
-    if isinstance(answer, Failure):
-        core.counters.add('refusals', answer.reason.value)
     plan.is_finished = True
     del core.plans[plan.request_id]
     cancel_attempts(plan, core)
@@ -62,7 +64,9 @@
             continue
         if not overload.refuses(other.urgency, core.now_ms):
             continue
-        end_plan(other, overload.refusal(core.now_ms), core)
+        refusal = overload.refusal(core.now_ms)
+        core.counters.add('refusals', refusal.reason.value)
+        end_plan(other, refusal, core)
 
 
 def build_answer(plan: Plan, core) -> Answer | Failure:
@@ -73,8 +77,6 @@
         core.counters.add('answers', 'failed')
         detail = f'{coverage.shards_answered} of {coverage.shards_total} shards answered'
         executed = Executed.UNKNOWN if plan.was_sent else Executed.NOT_RUN
-        if core.now_ms >= plan.hard_at_ms:
-            note_shortage(plan, core)
         return CoverageFailure(coverage, executed, detail)
     core.counters.add('answers', kind)
     rows, truncated = merge_rows(plan)
--- a/beechbridge/core/exchanges.py
+++ b/beechbridge/core/exchanges.py
@@ -127,13 +127,9 @@
     attempt.hold_ms = SILENT_HOLD_MS
     core.counters.add('connections_silent')
     core.act(CloseConnection(attempt.connection_id))
-    if was_abandoned:
-        state = core.upstreams.states.get(attempt.replica_id)
-        if state is not None and not attempt.is_new and not state.probing:
-            core.health.probe(state, core, fresh=True)
-        return
     state = core.upstreams.states.get(attempt.replica_id)
-    failure = AttemptFailure(Reason.NO_PROGRESS, Executed.UNKNOWN, 'no reply in time')
-    pass_failure(attempt, state, failure, core)
+    if not was_abandoned:
+        failure = AttemptFailure(Reason.NO_PROGRESS, Executed.UNKNOWN, 'no reply in time')
+        pass_failure(attempt, state, failure, core)
     if state is not None and not attempt.is_new and not state.probing:
         core.health.probe(state, core, fresh=True)
--- a/beechbridge/core/hedging.py
+++ b/beechbridge/core/hedging.py
@@ -3,6 +3,7 @@
 from .attempts import Attempt, on_queued, on_sent
 from .fanout import find_service, send_to
 from .plans import HedgeTimer, MoveTimer, Task
+from .replicas import ReplicaState
 
 HEDGE_FACTOR = 2.5
 """Least multiple of the service's median latency after which a second replica is asked."""
@@ -43,13 +44,10 @@
     if attempt is None or attempt.abandoned or attempt.sent_ms is not None:
         return
     task = attempt.owner
-    service = find_service(task, core)
-    if not task.is_open or service is None:
+    if not task.is_open or find_service(task, core) is None:
         return
-    exclude = task.tried | {other.replica_id for other in task.attempts}
-    plan = task.plan
-    state = core.upstreams.choose(service, plan.snapshot, exclude, plan.urgency, core)
-    if state is None or state.is_ejected or state.in_flight >= int(state.window):
+    state = find_free_replica(task, core)
+    if state is None:
         due_ms = core.now_ms + HEDGE_RECHECK_FACTOR * hedge_delay_ms(task, core)
         core.timers.arm(due_ms, timer)
         return
@@ -65,12 +63,8 @@
     if plan.answered_count < HEDGE_AFTER_SHARE * len(plan.tasks) - 1:
         # The whole query is slow, which another replica cannot mend.
         return False
-    service = find_service(task, core)
-    if service is None:
-        return False
-    exclude = task.tried | {other.replica_id for other in task.attempts}
-    state = core.upstreams.choose(service, plan.snapshot, exclude, plan.urgency, core)
-    if state is None or state.is_ejected or state.in_flight >= int(state.window):
+    state = find_free_replica(task, core)
+    if state is None:
         return False
     if not core.budget(plan.query.back_end).take():
         core.counters.add('hedges_denied')
@@ -81,6 +75,19 @@
     return True
 
 
+def find_free_replica(task: Task, core) -> ReplicaState | None:
+    """Return a healthy replica that the task does not wait for and that can send at once."""
+    service = find_service(task, core)
+    if service is None:
+        return None
+    plan = task.plan
+    exclude = task.tried | {other.replica_id for other in task.attempts}
+    state = core.upstreams.choose(service, plan.snapshot, exclude, plan.urgency, core)
+    if state is None or state.is_ejected or state.in_flight >= int(state.window):
+        return None
+    return state
+
+
 def hedge_delay_ms(task: Task, core) -> float:
     """Return how long all but the slowest exchanges of a task's service take."""
     service = find_service(task, core)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -3,7 +3,10 @@
 import random
 import unittest
 
+from beechbridge.core.endings import finish_plan
+from beechbridge.core.fanout import start_plan
 from beechbridge.core.limits import Limits
+from beechbridge.core.plans import Plan
 from beechbridge.document import Document
 from beechbridge.events import QueryArrived
 from beechbridge.failures import Executed, Failure
@@ -80,3 +83,21 @@
         ]
         self.assertGreater(len(refused), 0)
         self.assertTrue(all(failure.retry_after_ms for failure in refused))
+
+    def test_query_below_the_floor_that_ends_unsent_has_one_answer(self):
+        world = self.start()
+        core = world.cores['v1']
+        core.membership.is_trusted = False
+        with_low = Query('b', 'low')
+        plan = Plan('low', with_low, world.now_ms)
+        plan.apply_rules(core.configuration.current.classes['low'])
+        back_end = core.configuration.current.back_ends['b']
+        start_plan(plan, core.snapshots.choose(back_end, 0, core), core)
+        overload = core.overload_of('b')
+        overload.note_shortage(80, plan.hard_at_ms)
+        world.now_ms = plan.hard_at_ms
+        core.now_ms = plan.hard_at_ms
+        finish_plan(plan, core)
+        world.perform('v1', core.take_actions())
+        self.assertEqual(world.answer('low').executed, Executed.NOT_RUN)
+        self.assertEqual(core.counters.total('refusals'), 0)
