--- /dev/null
+++ b/beechbridge/daemon/gateway.py
@@ -0,0 +1,355 @@
+"""The gateway process: its core, the event loop, and the adapters around it."""
+
+import asyncio
+import http.client
+import random
+import secrets
+import signal
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from functools import singledispatch
+
+import msgspec
+from waitress.server import MultiSocketServer
+
+from ..failures import Failure
+from ..gateway.actions import (
+    AnswerRequest,
+    CloseIdleCallers,
+    DropConnection,
+    EndProcess,
+    PullChanges,
+    SendHeartbeat,
+    SendRequest,
+    WriteLine,
+)
+from ..gateway.events import PauseNoticed, StopAsked, TimePassed
+from ..gateway.models import Member
+from ..gateway.node import Gateway
+from ..gateway.settings import Address, GatewaySettings
+from ..platform.callers import read_request, write_answer
+from ..platform.directory import read_lookup, write_members
+from ..platform.items import decode_item
+from ..platform.names import DIRECTORY_PATH, READINESS_PATH, REPLICAS_PREFIX, TABLE_KEY
+from ..platform.replicas import read_reply, write_request
+from ..platform.store import StoreClient
+from ..status import ExitStatus
+from ..wire.fleet import decode_changes, decode_heartbeat, encode_changes, encode_heartbeat
+from .driver import read_clock_ms
+from .exchanges import ExchangeClient
+from .front import FrontApp, close_idle_channels, create_front, list_listeners
+from .log_lines import LineHandler, write_line
+from .metrics import render_gateway
+from .store_reader import StoreReader
+
+STORE_TIMEOUT_S = 0.8
+"""Time for an answer of the store, which takes milliseconds."""
+
+PULL_TIMEOUT_S = 0.8
+PULL_THREADS = 2
+DIRECTORY_TTL_S = 1.0
+"""How long callers keep a directory answer; some keep it three times as long."""
+
+METRICS_PORT = 9464
+CHANGES_PATH = '/v1/changes'
+STATE_PATH = '/v1/state'
+METRICS_PATH = '/metrics'
+PAUSE_MS = 1_000.0
+"""Lateness of the loop from which the process counts as having been paused."""
+
+PAUSE_CHECK_S = 0.5
+LAST_ANSWERS_S = 0.15
+RANDOM_INCARNATION_BITS = 20
+
+
+class GatewayProcess:
+    """One VM's gateway process."""
+
+    def __init__(self, settings: GatewaySettings):
+        self.settings = settings
+        self.incarnation = (int(time.time() * 1000) << RANDOM_INCARNATION_BITS) | (
+            secrets.randbits(RANDOM_INCARNATION_BITS)
+        )
+        own = Member(settings.name, settings.host, settings.zone, self.incarnation)
+        self.core = Gateway(
+            own,
+            settings.seeds,
+            settings.regions,
+            decode_item,
+            settings.budget,
+            settings.grace_ms,
+            random.Random(secrets.randbits(64)),
+        )
+        self.loop = asyncio.new_event_loop()
+        self.timer: asyncio.TimerHandle | None = None
+        self.timer_due_ms = float('inf')
+        self.exchanges = ExchangeClient(self.loop, self.handle, write_request, read_reply)
+        self.front = FrontApp(
+            self.post, lambda: self.core.stopping.is_leaving, read_request, write_answer
+        )
+        self.server = self.open_server()
+        self.listeners = list_listeners(self.server)
+        self.store_reader = StoreReader(
+            StoreClient(settings.store, STORE_TIMEOUT_S),
+            (REPLICAS_PREFIX, TABLE_KEY),
+            '',
+            self.post,
+        )
+        self.pullers = ThreadPoolExecutor(PULL_THREADS, thread_name_prefix='pull')
+        self.datagrams: asyncio.DatagramTransport | None = None
+        self.checked_ms = read_clock_ms()
+
+    def open_server(self) -> MultiSocketServer:
+        """Listen on the addresses of the settings and of the metrics."""
+        settings = self.settings
+        handlers = (
+            (settings.callers, self.front.serve_caller),
+            (settings.readiness, self.serve_readiness),
+            (settings.directory, self.serve_directory),
+            (settings.peers, self.serve_peers),
+            (Address(settings.host, METRICS_PORT), self.serve_peers),
+        )
+        addresses = []
+        for address, handler in handlers:
+            if address is not None:
+                addresses.append(address)
+                self.front.handlers[str(address.port)] = handler
+        return create_front(self.front, addresses)
+
+    def run(self) -> ExitStatus:
+        """Serve until told to stop."""
+        settings = self.settings
+        write_line('started', {'vm': settings.name, 'incarnation': self.incarnation})
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.handle, StopAsked())
+        self.loop.add_signal_handler(signal.SIGHUP, self.note_reload)
+        self.loop.run_until_complete(self.open_datagrams())
+        threading.Thread(target=self.server.run, name='front', daemon=True).start()
+        self.store_reader.start()
+        self.perform_all(self.core.start(read_clock_ms()))
+        self.loop.call_later(PAUSE_CHECK_S, self.check_pause)
+        self.loop.run_forever()
+        return ExitStatus.OK
+
+    async def open_datagrams(self) -> None:
+        """Listen for heartbeats."""
+        address = (self.settings.host, self.settings.peer_port)
+        self.datagrams, _ = await self.loop.create_datagram_endpoint(
+            lambda: HeartbeatProtocol(self), local_addr=address
+        )
+
+    def note_reload(self) -> None:
+        """Log that the settings may have changed; addresses and names hold until a restart."""
+        write_line('reloaded', {'vm': self.settings.name})
+
+    def post(self, event: object) -> None:
+        """Hand an event to the core from any thread."""
+        try:
+            self.loop.call_soon_threadsafe(self.handle, event)
+        except RuntimeError:
+            # The loop is closed: the process is ending.
+            return
+
+    def handle(self, event: object) -> None:
+        """Hand an event to the core and perform what it asks for; in the loop's thread."""
+        self.perform_all(self.core.handle(event, read_clock_ms()))
+
+    def perform_all(self, actions: list) -> None:
+        """Carry out actions and keep the timer at the first due time."""
+        for action in actions:
+            perform(action, self)
+        due_ms = self.core.timers.next_due_ms()
+        if due_ms is None or due_ms >= self.timer_due_ms:
+            return
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer_due_ms = due_ms
+        delay_s = max(0.0, due_ms - read_clock_ms()) / 1000.0
+        self.timer = self.loop.call_later(delay_s, self.fire)
+
+    def fire(self) -> None:
+        """Let due timers fire."""
+        self.timer = None
+        self.timer_due_ms = float('inf')
+        self.handle(TimePassed())
+
+    def check_pause(self) -> None:
+        """Notice that the process did not run for a while."""
+        now_ms = read_clock_ms()
+        late_ms = now_ms - self.checked_ms - PAUSE_CHECK_S * 1000.0
+        self.checked_ms = now_ms
+        if late_ms > PAUSE_MS:
+            self.handle(PauseNoticed(late_ms))
+        self.loop.call_later(PAUSE_CHECK_S, self.check_pause)
+
+    def serve_readiness(self, environ: dict, start_response) -> list[bytes]:
+        """Tell the platform whether callers should come here."""
+        is_ready = environ['PATH_INFO'] == READINESS_PATH and self.core.is_ready()
+        status = '200 OK' if is_ready else '503 Service Unavailable'
+        start_response(status, [('Content-Length', '0')])
+        return [b'']
+
+    def serve_directory(self, environ: dict, start_response) -> list[bytes]:
+        """Tell a caller which VMs to use."""
+        if environ['PATH_INFO'] != DIRECTORY_PATH:
+            return self.serve_unknown(environ, start_response)
+        lookup = read_lookup(environ['QUERY_STRING'])
+        members = self.core.fleet.best_for(lookup.zone, lookup.region, read_clock_ms())
+        if not members:
+            start_response('503 Service Unavailable', [('Content-Length', '0')])
+            return [b'']
+        ttl_s = min(DIRECTORY_TTL_S, self.settings.longest_ttl_s)
+        body = write_members(members, self.settings.callers.port, ttl_s)
+        start_response('200 OK', [('Content-Type', 'application/json')])
+        return [body]
+
+    def serve_peers(self, environ: dict, start_response) -> list[bytes]:
+        """Serve other VMs and operators."""
+        path = environ['PATH_INFO']
+        if path == CHANGES_PATH:
+            return self.serve_changes(environ, start_response)
+        if path == STATE_PATH:
+            state = asyncio.run_coroutine_threadsafe(self.describe(), self.loop).result()
+            start_response('200 OK', [('Content-Type', 'application/json')])
+            return [msgspec.json.encode(state)]
+        if path == METRICS_PATH:
+            content_type, body = render_gateway(self.core)
+            start_response('200 OK', [('Content-Type', content_type)])
+            return [body]
+        return self.serve_unknown(environ, start_response)
+
+    def serve_unknown(self, environ: dict, start_response) -> list[bytes]:
+        """Refuse a path that is not served."""
+        start_response('404 Not Found', [('Content-Type', 'text/plain')])
+        return [f'{environ["PATH_INFO"]} is not served here\n'.encode()]
+
+    def serve_changes(self, environ: dict, start_response) -> list[bytes]:
+        """Tell another VM what changed in the store after a revision."""
+        text = environ['QUERY_STRING'].removeprefix('after=')
+        revision = int(text) if text.isdecimal() else 0
+        changes = asyncio.run_coroutine_threadsafe(self.list_changes(revision), self.loop)
+        start_response('200 OK', [('Content-Type', 'application/octet-stream')])
+        return [changes.result()]
+
+    async def list_changes(self, revision: int) -> bytes:
+        """Return what changed after a revision; in the loop's thread."""
+        view = self.core.view
+        return encode_changes(view.changes_after(revision), view.revision)
+
+    async def describe(self) -> dict:
+        """Return the core's state; in the loop's thread."""
+        return self.core.describe()
+
+    def pull(self, action: PullChanges) -> None:
+        """Ask another VM for changes of the store; in a thread of its own."""
+        client = http.client.HTTPConnection(
+            action.host, self.settings.peers.port, timeout=PULL_TIMEOUT_S
+        )
+        try:
+            client.request('GET', f'{CHANGES_PATH}?after={action.revision}')
+            body = client.getresponse().read()
+        except (OSError, http.client.HTTPException) as error:
+            write_line('pull_failed', {'peer': action.host, 'cause': type(error).__name__})
+            return
+        finally:
+            client.close()
+        changes = decode_changes(body)
+        if isinstance(changes, Failure):
+            write_line('pull_failed', {'peer': action.host, 'cause': changes.detail})
+            return
+        self.post(changes)
+
+    def end(self) -> None:
+        """Let the last answers leave, then end the loop."""
+        self.loop.call_later(LAST_ANSWERS_S, self.loop.stop)
+
+
+class HeartbeatProtocol(asyncio.DatagramProtocol):
+    """Takes heartbeats of other VMs."""
+
+    def __init__(self, process: GatewayProcess):
+        self.process = process
+
+    def datagram_received(self, data: bytes, address: tuple) -> None:
+        """Hand a heartbeat to the core."""
+        heartbeat = decode_heartbeat(data)
+        if isinstance(heartbeat, Failure):
+            self.process.core.counters.add('heartbeats_unreadable')
+            return
+        self.process.handle(heartbeat)
+
+    def error_received(self, error: OSError) -> None:
+        """Ignore that an earlier datagram found nobody: its silence is noticed anyway."""
+
+
+@singledispatch
+def perform(action: object, process: GatewayProcess) -> None:
+    """Carry out one kind of action."""
+    raise TypeError(f'no adapter for {type(action).__name__}')
+
+
+@perform.register
+def perform_send(action: SendRequest, process: GatewayProcess) -> None:
+    """Send a request to a replica."""
+    process.exchanges.send(action)
+
+
+@perform.register
+def perform_drop(action: DropConnection, process: GatewayProcess) -> None:
+    """Close a connection to a replica."""
+    process.exchanges.drop(action)
+
+
+@perform.register
+def perform_answer(action: AnswerRequest, process: GatewayProcess) -> None:
+    """Give a caller its answer."""
+    process.front.deliver(action.key, action.answer)
+
+
+@perform.register
+def perform_line(action: WriteLine, process: GatewayProcess) -> None:
+    """Write a log line."""
+    write_line(action.subject, action.fields)
+
+
+@perform.register
+def perform_heartbeat(action: SendHeartbeat, process: GatewayProcess) -> None:
+    """Send a heartbeat to each of some VMs."""
+    data = encode_heartbeat(action)
+    for host in action.hosts:
+        process.datagrams.sendto(data, (host, process.settings.peer_port))
+
+
+@perform.register
+def perform_pull(action: PullChanges, process: GatewayProcess) -> None:
+    """Ask another VM for changes."""
+    process.pullers.submit(process.pull, action)
+
+
+@perform.register
+def perform_close_idle(action: CloseIdleCallers, process: GatewayProcess) -> None:
+    """Close the listeners and idle connections of callers in the server's own thread."""
+    process.listeners[0].trigger.pull_trigger(lambda: close_idle_channels(process.listeners))
+
+
+@perform.register
+def perform_end(action: EndProcess, process: GatewayProcess) -> None:
+    """End the process."""
+    process.end()
+
+
+def run_gateway(settings: GatewaySettings) -> ExitStatus:
+    """Run the process until it is told to stop."""
+    handler = LineHandler()
+    handler.push_application()
+    try:
+        process = GatewayProcess(settings)
+    except OSError as error:
+        write_line('cannot_listen', {'cause': str(error)})
+        handler.close()
+        return ExitStatus.CANNOT_LISTEN
+    status = process.run()
+    write_line('ended', {'vm': settings.name})
+    handler.close()
+    return status
--- /dev/null
+++ b/beechbridge/gateway/actions.py
@@ -0,0 +1,130 @@
+"""What the gateway asks its driver to do."""
+
+from ..record import Record
+from .models import Answer, CallerRequest, Member
+
+
+class SendRequest(Record):
+    """
+    Send a request to a replica; its end is reported with one event.
+
+    :param is_new: whether the connection must be opened first
+    :param instance_id: replica that must have the address
+    :param patience_ms: how long the replica may work on it
+    """
+
+    __slots__ = (
+        'connection_id',
+        'exchange_id',
+        'host',
+        'instance_id',
+        'is_new',
+        'patience_ms',
+        'port',
+        'request',
+    )
+
+    def __init__(
+        self,
+        exchange_id: int,
+        connection_id: int,
+        is_new: bool,
+        host: str,
+        port: int,
+        instance_id: str,
+        request: CallerRequest,
+        patience_ms: float,
+    ):
+        self.exchange_id = exchange_id
+        self.connection_id = connection_id
+        self.is_new = is_new
+        self.host = host
+        self.port = port
+        self.instance_id = instance_id
+        self.request = request
+        self.patience_ms = patience_ms
+
+
+class DropConnection(Record):
+    """Close a connection; an exchange on it ends without an event."""
+
+    __slots__ = ('connection_id',)
+
+    def __init__(self, connection_id: int):
+        self.connection_id = connection_id
+
+
+class AnswerRequest(Record):
+    """Give a caller its final answer."""
+
+    __slots__ = ('answer', 'key')
+
+    def __init__(self, key: int, answer: Answer):
+        self.key = key
+        self.answer = answer
+
+
+class WriteLine(Record):
+    """
+    Write one log line.
+
+    :param subject: what the line is about
+    :param fields: what decided, and the outcome
+    """
+
+    __slots__ = ('fields', 'subject')
+
+    def __init__(self, subject: str, fields: dict):
+        self.subject = subject
+        self.fields = fields
+
+
+class SendHeartbeat(Record):
+    """
+    Send a heartbeat to other VMs.
+
+    :param hosts: addresses of the VMs
+    :param members: what this VM knows of the fleet, itself first
+    """
+
+    __slots__ = ('hosts', 'members', 'revision', 'table_version')
+
+    def __init__(self, hosts: list[str], members: list[Member], table_version: int, revision: int):
+        self.hosts = hosts
+        self.members = members
+        self.table_version = table_version
+        self.revision = revision
+
+
+class PullChanges(Record):
+    """Ask another VM for what changed in the store after a revision."""
+
+    __slots__ = ('host', 'revision')
+
+    def __init__(self, host: str, revision: int):
+        self.host = host
+        self.revision = revision
+
+
+class EndProcess(Record):
+    """End the process: nothing is in flight, or the time for that is over."""
+
+    __slots__ = ()
+
+
+class CloseIdleCallers(Record):
+    """Take no more connections of callers and close the idle ones."""
+
+    __slots__ = ()
+
+
+GatewayAction = (
+    SendRequest
+    | DropConnection
+    | AnswerRequest
+    | WriteLine
+    | SendHeartbeat
+    | PullChanges
+    | EndProcess
+    | CloseIdleCallers
+)
--- /dev/null
+++ b/beechbridge/gateway/admission.py
@@ -0,0 +1,137 @@
+"""
+Filter chain that every request passes before anything is sent.
+
+A filter returns None to pass the request on, or the failure that refuses it; nothing has run by
+then, so that every refusal here is truly `not_run`.
+"""
+
+from ..failures import Failure, Reason, not_run
+from .events import CallerAsked
+from .models import Route
+from .progress import answer_work, check_gather, refuse_request
+from .sending import ask
+from .works import CheckTimer, DeadlineTimer, GatherWork, SingleWork, Task, Work
+
+ANSWER_MARGIN_MS = 12.0
+"""Time kept for the way of an answer back to its caller."""
+
+NOT_READY_RETRY_MS = 300
+NO_REPLICA_RETRY_MS = 250
+STALE_VIEW_MS = 3_000.0
+"""Age of the latest word from the store or a VM from which an unknown route may merely be new."""
+
+
+def check_readiness(work_request: CallerAsked, gateway) -> Failure | None:
+    """Refuse work before there is a routing table, and at the end of a stop."""
+    if gateway.table is None:
+        return not_run(Reason.NOT_READY, 'no routing table yet', NOT_READY_RETRY_MS)
+    if gateway.stopping.is_closed:
+        return not_run(Reason.STOPPING, 'this VM is stopping', NOT_READY_RETRY_MS)
+    return None
+
+
+def check_patience(work_request: CallerAsked, gateway) -> Failure | None:
+    """Refuse what the caller no longer waits for."""
+    patience_ms = work_request.request.patience_ms
+    if patience_ms is not None and patience_ms <= 0:
+        return not_run(Reason.DEADLINE, 'the time of the request has passed')
+    return None
+
+
+def check_body(work_request: CallerAsked, gateway) -> Failure | None:
+    """Refuse bodies over the limit."""
+    limit_bytes = gateway.table.limits.body_bytes
+    if len(work_request.request.body) > limit_bytes:
+        return not_run(Reason.TOO_LARGE, f'a body has at most {limit_bytes} bytes')
+    return None
+
+
+REQUEST_FILTERS = (check_readiness, check_patience, check_body)
+
+
+def find_route(event: CallerAsked, gateway) -> Route | Failure:
+    """Return the route of a request, or why it is refused."""
+    request = event.request
+    route = gateway.table.find_route(request.host, request.path)
+    if route is not None:
+        return route
+    if gateway.now_ms - gateway.news_ms > STALE_VIEW_MS:
+        detail = 'no route in a table that may be outdated'
+        return not_run(Reason.NOT_READY, detail, NOT_READY_RETRY_MS)
+    return not_run(Reason.NOT_FOUND, f'no route for host {request.host!r}, path {request.path!r}')
+
+
+def check_replicas(work: Work, gateway) -> Failure | None:
+    """Refuse what too few services have a replica for."""
+    able_count = 0
+    for task in work.tasks:
+        if gateway.upstreams.usable(task.service):
+            able_count += 1
+    needed_count = work.needed_count if isinstance(work, GatherWork) else 1
+    if able_count >= needed_count:
+        return None
+    detail = f'{able_count} of {len(work.tasks)} services have a replica'
+    return not_run(Reason.NO_REPLICA, detail, NO_REPLICA_RETRY_MS)
+
+
+WORK_FILTERS = (check_replicas,)
+
+
+def make_work(event: CallerAsked, route: Route, gateway) -> Work:
+    """Return the work for a request, with its tasks and times."""
+    kind = GatherWork if route.is_gather else SingleWork
+    work = kind(event.key, event.request, route, gateway.table.version, gateway.now_ms)
+    services = route.services if route.is_gather else (gateway.splits.pick(route),)
+    work.tasks = [Task(work, service) for service in services]
+    work.open_count = len(work.tasks)
+    wait_ms = route.timeout_ms
+    spent_ms = 0.0
+    if event.request.patience_ms is not None:
+        wait_ms = min(wait_ms, event.request.patience_ms)
+        # What is missing from the route's time was spent before this attempt.
+        spent_ms = gateway.patience.spent_ms(route.name, event.request.patience_ms)
+    work.hard_at_ms = work.arrived_ms + max(1.0, wait_ms - ANSWER_MARGIN_MS)
+    soft_ms = max(1.0, route.goal_ms - ANSWER_MARGIN_MS - spent_ms)
+    work.soft_at_ms = min(work.hard_at_ms, work.arrived_ms + soft_ms)
+    return work
+
+
+def handle_caller_asked(event: CallerAsked, gateway) -> None:
+    """Run the filter chain; start the request or refuse it."""
+    for request_filter in REQUEST_FILTERS:
+        failure = request_filter(event, gateway)
+        if failure is not None:
+            refuse_request(event, None, failure, gateway)
+            return
+    route = find_route(event, gateway)
+    if isinstance(route, Failure):
+        refuse_request(event, None, route, gateway)
+        return
+    work = make_work(event, route, gateway)
+    for task in work.tasks:
+        gateway.budget(task.service).note_request(gateway.now_ms)
+    for work_filter in WORK_FILTERS:
+        failure = work_filter(work, gateway)
+        if failure is not None:
+            refuse_request(event, work, failure, gateway)
+            return
+    start_work(work, gateway)
+
+
+def start_work(work: Work, gateway) -> None:
+    """Ask every service that the request needs."""
+    gateway.works[work.key] = work
+    gateway.counters.add('requests', work.route.name)
+    gateway.timers.arm(work.hard_at_ms, DeadlineTimer(work.key))
+    for task in work.tasks:
+        if work.is_finished:
+            return
+        ask(task, gateway)
+    if work.is_finished:
+        return
+    gateway.timers.arm(gateway.now_ms + 1.0, CheckTimer(work.key))
+    if isinstance(work, GatherWork):
+        check_gather(work, gateway)
+        return
+    if not work.tasks[0].is_open:
+        answer_work(work, gateway)
--- /dev/null
+++ b/beechbridge/gateway/budgets.py
@@ -0,0 +1,81 @@
+"""Budget of repeated sub-requests to one service, safe when added up over the fleet."""
+
+BUCKET_MS = 500.0
+"""Resolution of the sliding window."""
+
+FLEET_MARGIN = 0.85
+"""Share of the allowed repeats that is spent: requests are counted where they arrive at the VM,
+a few milliseconds after the callers sent them, and views of the fleet differ for a moment."""
+
+
+class BudgetRules:
+    """
+    What the users allow.
+
+    :param ratio: repeats for each request
+    :param fixed_count: repeats besides, for the whole fleet
+    :param window_ms: span in which both are counted
+    """
+
+    __slots__ = ('fixed_count', 'ratio', 'window_ms')
+
+    def __init__(self, ratio: float = 0.2, fixed_count: float = 50.0, window_ms: float = 10_000.0):
+        self.ratio = ratio
+        self.fixed_count = fixed_count
+        self.window_ms = window_ms
+
+
+class RepeatBudget:
+    """
+    Counts one service's requests and repeats of this VM over a sliding window.
+
+    The fixed part is earned over the first window of the process, since an earlier incarnation
+    may have spent it.
+    """
+
+    __slots__ = ('buckets', 'repeat_sum', 'request_sum', 'rules', 'started_ms')
+
+    def __init__(self, rules: BudgetRules, started_ms: float):
+        self.rules = rules
+        self.started_ms = started_ms
+        self.buckets: list[list[float]] = []
+        self.request_sum = 0
+        self.repeat_sum = 0
+
+    def roll(self, now_ms: float) -> list[float]:
+        """Drop what has left the window; return the bucket of this moment."""
+        oldest_ms = now_ms - self.rules.window_ms - BUCKET_MS
+        while self.buckets and self.buckets[0][0] <= oldest_ms:
+            _, requests, repeats = self.buckets.pop(0)
+            self.request_sum -= requests
+            self.repeat_sum -= repeats
+        start_ms = now_ms - now_ms % BUCKET_MS
+        if not self.buckets or self.buckets[-1][0] != start_ms:
+            self.buckets.append([start_ms, 0, 0])
+        return self.buckets[-1]
+
+    def note_request(self, now_ms: float) -> None:
+        """Count a request for the service."""
+        self.roll(now_ms)[1] += 1
+        self.request_sum += 1
+
+    def allowed(self, fleet_size: int, now_ms: float) -> float:
+        """Return how many repeats the window may hold."""
+        uptime_share = min(1.0, (now_ms - self.started_ms) / self.rules.window_ms)
+        fixed = self.rules.fixed_count * uptime_share / max(1, fleet_size)
+        return FLEET_MARGIN * (self.rules.ratio * self.request_sum + fixed)
+
+    def left_share(self, fleet_size: int, now_ms: float) -> float:
+        """Return the unspent share of the budget, 0 to 1."""
+        self.roll(now_ms)
+        allowed = self.allowed(fleet_size, now_ms)
+        return max(0.0, 1.0 - self.repeat_sum / allowed) if allowed > 0 else 0.0
+
+    def take(self, fleet_size: int, now_ms: float) -> bool:
+        """Spend one repeat if the window allows it."""
+        bucket = self.roll(now_ms)
+        if self.repeat_sum + 1 > self.allowed(fleet_size, now_ms):
+            return False
+        bucket[2] += 1
+        self.repeat_sum += 1
+        return True
--- /dev/null
+++ b/beechbridge/gateway/events.py
@@ -0,0 +1,110 @@
+"""What the driver tells the gateway."""
+
+from ..record import Record
+from .models import CallerRequest, Item, LinkFailure, Member, Reply
+
+
+class CallerAsked(Record):
+    """
+    A caller's request was read in full.
+
+    :param key: names the waiting caller in this process
+    """
+
+    __slots__ = ('key', 'request')
+
+    def __init__(self, key: int, request: CallerRequest):
+        self.key = key
+        self.request = request
+
+
+class CallerLeft(Record):
+    """A caller closed its connection before its answer."""
+
+    __slots__ = ('key',)
+
+    def __init__(self, key: int):
+        self.key = key
+
+
+class ExchangeEnded(Record):
+    """An exchange with a replica ended, with a whole reply or without."""
+
+    __slots__ = ('exchange_id', 'result')
+
+    def __init__(self, exchange_id: int, result: Reply | LinkFailure):
+        self.exchange_id = exchange_id
+        self.result = result
+
+
+class ConnectionEnded(Record):
+    """An idle connection to a replica was closed or got bytes that nobody asked for."""
+
+    __slots__ = ('connection_id',)
+
+    def __init__(self, connection_id: int):
+        self.connection_id = connection_id
+
+
+class ChangesRead(Record):
+    """
+    Changes of the store, from it or from another VM.
+
+    :param listed_prefixes: prefixes whose items are all named, empty for a mere difference
+    :param is_from_store: False where another VM told of them
+    """
+
+    __slots__ = ('changes', 'is_from_store', 'listed_prefixes', 'revision')
+
+    def __init__(
+        self,
+        changes: list[Item],
+        revision: int,
+        listed_prefixes: tuple[str, ...] = (),
+        is_from_store: bool = True,
+    ):
+        self.changes = changes
+        self.revision = revision
+        self.listed_prefixes = listed_prefixes
+        self.is_from_store = is_from_store
+
+
+class StoreFailed(Record):
+    """A call to the store failed."""
+
+    __slots__ = ('detail',)
+
+    def __init__(self, detail: str):
+        self.detail = detail
+
+
+class HeartbeatArrived(Record):
+    """A heartbeat of another VM, the sender first among its members."""
+
+    __slots__ = ('members', 'revision', 'table_version')
+
+    def __init__(self, members: list[Member], table_version: int, revision: int):
+        self.members = members
+        self.table_version = table_version
+        self.revision = revision
+
+
+class StopAsked(Record):
+    """The process was told to stop."""
+
+    __slots__ = ()
+
+
+class PauseNoticed(Record):
+    """The process did not run for a while."""
+
+    __slots__ = ('pause_ms',)
+
+    def __init__(self, pause_ms: float):
+        self.pause_ms = pause_ms
+
+
+class TimePassed(Record):
+    """A timer is due."""
+
+    __slots__ = ()
--- /dev/null
+++ b/beechbridge/gateway/models.py
@@ -0,0 +1,351 @@
+"""What the gateway knows of routes, services, replicas, requests and answers."""
+
+import enum
+
+from ..failures import Failure
+from ..record import Record
+
+
+class Route(Record):
+    """
+    What requests under one prefix of a host may do.
+
+    :param services: services that may run a request; the shards, where it is a gather
+    :param weights: shares of the requests, one for each service; unused for a gather
+    :param attempts: replicas of one service that may run one request at most
+    :param timeout_ms: longest time a caller is kept waiting
+    :param goal_ms: time within which an answer has its full value
+    :param priority: rank, 0 is the most urgent
+    :param top_records: records in the answer of a gather
+    :param least_share: share of the shards without which a gather has failed
+    """
+
+    __slots__ = (
+        'attempts',
+        'goal_ms',
+        'host',
+        'is_gather',
+        'is_idempotent',
+        'least_share',
+        'name',
+        'prefix',
+        'priority',
+        'services',
+        'timeout_ms',
+        'top_records',
+        'weights',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        prefix: str,
+        services: tuple[str, ...],
+        weights: tuple[float, ...] = (1.0,),
+        is_gather: bool = False,
+        is_idempotent: bool = True,
+        attempts: int = 1,
+        timeout_ms: float = 1000.0,
+        goal_ms: float = 1000.0,
+        priority: int = 0,
+        top_records: int = 0,
+        least_share: float = 1.0,
+    ):
+        self.name = name
+        self.host = host
+        self.prefix = prefix
+        self.services = services
+        self.weights = weights
+        self.is_gather = is_gather
+        self.is_idempotent = is_idempotent
+        self.attempts = attempts
+        self.timeout_ms = timeout_ms
+        self.goal_ms = goal_ms
+        self.priority = priority
+        self.top_records = top_records
+        self.least_share = least_share
+
+
+class ServiceRules(Record):
+    """
+    What holds for all replicas of a service.
+
+    :param connection_limit: connections that one replica takes from all callers together
+    """
+
+    __slots__ = ('connection_limit', 'name')
+
+    def __init__(self, name: str, connection_limit: int):
+        self.name = name
+        self.connection_limit = connection_limit
+
+
+class CallerLimits(Record):
+    """Bounds on what a caller may send, in bytes, and how long it may take or idle."""
+
+    __slots__ = ('body_bytes', 'header_bytes', 'header_ms', 'idle_ms')
+
+    def __init__(self, header_bytes: int, body_bytes: int, header_ms: float, idle_ms: float):
+        self.header_bytes = header_bytes
+        self.body_bytes = body_bytes
+        self.header_ms = header_ms
+        self.idle_ms = idle_ms
+
+
+class RoutingTable(Record):
+    """One version of the configuration: routes by host, the longest prefix first."""
+
+    __slots__ = ('limits', 'routes_by_host', 'services', 'version')
+
+    def __init__(
+        self,
+        version: int,
+        routes: list[Route],
+        services: dict[str, ServiceRules],
+        limits: CallerLimits,
+    ):
+        self.version = version
+        self.services = services
+        self.limits = limits
+        self.routes_by_host: dict[str, list[Route]] = {}
+        for route in sorted(routes, key=lambda route: -len(route.prefix)):
+            self.routes_by_host.setdefault(route.host, []).append(route)
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins the path."""
+        for route in self.routes_by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+class ReplicaEntry(Record):
+    """
+    What a replica says of itself.
+
+    :param started_ms: Unix milliseconds of its start; tells incarnations with one id apart
+    :param cold_left_ms: how long it stays slow after its start, when the entry was written
+    """
+
+    __slots__ = (
+        'cold_left_ms',
+        'host',
+        'is_draining',
+        'port',
+        'replica_id',
+        'service',
+        'slots',
+        'started_ms',
+        'zone',
+    )
+
+    def __init__(
+        self,
+        replica_id: str,
+        service: str,
+        host: str,
+        port: int,
+        zone: str,
+        slots: int = 1,
+        is_draining: bool = False,
+        cold_left_ms: float = 0.0,
+        started_ms: int = 0,
+    ):
+        self.replica_id = replica_id
+        self.service = service
+        self.host = host
+        self.port = port
+        self.zone = zone
+        self.slots = slots
+        self.is_draining = is_draining
+        self.cold_left_ms = cold_left_ms
+        self.started_ms = started_ms
+
+
+class CallerRequest(Record):
+    """
+    One attempt of a caller.
+
+    :param target: path and query as they were sent
+    :param patience_ms: how long the caller will wait, None if it did not say
+    """
+
+    __slots__ = (
+        'body',
+        'headers',
+        'host',
+        'method',
+        'path',
+        'patience_ms',
+        'request_id',
+        'target',
+    )
+
+    def __init__(
+        self,
+        request_id: str,
+        method: str,
+        target: str,
+        host: str,
+        path: str,
+        headers: list[tuple[str, str]],
+        body: bytes = b'',
+        patience_ms: float | None = None,
+    ):
+        self.request_id = request_id
+        self.method = method
+        self.target = target
+        self.host = host
+        self.path = path
+        self.headers = headers
+        self.body = body
+        self.patience_ms = patience_ms
+
+
+class Reply(Record):
+    """
+    A whole answer of a replica.
+
+    :param signature: what the replica signed it with, empty if it did not
+    :param request_id: request that it answers, as the replica echoes it
+    :param is_rejected: the replica says that it has not run the request and never will
+    :param is_other_instance: another replica has the address
+    :param is_encoded: the body is not the replica's own bytes
+    :param keep_alive_ms: how long the idle connection stays open, None if unknown
+    :param is_closing: the connection ends with this answer
+    """
+
+    __slots__ = (
+        'body',
+        'headers',
+        'is_closing',
+        'is_encoded',
+        'is_other_instance',
+        'is_rejected',
+        'keep_alive_ms',
+        'request_id',
+        'signature',
+        'status',
+    )
+
+    def __init__(
+        self,
+        status: int,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        signature: str = '',
+        request_id: str = '',
+        is_rejected: bool = False,
+        is_other_instance: bool = False,
+        is_encoded: bool = False,
+        keep_alive_ms: float | None = None,
+        is_closing: bool = False,
+    ):
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.signature = signature
+        self.request_id = request_id
+        self.is_rejected = is_rejected
+        self.is_other_instance = is_other_instance
+        self.is_encoded = is_encoded
+        self.keep_alive_ms = keep_alive_ms
+        self.is_closing = is_closing
+
+    @property
+    def is_success(self) -> bool:
+        """Tell whether the replica answered with success and signed it."""
+        return 200 <= self.status < 300 and bool(self.signature) and not self.is_encoded
+
+
+class LinkFault(enum.Enum):
+    """Why an exchange with a replica ended without a whole answer."""
+
+    CONNECT_FAILED = 'connect_failed'
+    LOST = 'connection_lost'
+    MALFORMED = 'malformed'
+    TIMED_OUT = 'timed_out'
+
+
+class LinkFailure(Record):
+    """
+    An exchange that ended without a whole answer.
+
+    :param was_sent: whether any byte of the request may have reached the replica
+    """
+
+    __slots__ = ('fault', 'was_sent')
+
+    def __init__(self, fault: LinkFault, was_sent: bool):
+        self.fault = fault
+        self.was_sent = was_sent
+
+
+class PassedAnswer(Record):
+    """A replica's own answer, for the caller unchanged."""
+
+    __slots__ = ('reply',)
+
+    def __init__(self, reply: Reply):
+        self.reply = reply
+
+
+class MergedAnswer(Record):
+    """
+    The answer of a gather.
+
+    :param signatures: those of the parts that are in
+    :param missing_count: shards that are left out
+    """
+
+    __slots__ = ('body', 'missing_count', 'signatures')
+
+    def __init__(self, body: bytes, signatures: list[str], missing_count: int):
+        self.body = body
+        self.signatures = signatures
+        self.missing_count = missing_count
+
+
+Answer = PassedAnswer | MergedAnswer | Failure
+
+
+class Member(Record):
+    """
+    One VM of the fleet.
+
+    :param incarnation: rises with every start of its process
+    :param heartbeat: rises while it lives
+    :param is_serving: whether callers may be sent to it
+    """
+
+    __slots__ = ('heard_ms', 'heartbeat', 'host', 'incarnation', 'is_serving', 'name', 'zone')
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        zone: str,
+        incarnation: int,
+        heartbeat: int = 0,
+        is_serving: bool = False,
+        heard_ms: float = 0.0,
+    ):
+        self.name = name
+        self.host = host
+        self.zone = zone
+        self.incarnation = incarnation
+        self.heartbeat = heartbeat
+        self.is_serving = is_serving
+        self.heard_ms = heard_ms
+
+
+class Item(Record):
+    """One item of the store: its value, or None once it was deleted, and its last change."""
+
+    __slots__ = ('key', 'revision', 'value')
+
+    def __init__(self, key: str, value: bytes | None, revision: int):
+        self.key = key
+        self.value = value
+        self.revision = revision
--- /dev/null
+++ b/beechbridge/gateway/node.py
@@ -0,0 +1,273 @@
+"""The gateway of one VM: events with the time in, actions out."""
+
+import random
+from collections.abc import Callable
+from functools import singledispatch
+
+from ..core.counters import Counters
+from ..core.timers import Timers
+from ..failures import Failure
+from .actions import GatewayAction, WriteLine
+from .admission import handle_caller_asked
+from .budgets import BudgetRules, RepeatBudget
+from .events import (
+    CallerAsked,
+    CallerLeft,
+    ChangesRead,
+    ConnectionEnded,
+    ExchangeEnded,
+    HeartbeatArrived,
+    PauseNoticed,
+    StopAsked,
+    StoreFailed,
+    TimePassed,
+)
+from .fleet import Fleet, HeartbeatTimer, fire_heartbeat, handle_heartbeat
+from .knowledge import (
+    StoreContact,
+    VanishTimer,
+    drop_replica,
+    fire_vanish,
+    handle_changes,
+    handle_store_failed,
+)
+from .latencies import Histogram, Patience
+from .models import Member, ReplicaEntry, RoutingTable
+from .progress import (
+    fire_check,
+    fire_deadline,
+    handle_caller_left,
+    handle_connection_ended,
+    handle_exchange_ended,
+    sweep_exchanges,
+)
+from .sending import fire_retry, pump
+from .splits import Splits
+from .stopping import CloseTimer, EndTimer, Stopping, fire_close, fire_end, handle_stop
+from .store_view import StoreView
+from .upstreams import ReplicaState, Upstreams
+from .works import CheckTimer, DeadlineTimer, RetryTimer, Work
+
+SWEEP_MS = 250.0
+CONNECTION_MARGIN = 1
+"""VMs that may come besides the known ones before each has heard of the other."""
+
+
+class SweepTimer:
+    """Fires when exchanges are looked through for silent ones."""
+
+    __slots__ = ()
+
+
+class Gateway:
+    """
+    All decisions of one VM about routed requests. Not thread-safe.
+
+    :param own: this process as a member of the fleet
+    :param seeds: hosts that may know the fleet
+    :param regions: region by data centre
+    :param decode_item: turns an item of the store into a table, an entry, a failure or None
+    :param budget_rules: bound on repeated sub-requests
+    :param grace_ms: time between a request to stop and the kill
+    :param rng: source of all randomness
+    """
+
+    __slots__ = (
+        'actions',
+        'budget_rules',
+        'budgets',
+        'counters',
+        'decode_item',
+        'fleet',
+        'latencies',
+        'news_ms',
+        'now_ms',
+        'patience',
+        'replica_by_key',
+        'rng',
+        'splits',
+        'started_ms',
+        'stopping',
+        'store',
+        'table',
+        'timers',
+        'upstreams',
+        'view',
+        'waiting',
+        'works',
+    )
+
+    def __init__(
+        self,
+        own: Member,
+        seeds: tuple[str, ...],
+        regions: dict[str, str],
+        decode_item: Callable[[str, bytes], RoutingTable | ReplicaEntry | Failure | None],
+        budget_rules: BudgetRules,
+        grace_ms: float,
+        rng: random.Random,
+    ):
+        self.fleet = Fleet(own, seeds, regions)
+        self.decode_item = decode_item
+        self.budget_rules = budget_rules
+        self.rng = rng
+        self.now_ms = 0.0
+        self.started_ms = 0.0
+        self.news_ms = 0.0
+        self.actions: list[GatewayAction] = []
+        self.timers = Timers()
+        self.counters = Counters()
+        self.latencies = Histogram()
+        self.patience = Patience()
+        self.table: RoutingTable | None = None
+        self.view = StoreView()
+        self.store = StoreContact()
+        self.upstreams = Upstreams()
+        self.replica_by_key: dict[str, ReplicaState] = {}
+        self.budgets: dict[str, RepeatBudget] = {}
+        self.splits = Splits(rng)
+        self.waiting: dict[str, list] = {}
+        self.works: dict[int, Work] = {}
+        self.stopping = Stopping(grace_ms)
+
+    def start(self, now_ms: float) -> list[GatewayAction]:
+        """Arm the periodic timers."""
+        self.now_ms = self.started_ms = self.news_ms = now_ms
+        self.timers.arm(now_ms, HeartbeatTimer())
+        self.timers.arm(now_ms + SWEEP_MS, SweepTimer())
+        return self.take_actions()
+
+    def handle(self, event: object, now_ms: float) -> list[GatewayAction]:
+        """Take an event at a time that never falls; return what to do."""
+        self.now_ms = max(self.now_ms, now_ms)
+        while True:
+            timer = self.timers.pop_due(self.now_ms)
+            if timer is None:
+                break
+            fire_timer(timer, self)
+        handle_event(event, self)
+        return self.take_actions()
+
+    def act(self, action: GatewayAction) -> None:
+        """Ask the driver for something."""
+        self.actions.append(action)
+
+    def take_actions(self) -> list[GatewayAction]:
+        """Return the actions asked for since the last call."""
+        actions, self.actions = self.actions, []
+        return actions
+
+    def is_ready(self) -> bool:
+        """Tell whether callers should be sent here."""
+        return self.table is not None and not self.stopping.is_leaving
+
+    def budget(self, service: str) -> RepeatBudget:
+        """Return a service's budget of repeats."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = self.budgets[service] = RepeatBudget(self.budget_rules, self.started_ms)
+        return budget
+
+    def connection_share(self, service: str) -> int:
+        """Return how many connections this VM may hold to one replica of a service."""
+        rules = self.table.services.get(service) if self.table else None
+        if rules is None:
+            return 1
+        return max(1, rules.connection_limit // (self.fleet.size + CONNECTION_MARGIN))
+
+    def distance_to(self, zone: str) -> int:
+        """Return 0 for the own data centre, 1 for the own region, 2 for elsewhere."""
+        own_zone = self.fleet.own.zone
+        if zone == own_zone:
+            return 0
+        regions = self.fleet.regions
+        return 1 if zone in regions and regions[zone] == regions.get(own_zone) else 2
+
+    def pump(self, service: str) -> None:
+        """Ask for the tasks that wait for a connection to a service."""
+        pump(service, self)
+
+    def forget_replica(self, state: ReplicaState, cause: str) -> None:
+        """Drop a replica that is known to be gone, until its entry changes."""
+        for key, known in list(self.replica_by_key.items()):
+            if known is state:
+                drop_replica(key, state, cause, self)
+
+    def describe(self) -> dict:
+        """Return the whole state for a dump."""
+        replicas = [state.describe(self.now_ms) for state in self.upstreams.by_id.values()]
+        return {
+            'vm': self.fleet.own.name,
+            'ready': self.is_ready(),
+            'table': self.table.version if self.table else None,
+            'revision': self.view.revision,
+            'store_reached': self.store.is_reached,
+            'active_requests': len(self.works),
+            'exchanges': len(self.upstreams.exchanges),
+            'members': self.fleet.describe(self.now_ms),
+            'replicas': replicas,
+            'counters': {
+                f'{name}.{label}' if label else name: value
+                for (name, label), value in sorted(self.counters.values.items())
+            },
+        }
+
+
+@singledispatch
+def handle_event(event: object, gateway: Gateway) -> None:
+    """Act on one kind of event."""
+    raise TypeError(f'no handler for {type(event).__name__}')
+
+
+@singledispatch
+def fire_timer(timer: object, gateway: Gateway) -> None:
+    """Act on one kind of timer."""
+    raise TypeError(f'no handler for {type(timer).__name__}')
+
+
+def ignore_time(event: TimePassed, gateway: Gateway) -> None:
+    """Do nothing: due timers fire before every event."""
+
+
+def handle_pause(event: PauseNoticed, gateway: Gateway) -> None:
+    """Trust no idle connection from before a pause."""
+    gateway.act(WriteLine('paused', {'ms': round(event.pause_ms)}))
+    for state in gateway.upstreams.by_id.values():
+        for connection in state.idle:
+            connection.usable_until_ms = 0.0
+
+
+def fire_sweep(timer: SweepTimer, gateway: Gateway) -> None:
+    """Look for silent exchanges."""
+    gateway.timers.arm(gateway.now_ms + SWEEP_MS, timer)
+    sweep_exchanges(gateway)
+
+
+EVENT_HANDLERS = {
+    CallerAsked: handle_caller_asked,
+    CallerLeft: handle_caller_left,
+    ExchangeEnded: handle_exchange_ended,
+    ConnectionEnded: handle_connection_ended,
+    ChangesRead: handle_changes,
+    StoreFailed: handle_store_failed,
+    HeartbeatArrived: handle_heartbeat,
+    StopAsked: handle_stop,
+    PauseNoticed: handle_pause,
+    TimePassed: ignore_time,
+}
+
+TIMER_HANDLERS = {
+    HeartbeatTimer: fire_heartbeat,
+    SweepTimer: fire_sweep,
+    CheckTimer: fire_check,
+    DeadlineTimer: fire_deadline,
+    RetryTimer: fire_retry,
+    VanishTimer: fire_vanish,
+    CloseTimer: fire_close,
+    EndTimer: fire_end,
+}
+
+for event_type, handler in EVENT_HANDLERS.items():
+    handle_event.register(event_type, handler)
+for timer_type, handler in TIMER_HANDLERS.items():
+    fire_timer.register(timer_type, handler)
--- /dev/null
+++ b/beechbridge/gateway/sending.py
@@ -0,0 +1,160 @@
+"""Sending of tasks to replicas: choice, connections, waiting, and the budget of repeats."""
+
+import heapq
+
+from .actions import DropConnection, SendRequest
+from .upstreams import UNREPEATABLE_IDLE_MS, Exchange, ReplicaState
+from .works import RetryTimer, Task
+
+FIRST_PAUSE_MS = 10.0
+LONGEST_PAUSE_MS = 160.0
+LEAST_PATIENCE_MS = 4.0
+"""Time below which asking a replica is no use."""
+
+FOREVER_MS = float('inf')
+
+
+def ask(task: Task, gateway, is_extra: bool = False) -> bool:
+    """Send a task to the best replica, or let it wait or end; return whether it was sent."""
+    if not task.is_open or task.work.is_finished:
+        return False
+    now_ms = gateway.now_ms
+    if task.work.hard_at_ms - now_ms < LEAST_PATIENCE_MS:
+        return False
+    if task.run_count >= task.work.route.attempts:
+        return False
+    share = gateway.connection_share(task.service)
+    state = gateway.upstreams.choose(
+        task.service, task.work.route.name, task.avoid, share, now_ms, gateway.rng
+    )
+    if state is not None:
+        if task.arrival_count and not gateway.budget(task.service).take(
+            gateway.fleet.size, now_ms
+        ):
+            gateway.counters.add('repeats_denied')
+            return False
+        send_to(task, state, gateway, is_extra)
+        return True
+    if task.exchanges:
+        return False
+    usable = gateway.upstreams.usable(task.service)
+    if not usable:
+        return False
+    if any(id(state) not in task.avoid for state in usable):
+        wait_for_connection(task, gateway)
+        return False
+    if not task.is_waiting:
+        pause(task, gateway)
+    return False
+
+
+def wait_for_connection(task: Task, gateway) -> None:
+    """Queue a task until a connection to its service is free, the most urgent first."""
+    if task.is_waiting:
+        return
+    task.is_waiting = True
+    work = task.work
+    queue = gateway.waiting.setdefault(task.service, [])
+    order = (work.route.priority, work.soft_at_ms, gateway.upstreams.new_id())
+    heapq.heappush(queue, (*order, task))
+    gateway.counters.add('tasks_queued')
+
+
+def pump(service: str, gateway) -> None:
+    """Ask for the tasks that wait for a connection to a service."""
+    queue = gateway.waiting.get(service)
+    while queue:
+        task = queue[0][3]
+        if not task.is_open or task.work.is_finished or task.exchanges:
+            heapq.heappop(queue)
+            task.is_waiting = False
+            continue
+        heapq.heappop(queue)
+        task.is_waiting = False
+        if not ask(task, gateway):
+            return
+
+
+def pause(task: Task, gateway) -> None:
+    """Ask all replicas again after a while that doubles each time."""
+    delay_ms = min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2**task.pause_count)
+    task.pause_count += 1
+    task.is_waiting = True
+    due_ms = gateway.now_ms + delay_ms * gateway.rng.uniform(0.5, 1.0)
+    gateway.timers.arm(due_ms, RetryTimer(task))
+
+
+def fire_retry(timer: RetryTimer, gateway) -> None:
+    """Ask again for a task that every replica had rejected."""
+    task = timer.task
+    task.is_waiting = False
+    if not task.is_open or task.work.is_finished or task.exchanges:
+        return
+    task.avoid.clear()
+    ask(task, gateway, is_extra=True)
+
+
+def send_to(task: Task, state: ReplicaState, gateway, is_extra: bool = False) -> None:
+    """Send a task to a replica over an idle connection or a new one."""
+    now_ms = gateway.now_ms
+    work = task.work
+    for connection_id in state.take_expired(now_ms):
+        gateway.act(DropConnection(connection_id))
+    longest_idle_ms = FOREVER_MS if work.route.is_idempotent else UNREPEATABLE_IDLE_MS
+    idle = state.take_idle(now_ms, longest_idle_ms)
+    if idle is None:
+        make_room(state, task.service, gateway)
+        connection_id = gateway.upstreams.new_id()
+        gateway.counters.add('connections_opened')
+    else:
+        connection_id = idle.connection_id
+    exchange_id = gateway.upstreams.new_id()
+    exchange = Exchange(exchange_id, state, task, connection_id, idle is None, now_ms, is_extra)
+    state.busy[connection_id] = exchange
+    gateway.upstreams.exchanges[exchange_id] = exchange
+    task.exchanges.append(exchange)
+    work.exchanges.append(exchange)
+    if task.arrival_count:
+        work.repeat_count += 1
+        gateway.counters.add('repeats', 'hedge' if is_extra else 'retry')
+    task.arrival_count += 1
+    task.run_count += 1
+    gateway.counters.add('sub_requests')
+    entry = state.entry
+    gateway.act(
+        SendRequest(
+            exchange_id,
+            connection_id,
+            idle is None,
+            entry.host,
+            entry.port,
+            entry.replica_id,
+            work.request,
+            work.hard_at_ms - now_ms,
+        )
+    )
+
+
+def make_room(state: ReplicaState, service: str, gateway) -> None:
+    """Close idle connections until one more fits into this VM's share."""
+    share = gateway.connection_share(service)
+    while state.idle and len(state.idle) + len(state.busy) >= share:
+        gateway.act(DropConnection(state.idle.pop(0).connection_id))
+
+
+def end_exchange(
+    exchange: Exchange, gateway, is_reusable: bool, keep_alive_ms: float | None = None
+) -> None:
+    """Account for the end of an exchange's connection."""
+    gateway.upstreams.exchanges.pop(exchange.exchange_id, None)
+    state = exchange.replica
+    if not state.release(exchange, keep_alive_ms, gateway.now_ms, is_reusable):
+        gateway.act(DropConnection(exchange.connection_id))
+    if exchange in exchange.task.exchanges:
+        exchange.task.exchanges.remove(exchange)
+    pump(state.entry.service, gateway)
+
+
+def drop_exchange(exchange: Exchange, gateway) -> None:
+    """Break an exchange off; the replica stops working on it."""
+    end_exchange(exchange, gateway, is_reusable=False)
--- /dev/null
+++ b/beechbridge/gateway/settings.py
@@ -0,0 +1,79 @@
+"""Settings of one gateway process."""
+
+from ..record import Record
+from .budgets import BudgetRules
+
+
+class Address(Record):
+    """A host and a TCP port."""
+
+    __slots__ = ('host', 'port')
+
+    def __init__(self, host: str, port: int):
+        self.host = host
+        self.port = port
+
+
+class GatewaySettings(Record):
+    """
+    What a gateway process is told at its start.
+
+    :param regions: region by data centre
+    :param seeds: hosts that may know the fleet
+    :param peer_port: UDP port for heartbeats, the same on all VMs
+    :param callers: where callers' requests arrive
+    :param readiness: where the platform asks whether this VM is ready
+    :param peers: where other VMs ask for changes, and operators for state and metrics
+    :param directory: where callers ask which VMs to use
+    :param grace_ms: time between a request to stop and the kill
+    :param longest_ttl_s: longest time for which a directory answer counts
+    """
+
+    __slots__ = (
+        'budget',
+        'callers',
+        'directory',
+        'grace_ms',
+        'host',
+        'longest_ttl_s',
+        'name',
+        'peer_port',
+        'peers',
+        'readiness',
+        'regions',
+        'seeds',
+        'store',
+        'zone',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        zone: str,
+        regions: dict[str, str],
+        seeds: tuple[str, ...],
+        peer_port: int,
+        callers: Address | None,
+        readiness: Address | None,
+        peers: Address | None,
+        directory: Address | None,
+        store: Address,
+        budget: BudgetRules,
+        grace_ms: float,
+        longest_ttl_s: float,
+    ):
+        self.name = name
+        self.host = host
+        self.zone = zone
+        self.regions = regions
+        self.seeds = seeds
+        self.peer_port = peer_port
+        self.callers = callers
+        self.readiness = readiness
+        self.peers = peers
+        self.directory = directory
+        self.store = store
+        self.budget = budget
+        self.grace_ms = grace_ms
+        self.longest_ttl_s = longest_ttl_s
--- /dev/null
+++ b/beechbridge/platform/callers.py
@@ -0,0 +1,107 @@
+"""Callers' requests and the answers to them, as the platform's headers say them."""
+
+from functools import singledispatch
+
+import msgspec
+
+from ..failures import Executed, Failure, Reason, not_run
+from ..gateway.models import Answer, CallerRequest, MergedAnswer, PassedAnswer
+from ..record import Record
+from .names import MISSING_PARTS, PART_SIGNATURES, PATIENCE, REQUEST_ID
+
+FORWARDED_PREFIX = 'HTTP_'
+SKIPPED_VARIABLES = frozenset(('HTTP_CONNECTION', 'HTTP_KEEP_ALIVE', 'HTTP_EXPECT'))
+PATIENCE_VARIABLE = FORWARDED_PREFIX + PATIENCE.upper().replace('-', '_')
+REQUEST_ID_VARIABLE = FORWARDED_PREFIX + REQUEST_ID.upper().replace('-', '_')
+
+NOT_RUN_STATUSES = {
+    Reason.NOT_FOUND: '404 Not Found',
+    Reason.TOO_LARGE: '413 Content Too Large',
+    Reason.INVALID_INPUT: '400 Bad Request',
+}
+NOT_RUN_STATUS = '503 Service Unavailable'
+DEADLINE_STATUS = '504 Gateway Timeout'
+UNKNOWN_STATUS = '502 Bad Gateway'
+
+STATUS_WORDS = {200: 'OK', 201: 'Created', 202: 'Accepted', 204: 'No Content'}
+
+
+class WireAnswer(Record):
+    """Status line, headers and body of an answer."""
+
+    __slots__ = ('body', 'headers', 'status')
+
+    def __init__(self, status: str, headers: list[tuple[str, str]], body: bytes):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
+def read_request(environ: dict) -> CallerRequest | Failure:
+    """Return the request that a WSGI environment holds."""
+    request_id = environ.get(REQUEST_ID_VARIABLE, '')
+    if not request_id:
+        return not_run(Reason.INVALID_INPUT, f'the header {REQUEST_ID} is missing')
+    patience_ms = None
+    patience = environ.get(PATIENCE_VARIABLE)
+    if patience is not None:
+        if not patience.strip().isdecimal():
+            detail = f'{PATIENCE} is {patience!r}; it must be whole milliseconds'
+            return not_run(Reason.INVALID_INPUT, detail)
+        patience_ms = float(patience)
+    headers = []
+    for name, value in environ.items():
+        if name.startswith(FORWARDED_PREFIX) and name not in SKIPPED_VARIABLES:
+            headers.append((to_header_name(name), value))
+    if environ.get('CONTENT_TYPE'):
+        headers.append(('Content-Type', environ['CONTENT_TYPE']))
+    target = environ['REQUEST_URI']
+    host = environ.get('HTTP_HOST', '').rsplit(':', 1)[0].lower()
+    path = target.partition('?')[0]
+    body = environ['wsgi.input'].read()
+    method = environ['REQUEST_METHOD']
+    return CallerRequest(request_id, method, target, host, path, headers, body, patience_ms)
+
+
+def to_header_name(variable: str) -> str:
+    """Return the header that a WSGI variable stands for."""
+    return variable[len(FORWARDED_PREFIX) :].replace('_', '-').title()
+
+
+@singledispatch
+def write_answer(answer: Answer, request_id: str) -> WireAnswer:
+    """Return the wire form of an answer."""
+    raise TypeError(f'no wire form for {type(answer).__name__}')
+
+
+@write_answer.register
+def write_passed(answer: PassedAnswer, request_id: str) -> WireAnswer:
+    """Pass a replica's status, headers and body on."""
+    reply = answer.reply
+    word = STATUS_WORDS.get(reply.status, 'Replica Answer')
+    return WireAnswer(f'{reply.status} {word}', list(reply.headers), reply.body)
+
+
+@write_answer.register
+def write_merged(answer: MergedAnswer, request_id: str) -> WireAnswer:
+    """Name the parts that are in and count those that are not."""
+    headers = [
+        (REQUEST_ID, request_id),
+        (PART_SIGNATURES, ', '.join(answer.signatures)),
+        (MISSING_PARTS, str(answer.missing_count)),
+    ]
+    return WireAnswer('200 OK', headers, answer.body)
+
+
+@write_answer.register
+def write_failure(answer: Failure, request_id: str) -> WireAnswer:
+    """Tell what has not run from what may have."""
+    if answer.executed is Executed.NOT_RUN:
+        status = NOT_RUN_STATUSES.get(answer.reason, NOT_RUN_STATUS)
+    else:
+        status = DEADLINE_STATUS if answer.reason is Reason.DEADLINE else UNKNOWN_STATUS
+    headers = [(REQUEST_ID, request_id), ('Content-Type', 'application/json')]
+    if answer.retry_after_ms is not None:
+        headers.append(('Retry-After', f'{answer.retry_after_ms / 1000.0:.3f}'))
+    body = msgspec.json.encode({'error': answer.reason.value, 'detail': answer.detail})
+    return WireAnswer(status, headers, body)
--- /dev/null
+++ b/beechbridge/platform/items.py
@@ -0,0 +1,163 @@
+"""Items of the platform's store, decoded into routing tables and replica entries."""
+
+import msgspec
+
+from ..failures import Failure, InputFailure
+from ..gateway.models import CallerLimits, ReplicaEntry, Route, RoutingTable, ServiceRules
+from .names import REPLICAS_PREFIX, TABLE_KEY
+
+READY = 'ready'
+DRAINING = 'draining'
+IDEMPOTENT = 'idempotent'
+
+
+class SplitPart(msgspec.Struct):
+    """One service of a split route, and its share."""
+
+    service: str
+    weight: float
+
+
+class RouteItem(msgspec.Struct):
+    """A route as the operator writes it."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    """What may be repeated: `idempotent` or `non_idempotent`."""
+
+    timeout_ms: float = msgspec.field(name='timeoutMs')
+    goal_ms: float | None = msgspec.field(name='goalMs', default=None)
+    attempts: int = 1
+    """Replicas of one service that may run one attempt of a caller, not tries in a row."""
+
+    priority: int = 0
+    service: str | None = None
+    split: list[SplitPart] | None = None
+    gather: list[str] | None = None
+    top_k: int = msgspec.field(name='topK', default=0)
+    min_share: float = msgspec.field(name='minShare', default=1.0)
+
+
+class ServiceItem(msgspec.Struct):
+    """A service as the operator writes it."""
+
+    name: str
+    max_conns: int = msgspec.field(name='maxConns', default=1)
+    """Connections that each replica takes from all callers together."""
+
+
+class LimitsItem(msgspec.Struct):
+    """Bounds on callers."""
+
+    header_bytes: int = msgspec.field(name='headerBytes', default=16_384)
+    body_bytes: int = msgspec.field(name='bodyBytes', default=262_144)
+    header_ms: float = msgspec.field(name='headerMs', default=3_000.0)
+    idle_ms: float = msgspec.field(name='idleMs', default=15_000.0)
+
+
+class TableItem(msgspec.Struct):
+    """The newest configuration, in full."""
+
+    version: int
+    routes: list[RouteItem]
+    services: list[ServiceItem]
+    limits: LimitsItem = msgspec.field(default_factory=LimitsItem)
+
+
+class EntryItem(msgspec.Struct):
+    """What a replica says of itself."""
+
+    service: str
+    addr: str
+    state: str
+    zone: str = ''
+    slots: int = 1
+    cold_left_ms: float = msgspec.field(name='coldLeftMs', default=0.0)
+    born: int = 0
+    """Unix milliseconds of the start; the key's id may be that of an earlier start."""
+
+
+TABLE_DECODER = msgspec.json.Decoder(TableItem)
+ENTRY_DECODER = msgspec.json.Decoder(EntryItem)
+
+
+def decode_item(key: str, value: bytes) -> RoutingTable | ReplicaEntry | Failure | None:
+    """Decode an item by its key; None for items that are not for the gateway."""
+    if key == TABLE_KEY:
+        return decode_table(value)
+    if key.startswith(REPLICAS_PREFIX):
+        return decode_entry(key, value)
+    return None
+
+
+def decode_table(value: bytes) -> RoutingTable | Failure:
+    """Decode the configuration."""
+    try:
+        item = TABLE_DECODER.decode(value)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        return InputFailure(TABLE_KEY, 'value', str(error), 'a configuration')
+    routes = [to_route(route) for route in item.routes]
+    services = {}
+    for service in item.services:
+        services[service.name] = ServiceRules(service.name, service.max_conns)
+    limits = item.limits
+    return RoutingTable(
+        item.version,
+        routes,
+        services,
+        CallerLimits(limits.header_bytes, limits.body_bytes, limits.header_ms, limits.idle_ms),
+    )
+
+
+def to_route(item: RouteItem) -> Route:
+    """Return the route that an item describes."""
+    services: tuple[str, ...] = ()
+    weights: tuple[float, ...] = (1.0,)
+    if item.gather is not None:
+        services = tuple(item.gather)
+    elif item.split:
+        services = tuple(part.service for part in item.split)
+        weights = tuple(part.weight for part in item.split)
+    elif item.service is not None:
+        services = (item.service,)
+    return Route(
+        name=item.name,
+        host=item.host,
+        prefix=item.prefix,
+        services=services,
+        weights=weights,
+        is_gather=item.gather is not None,
+        is_idempotent=item.kind == IDEMPOTENT,
+        attempts=max(1, item.attempts),
+        timeout_ms=item.timeout_ms,
+        goal_ms=item.timeout_ms if item.goal_ms is None else item.goal_ms,
+        priority=item.priority,
+        top_records=item.top_k,
+        least_share=item.min_share,
+    )
+
+
+def decode_entry(key: str, value: bytes) -> ReplicaEntry | Failure:
+    """Decode a replica's entry; entries of other writers are failures."""
+    try:
+        item = ENTRY_DECODER.decode(value)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        return InputFailure(key, 'value', str(error), "a replica's entry")
+    if item.state not in (READY, DRAINING):
+        return InputFailure(key, 'state', item.state, f'{READY} or {DRAINING}')
+    host, _, port = item.addr.rpartition(':')
+    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        return InputFailure(key, 'addr', item.addr, 'host:port')
+    return ReplicaEntry(
+        replica_id=key[len(REPLICAS_PREFIX) :],
+        service=item.service,
+        host=host,
+        port=int(port),
+        zone=item.zone,
+        slots=item.slots,
+        is_draining=item.state == DRAINING,
+        cold_left_ms=item.cold_left_ms,
+        started_ms=item.born,
+    )
--- /dev/null
+++ b/beechbridge/platform/replicas.py
@@ -0,0 +1,82 @@
+"""Requests to replicas and their replies, as the platform's headers say them."""
+
+from ..gateway.actions import SendRequest
+from ..gateway.models import Reply
+from .names import EXPECTED_REPLICA, PATIENCE, REJECTED, REQUEST_ID, SIGNATURE
+
+MISDIRECTED_STATUS = 421
+SECOND_MS = 1000.0
+
+HOP_HEADERS = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'content-length',
+        'expect',
+    )
+)
+"""Headers that concern one connection or that are written anew with each message."""
+
+SET_HEADERS = frozenset((PATIENCE.lower(), EXPECTED_REPLICA.lower()))
+
+
+def write_request(action: SendRequest) -> bytes:
+    """Return the bytes of a request to a replica."""
+    request = action.request
+    lines = [f'{request.method} {request.target} HTTP/1.1\r\n']
+    for name, value in request.headers:
+        lower = name.lower()
+        if lower in HOP_HEADERS or lower in SET_HEADERS:
+            continue
+        lines.append(f'{name}: {value}\r\n')
+    lines.append(f'{PATIENCE}: {max(1, int(action.patience_ms))}\r\n')
+    lines.append(f'{EXPECTED_REPLICA}: {action.instance_id}\r\n')
+    if request.body or request.method in ('POST', 'PUT', 'PATCH'):
+        lines.append(f'Content-Length: {len(request.body)}\r\n')
+    lines.append('\r\n')
+    return ''.join(lines).encode('latin-1') + request.body
+
+
+def read_reply(status: int, headers: list[tuple[str, str]], body: bytes, closes: bool) -> Reply:
+    """Return the reply that a response holds."""
+    reply = Reply(status, [], body, is_closing=closes)
+    for name, value in headers:
+        lower = name.lower()
+        read_header(reply, lower, value)
+        if lower not in HOP_HEADERS:
+            reply.headers.append((name, value))
+    if status == MISDIRECTED_STATUS:
+        reply.is_rejected = reply.is_other_instance = True
+    return reply
+
+
+def read_header(reply: Reply, lower: str, value: str) -> None:
+    """Take one header of a response in."""
+    if lower == SIGNATURE.lower():
+        reply.signature = value
+    elif lower == REQUEST_ID.lower():
+        reply.request_id = value
+    elif lower == REJECTED.lower():
+        reply.is_rejected = True
+    elif lower == 'connection':
+        reply.is_closing = reply.is_closing or 'close' in value.lower()
+    elif lower == 'keep-alive':
+        reply.keep_alive_ms = read_keep_alive_ms(value)
+    elif lower == 'content-encoding':
+        reply.is_encoded = value.lower() != 'identity'
+
+
+def read_keep_alive_ms(value: str) -> float | None:
+    """Return the time-out that a Keep-Alive header states in seconds, None if it states none."""
+    for part in value.split(','):
+        name, _, text = part.strip().partition('=')
+        if name.lower() == 'timeout' and text.strip().isdecimal():
+            return int(text) * SECOND_MS
+    return None
--- /dev/null
+++ b/beechbridge/platform/store.py
@@ -0,0 +1,183 @@
+"""Client of the platform's store, which can only be read."""
+
+import base64
+import binascii
+import http.client
+from urllib.parse import urlencode
+
+import msgspec
+
+from ..failures import PlatformFailure, Reason
+from ..gateway.models import Item
+from ..gateway.settings import Address
+from ..record import Record
+
+HISTORY_LOST_STATUS = 410
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+
+
+class ItemBody(msgspec.Struct):
+    """One item, or its deletion, on the wire."""
+
+    key: str
+    rev: int
+    value: str = ''
+    """Base64 of the item's bytes."""
+
+    tombstone: bool = False
+    """The item was deleted at `rev`."""
+
+
+class RangeBody(msgspec.Struct):
+    """A page of items."""
+
+    items: list[ItemBody] = []
+    current_rev: int = msgspec.field(name='currentRev', default=0)
+    """The revision of the store, not of these items."""
+
+    has_more: bool = msgspec.field(name='hasMore', default=False)
+
+
+class WatchBody(msgspec.Struct):
+    """What changed after a revision."""
+
+    events: list[ItemBody] = []
+    current_rev: int = msgspec.field(name='currentRev', default=0)
+
+
+class KeyBody(msgspec.Struct):
+    """One item and the revision of the store."""
+
+    key: str
+    rev: int
+    value: str = ''
+    current_rev: int = msgspec.field(name='currentRev', default=0)
+
+
+class Listing(Record):
+    """Items as of a revision, or what changed up to it."""
+
+    __slots__ = ('items', 'revision')
+
+    def __init__(self, items: list[Item], revision: int):
+        self.items = items
+        self.revision = revision
+
+
+class HistoryLost(Record):
+    """The store no longer knows what changed: the items must be listed anew."""
+
+    __slots__ = ()
+
+
+class StoreClient:
+    """
+    One connection to the store. Not thread-safe.
+
+    :param timeout_s: time for an answer, beside the wait of a watch
+    """
+
+    __slots__ = ('address', 'connection', 'timeout_s')
+
+    def __init__(self, address: Address, timeout_s: float):
+        self.address = address
+        self.timeout_s = timeout_s
+        self.connection: http.client.HTTPConnection | None = None
+
+    def get(self, key: str) -> Listing | PlatformFailure:
+        """Read one item; an empty listing if there is none."""
+        answer = self.call('/kv-key', {'key': key}, 0.0)
+        if isinstance(answer, PlatformFailure):
+            return answer
+        status, body = answer
+        if status == http.client.NOT_FOUND:
+            return Listing([], 0)
+        found = decode_body(status, body, KeyBody)
+        if isinstance(found, PlatformFailure):
+            return found
+        item = to_item(ItemBody(found.key, found.rev, found.value))
+        return Listing([item], found.current_rev)
+
+    def list(self, prefix: str) -> Listing | PlatformFailure:
+        """Read all items under a prefix; the revision is that of the first page."""
+        items: list[Item] = []
+        revision = None
+        parameters = {'prefix': prefix}
+        while True:
+            answer = self.call('/kv-range', parameters, 0.0)
+            if isinstance(answer, PlatformFailure):
+                return answer
+            page = decode_body(*answer, RangeBody)
+            if isinstance(page, PlatformFailure):
+                return page
+            items.extend(to_item(item) for item in page.items)
+            if revision is None:
+                revision = page.current_rev
+            if not page.has_more or not page.items:
+                return Listing(items, revision)
+            parameters['after'] = page.items[-1].key
+
+    def watch(
+        self, prefix: str, revision: int, wait_ms: int
+    ) -> Listing | HistoryLost | PlatformFailure:
+        """Wait for changes under a prefix after a revision."""
+        parameters = {'prefix': prefix, 'after': revision, 'waitMs': wait_ms}
+        answer = self.call('/kv-watch', parameters, wait_ms / 1000.0)
+        if isinstance(answer, PlatformFailure):
+            return answer
+        if answer[0] == HISTORY_LOST_STATUS:
+            return HistoryLost()
+        found = decode_body(*answer, WatchBody)
+        if isinstance(found, PlatformFailure):
+            return found
+        return Listing([to_item(event) for event in found.events], found.current_rev)
+
+    def call(
+        self, path: str, parameters: dict, wait_s: float
+    ) -> tuple[int, bytes] | PlatformFailure:
+        """Make one call; a connection that failed is not used again."""
+        if self.connection is None:
+            self.connection = http.client.HTTPConnection(
+                self.address.host, self.address.port, timeout=self.timeout_s
+            )
+        connection = self.connection
+        try:
+            if connection.sock is None:
+                connection.connect()
+            connection.sock.settimeout(self.timeout_s + wait_s)
+            connection.request('GET', f'{path}?{urlencode(parameters)}')
+            response = connection.getresponse()
+            body = response.read(MAX_ANSWER_BYTES)
+        except (OSError, http.client.HTTPException) as error:
+            self.close()
+            return PlatformFailure(Reason.PLATFORM_UNAVAILABLE, detail=type(error).__name__)
+        if response.will_close:
+            self.close()
+        return response.status, body
+
+    def close(self) -> None:
+        """Close the connection; the next call opens another."""
+        if self.connection is not None:
+            self.connection.close()
+            self.connection = None
+
+
+def decode_body(status: int, body: bytes, kind: type) -> object | PlatformFailure:
+    """Decode the body of a call that succeeded."""
+    if status != http.client.OK:
+        return PlatformFailure(Reason.PLATFORM_UNAVAILABLE, detail=f'status {status}')
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        return PlatformFailure(Reason.INVALID_DOCUMENT, detail=str(error))
+
+
+def to_item(body: ItemBody) -> Item:
+    """Return the item that a body describes; unreadable bytes stay unreadable as a value."""
+    if body.tombstone:
+        return Item(body.key, None, body.rev)
+    try:
+        value = base64.b64decode(body.value, validate=True)
+    except (binascii.Error, ValueError):
+        value = body.value.encode()
+    return Item(body.key, value, body.rev)
--- a/beechbridge/wire/peer.thrift
+++ b/beechbridge/wire/peer.thrift
@@ -98,3 +98,31 @@
   2: required i64 sender_incarnation
   3: required Body body
 }
+
+struct FleetMember {
+  1: required string name
+  2: required string host
+  3: required string zone
+  4: required i64 incarnation
+  5: required i64 heartbeat
+  6: required bool serving
+}
+
+// The sender is the first member.
+struct Heartbeat {
+  1: required list<FleetMember> members
+  2: required i64 table_version
+  3: required i64 revision
+}
+
+// An item without a value was deleted.
+struct StoreItem {
+  1: required string key
+  2: optional binary value
+  3: required i64 revision
+}
+
+struct StoreChanges {
+  1: required i64 revision
+  2: required list<StoreItem> items
+}
--- a/beechbridge/wire/peer/ttypes.py
+++ b/beechbridge/wire/peer/ttypes.py
@@ -1565,6 +1565,442 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class FleetMember(object):
+    """
+    Attributes:
+     - name
+     - host
+     - zone
+     - incarnation
+     - heartbeat
+     - serving
+
+    """
+
+    __slots__ = (
+        'name',
+        'host',
+        'zone',
+        'incarnation',
+        'heartbeat',
+        'serving',
+    )
+
+
+    def __init__(self, name=None, host=None, zone=None, incarnation=None, heartbeat=None, serving=None,):
+        self.name = name
+        self.host = host
+        self.zone = zone
+        self.incarnation = incarnation
+        self.heartbeat = heartbeat
+        self.serving = serving
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.heartbeat = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.serving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('FleetMember')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 2)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 3)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 4)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.heartbeat is not None:
+            oprot.writeFieldBegin('heartbeat', TType.I64, 5)
+            oprot.writeI64(self.heartbeat)
+            oprot.writeFieldEnd()
+        if self.serving is not None:
+            oprot.writeFieldBegin('serving', TType.BOOL, 6)
+            oprot.writeBool(self.serving)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.name is None:
+            raise TProtocolException(message='Required field name is unset!')
+        if self.host is None:
+            raise TProtocolException(message='Required field host is unset!')
+        if self.zone is None:
+            raise TProtocolException(message='Required field zone is unset!')
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        if self.heartbeat is None:
+            raise TProtocolException(message='Required field heartbeat is unset!')
+        if self.serving is None:
+            raise TProtocolException(message='Required field serving is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Heartbeat(object):
+    """
+    Attributes:
+     - members
+     - table_version
+     - revision
+
+    """
+
+    __slots__ = (
+        'members',
+        'table_version',
+        'revision',
+    )
+
+
+    def __init__(self, members=None, table_version=None, revision=None,):
+        self.members = members
+        self.table_version = table_version
+        self.revision = revision
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.members = []
+                    (_etype42, _size39) = iprot.readListBegin()
+                    for _i43 in range(_size39):
+                        _elem44 = FleetMember()
+                        _elem44.read(iprot)
+                        self.members.append(_elem44)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.table_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Heartbeat')
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.members))
+            for iter45 in self.members:
+                iter45.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.table_version is not None:
+            oprot.writeFieldBegin('table_version', TType.I64, 2)
+            oprot.writeI64(self.table_version)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 3)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.members is None:
+            raise TProtocolException(message='Required field members is unset!')
+        if self.table_version is None:
+            raise TProtocolException(message='Required field table_version is unset!')
+        if self.revision is None:
+            raise TProtocolException(message='Required field revision is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StoreItem(object):
+    """
+    Attributes:
+     - key
+     - value
+     - revision
+
+    """
+
+    __slots__ = (
+        'key',
+        'value',
+        'revision',
+    )
+
+
+    def __init__(self, key=None, value=None, revision=None,):
+        self.key = key
+        self.value = value
+        self.revision = revision
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.value = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StoreItem')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.value is not None:
+            oprot.writeFieldBegin('value', TType.STRING, 2)
+            oprot.writeBinary(self.value)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 3)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.key is None:
+            raise TProtocolException(message='Required field key is unset!')
+        if self.revision is None:
+            raise TProtocolException(message='Required field revision is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StoreChanges(object):
+    """
+    Attributes:
+     - revision
+     - items
+
+    """
+
+    __slots__ = (
+        'revision',
+        'items',
+    )
+
+
+    def __init__(self, revision=None, items=None,):
+        self.revision = revision
+        self.items = items
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.items = []
+                    (_etype49, _size46) = iprot.readListBegin()
+                    for _i50 in range(_size46):
+                        _elem51 = StoreItem()
+                        _elem51.read(iprot)
+                        self.items.append(_elem51)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StoreChanges')
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 1)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.items is not None:
+            oprot.writeFieldBegin('items', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.items))
+            for iter52 in self.items:
+                iter52.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.revision is None:
+            raise TProtocolException(message='Required field revision is unset!')
+        if self.items is None:
+            raise TProtocolException(message='Required field items is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(MemberView)
 MemberView.thrift_spec = (
     None,  # 0
@@ -1673,5 +2109,35 @@
     (2, TType.I64, 'sender_incarnation', None, None, ),  # 2
     (3, TType.STRUCT, 'body', [Body, None], None, ),  # 3
 )
+all_structs.append(FleetMember)
+FleetMember.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'host', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'zone', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'incarnation', None, None, ),  # 4
+    (5, TType.I64, 'heartbeat', None, None, ),  # 5
+    (6, TType.BOOL, 'serving', None, None, ),  # 6
+)
+all_structs.append(Heartbeat)
+Heartbeat.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'members', (TType.STRUCT, [FleetMember, None], False), None, ),  # 1
+    (2, TType.I64, 'table_version', None, None, ),  # 2
+    (3, TType.I64, 'revision', None, None, ),  # 3
+)
+all_structs.append(StoreItem)
+StoreItem.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'value', 'BINARY', None, ),  # 2
+    (3, TType.I64, 'revision', None, None, ),  # 3
+)
+all_structs.append(StoreChanges)
+StoreChanges.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'revision', None, None, ),  # 1
+    (2, TType.LIST, 'items', (TType.STRUCT, [StoreItem, None], False), None, ),  # 2
+)
 fix_spec(all_structs)
 del all_structs
