Keep one parser a connection, and name the fleet less often in heartbeats

Cause: a late answer to an earlier request that shares a segment with the one asked for made the link drop the rest of that segment; a reply without the request's identifier was taken. Heartbeats named all VMs each time: a sixth of the bytes between regions. Change: one parser for the life of a connection, whole responses kept apart; a part or answer needs the request's identifier. Where each VM hears all others, one heartbeat in eight names them. The directory names the VMs from which a request's fan-out costs the least.

--- a/beechbridge/daemon/exchanges.py
+++ b/beechbridge/daemon/exchanges.py
@@ -22,69 +22,67 @@
 UNACKNOWLEDGED_MS = 3_000
 """Time without an acknowledgement after which the system closes a connection."""
 
-LARGEST_REPLY_BYTES = 16 * 1024 * 1024
-NO_BODY_STATUSES = frozenset((204, 304))
+FRAMING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
+FINAL_STATUS = 200
+"""Lower statuses announce a response and are none."""
 
 ReplyReader = Callable[[int, list[tuple[str, str]], bytes, bool], Reply]
 
 
+class Response:
+    """A response while it is read."""
+
+    __slots__ = ('body', 'headers', 'is_framed', 'is_kept_alive', 'status')
+
+    def __init__(self):
+        self.status = 0
+        self.headers: list[tuple[str, str]] = []
+        self.body: list[bytes] = []
+        self.is_framed = False
+        self.is_kept_alive = False
+
+
 class ReplicaLink(asyncio.Protocol):
     """
     One connection to a replica; carries one exchange at a time.
 
     :param post: takes the events
     :param read_reply: makes a reply of status, headers, body and whether the connection ends
+    :param reading: the response that has begun and is not whole yet
+    :param whole: responses read in full and not yet looked at
     """
 
     __slots__ = (
-        'body',
-        'body_bytes',
         'connection_id',
         'exchange_id',
-        'headers',
-        'is_complete',
         'is_dropped',
-        'is_framed',
-        'is_head_read',
-        'is_kept_alive',
-        'method',
         'parser',
         'pending',
         'post',
         'read_reply',
+        'reading',
         'request_id',
         'transport',
+        'whole',
     )
 
     def __init__(self, connection_id: int, post: Callable, read_reply: ReplyReader):
         self.connection_id = connection_id
         self.post = post
         self.read_reply = read_reply
+        self.parser = httptools.HttpResponseParser(self)
         self.transport: asyncio.Transport | None = None
         self.exchange_id: int | None = None
         self.request_id = ''
-        self.method = 'GET'
         self.pending = b''
+        self.reading: Response | None = None
+        self.whole: list[Response] = []
         self.is_dropped = False
-        self.reset_parser()
 
-    def reset_parser(self) -> None:
-        """Expect a new response."""
-        self.parser = httptools.HttpResponseParser(self)
-        self.headers: list[tuple[str, str]] = []
-        self.body: list[bytes] = []
-        self.body_bytes = 0
-        self.is_head_read = False
-        self.is_framed = False
-        self.is_complete = False
-        self.is_kept_alive = False
-
-    def begin(self, exchange_id: int, request_id: str, method: str, data: bytes) -> None:
+    def begin(self, exchange_id: int, request_id: str, data: bytes) -> None:
         """Send a request, now or once the connection is open."""
         self.exchange_id = exchange_id
         self.request_id = request_id
-        self.method = method
-        self.reset_parser()
         if self.transport is None:
             self.pending = data
             return
@@ -103,74 +101,77 @@
             self.pending = b''
 
     def data_received(self, data: bytes) -> None:
-        """Read a response; bytes that nobody asked for end the connection."""
+        """Read responses; bytes that nobody asked for end the connection."""
         if self.is_dropped:
             return
         if self.exchange_id is None:
             self.end_idle()
             return
+        is_malformed = False
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            if not self.is_complete:
-                self.fail(LinkFault.MALFORMED)
-                return
-            # Bytes after a whole response belong to no request.
-            self.is_framed = False
-        if self.is_complete:
-            self.finish()
+            is_malformed = True
+        self.take_whole(is_malformed)
+        if is_malformed and self.exchange_id is not None:
+            self.fail(LinkFault.MALFORMED)
 
     def on_message_begin(self) -> None:
-        """Start a response; a second one in the same bytes is surplus."""
-        if self.is_complete:
-            self.is_framed = False
+        """Start a response."""
+        self.reading = Response()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect one header."""
-        if self.is_complete:
-            return
-        lower = name.lower()
-        if lower in (b'content-length', b'transfer-encoding'):
-            self.is_framed = True
-        self.headers.append((name.decode('latin-1'), value.decode('latin-1')))
+        if name.lower() in FRAMING_HEADERS:
+            self.reading.is_framed = True
+        self.reading.headers.append((name.decode('latin-1'), value.decode('latin-1')))
 
     def on_headers_complete(self) -> None:
-        """Note that the head was read."""
-        self.is_head_read = True
+        """Note the status."""
+        self.reading.status = self.parser.get_status_code()
 
     def on_body(self, body: bytes) -> None:
         """Collect a piece of the body."""
-        if self.is_complete:
-            return
-        self.body_bytes += len(body)
-        self.body.append(body)
+        self.reading.body.append(body)
 
     def on_message_complete(self) -> None:
-        """Take the response as whole, unless it is a late one to an earlier request."""
-        if not self.is_complete:
-            # The parser forgets the answer to this once the next message begins.
-            self.is_kept_alive = self.parser.should_keep_alive()
-        self.is_complete = True
-
-    def finish(self) -> None:
-        """Report a whole response."""
-        status = self.parser.get_status_code()
-        closes = not self.is_kept_alive or not self.is_framed
-        if status in NO_BODY_STATUSES:
-            closes = True
-        reply = self.read_reply(status, self.headers, b''.join(self.body), closes)
-        if reply.request_id and reply.request_id != self.request_id:
-            # A surplus answer to an earlier request: the one asked for may still come.
-            self.reset_parser()
+        """Keep a whole response for the end of the parsing."""
+        # The parser forgets the answer to this once the next response begins.
+        self.reading.is_kept_alive = self.parser.should_keep_alive()
+        self.whole.append(self.reading)
+        self.reading = None
+
+    def take_whole(self, is_surplus: bool) -> None:
+        """
+        Report the response that was asked for.
+
+        Late ones to earlier requests, which their identifier tells, are passed over.
+
+        :param is_surplus: whether bytes that are no response came after the whole ones
+        """
+        responses, self.whole = self.whole, []
+        for number, response in enumerate(responses, 1):
+            if response.status < FINAL_STATUS:
+                continue
+            is_last = number == len(responses) and self.reading is None and not is_surplus
+            closes = not (response.is_framed and response.is_kept_alive and is_last)
+            body = b''.join(response.body)
+            reply = self.read_reply(response.status, response.headers, body, closes)
+            if reply.request_id and reply.request_id != self.request_id:
+                continue
+            exchange_id, self.exchange_id = self.exchange_id, None
+            self.post(ExchangeEnded(exchange_id, reply))
             return
-        exchange_id, self.exchange_id = self.exchange_id, None
-        self.post(ExchangeEnded(exchange_id, reply))
 
     def eof_received(self) -> bool:
         """Take a response without a length as whole if the replica ended it in order."""
-        if self.exchange_id is not None and self.is_head_read and not self.is_framed:
-            self.is_complete = True
-            self.finish()
+        reading = self.reading
+        if self.exchange_id is None or reading is None:
+            return False
+        if reading.status >= FINAL_STATUS and not reading.is_framed:
+            self.reading = None
+            self.whole.append(reading)
+            self.take_whole(is_surplus=False)
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -240,7 +241,7 @@
             self.loop.call_soon(self.post, ExchangeEnded(action.exchange_id, failure))
             return
         request = action.request
-        link.begin(action.exchange_id, request.request_id, request.method, data)
+        link.begin(action.exchange_id, request.request_id, data)
 
     async def connect(self, link: ReplicaLink, host: str, port: int) -> None:
         """Open a connection; nothing has been sent if that fails."""
--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -29,7 +29,7 @@
 from ..gateway.node import Gateway
 from ..gateway.settings import Address, GatewaySettings
 from ..platform.callers import read_request, write_answer
-from ..platform.directory import read_lookup, write_members
+from ..platform.directory import Lookup, read_lookup, write_members
 from ..platform.items import decode_item
 from ..platform.names import DIRECTORY_PATH, READINESS_PATH, REPLICAS_PREFIX, TABLE_KEY
 from ..platform.replicas import read_reply, write_request
@@ -195,7 +195,7 @@
         if environ['PATH_INFO'] != DIRECTORY_PATH:
             return self.serve_unknown(environ, start_response)
         lookup = read_lookup(environ['QUERY_STRING'])
-        members = self.core.fleet.best_for(lookup.zone, lookup.region, read_clock_ms())
+        members = asyncio.run_coroutine_threadsafe(self.list_members(lookup), self.loop).result()
         if not members:
             start_response('503 Service Unavailable', [('Content-Length', '0')])
             return [b'']
@@ -237,6 +237,10 @@
         view = self.core.view
         return encode_changes(view.changes_after(revision), view.revision)
 
+    async def list_members(self, lookup: Lookup) -> list[Member]:
+        """Return the VMs for a caller at a place; in the loop's thread."""
+        return self.core.best_members(lookup.zone, lookup.region, read_clock_ms())
+
     async def describe(self) -> dict:
         """Return the core's state; in the loop's thread."""
         return self.core.describe()
--- a/beechbridge/gateway/fleet.py
+++ b/beechbridge/gateway/fleet.py
@@ -1,6 +1,5 @@
 """The VMs of the fleet: who lives, who serves, and which of them callers should use."""
 
-from ..core.hashing import rank_names
 from ..record import Record
 from .actions import PullChanges, SendHeartbeat, WriteLine
 from .events import HeartbeatArrived
@@ -22,14 +21,15 @@
 LARGEST_MESSAGE = 100
 """VMs named in one heartbeat."""
 
+FULL_EVERY = 8
+"""Heartbeats of which one names the other VMs, too, where each VM hears all others itself."""
+
 SEED_MS = 2_000.0
 """How often the seeds are tried, too, where some are not known as members."""
 
 BEHIND_MS = 500.0
 """How long another VM may know a newer revision before it is asked: the store usually tells."""
 
-MOST_ADDRESSES = 64
-
 
 class HeartbeatTimer(Record):
     """Fires when the next heartbeat is due."""
@@ -95,16 +95,6 @@
         view.heard_ms = now_ms
         self.members[view.name] = view
 
-    def best_for(self, place: str, region: str, now_ms: float) -> list[Member]:
-        """Return the VMs that a caller at a place should use: the region's, else all."""
-        serving = self.serving(now_ms)
-        near = [one for one in serving if self.regions.get(one.zone) == region]
-        chosen = near or serving
-        if len(chosen) <= MOST_ADDRESSES:
-            return chosen
-        by_name = {one.name: one for one in chosen}
-        return [by_name[name] for name in rank_names(place, by_name)[:MOST_ADDRESSES]]
-
     def describe(self, now_ms: float) -> list[dict]:
         """Return what is known of each VM for a dump."""
         rows = []
@@ -178,7 +168,9 @@
     if unknown_seeds and (not hosts or now_ms - fleet.seeds_tried_ms >= SEED_MS):
         fleet.seeds_tried_ms = now_ms
         hosts.extend(sorted(unknown_seeds - {fleet.own.host}))
-    members = [member for member in fleet.members.values() if fleet.is_alive(member, now_ms)]
+    members = []
+    if len(fleet.members) > FANOUT or fleet.own.heartbeat % FULL_EVERY == 1:
+        members = [one for one in fleet.members.values() if fleet.is_alive(one, now_ms)]
     if len(members) > LARGEST_MESSAGE:
         members = gateway.rng.sample(members, LARGEST_MESSAGE)
     version = gateway.table.version if gateway.table else 0
--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -5,6 +5,7 @@
 from functools import singledispatch
 
 from ..core.counters import Counters
+from ..core.hashing import rank_names
 from ..core.timers import Timers
 from ..failures import Failure
 from .actions import GatewayAction, WriteLine
@@ -33,6 +34,7 @@
 )
 from .latencies import Histogram, Patience
 from .models import Member, ReplicaEntry, RoutingTable
+from .placement import Placement
 from .progress import (
     fire_check,
     fire_deadline,
@@ -49,6 +51,9 @@
 from .works import CheckTimer, DeadlineTimer, RetryTimer, Work
 
 SWEEP_MS = 250.0
+MOST_ADDRESSES = 64
+"""VMs that one directory answer names."""
+
 CONNECTION_MARGIN = 1
 """VMs that may come besides the known ones before each has heard of the other."""
 
@@ -83,6 +88,7 @@
         'news_ms',
         'now_ms',
         'patience',
+        'placement',
         'replica_by_key',
         'rng',
         'splits',
@@ -119,6 +125,7 @@
         self.counters = Counters()
         self.latencies = Histogram()
         self.patience = Patience()
+        self.placement = Placement(regions)
         self.table: RoutingTable | None = None
         self.view = StoreView()
         self.store = StoreContact()
@@ -183,6 +190,15 @@
         regions = self.fleet.regions
         return 1 if zone in regions and regions[zone] == regions.get(own_zone) else 2
 
+    def best_members(self, zone: str, region: str, now_ms: float) -> list[Member]:
+        """Return the VMs that a caller at a place should use."""
+        self.placement.refresh(self.table, self.upstreams, now_ms)
+        chosen = self.placement.choose(self.fleet.serving(now_ms), zone, region)
+        if len(chosen) <= MOST_ADDRESSES:
+            return chosen
+        by_name = {member.name: member for member in chosen}
+        return [by_name[name] for name in rank_names(zone, by_name)[:MOST_ADDRESSES]]
+
     def pump(self, service: str) -> None:
         """Ask for the tasks that wait for a connection to a service."""
         pump(service, self)
--- a/beechbridge/gateway/progress.py
+++ b/beechbridge/gateway/progress.py
@@ -81,7 +81,7 @@
     state = exchange.replica
     now_ms = gateway.now_ms
     latency_ms = now_ms - exchange.sent_ms
-    is_match = not reply.request_id or reply.request_id == work.request.request_id
+    is_match = reply.request_id == work.request.request_id
     is_reusable = not reply.is_closing and is_match
     if reply.is_other_instance:
         gateway.forget_replica(state, 'another replica has its address')
--- a/beechbridge/gateway/sending.py
+++ b/beechbridge/gateway/sending.py
@@ -12,6 +12,7 @@
 """Time below which asking a replica is no use."""
 
 FOREVER_MS = float('inf')
+DISTANCE_NAMES = ('own_zone', 'own_region', 'other_region')
 
 
 def ask(task: Task, gateway, is_extra: bool = False) -> bool:
@@ -119,7 +120,7 @@
         gateway.counters.add('repeats', 'hedge' if is_extra else 'retry')
     task.arrival_count += 1
     task.run_count += 1
-    gateway.counters.add('sub_requests')
+    gateway.counters.add('sub_requests', DISTANCE_NAMES[state.distance])
     entry = state.entry
     gateway.act(
         SendRequest(
