Let one VM of each data centre follow the store, and gossip by data centre

Change: a mesh of heartbeats within a data centre, delegates between them; one follower of the store in each data centre, its successors in order of rank; the others pull from it. A VM without a table beats and reads sooner.

--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -19,6 +19,7 @@
     CloseIdleCallers,
     DropConnection,
     EndProcess,
+    FollowStore,
     PullChanges,
     SendHeartbeat,
     SendRequest,
@@ -71,7 +72,13 @@
         self.incarnation = (int(time.time() * 1000) << RANDOM_INCARNATION_BITS) | (
             secrets.randbits(RANDOM_INCARNATION_BITS)
         )
-        own = Member(settings.name, settings.host, settings.zone, self.incarnation)
+        own = Member(
+            settings.name,
+            settings.host,
+            settings.zone,
+            self.incarnation,
+            capacity_millicores=settings.capacity_millicores,
+        )
         self.core = Gateway(
             own,
             settings.seeds,
@@ -325,6 +332,12 @@
         process.datagrams.sendto(data, (host, process.settings.peer_port))
 
 
+@perform.register
+def perform_follow(action: FollowStore, process: GatewayProcess) -> None:
+    """Follow the store, or leave that to other VMs."""
+    process.store_reader.follow(action.is_wanted, action.revision)
+
+
 @perform.register
 def perform_pull(action: PullChanges, process: GatewayProcess) -> None:
     """Ask another VM for changes."""
--- a/beechbridge/daemon/store_reader.py
+++ b/beechbridge/daemon/store_reader.py
@@ -28,7 +28,16 @@
     :param post: takes the events
     """
 
-    __slots__ = ('backoff_s', 'client', 'post', 'prefixes', 'revision', 'stopped', 'watched')
+    __slots__ = (
+        'backoff_s',
+        'client',
+        'post',
+        'prefixes',
+        'revision',
+        'stopped',
+        'wanted',
+        'watched',
+    )
 
     def __init__(
         self,
@@ -44,14 +53,28 @@
         self.revision: int | None = None
         self.backoff_s = FIRST_BACKOFF_S
         self.stopped = threading.Event()
+        self.wanted = threading.Event()
 
     def start(self) -> None:
         """Start reading."""
         threading.Thread(target=self.run, name=f'store-{self.watched}', daemon=True).start()
 
+    def follow(self, is_wanted: bool, revision: int | None) -> None:
+        """
+        Start or stop following, from any thread.
+
+        :param revision: revision up to which everything is known, None if nothing is
+        """
+        if not is_wanted:
+            self.wanted.clear()
+            return
+        self.revision = revision
+        self.wanted.set()
+
     def run(self) -> None:
         """Read until the process ends."""
         while not self.stopped.is_set():
+            self.wanted.wait()
             failure = self.list_all() if self.revision is None else self.watch_once()
             if failure is None:
                 self.backoff_s = FIRST_BACKOFF_S
@@ -77,14 +100,18 @@
 
     def watch_once(self) -> PlatformFailure | None:
         """Wait for the next changes."""
-        listing = self.client.watch(self.watched, self.revision, WATCH_WAIT_MS)
+        revision = self.revision
+        listing = self.client.watch(self.watched, revision, WATCH_WAIT_MS)
         if isinstance(listing, PlatformFailure):
             return listing
         if isinstance(listing, HistoryLost):
             self.revision = None
             return None
-        self.revision = max(self.revision, listing.revision)
-        self.post(ChangesRead(listing.items, self.revision))
+        reached = max(revision, listing.revision)
+        if self.revision == revision:
+            # Otherwise the following began anew meanwhile, from another revision.
+            self.revision = reached
+        self.post(ChangesRead(listing.items, reached))
         if listing.items:
             self.stopped.wait(SETTLE_S)
         return None
--- a/beechbridge/gateway/actions.py
+++ b/beechbridge/gateway/actions.py
@@ -84,16 +84,39 @@
     Send a heartbeat to other VMs.
 
     :param hosts: addresses of the VMs
-    :param members: what this VM knows of the fleet, itself first
+    :param members: what this VM tells of the fleet, itself first
+    :param wants_members: whether it asks for all that they know
     """
 
-    __slots__ = ('hosts', 'members', 'revision', 'table_version')
+    __slots__ = ('hosts', 'members', 'revision', 'table_version', 'wants_members')
 
-    def __init__(self, hosts: list[str], members: list[Member], table_version: int, revision: int):
+    def __init__(
+        self,
+        hosts: list[str],
+        members: list[Member],
+        table_version: int,
+        revision: int,
+        wants_members: bool = False,
+    ):
         self.hosts = hosts
         self.members = members
         self.table_version = table_version
         self.revision = revision
+        self.wants_members = wants_members
+
+
+class FollowStore(Record):
+    """
+    Follow the store, or leave that to other VMs.
+
+    :param revision: revision up to which everything is known, None if nothing is
+    """
+
+    __slots__ = ('is_wanted', 'revision')
+
+    def __init__(self, is_wanted: bool, revision: int | None):
+        self.is_wanted = is_wanted
+        self.revision = revision
 
 
 class PullChanges(Record):
@@ -124,6 +147,7 @@
     | AnswerRequest
     | WriteLine
     | SendHeartbeat
+    | FollowStore
     | PullChanges
     | EndProcess
     | CloseIdleCallers
--- a/beechbridge/gateway/events.py
+++ b/beechbridge/gateway/events.py
@@ -79,14 +79,25 @@
 
 
 class HeartbeatArrived(Record):
-    """A heartbeat of another VM, the sender first among its members."""
+    """
+    A heartbeat of another VM, the sender first among its members.
+
+    :param wants_members: whether the sender asks for all that this VM knows
+    """
 
-    __slots__ = ('members', 'revision', 'table_version')
+    __slots__ = ('members', 'revision', 'table_version', 'wants_members')
 
-    def __init__(self, members: list[Member], table_version: int, revision: int):
+    def __init__(
+        self,
+        members: list[Member],
+        table_version: int,
+        revision: int,
+        wants_members: bool = False,
+    ):
         self.members = members
         self.table_version = table_version
         self.revision = revision
+        self.wants_members = wants_members
 
 
 class StopAsked(Record):
--- a/beechbridge/gateway/knowledge.py
+++ b/beechbridge/gateway/knowledge.py
@@ -4,7 +4,7 @@
 from ..record import Record
 from .actions import DropConnection, WriteLine
 from .events import ChangesRead, StoreFailed
-from .fleet import note_caught_up
+from .gossip import note_caught_up, share_news
 from .models import Item, ReplicaEntry, RoutingTable
 from .upstreams import ReplicaState
 
@@ -32,20 +32,25 @@
     :param failed_ms: when a call failed last
     """
 
-    __slots__ = ('failed_ms', 'is_reached', 'reached_ms')
+    __slots__ = ('failed_ms', 'is_reached')
 
     def __init__(self):
         self.is_reached = False
         self.failed_ms = -UNSTABLE_MS
-        self.reached_ms = -UNSTABLE_MS
+
+    def leave(self) -> None:
+        """Forget the contact: other VMs follow the store now."""
+        self.is_reached = False
 
     def is_unstable(self, now_ms: float) -> bool:
         """Tell whether entries may vanish because the store was away."""
-        return not self.is_reached or now_ms - self.failed_ms < UNSTABLE_MS
+        return now_ms - self.failed_ms < UNSTABLE_MS
 
 
 def handle_store_failed(event: StoreFailed, gateway) -> None:
     """Note that the store does not answer."""
+    if not gateway.gossip.is_following:
+        return
     store = gateway.store
     store.failed_ms = gateway.now_ms
     gateway.counters.add('store_failures', event.detail)
@@ -59,11 +64,9 @@
     store = gateway.store
     now_ms = gateway.now_ms
     gateway.news_ms = now_ms
-    if event.is_from_store:
-        store.reached_ms = now_ms
-        if not store.is_reached:
-            store.is_reached = True
-            gateway.act(WriteLine('store_reached', {'revision': event.revision}))
+    if event.is_from_store and gateway.gossip.is_following and not store.is_reached:
+        store.is_reached = True
+        gateway.act(WriteLine('store_reached', {'revision': event.revision}))
     changes = list(event.changes)
     keys = {change.key for change in changes}
     for prefix in event.listed_prefixes:
@@ -72,6 +75,8 @@
     note_caught_up(gateway)
     for item in news:
         take_item(item, gateway)
+    if news and event.is_from_store:
+        share_news(gateway)
 
 
 def take_item(item: Item, gateway) -> None:
@@ -164,9 +169,6 @@
     state = gateway.replica_by_key.get(timer.replica_id)
     if state is None or state.vanished_ms != timer.vanished_ms:
         return
-    if not gateway.store.is_reached:
-        gateway.timers.arm(gateway.now_ms + LAPSE_GRACE_MS, timer)
-        return
     drop_replica(timer.replica_id, state, 'entry did not come back', gateway)
 
 
--- a/beechbridge/gateway/models.py
+++ b/beechbridge/gateway/models.py
@@ -317,9 +317,22 @@
     :param incarnation: rises with every start of its process
     :param heartbeat: rises while it lives
     :param is_serving: whether callers may be sent to it
+    :param capacity_millicores: processor time that it has, in thousandths of a core
+    :param reaches_store: whether the store answers it
+    :param heard_ms: when its heartbeat last moved on
     """
 
-    __slots__ = ('heard_ms', 'heartbeat', 'host', 'incarnation', 'is_serving', 'name', 'zone')
+    __slots__ = (
+        'capacity_millicores',
+        'heard_ms',
+        'heartbeat',
+        'host',
+        'incarnation',
+        'is_serving',
+        'name',
+        'reaches_store',
+        'zone',
+    )
 
     def __init__(
         self,
@@ -328,16 +341,17 @@
         zone: str,
         incarnation: int,
         heartbeat: int = 0,
-        is_serving: bool = False,
-        heard_ms: float = 0.0,
+        capacity_millicores: int = 1000,
     ):
         self.name = name
         self.host = host
         self.zone = zone
         self.incarnation = incarnation
         self.heartbeat = heartbeat
-        self.is_serving = is_serving
-        self.heard_ms = heard_ms
+        self.capacity_millicores = capacity_millicores
+        self.is_serving = False
+        self.reaches_store = False
+        self.heard_ms = 0.0
 
 
 class Item(Record):
--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -23,7 +23,8 @@
     StoreFailed,
     TimePassed,
 )
-from .fleet import Fleet, HeartbeatTimer, fire_heartbeat, handle_heartbeat
+from .fleet import Fleet
+from .gossip import Gossip, HeartbeatTimer, fire_heartbeat, handle_heartbeat
 from .knowledge import (
     StoreContact,
     VanishTimer,
@@ -84,6 +85,7 @@
         'counters',
         'decode_item',
         'fleet',
+        'gossip',
         'latencies',
         'news_ms',
         'now_ms',
@@ -114,6 +116,7 @@
         rng: random.Random,
     ):
         self.fleet = Fleet(own, seeds, regions)
+        self.gossip = Gossip()
         self.decode_item = decode_item
         self.budget_rules = budget_rules
         self.rng = rng
--- a/beechbridge/gateway/settings.py
+++ b/beechbridge/gateway/settings.py
@@ -26,12 +26,14 @@
     :param peers: where other VMs ask for changes, and operators for state and metrics
     :param directory: where callers ask which VMs to use
     :param grace_ms: time between a request to stop and the kill
+    :param capacity_millicores: processor time that the process has
     :param longest_ttl_s: longest time for which a directory answer counts
     """
 
     __slots__ = (
         'budget',
         'callers',
+        'capacity_millicores',
         'directory',
         'grace_ms',
         'host',
@@ -62,6 +64,7 @@
         budget: BudgetRules,
         grace_ms: float,
         longest_ttl_s: float,
+        capacity_millicores: int = 1000,
     ):
         self.name = name
         self.host = host
@@ -77,3 +80,4 @@
         self.budget = budget
         self.grace_ms = grace_ms
         self.longest_ttl_s = longest_ttl_s
+        self.capacity_millicores = capacity_millicores
--- a/beechbridge/gateway/stopping.py
+++ b/beechbridge/gateway/stopping.py
@@ -3,7 +3,7 @@
 from ..record import Record
 from .actions import CloseIdleCallers, EndProcess, WriteLine
 from .events import StopAsked
-from .fleet import send_heartbeat
+from .gossip import send_heartbeat
 
 SERVE_SHARE = 0.62
 """Share of the time to the kill in which requests are still taken: callers keep addresses."""
--- a/beechbridge/platform/settings.py
+++ b/beechbridge/platform/settings.py
@@ -15,6 +15,7 @@
 
 AddressText = Annotated[str, Meta(pattern=r'^[^:\s]+:[0-9]{1,5}$')]
 SECOND_MS = 1000.0
+MILLI = 1000
 
 
 class Listen(msgspec.Struct):
@@ -38,6 +39,16 @@
     directory_ttl_s: float = msgspec.field(name='ttl_max_s', default=5.0)
 
 
+class Limits(msgspec.Struct):
+    """What the machine gives this process."""
+
+    cpu_share: float = msgspec.field(name='cpuShare', default=1.0)
+    """Part of a core that it may use."""
+
+    cores: float = 1.0
+    """How many times as fast that core is, not a number of cores."""
+
+
 class Platform(msgspec.Struct):
     """Where the platform's store is."""
 
@@ -57,7 +68,7 @@
     listen: Listen
     platform: Platform
     bounds: Bounds = msgspec.field(default_factory=Bounds)
-    role: str = ''
+    limits: Limits = msgspec.field(default_factory=Limits)
 
 
 def to_address(text: str | None) -> Address | None:
@@ -94,6 +105,7 @@
         ),
         grace_ms=bounds.grace_s * SECOND_MS,
         longest_ttl_s=bounds.directory_ttl_s,
+        capacity_millicores=int(file.limits.cpu_share * file.limits.cores * MILLI),
     )
 
 
--- a/beechbridge/wire/fleet.py
+++ b/beechbridge/wire/fleet.py
@@ -55,9 +55,12 @@
                 member.incarnation,
                 member.heartbeat,
                 member.is_serving,
+                member.capacity_millicores,
+                member.reaches_store,
             )
         )
-    return encode(ttypes.Heartbeat(members, action.table_version, action.revision))
+    frame = ttypes.Heartbeat(members, action.table_version, action.revision, action.wants_members)
+    return encode(frame)
 
 
 def decode_heartbeat(data: bytes) -> HeartbeatArrived | Failure:
@@ -69,8 +72,10 @@
     for view in frame.members:
         member = Member(view.name, view.host, view.zone, view.incarnation, view.heartbeat)
         member.is_serving = view.serving
+        member.capacity_millicores = view.capacity_millicores
+        member.reaches_store = view.reaches_store
         members.append(member)
-    return HeartbeatArrived(members, frame.table_version, frame.revision)
+    return HeartbeatArrived(members, frame.table_version, frame.revision, frame.wants_members)
 
 
 def encode_changes(changes: list[Item], revision: int) -> bytes:
--- a/beechbridge/wire/peer.thrift
+++ b/beechbridge/wire/peer.thrift
@@ -106,13 +106,16 @@
   4: required i64 incarnation
   5: required i64 heartbeat
   6: required bool serving
+  7: required i32 capacity_millicores
+  8: required bool reaches_store
 }
 
-// The sender is the first member.
+// The sender is the first member; `wants_members` asks for all that the receiver knows.
 struct Heartbeat {
   1: required list<FleetMember> members
   2: required i64 table_version
   3: required i64 revision
+  4: required bool wants_members
 }
 
 // An item without a value was deleted.
--- a/beechbridge/wire/peer/ttypes.py
+++ b/beechbridge/wire/peer/ttypes.py
@@ -1576,6 +1576,8 @@
      - incarnation
      - heartbeat
      - serving
+     - capacity_millicores
+     - reaches_store
 
     """
 
@@ -1586,16 +1588,20 @@
         'incarnation',
         'heartbeat',
         'serving',
+        'capacity_millicores',
+        'reaches_store',
     )
 
 
-    def __init__(self, name=None, host=None, zone=None, incarnation=None, heartbeat=None, serving=None,):
+    def __init__(self, name=None, host=None, zone=None, incarnation=None, heartbeat=None, serving=None, capacity_millicores=None, reaches_store=None,):
         self.name = name
         self.host = host
         self.zone = zone
         self.incarnation = incarnation
         self.heartbeat = heartbeat
         self.serving = serving
+        self.capacity_millicores = capacity_millicores
+        self.reaches_store = reaches_store
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1636,6 +1642,16 @@
                     self.serving = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.capacity_millicores = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.reaches_store = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1670,6 +1686,14 @@
             oprot.writeFieldBegin('serving', TType.BOOL, 6)
             oprot.writeBool(self.serving)
             oprot.writeFieldEnd()
+        if self.capacity_millicores is not None:
+            oprot.writeFieldBegin('capacity_millicores', TType.I32, 7)
+            oprot.writeI32(self.capacity_millicores)
+            oprot.writeFieldEnd()
+        if self.reaches_store is not None:
+            oprot.writeFieldBegin('reaches_store', TType.BOOL, 8)
+            oprot.writeBool(self.reaches_store)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1686,6 +1710,10 @@
             raise TProtocolException(message='Required field heartbeat is unset!')
         if self.serving is None:
             raise TProtocolException(message='Required field serving is unset!')
+        if self.capacity_millicores is None:
+            raise TProtocolException(message='Required field capacity_millicores is unset!')
+        if self.reaches_store is None:
+            raise TProtocolException(message='Required field reaches_store is unset!')
         return
 
     def __repr__(self):
@@ -1713,6 +1741,7 @@
      - members
      - table_version
      - revision
+     - wants_members
 
     """
 
@@ -1720,13 +1749,15 @@
         'members',
         'table_version',
         'revision',
+        'wants_members',
     )
 
 
-    def __init__(self, members=None, table_version=None, revision=None,):
+    def __init__(self, members=None, table_version=None, revision=None, wants_members=None,):
         self.members = members
         self.table_version = table_version
         self.revision = revision
+        self.wants_members = wants_members
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1758,6 +1789,11 @@
                     self.revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.wants_members = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1783,6 +1819,10 @@
             oprot.writeFieldBegin('revision', TType.I64, 3)
             oprot.writeI64(self.revision)
             oprot.writeFieldEnd()
+        if self.wants_members is not None:
+            oprot.writeFieldBegin('wants_members', TType.BOOL, 4)
+            oprot.writeBool(self.wants_members)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1793,6 +1833,8 @@
             raise TProtocolException(message='Required field table_version is unset!')
         if self.revision is None:
             raise TProtocolException(message='Required field revision is unset!')
+        if self.wants_members is None:
+            raise TProtocolException(message='Required field wants_members is unset!')
         return
 
     def __repr__(self):
@@ -2118,6 +2160,8 @@
     (4, TType.I64, 'incarnation', None, None, ),  # 4
     (5, TType.I64, 'heartbeat', None, None, ),  # 5
     (6, TType.BOOL, 'serving', None, None, ),  # 6
+    (7, TType.I32, 'capacity_millicores', None, None, ),  # 7
+    (8, TType.BOOL, 'reaches_store', None, None, ),  # 8
 )
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
@@ -2125,6 +2169,7 @@
     (1, TType.LIST, 'members', (TType.STRUCT, [FleetMember, None], False), None, ),  # 1
     (2, TType.I64, 'table_version', None, None, ),  # 2
     (3, TType.I64, 'revision', None, None, ),  # 3
+    (4, TType.BOOL, 'wants_members', None, None, ),  # 4
 )
 all_structs.append(StoreItem)
 StoreItem.thrift_spec = (
--- /dev/null
+++ b/measure/emulator.py
@@ -0,0 +1,459 @@
+"""
+Emulator: several gateways over stand-in replicas, on virtual time and without a network.
+
+Replicas have slots, a queue, pauses and speeds; links have delays; VMs hear each other's
+heartbeats. Everything that happens is drawn from one seed, so that a run repeats exactly.
+"""
+
+import heapq
+import random
+import struct
+from functools import singledispatch
+
+from beechbridge.failures import Failure
+from beechbridge.gateway.actions import (
+    AnswerRequest,
+    CloseIdleCallers,
+    DropConnection,
+    EndProcess,
+    FollowStore,
+    PullChanges,
+    SendHeartbeat,
+    SendRequest,
+    WriteLine,
+)
+from beechbridge.gateway.budgets import BudgetRules
+from beechbridge.gateway.events import (
+    CallerAsked,
+    CallerLeft,
+    ChangesRead,
+    ExchangeEnded,
+    HeartbeatArrived,
+    TimePassed,
+)
+from beechbridge.gateway.models import (
+    CallerLimits,
+    CallerRequest,
+    Item,
+    LinkFailure,
+    LinkFault,
+    Member,
+    MergedAnswer,
+    PassedAnswer,
+    ReplicaEntry,
+    Reply,
+    Route,
+    RoutingTable,
+    ServiceRules,
+)
+from beechbridge.gateway.node import Gateway
+
+ZONE_DELAY_MS = 0.1
+REGION_DELAY_MS = 8.0
+HANDSHAKE_MS = 6.0
+RECORDS_PER_PART = 12
+TABLE_KEY = 'table'
+ENTRY_PREFIX = 'replica/'
+HOST = 'search.example'
+NO_PAUSE_MS = float('inf')
+
+
+class ReplicaSpec:
+    """
+    How a stand-in replica behaves.
+
+    :param pause_ms: length of its pauses, one in each `pause_every_ms`
+    :param slow_factor: multiple of the usual work
+    :param reject_share: share of requests that it rejects without running them
+    :param is_dark: whether it answers nothing at all
+    """
+
+    __slots__ = (
+        'is_dark',
+        'pause_every_ms',
+        'pause_ms',
+        'queue_limit',
+        'reject_share',
+        'slots',
+        'slow_factor',
+    )
+
+    def __init__(
+        self,
+        slots: int = 2,
+        queue_limit: int = 12,
+        pause_ms: float = 0.0,
+        pause_every_ms: float = NO_PAUSE_MS,
+        slow_factor: float = 1.0,
+        reject_share: float = 0.0,
+        is_dark: bool = False,
+    ):
+        self.slots = slots
+        self.queue_limit = queue_limit
+        self.pause_ms = pause_ms
+        self.pause_every_ms = pause_every_ms
+        self.slow_factor = slow_factor
+        self.reject_share = reject_share
+        self.is_dark = is_dark
+
+
+class StandIn:
+    """One stand-in replica and what it was asked."""
+
+    __slots__ = ('arrivals', 'entry', 'open_connections', 'phase_ms', 'queue', 'running', 'spec')
+
+    def __init__(self, entry: ReplicaEntry, spec: ReplicaSpec, phase_ms: float):
+        self.entry = entry
+        self.spec = spec
+        self.phase_ms = phase_ms
+        self.queue: list[Job] = []
+        self.running: list[Job] = []
+        self.arrivals: list[tuple[float, str]] = []
+        self.open_connections: set[tuple[str, int]] = set()
+
+    def pause_left_ms(self, now_ms: float) -> float:
+        """Return how long the pause of this moment lasts, 0 outside of one."""
+        if self.spec.pause_every_ms == NO_PAUSE_MS:
+            return 0.0
+        into_ms = (now_ms + self.phase_ms) % self.spec.pause_every_ms
+        return max(0.0, self.spec.pause_ms - into_ms)
+
+
+class Job:
+    """One request at a replica."""
+
+    __slots__ = ('action', 'is_cancelled', 'replica', 'vm')
+
+    def __init__(self, action: SendRequest, vm: 'EmulatedVm', replica: StandIn):
+        self.action = action
+        self.vm = vm
+        self.replica = replica
+        self.is_cancelled = False
+
+
+class EmulatedVm:
+    """One gateway, its answers and its log lines."""
+
+    __slots__ = ('answers', 'gateway', 'is_up', 'jobs', 'lines', 'timer_ms')
+
+    def __init__(self, gateway: Gateway):
+        self.gateway = gateway
+        self.answers: dict[int, tuple[float, object]] = {}
+        self.jobs: dict[int, Job] = {}
+        self.lines: list[WriteLine] = []
+        self.timer_ms = float('inf')
+        self.is_up = True
+
+
+class Emulator:
+    """
+    A deployment on virtual time.
+
+    :param zones: data centre of each VM; a region's name is what stands before the dash
+    :param work_ms: usual work of a request by route name
+    :param seed: source of all randomness
+    """
+
+    __slots__ = (
+        'entries',
+        'events',
+        'next_key',
+        'now_ms',
+        'replicas',
+        'revision',
+        'rng',
+        'sequence',
+        'table',
+        'vms',
+        'work_ms',
+    )
+
+    def __init__(
+        self,
+        zones: tuple[str, ...],
+        work_ms: dict[str, float],
+        budget: BudgetRules | None = None,
+        seed: int = 1,
+    ):
+        self.rng = random.Random(seed)
+        self.work_ms = work_ms
+        self.now_ms = 0.0
+        self.events: list[tuple[float, int, object]] = []
+        self.sequence = 0
+        self.next_key = 0
+        self.revision = 0
+        self.table: RoutingTable | None = None
+        self.replicas: dict[str, StandIn] = {}
+        self.entries: dict[str, ReplicaEntry] = {}
+        self.vms: list[EmulatedVm] = []
+        regions = {zone: region_of(zone) for zone in zones}
+        seeds = tuple(f'vm-{number}' for number in range(min(3, len(zones))))
+        for number, zone in enumerate(zones):
+            own = Member(f'vm-{number}', f'vm-{number}', zone, incarnation=1)
+            gateway = Gateway(
+                own,
+                seeds,
+                regions,
+                self.decode_item,
+                budget or BudgetRules(),
+                6_000.0,
+                random.Random(self.rng.getrandbits(64)),
+            )
+            self.vms.append(EmulatedVm(gateway))
+        for vm in self.vms:
+            self.perform_all(vm, vm.gateway.start(0.0))
+
+    def decode_item(self, key: str, value: bytes) -> RoutingTable | ReplicaEntry | Failure | None:
+        """Return what an item stands for: items carry names, not contents."""
+        if key == TABLE_KEY:
+            return self.table
+        return self.entries.get(value.decode())
+
+    def put_table(self, routes: list[Route], connection_limit: int = 26, version: int = 1) -> None:
+        """Publish a routing table."""
+        services = {}
+        for route in routes:
+            for service in route.services:
+                services[service] = ServiceRules(service, connection_limit)
+        self.table = RoutingTable(
+            version, routes, services, CallerLimits(16_384, 262_144, 3_000.0, 15_000.0)
+        )
+        self.publish([Item(TABLE_KEY, b'table', self.next_revision())])
+
+    def put_replica(
+        self, replica_id: str, service: str, zone: str, spec: ReplicaSpec | None = None
+    ) -> StandIn:
+        """Start a replica and publish its entry."""
+        entry = ReplicaEntry(replica_id, service, replica_id, 80, zone)
+        replica = StandIn(entry, spec or ReplicaSpec(), self.rng.uniform(0, 10_000))
+        self.replicas[replica_id] = replica
+        self.publish_entry(entry)
+        return replica
+
+    def publish_entry(self, entry: ReplicaEntry) -> None:
+        """Publish a replica's entry."""
+        revision = self.next_revision()
+        name = f'{entry.replica_id}@{revision}'
+        self.entries[name] = entry
+        self.publish([Item(ENTRY_PREFIX + entry.replica_id, name.encode(), revision)])
+
+    def remove_entry(self, replica_id: str) -> None:
+        """Delete a replica's entry; the replica goes on."""
+        self.publish([Item(ENTRY_PREFIX + replica_id, None, self.next_revision())])
+
+    def next_revision(self) -> int:
+        """Return the revision of the next change."""
+        self.revision += 1
+        return self.revision
+
+    def publish(self, changes: list[Item]) -> None:
+        """Let every VM that is up read changes at once."""
+        for vm in self.vms:
+            if vm.is_up:
+                self.tell(vm, ChangesRead(changes, self.revision))
+
+    def ask(self, vm_number: int, path: str, patience_ms: float, method: str = 'GET') -> int:
+        """Let a caller ask a VM now; return the key of its answer."""
+        self.next_key += 1
+        request = CallerRequest(
+            f'request-{self.next_key}', method, path, HOST, path, [], b'', patience_ms
+        )
+        self.tell(self.vms[vm_number], CallerAsked(self.next_key, request))
+        return self.next_key
+
+    def leave(self, vm_number: int, key: int) -> None:
+        """Let a caller close its connection."""
+        self.tell(self.vms[vm_number], CallerLeft(key))
+
+    def tell(self, vm: EmulatedVm, event: object) -> None:
+        """Hand an event to a VM."""
+        if vm.is_up:
+            self.perform_all(vm, vm.gateway.handle(event, self.now_ms))
+
+    def perform_all(self, vm: EmulatedVm, actions: list) -> None:
+        """Carry a VM's actions out and arm its next timer."""
+        for action in actions:
+            perform(action, vm, self)
+        due_ms = vm.gateway.timers.next_due_ms()
+        if due_ms is not None and due_ms < vm.timer_ms:
+            vm.timer_ms = due_ms
+            self.later(due_ms - self.now_ms, lambda: self.fire(vm, due_ms))
+
+    def fire(self, vm: EmulatedVm, due_ms: float) -> None:
+        """Let a VM's timers fire."""
+        if vm.timer_ms == due_ms:
+            vm.timer_ms = float('inf')
+            self.tell(vm, TimePassed())
+
+    def later(self, delay_ms: float, call) -> None:
+        """Call something after a delay."""
+        self.sequence += 1
+        heapq.heappush(self.events, (self.now_ms + max(0.0, delay_ms), self.sequence, call))
+
+    def run(self, for_ms: float) -> None:
+        """Let time pass."""
+        until_ms = self.now_ms + for_ms
+        while self.events and self.events[0][0] <= until_ms:
+            self.now_ms, _, call = heapq.heappop(self.events)
+            call()
+        self.now_ms = until_ms
+
+    def delay_ms(self, vm: EmulatedVm, zone: str) -> float:
+        """Return the one-way delay between a VM and a data centre."""
+        own_region = region_of(vm.gateway.fleet.own.zone)
+        return ZONE_DELAY_MS if own_region == region_of(zone) else REGION_DELAY_MS
+
+    def arrive(self, job: Job) -> None:
+        """Let a request reach its replica."""
+        replica = job.replica
+        if job.is_cancelled or replica.spec.is_dark:
+            return
+        replica.arrivals.append((self.now_ms, job.action.request.request_id))
+        is_full = len(replica.running) >= replica.spec.slots
+        if self.rng.random() < replica.spec.reject_share or (
+            is_full and len(replica.queue) >= replica.spec.queue_limit
+        ):
+            self.reply(job, Reply(503, [], b'', is_rejected=True))
+            return
+        if is_full:
+            replica.queue.append(job)
+            return
+        self.start_job(job)
+
+    def start_job(self, job: Job) -> None:
+        """Let a replica work on a request."""
+        replica = job.replica
+        replica.running.append(job)
+        path = job.action.request.path
+        usual_ms = self.work_ms[path.strip('/').partition('/')[0]]
+        work_ms = usual_ms * self.rng.lognormvariate(0.0, 0.35) * replica.spec.slow_factor
+        work_ms += replica.pause_left_ms(self.now_ms)
+        self.later(work_ms, lambda: self.finish_job(job))
+
+    def finish_job(self, job: Job) -> None:
+        """End the work on a request and take the next from the queue."""
+        replica = job.replica
+        left_ms = replica.pause_left_ms(self.now_ms)
+        if left_ms > 0.0:
+            self.later(left_ms, lambda: self.finish_job(job))
+            return
+        replica.running.remove(job)
+        while replica.queue and len(replica.running) < replica.spec.slots:
+            waiting = replica.queue.pop(0)
+            if not waiting.is_cancelled:
+                self.start_job(waiting)
+        if job.is_cancelled or replica.spec.is_dark:
+            return
+        records = [
+            struct.pack('>QQ', self.rng.getrandbits(63), 0) for _ in range(RECORDS_PER_PART)
+        ]
+        signature = f'{replica.entry.replica_id}.{job.action.request.request_id}'
+        self.reply(
+            job, Reply(200, [], b''.join(records), signature, job.action.request.request_id)
+        )
+
+    def reply(self, job: Job, reply: Reply) -> None:
+        """Send a reply back to the VM."""
+        reply.request_id = job.action.request.request_id
+        delay_ms = self.delay_ms(job.vm, job.replica.entry.zone)
+        self.later(delay_ms, lambda: self.deliver(job, reply))
+
+    def deliver(self, job: Job, reply: Reply) -> None:
+        """Hand a reply to the VM if it still waits on that connection."""
+        if not job.is_cancelled:
+            self.tell(job.vm, ExchangeEnded(job.action.exchange_id, reply))
+
+    def connection_count(self, replica_id: str) -> int:
+        """Return how many connections a replica has."""
+        return len(self.replicas[replica_id].open_connections)
+
+
+def region_of(zone: str) -> str:
+    """Return the region of a data centre."""
+    return zone.partition('-')[0]
+
+
+@singledispatch
+def perform(action: object, vm: EmulatedVm, emulator: Emulator) -> None:
+    """Carry out one kind of action."""
+    raise TypeError(f'no stand-in for {type(action).__name__}')
+
+
+@perform.register
+def perform_send(action: SendRequest, vm: EmulatedVm, emulator: Emulator) -> None:
+    """Send a request to a stand-in replica."""
+    replica = emulator.replicas[action.host]
+    job = Job(action, vm, replica)
+    vm.jobs[action.connection_id] = job
+    delay_ms = emulator.delay_ms(vm, replica.entry.zone)
+    if action.is_new:
+        delay_ms = 3 * delay_ms + HANDSHAKE_MS
+        replica.open_connections.add((vm.gateway.fleet.own.name, action.connection_id))
+    emulator.later(delay_ms, lambda: emulator.arrive(job))
+
+
+@perform.register
+def perform_drop(action: DropConnection, vm: EmulatedVm, emulator: Emulator) -> None:
+    """Close a connection: the replica stops working on its request."""
+    job = vm.jobs.pop(action.connection_id, None)
+    if job is None:
+        return
+    job.is_cancelled = True
+    name = vm.gateway.fleet.own.name
+    job.replica.open_connections.discard((name, action.connection_id))
+
+
+@perform.register
+def perform_answer(action: AnswerRequest, vm: EmulatedVm, emulator: Emulator) -> None:
+    """Keep a caller's answer."""
+    vm.answers[action.key] = (emulator.now_ms, action.answer)
+
+
+@perform.register
+def perform_line(action: WriteLine, vm: EmulatedVm, emulator: Emulator) -> None:
+    """Keep a log line."""
+    vm.lines.append(action)
+
+
+@perform.register
+def perform_heartbeat(action: SendHeartbeat, vm: EmulatedVm, emulator: Emulator) -> None:
+    """Deliver a heartbeat to the VMs that are up."""
+    for host in action.hosts:
+        for other in emulator.vms:
+            if other.gateway.fleet.own.host == host and other is not vm:
+                views = [copy_member(member) for member in action.members]
+                event = HeartbeatArrived(views, action.table_version, action.revision)
+                emulator.later(REGION_DELAY_MS, lambda o=other, e=event: emulator.tell(o, e))
+
+
+@perform.register
+def perform_pull(action: PullChanges, vm: EmulatedVm, emulator: Emulator) -> None:
+    """Answer with what another VM knows."""
+    for other in emulator.vms:
+        if other.is_up and other.gateway.fleet.own.host == action.host:
+            view = other.gateway.view
+            changes = view.changes_after(action.revision)
+            event = ChangesRead(changes, view.revision, is_from_store=False)
+            emulator.later(2 * REGION_DELAY_MS, lambda e=event: emulator.tell(vm, e))
+
+
+@perform.register(CloseIdleCallers)
+@perform.register(EndProcess)
+@perform.register(FollowStore)
+def ignore(action: object, vm: EmulatedVm, emulator: Emulator) -> None:
+    """Do nothing: no process and no listener stands behind a VM here."""
+
+
+def copy_member(member: Member) -> Member:
+    """Return a copy, as a message carries one."""
+    view = Member(member.name, member.host, member.zone, member.incarnation, member.heartbeat)
+    view.is_serving = member.is_serving
+    return view
+
+
+def lost(fault: LinkFault = LinkFault.LOST) -> LinkFailure:
+    """Return the failure of an exchange whose answer was lost."""
+    return LinkFailure(fault, was_sent=True)
+
+
+__all__ = ['Emulator', 'MergedAnswer', 'PassedAnswer', 'ReplicaSpec', 'lost']
