Concentrate callers on a few large VMs of each region of a large fleet

They alone share the fixed part of the budgets and the connections; a busy VM tells its whole region that it lives.

--- a/beechbridge/gateway/budgets.py
+++ b/beechbridge/gateway/budgets.py
@@ -25,19 +25,33 @@
         self.window_ms = window_ms
 
 
+class BudgetShare:
+    """
+    A VM's share of the fixed part.
+
+    :param count: VMs that share it
+    :param since_ms: since when this VM is one of them, None if it is not
+    """
+
+    __slots__ = ('count', 'since_ms')
+
+    def __init__(self, count: int, since_ms: float | None):
+        self.count = count
+        self.since_ms = since_ms
+
+
 class RepeatBudget:
     """
     Counts one service's requests and repeats of this VM over a sliding window.
 
-    The fixed part is earned over the first window of the process, since an earlier incarnation
-    may have spent it.
+    The fixed part is earned over the first window in which the VM shares it, since another VM or
+    an earlier incarnation may have spent it.
     """
 
-    __slots__ = ('buckets', 'repeat_sum', 'request_sum', 'rules', 'started_ms')
+    __slots__ = ('buckets', 'repeat_sum', 'request_sum', 'rules')
 
-    def __init__(self, rules: BudgetRules, started_ms: float):
+    def __init__(self, rules: BudgetRules):
         self.rules = rules
-        self.started_ms = started_ms
         self.buckets: list[list[float]] = []
         self.request_sum = 0
         self.repeat_sum = 0
@@ -59,22 +73,24 @@
         self.roll(now_ms)[1] += 1
         self.request_sum += 1
 
-    def allowed(self, fleet_size: int, now_ms: float) -> float:
+    def allowed(self, share: BudgetShare, now_ms: float) -> float:
         """Return how many repeats the window may hold."""
-        uptime_share = min(1.0, (now_ms - self.started_ms) / self.rules.window_ms)
-        fixed = self.rules.fixed_count * uptime_share / max(1, fleet_size)
+        fixed = 0.0
+        if share.since_ms is not None:
+            earned_share = min(1.0, (now_ms - share.since_ms) / self.rules.window_ms)
+            fixed = self.rules.fixed_count * earned_share / max(1, share.count)
         return FLEET_MARGIN * (self.rules.ratio * self.request_sum + fixed)
 
-    def left_share(self, fleet_size: int, now_ms: float) -> float:
-        """Return the unspent share of the budget, 0 to 1."""
+    def left_share(self, share: BudgetShare, now_ms: float) -> float:
+        """Return the unspent part of the budget, 0 to 1."""
         self.roll(now_ms)
-        allowed = self.allowed(fleet_size, now_ms)
+        allowed = self.allowed(share, now_ms)
         return max(0.0, 1.0 - self.repeat_sum / allowed) if allowed > 0 else 0.0
 
-    def take(self, fleet_size: int, now_ms: float) -> bool:
+    def take(self, share: BudgetShare, now_ms: float) -> bool:
         """Spend one repeat if the window allows it."""
         bucket = self.roll(now_ms)
-        if self.repeat_sum + 1 > self.allowed(fleet_size, now_ms):
+        if self.repeat_sum + 1 > self.allowed(share, now_ms):
             return False
         bucket[2] += 1
         self.repeat_sum += 1
--- a/beechbridge/gateway/fleet.py
+++ b/beechbridge/gateway/fleet.py
@@ -48,10 +48,19 @@
         """Tell whether a VM is in this one's data centre."""
         return member.zone == self.own.zone
 
+    def is_in_region(self, member: Member) -> bool:
+        """Tell whether a VM is in this one's region."""
+        return self.regions.get(member.zone) == self.regions.get(self.own.zone)
+
+    def is_direct(self, member: Member) -> bool:
+        """Tell whether this VM hears another one itself: busy ones tell their whole region."""
+        if self.is_mesh or self.is_near(member):
+            return True
+        return member.rate_per_s > 0 and self.is_in_region(member)
+
     def is_alive(self, member: Member, now_ms: float) -> bool:
         """Tell whether a VM was heard of lately."""
-        is_direct = self.is_mesh or self.is_near(member)
-        limit_ms = ALIVE_MS if is_direct else RELAYED_ALIVE_MS
+        limit_ms = ALIVE_MS if self.is_direct(member) else RELAYED_ALIVE_MS
         return now_ms - member.heard_ms <= limit_ms
 
     def alive(self, now_ms: float) -> list[Member]:
--- a/beechbridge/gateway/gossip.py
+++ b/beechbridge/gateway/gossip.py
@@ -193,6 +193,7 @@
     own.heartbeat += 1
     own.heard_ms = gateway.now_ms
     own.is_serving = gateway.is_ready()
+    own.rate_per_s = gateway.activity.measure(gateway.now_ms)
     own.reaches_store = gateway.gossip.is_following and gateway.store.is_reached
     return [own]
 
@@ -216,13 +217,15 @@
     near_hosts = []
     far: list[Member] = []
     for member in members:
-        if fleet.is_mesh or fleet.is_near(member):
+        is_told = fleet.own.rate_per_s > 0 and fleet.is_in_region(member)
+        if fleet.is_mesh or fleet.is_near(member) or is_told:
             near_hosts.append(member.host)
         else:
             far.append(member)
-    if beat % FULL_EVERY == 0:
-        views = [*views, *fleet.alive(now_ms)][:LARGEST_MESSAGE]
     send(gateway, near_hosts, views)
+    if beat % FULL_EVERY == 0:
+        hosts = [member.host for member in members if fleet.is_mesh or fleet.is_near(member)]
+        send(gateway, hosts, [*views, *fleet.alive(now_ms)][:LARGEST_MESSAGE])
     if far and beat % RELAY_EVERY == 0 and fleet.rank(DELEGATE_ROLE, now_ms) < DELEGATES:
         relay(gateway, far)
     ask_seeds(gateway, beat)
--- a/beechbridge/gateway/models.py
+++ b/beechbridge/gateway/models.py
@@ -319,6 +319,7 @@
     :param is_serving: whether callers may be sent to it
     :param capacity_millicores: processor time that it has, in thousandths of a core
     :param reaches_store: whether the store answers it
+    :param rate_per_s: requests that it sends to replicas each second
     :param heard_ms: when its heartbeat last moved on
     """
 
@@ -330,6 +331,7 @@
         'incarnation',
         'is_serving',
         'name',
+        'rate_per_s',
         'reaches_store',
         'zone',
     )
@@ -351,6 +353,7 @@
         self.capacity_millicores = capacity_millicores
         self.is_serving = False
         self.reaches_store = False
+        self.rate_per_s = 0.0
         self.heard_ms = 0.0
 
 
--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -10,7 +10,7 @@
 from ..failures import Failure
 from .actions import GatewayAction, WriteLine
 from .admission import handle_caller_asked
-from .budgets import BudgetRules, RepeatBudget
+from .budgets import BudgetRules, BudgetShare, RepeatBudget
 from .events import (
     CallerAsked,
     CallerLeft,
@@ -35,7 +35,7 @@
 )
 from .latencies import Histogram, Patience
 from .models import Member, ReplicaEntry, RoutingTable
-from .placement import Placement
+from .placement import Activity, Placement
 from .progress import (
     fire_check,
     fire_deadline,
@@ -80,6 +80,7 @@
 
     __slots__ = (
         'actions',
+        'activity',
         'budget_rules',
         'budgets',
         'counters',
@@ -129,6 +130,7 @@
         self.latencies = Histogram()
         self.patience = Patience()
         self.placement = Placement(regions)
+        self.activity = Activity()
         self.table: RoutingTable | None = None
         self.view = StoreView()
         self.store = StoreContact()
@@ -171,19 +173,37 @@
         """Tell whether callers should be sent here."""
         return self.table is not None and not self.stopping.is_leaving
 
+    @property
+    def sharing_count(self) -> int:
+        """Return how many VMs share budgets and connections: those callers are sent to."""
+        self.activity.choose(self.fleet, self.now_ms)
+        if self.fleet.is_mesh:
+            return self.fleet.size
+        return max(1, len(self.activity.active_names))
+
     def budget(self, service: str) -> RepeatBudget:
         """Return a service's budget of repeats."""
         budget = self.budgets.get(service)
         if budget is None:
-            budget = self.budgets[service] = RepeatBudget(self.budget_rules, self.started_ms)
+            budget = self.budgets[service] = RepeatBudget(self.budget_rules)
         return budget
 
+    def budget_share(self) -> BudgetShare:
+        """Return this VM's share of the fixed part of a budget."""
+        if self.fleet.is_mesh:
+            return BudgetShare(self.fleet.size, self.started_ms)
+        count = self.sharing_count
+        return BudgetShare(count, self.activity.active_since_ms)
+
     def connection_share(self, service: str) -> int:
         """Return how many connections this VM may hold to one replica of a service."""
         rules = self.table.services.get(service) if self.table else None
         if rules is None:
             return 1
-        return max(1, rules.connection_limit // (self.fleet.size + CONNECTION_MARGIN))
+        count = self.sharing_count
+        if not self.fleet.is_mesh and self.activity.active_since_ms is None:
+            return 1
+        return max(1, rules.connection_limit // (count + CONNECTION_MARGIN))
 
     def distance_to(self, zone: str) -> int:
         """Return 0 for the own data centre, 1 for the own region, 2 for elsewhere."""
@@ -196,7 +216,10 @@
     def best_members(self, zone: str, region: str, now_ms: float) -> list[Member]:
         """Return the VMs that a caller at a place should use."""
         self.placement.refresh(self.table, self.upstreams, now_ms)
-        chosen = self.placement.choose(self.fleet.serving(now_ms), zone, region)
+        self.activity.choose(self.fleet, now_ms)
+        serving = self.fleet.serving(now_ms)
+        active = [member for member in serving if member.name in self.activity.active_names]
+        chosen = self.placement.choose(active or serving, zone, region)
         if len(chosen) <= MOST_ADDRESSES:
             return chosen
         by_name = {member.name: member for member in chosen}
--- a/beechbridge/gateway/placement.py
+++ b/beechbridge/gateway/placement.py
@@ -1,6 +1,7 @@
 """Which VMs callers at a place should use: near to them and to what they fan out to."""
 
 from ..record import Record
+from .fleet import Fleet
 from .models import Member, RoutingTable
 from .upstreams import Upstreams
 
@@ -14,6 +15,20 @@
 
 TIE = 1e-6
 
+LEAST_ACTIVE = 3
+"""VMs of a region that callers are sent to at least: two may be lost at once."""
+
+RATE_PER_MILLICORE = 0.8
+"""Requests to replicas each second for which a thousandth of a core is planned: about 0.3 ms of
+processor time each, at a quarter of the VM's time."""
+
+CHOICE_MS = 400.0
+RATE_SPAN_MS = 2_000.0
+"""Span over which the rate of requests to replicas is averaged."""
+
+LEAST_SPAN_MS = 200.0
+LEAST_RATE_PER_S = 0.5
+
 
 class Placement(Record):
     """
@@ -81,3 +96,77 @@
             if cost <= best_cost + TIE:
                 best.append(member)
         return best
+
+
+class Activity:
+    """
+    How many requests this VM sends to replicas, and which VMs callers are concentrated on.
+
+    A request that fans out to a hundred replicas wants connections that are open and statistics
+    that are fresh, which a VM that serves one request in seconds does not have.
+
+    :param sent_count: requests sent since the last measurement
+    :param active_names: VMs that callers of any place are sent to
+    :param active_since_ms: since when this VM is one of them, None while it is not
+    """
+
+    __slots__ = (
+        'active_names',
+        'active_since_ms',
+        'chosen_ms',
+        'measured_ms',
+        'rate_per_s',
+        'sent_count',
+    )
+
+    def __init__(self):
+        self.sent_count = 0
+        self.measured_ms = 0.0
+        self.rate_per_s = 0.0
+        self.chosen_ms = -CHOICE_MS
+        self.active_names: set[str] = set()
+        self.active_since_ms: float | None = None
+
+    def measure(self, now_ms: float) -> float:
+        """Return the rate of requests to replicas, 0 once there are hardly any."""
+        elapsed_ms = now_ms - self.measured_ms
+        if elapsed_ms < LEAST_SPAN_MS:
+            return self.rate_per_s
+        weight = min(1.0, elapsed_ms / RATE_SPAN_MS)
+        self.rate_per_s += weight * (self.sent_count * 1000.0 / elapsed_ms - self.rate_per_s)
+        if self.rate_per_s < LEAST_RATE_PER_S:
+            self.rate_per_s = 0.0
+        self.sent_count = 0
+        self.measured_ms = now_ms
+        return self.rate_per_s
+
+    def choose(self, fleet: Fleet, now_ms: float) -> None:
+        """Choose the VMs that callers are sent to, enough of them for the load of each region."""
+        if now_ms - self.chosen_ms < CHOICE_MS:
+            return
+        self.chosen_ms = now_ms
+        by_region: dict[str | None, list[Member]] = {}
+        for member in fleet.serving(now_ms):
+            by_region.setdefault(fleet.regions.get(member.zone), []).append(member)
+        self.active_names = set()
+        for members in by_region.values():
+            chosen = members if fleet.is_mesh else pick_largest(members)
+            self.active_names.update(member.name for member in chosen)
+        if fleet.own.name not in self.active_names:
+            self.active_since_ms = None
+        elif self.active_since_ms is None:
+            self.active_since_ms = now_ms
+
+
+def pick_largest(members: list[Member]) -> list[Member]:
+    """Return the VMs with the most processor time that together carry a region's load."""
+    ordered = sorted(members, key=lambda one: (-one.capacity_millicores, one.name))
+    rate_per_s = sum(member.rate_per_s for member in members)
+    carried_per_s = 0.0
+    chosen = []
+    for member in ordered:
+        if len(chosen) >= LEAST_ACTIVE and carried_per_s >= rate_per_s:
+            break
+        chosen.append(member)
+        carried_per_s += member.capacity_millicores * RATE_PER_MILLICORE
+    return chosen
--- a/beechbridge/gateway/progress.py
+++ b/beechbridge/gateway/progress.py
@@ -300,7 +300,7 @@
     factor = HEDGE_FACTOR if work.route.is_gather else SINGLE_HEDGE_FACTOR
     delay_ms = factor * usual_ms + HEDGE_BASE_MS
     left_share = gateway.budget(exchange.task.service).left_share(
-        gateway.fleet.size, gateway.now_ms
+        gateway.budget_share(), gateway.now_ms
     )
     if left_share < 0.5:
         delay_ms *= 1.0 + HEDGE_SCARCITY * (0.5 - left_share)
--- a/beechbridge/gateway/sending.py
+++ b/beechbridge/gateway/sending.py
@@ -30,7 +30,7 @@
     )
     if state is not None:
         if task.arrival_count and not gateway.budget(task.service).take(
-            gateway.fleet.size, now_ms
+            gateway.budget_share(), now_ms
         ):
             gateway.counters.add('repeats_denied')
             return False
@@ -120,6 +120,7 @@
         gateway.counters.add('repeats', 'hedge' if is_extra else 'retry')
     task.arrival_count += 1
     task.run_count += 1
+    gateway.activity.sent_count += 1
     gateway.counters.add('sub_requests', DISTANCE_NAMES[state.distance])
     entry = state.entry
     gateway.act(
--- a/beechbridge/wire/fleet.py
+++ b/beechbridge/wire/fleet.py
@@ -57,6 +57,7 @@
                 member.is_serving,
                 member.capacity_millicores,
                 member.reaches_store,
+                round(member.rate_per_s),
             )
         )
     frame = ttypes.Heartbeat(members, action.table_version, action.revision, action.wants_members)
@@ -74,6 +75,7 @@
         member.is_serving = view.serving
         member.capacity_millicores = view.capacity_millicores
         member.reaches_store = view.reaches_store
+        member.rate_per_s = float(view.requests_per_s)
         members.append(member)
     return HeartbeatArrived(members, frame.table_version, frame.revision, frame.wants_members)
 
--- a/beechbridge/wire/peer.thrift
+++ b/beechbridge/wire/peer.thrift
@@ -108,6 +108,7 @@
   6: required bool serving
   7: required i32 capacity_millicores
   8: required bool reaches_store
+  9: required i32 requests_per_s
 }
 
 // The sender is the first member; `wants_members` asks for all that the receiver knows.
--- a/beechbridge/wire/peer/ttypes.py
+++ b/beechbridge/wire/peer/ttypes.py
@@ -1578,6 +1578,7 @@
      - serving
      - capacity_millicores
      - reaches_store
+     - requests_per_s
 
     """
 
@@ -1590,10 +1591,11 @@
         'serving',
         'capacity_millicores',
         'reaches_store',
+        'requests_per_s',
     )
 
 
-    def __init__(self, name=None, host=None, zone=None, incarnation=None, heartbeat=None, serving=None, capacity_millicores=None, reaches_store=None,):
+    def __init__(self, name=None, host=None, zone=None, incarnation=None, heartbeat=None, serving=None, capacity_millicores=None, reaches_store=None, requests_per_s=None,):
         self.name = name
         self.host = host
         self.zone = zone
@@ -1602,6 +1604,7 @@
         self.serving = serving
         self.capacity_millicores = capacity_millicores
         self.reaches_store = reaches_store
+        self.requests_per_s = requests_per_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1652,6 +1655,11 @@
                     self.reaches_store = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.requests_per_s = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1694,6 +1702,10 @@
             oprot.writeFieldBegin('reaches_store', TType.BOOL, 8)
             oprot.writeBool(self.reaches_store)
             oprot.writeFieldEnd()
+        if self.requests_per_s is not None:
+            oprot.writeFieldBegin('requests_per_s', TType.I32, 9)
+            oprot.writeI32(self.requests_per_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1714,6 +1726,8 @@
             raise TProtocolException(message='Required field capacity_millicores is unset!')
         if self.reaches_store is None:
             raise TProtocolException(message='Required field reaches_store is unset!')
+        if self.requests_per_s is None:
+            raise TProtocolException(message='Required field requests_per_s is unset!')
         return
 
     def __repr__(self):
@@ -2162,6 +2176,7 @@
     (6, TType.BOOL, 'serving', None, None, ),  # 6
     (7, TType.I32, 'capacity_millicores', None, None, ),  # 7
     (8, TType.BOOL, 'reaches_store', None, None, ),  # 8
+    (9, TType.I32, 'requests_per_s', None, None, ),  # 9
 )
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
