Test the gateway on virtual time, its adapter, and its links to replicas

Cause: the new core stood without tests. They found a division by zero where a reply took no time, mended here.

--- a/beechbridge/gateway/upstreams.py
+++ b/beechbridge/gateway/upstreams.py
@@ -18,6 +18,9 @@
 """Time in which what a replica's slowness says of it loses half of its weight."""
 
 LARGEST_RATIO = 30.0
+LEAST_LATENCY_MS = 0.1
+"""Resolution below which latencies are not told apart."""
+
 QUEUE_FACTOR = 0.5
 """Part of an exchange's time that each exchange under way adds: replicas work on two at once."""
 
@@ -164,7 +167,8 @@
     def note_latency(self, latency_ms: float, usual_ms: float, now_ms: float) -> None:
         """Learn from an exchange that was answered."""
         self.fade(now_ms)
-        sample = min(LARGEST_RATIO, max(1 / LARGEST_RATIO, latency_ms / usual_ms))
+        sample = max(latency_ms, LEAST_LATENCY_MS) / max(usual_ms, LEAST_LATENCY_MS)
+        sample = min(LARGEST_RATIO, max(1 / LARGEST_RATIO, sample))
         self.ratio = math.exp(
             (1 - RATIO_WEIGHT) * math.log(self.ratio) + RATIO_WEIGHT * math.log(sample)
         )
--- a/measure/emulator.py
+++ b/measure/emulator.py
@@ -51,6 +51,7 @@
 ZONE_DELAY_MS = 0.1
 REGION_DELAY_MS = 8.0
 HANDSHAKE_MS = 6.0
+STORE_MS = 8.0
 RECORDS_PER_PART = 12
 TABLE_KEY = 'table'
 ENTRY_PREFIX = 'replica/'
@@ -134,7 +135,7 @@
 class EmulatedVm:
     """One gateway, its answers and its log lines."""
 
-    __slots__ = ('answers', 'gateway', 'is_up', 'jobs', 'lines', 'timer_ms')
+    __slots__ = ('answers', 'gateway', 'is_following', 'is_up', 'jobs', 'lines', 'timer_ms')
 
     def __init__(self, gateway: Gateway):
         self.gateway = gateway
@@ -143,6 +144,7 @@
         self.lines: list[WriteLine] = []
         self.timer_ms = float('inf')
         self.is_up = True
+        self.is_following = False
 
 
 class Emulator:
@@ -157,6 +159,7 @@
     __slots__ = (
         'entries',
         'events',
+        'items',
         'next_key',
         'now_ms',
         'replicas',
@@ -182,6 +185,7 @@
         self.sequence = 0
         self.next_key = 0
         self.revision = 0
+        self.items: dict[str, Item] = {}
         self.table: RoutingTable | None = None
         self.replicas: dict[str, StandIn] = {}
         self.entries: dict[str, ReplicaEntry] = {}
@@ -247,11 +251,18 @@
         return self.revision
 
     def publish(self, changes: list[Item]) -> None:
-        """Let every VM that is up read changes at once."""
+        """Let every VM that follows the store read changes at once."""
+        for item in changes:
+            self.items[item.key] = item
         for vm in self.vms:
-            if vm.is_up:
+            if vm.is_following:
                 self.tell(vm, ChangesRead(changes, self.revision))
 
+    def list_items(self, vm: EmulatedVm) -> None:
+        """Let a VM list the store."""
+        if vm.is_following:
+            self.tell(vm, ChangesRead(list(self.items.values()), self.revision))
+
     def ask(self, vm_number: int, path: str, patience_ms: float, method: str = 'GET') -> int:
         """Let a caller ask a VM now; return the key of its answer."""
         self.next_key += 1
@@ -437,9 +448,16 @@
             emulator.later(2 * REGION_DELAY_MS, lambda e=event: emulator.tell(vm, e))
 
 
+@perform.register
+def perform_follow(action: FollowStore, vm: EmulatedVm, emulator: Emulator) -> None:
+    """Let a VM follow the store, after a listing."""
+    vm.is_following = action.is_wanted
+    if action.is_wanted:
+        emulator.later(STORE_MS, lambda: emulator.list_items(vm))
+
+
 @perform.register(CloseIdleCallers)
 @perform.register(EndProcess)
-@perform.register(FollowStore)
 def ignore(action: object, vm: EmulatedVm, emulator: Emulator) -> None:
     """Do nothing: no process and no listener stands behind a VM here."""
 
--- /dev/null
+++ b/tests/gateways.py
@@ -0,0 +1,108 @@
+"""Deployments for the tests of the gateway, on the emulator's virtual time."""
+
+from beechbridge.gateway.budgets import BudgetRules
+from beechbridge.gateway.models import Route
+from measure.emulator import HOST, Emulator, ReplicaSpec
+
+ZONES = ('brum-a', 'brum-b', 'notts-a', 'notts-b', 'wolves-a', 'wolves-b')
+REGIONS = ('brum-a', 'notts-a', 'wolves-a')
+GOAL_MS = 138.0
+TIMEOUT_MS = 1200.0
+WORK_MS = {'sweep': 16.0, 'lookup': 90.0, 'file': 90.0, 'split': 10.0}
+START_MS = 4_000.0
+
+
+def sweep_route(shard_count, least_share=0.89, attempts=2):
+    services = tuple(f'shard-{number}' for number in range(shard_count))
+    return Route(
+        'sweep',
+        HOST,
+        '/sweep/',
+        services,
+        is_gather=True,
+        attempts=attempts,
+        timeout_ms=TIMEOUT_MS,
+        goal_ms=GOAL_MS,
+        priority=1,
+        top_records=10,
+        least_share=least_share,
+    )
+
+
+def single_route(name, is_idempotent=True, attempts=2):
+    return Route(
+        name,
+        HOST,
+        f'/{name}/',
+        ('register',),
+        is_idempotent=is_idempotent,
+        attempts=attempts,
+        timeout_ms=4000.0,
+        goal_ms=400.0,
+        priority=2,
+    )
+
+
+def start_sweeps(
+    shard_count=20, zones=ZONES[:3], spec=None, budget=None, seed=1, least_share=0.89, copies=2
+):
+    """Return an emulator with a gather over shards of some replicas, ready for callers."""
+    emulator = Emulator(zones, WORK_MS, budget or BudgetRules(0.2, 56.0), seed)
+    for shard in range(shard_count):
+        for copy in range(copies):
+            zone = REGIONS[(shard + copy) % len(REGIONS)]
+            emulator.put_replica(
+                f'r-{shard}-{copy}', f'shard-{shard}', zone, spec() if spec else ReplicaSpec()
+            )
+    emulator.put_table([sweep_route(shard_count, least_share)])
+    emulator.run(START_MS)
+    return emulator
+
+
+def start_register(route, replica_count=2, specs=None, seed=1):
+    """Return an emulator with one service of some replicas in the VM's own data centre."""
+    emulator = Emulator(ZONES[:1], WORK_MS, BudgetRules(0.2, 56.0), seed)
+    for number in range(replica_count):
+        spec = specs[number] if specs else ReplicaSpec()
+        emulator.put_replica(f'r-{number}', 'register', ZONES[0], spec)
+    emulator.put_table([route])
+    emulator.run(START_MS)
+    return emulator
+
+
+def drive(emulator, path, per_s, for_s, patience_ms=TIMEOUT_MS, after=None):
+    """Let callers ask all VMs at a rate; return (vm, key, asked_ms) of each request."""
+    asked = []
+    gap_ms = 1000.0 / per_s
+    for number in range(int(per_s * for_s)):
+        vm = number % len(emulator.vms)
+        asked.append((vm, emulator.ask(vm, path, patience_ms), emulator.now_ms))
+        emulator.run(gap_ms * emulator.rng.uniform(0.5, 1.5))
+        if after is not None:
+            after(number)
+    emulator.run(patience_ms + 500.0)
+    return asked
+
+
+def answer_of(emulator, vm, key):
+    """Return when a request was answered and with what."""
+    return emulator.vms[vm].answers[key]
+
+
+def in_time_count(emulator, asked, kind, goal_ms=GOAL_MS):
+    """Return how many requests got an answer of a kind within the goal."""
+    count = 0
+    for vm, key, asked_ms in asked:
+        answered_ms, answer = answer_of(emulator, vm, key)
+        if isinstance(answer, kind) and answered_ms - asked_ms <= goal_ms:
+            count += 1
+    return count
+
+
+def arrivals_of(emulator, service):
+    """Return the arrivals at all replicas of a service, in order of time."""
+    found = []
+    for replica in emulator.replicas.values():
+        if replica.entry.service == service:
+            found.extend(replica.arrivals)
+    return sorted(found)
--- /dev/null
+++ b/tests/test_replica_link.py
@@ -0,0 +1,217 @@
+"""Responses of replicas as bytes: whole, cut, late, surplus and spoiled ones, over loopback."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+import unittest
+
+from nose2.tools import params
+
+from beechbridge.daemon.exchanges import ExchangeClient
+from beechbridge.gateway.actions import DropConnection, SendRequest
+from beechbridge.gateway.events import ConnectionEnded, ExchangeEnded
+from beechbridge.gateway.models import CallerRequest, LinkFailure, LinkFault, Reply
+from beechbridge.platform.replicas import read_reply, write_request
+
+WAIT_S = 5.0
+CLOSE = 'close'
+RESET = 'reset'
+
+
+def response(request_id, body=b'0123456789abcdef', status='200 OK', extra=''):
+    head = (
+        f'HTTP/1.1 {status}\r\nBeechbridge-Server-Stamp: s\r\n'
+        f'Beechbridge-Request-Id: {request_id}\r\n{extra}Content-Length: {len(body)}\r\n\r\n'
+    )
+    return head.encode() + body
+
+
+UNFRAMED = b'HTTP/1.1 200 OK\r\nBeechbridge-Server-Stamp: s\r\nBeechbridge-Request-Id: q1\r\n\r\n'
+
+
+class ScriptedReplica:
+    """A stand-in that answers each request with the next step of a script."""
+
+    def __init__(self, *script):
+        self.script = list(script)
+        self.request_count = 0
+        self.server = None
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, '127.0.0.1', 0)
+        return self.server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, asyncio.CancelledError, OSError):
+            await self.play_script(reader, writer)
+
+    async def play_script(self, reader, writer):
+        while self.script:
+            await reader.readuntil(b'\r\n\r\n')
+            self.request_count += 1
+            for piece in self.script.pop(0):
+                if piece == CLOSE:
+                    writer.close()
+                    return
+                if piece == RESET:
+                    sock = writer.get_extra_info('socket')
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
+                    writer.transport.abort()
+                    return
+                writer.write(piece)
+                await writer.drain()
+                await asyncio.sleep(0.01)
+
+
+class Wire:
+    """A client and the events that it posts."""
+
+    def __init__(self, port):
+        self.events = asyncio.Queue()
+        loop = asyncio.get_running_loop()
+        self.client = ExchangeClient(loop, self.events.put_nowait, write_request, read_reply)
+        self.port = port
+
+    def send(self, number, is_new=True):
+        request = CallerRequest(f'q{number}', 'GET', '/x', 'h', '/x', [('Host', 'h')])
+        self.client.send(
+            SendRequest(number, 1, is_new, '127.0.0.1', self.port, 'i-1', request, 500.0)
+        )
+
+    async def next(self):
+        return await asyncio.wait_for(self.events.get(), WAIT_S)
+
+
+def play(script, steps):
+    """Run an asynchronous test against a scripted replica."""
+
+    async def run():
+        replica = ScriptedReplica(*script)
+        wire = Wire(await replica.start())
+        try:
+            await steps(wire, replica)
+        finally:
+            wire.client.close()
+            replica.server.close()
+
+    asyncio.run(run())
+
+
+class ReplicaLinkTest(unittest.TestCase):
+    def check(self, script, expected):
+        async def steps(wire, replica):
+            wire.send(1)
+            event = await wire.next()
+            self.assertIsInstance(event, ExchangeEnded)
+            expected(event.result)
+
+        play(script, steps)
+
+    def test_whole_response(self):
+        def expected(reply):
+            self.assertEqual((reply.status, reply.signature), (200, 's'))
+            self.assertEqual((reply.request_id, len(reply.body)), ('q1', 16))
+            self.assertFalse(reply.is_closing)
+
+        self.check([[response('q1')]], expected)
+
+    def test_response_in_pieces(self):
+        whole = response('q1')
+        pieces = [whole[:20], whole[20:90], whole[90:]]
+        self.check([pieces], lambda reply: self.assertEqual(len(reply.body), 16))
+
+    def test_chunked_response(self):
+        head = UNFRAMED[:-2] + b'Transfer-Encoding: chunked\r\n\r\n'
+        pieces = [head, b'4\r\nabcd\r\n', b'0\r\n\r\n']
+        self.check([pieces], lambda reply: self.assertEqual(reply.body, b'abcd'))
+
+    @params(
+        ([response('q1')[:-3], CLOSE], LinkFault.LOST),
+        ([response('q1')[:-3], RESET], LinkFault.LOST),
+        ([response('q1')[:30], CLOSE], LinkFault.LOST),
+        ([CLOSE], LinkFault.LOST),
+        ([UNFRAMED[:-2] + b'Transfer-Encoding: chunked\r\n\r\n4\r\nab', CLOSE], LinkFault.LOST),
+        ([UNFRAMED, b'abc', RESET], LinkFault.LOST),
+        ([b'\x00\x01 no response'], LinkFault.MALFORMED),
+    )
+    def test_what_is_cut_or_spoiled_is_no_reply(self, pieces, fault):
+        def expected(result):
+            self.assertEqual(result, LinkFailure(fault, was_sent=True))
+
+        self.check([pieces], expected)
+
+    def test_response_without_a_length_ends_with_its_connection(self):
+        def expected(reply):
+            self.assertEqual(reply.body, b'abc')
+            self.assertTrue(reply.is_closing)
+
+        self.check([[UNFRAMED, b'abc', CLOSE]], expected)
+
+    @params(
+        ([response('q1') + b'surplus'],),
+        ([response('q1') + response('q1')],),
+        ([response('q1') + response('q1')[:10]],),
+    )
+    def test_surplus_bytes_end_the_connection(self, pieces):
+        def expected(reply):
+            self.assertEqual(len(reply.body), 16)
+            self.assertTrue(reply.is_closing)
+
+        self.check([pieces], expected)
+
+    @params(
+        ([response('q0', b'late') + response('q1')],),
+        ([response('q0', b'late'), response('q1')],),
+        ([(response('q0', b'late') + response('q1'))[:150], response('q0', b'late')[150:]],),
+        ([response('q0', b'late') + response('q1')[:40], response('q1')[40:]],),
+    )
+    def test_late_response_to_an_earlier_request_is_passed_over(self, pieces):
+        if len(pieces) == 2 and len(pieces[0]) == 150:
+            whole = response('q0', b'late') + response('q1')
+            pieces = [whole[:150], whole[150:]]
+        self.check([pieces], lambda reply: self.assertEqual(reply.request_id, 'q1'))
+
+    def test_interim_response_is_none(self):
+        pieces = [b'HTTP/1.1 103 Early Hints\r\n\r\n' + response('q1')]
+        self.check([pieces], lambda reply: self.assertEqual(reply.status, 200))
+
+    def test_connection_carries_the_next_request(self):
+        async def steps(wire, replica):
+            for number in (1, 2):
+                wire.send(number, is_new=number == 1)
+                event = await wire.next()
+                self.assertEqual(event.result.request_id, f'q{number}')
+            self.assertEqual(replica.request_count, 2)
+
+        play([[response('q1')], [response('q2')]], steps)
+
+    def test_bytes_on_an_idle_connection_end_it(self):
+        async def steps(wire, replica):
+            wire.send(1)
+            self.assertIsInstance((await wire.next()).result, Reply)
+            self.assertEqual(await wire.next(), ConnectionEnded(1))
+            wire.send(2, is_new=False)
+            self.assertFalse((await wire.next()).result.was_sent)
+
+        play([[response('q1'), response('q1')]], steps)
+
+    def test_refused_connection_was_not_sent(self):
+        async def steps(wire, replica):
+            replica.server.close()
+            await replica.server.wait_closed()
+            wire.send(1)
+            self.assertEqual(
+                (await wire.next()).result, LinkFailure(LinkFault.CONNECT_FAILED, was_sent=False)
+            )
+
+        play([], steps)
+
+    def test_dropped_exchange_ends_without_an_event(self):
+        async def steps(wire, replica):
+            wire.send(1)
+            wire.client.drop(DropConnection(1))
+            await asyncio.sleep(0.1)
+            self.assertTrue(wire.events.empty())
+
+        play([[response('q1')]], steps)
--- /dev/null
+++ b/tests/test_single.py
@@ -0,0 +1,166 @@
+"""Requests for one replica: at most once where that is asked, true refusals, own answers."""
+
+import unittest
+
+from nose2.tools import params
+
+from beechbridge.failures import Executed, Failure
+from beechbridge.gateway.actions import AnswerRequest, SendRequest
+from beechbridge.gateway.events import CallerAsked, CallerLeft, ExchangeEnded, TimePassed
+from beechbridge.gateway.models import (
+    CallerRequest,
+    LinkFailure,
+    LinkFault,
+    PassedAnswer,
+    Reply,
+    Route,
+)
+from measure.emulator import HOST, ReplicaSpec
+
+from .gateways import answer_of, arrivals_of, drive, single_route, start_register
+
+REQUEST_ID = 'filing-1'
+
+
+class Filing:
+    """One request whose exchanges the test ends itself."""
+
+    def __init__(self, is_idempotent=False, replica_count=2):
+        name = 'lookup' if is_idempotent else 'file'
+        emulator = start_register(single_route(name, is_idempotent), replica_count)
+        self.gateway = emulator.vms[0].gateway
+        self.now_ms = emulator.now_ms
+        self.sends = []
+        self.answers = []
+        path = f'/{name}/x'
+        request = CallerRequest(REQUEST_ID, 'POST', path, HOST, path, [], b'deed', 4000.0)
+        self.tell(CallerAsked(3, request))
+
+    def tell(self, event):
+        for action in self.gateway.handle(event, self.now_ms):
+            if isinstance(action, SendRequest):
+                self.sends.append(action)
+            if isinstance(action, AnswerRequest):
+                self.answers.append(action.answer)
+
+    def end(self, result):
+        self.tell(ExchangeEnded(self.sends[-1].exchange_id, result))
+
+    def wait(self, for_ms):
+        until_ms = self.now_ms + for_ms
+        while (self.gateway.timers.next_due_ms() or until_ms + 1) <= until_ms:
+            self.now_ms = max(self.now_ms, self.gateway.timers.next_due_ms())
+            self.tell(TimePassed())
+        self.now_ms = until_ms
+
+
+REJECTED = Reply(503, [], b'', request_id=REQUEST_ID, is_rejected=True)
+OTHER_INSTANCE = Reply(421, [], b'', is_rejected=True, is_other_instance=True)
+OWN_FAILURE = Reply(500, [], b'broken', 'signature', REQUEST_ID)
+DONE = Reply(200, [], b'done', 'signature', REQUEST_ID)
+UNSIGNED = Reply(200, [], b'done', '', REQUEST_ID)
+OF_ANOTHER = Reply(200, [], b'done', 'signature', 'filing-0')
+
+
+class AtMostOnceTest(unittest.TestCase):
+    @params(
+        (LinkFailure(LinkFault.LOST, True),),
+        (LinkFailure(LinkFault.MALFORMED, True),),
+        (LinkFailure(LinkFault.TIMED_OUT, True),),
+        (UNSIGNED,),
+        (OF_ANOTHER,),
+    )
+    def test_what_may_have_run_is_not_sent_again_nor_called_not_run(self, result):
+        filing = Filing()
+        filing.end(result)
+        filing.wait(4_500.0)
+        self.assertEqual(len(filing.sends), 1)
+        self.assertIsInstance(filing.answers[0], Failure)
+        self.assertIs(filing.answers[0].executed, Executed.UNKNOWN)
+
+    def test_own_failure_of_the_replica_is_passed_on(self):
+        filing = Filing()
+        filing.end(OWN_FAILURE)
+        self.assertEqual(len(filing.sends), 1)
+        self.assertEqual(filing.answers[0].reply.status, 500)
+
+    def test_silence_is_not_hedged(self):
+        filing = Filing()
+        filing.wait(3_000.0)
+        self.assertEqual(len(filing.sends), 1)
+
+    def test_silence_until_the_deadline_may_have_run(self):
+        filing = Filing()
+        filing.wait(4_500.0)
+        self.assertIs(filing.answers[0].executed, Executed.UNKNOWN)
+
+    @params(
+        (REJECTED,), (OTHER_INSTANCE,), (LinkFailure(LinkFault.CONNECT_FAILED, was_sent=False),)
+    )
+    def test_what_has_not_run_goes_to_the_other_replica(self, result):
+        filing = Filing()
+        filing.end(result)
+        self.assertEqual(len(filing.sends), 2)
+        self.assertNotEqual(filing.sends[0].instance_id, filing.sends[1].instance_id)
+        filing.end(DONE)
+        self.assertIsInstance(filing.answers[0], PassedAnswer)
+
+    def test_rejected_everywhere_is_refused_truly_in_time(self):
+        filing = Filing()
+        for _ in range(400):
+            if filing.answers:
+                break
+            filing.end(REJECTED)
+            filing.wait(20.0 if filing.gateway.upstreams.exchanges else 10.0)
+        self.assertIs(filing.answers[0].executed, Executed.NOT_RUN)
+        self.assertIsNotNone(filing.answers[0].retry_after_ms)
+        sent_count = len(filing.sends)
+        filing.wait(5_000.0)
+        self.assertEqual(len(filing.sends), sent_count)
+
+    def test_caller_that_left_does_not_break_a_filing_off(self):
+        filing = Filing()
+        filing.tell(CallerLeft(3))
+        self.assertTrue(filing.gateway.upstreams.exchanges)
+        self.assertFalse(filing.answers)
+
+    def test_idle_connection_of_long_ago_does_not_carry_a_filing(self):
+        emulator = start_register(single_route('file', is_idempotent=False), 1)
+        drive(emulator, '/file/x', 1, 1, 4000.0)
+        emulator.run(3_000.0)
+        opened = emulator.vms[0].gateway.counters.get('connections_opened')
+        drive(emulator, '/file/x', 1, 1, 4000.0)
+        self.assertEqual(emulator.vms[0].gateway.counters.get('connections_opened'), opened + 1)
+
+
+class IdempotentTest(unittest.TestCase):
+    def test_lost_lookup_is_repeated_elsewhere(self):
+        lookup = Filing(is_idempotent=True)
+        lookup.end(LinkFailure(LinkFault.LOST, True))
+        self.assertEqual(len(lookup.sends), 2)
+        lookup.end(DONE)
+        self.assertIsInstance(lookup.answers[0], PassedAnswer)
+
+    def test_silent_replica_is_hedged(self):
+        emulator = start_register(
+            single_route('lookup'), 2, [ReplicaSpec(is_dark=True), ReplicaSpec()]
+        )
+        asked = drive(emulator, '/lookup/x', 5, 4, 4000.0)
+        for vm, key, _ in asked:
+            self.assertIsInstance(answer_of(emulator, vm, key)[1], PassedAnswer)
+
+
+class SplitTest(unittest.TestCase):
+    @params(((0.8, 0.2),), ((0.5, 0.5),), ((0.7, 0.3),))
+    def test_each_part_gets_its_weight(self, weights):
+        emulator = start_register(single_route('lookup'))
+        names = [f'part-{number}' for number in range(len(weights))]
+        for name in names:
+            emulator.put_replica(f'{name}-r', name, 'brum-a', ReplicaSpec(slots=8))
+        route = Route('split', HOST, '/split/', tuple(names), weights, goal_ms=400.0)
+        emulator.put_table([route], version=2)
+        drive(emulator, '/split/x', 50, 10)
+        total = sum(len(arrivals_of(emulator, name)) for name in names)
+        for name, weight in zip(names, weights, strict=True):
+            share = len(arrivals_of(emulator, name)) / total
+            self.assertAlmostEqual(share, weight, delta=0.02)
