--- a/beechbridge/daemon/driver.py
+++ b/beechbridge/daemon/driver.py
@@ -1,7 +1,6 @@
 """Driver of the core: serialises events, performs actions, keeps time."""
 
 import threading
-import time
 from collections.abc import Callable
 
 import logbook
@@ -9,17 +8,13 @@
 from ..actions import Action
 from ..core.node import Core
 from ..events import Event, Tick
+from .clock import read_clock_ms
 
 LONGEST_SLEEP_S = 1.0
 
 logger = logbook.Logger('driver')
 
 
-def read_clock_ms() -> float:
-    """Return milliseconds on a clock that never falls and counts suspension."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
-
-
 class Driver:
     """
     Runs the core under a lock, in the thread that brings the event.
--- a/beechbridge/daemon/front.py
+++ b/beechbridge/daemon/front.py
@@ -1,31 +1,27 @@
-"""Server of callers, the directory, readiness, peers and operators, on `waitress`."""
+"""
+Server of callers, the directory, readiness, peers and operators, on `waitress`.
+
+A caller's request waits for its answer without a thread: the dispatcher hands it to the gateway
+first, and only gives the connection to a thread once the answer is there to be written.
+"""
 
 import itertools
-import threading
 from collections.abc import Callable
-from concurrent.futures import Future
-from concurrent.futures import TimeoutError as FutureTimeoutError
 
 import waitress
 from waitress.channel import HTTPChannel
 from waitress.server import BaseWSGIServer
-from waitress.task import WSGITask
+from waitress.task import ThreadedTaskDispatcher, WSGITask
 
-from ..failures import Failure, Reason, not_run, unknown
+from ..failures import Failure, Reason, unknown
 from ..gateway.events import CallerAsked, CallerLeft
 from ..gateway.models import Answer, CallerRequest
 from ..gateway.settings import Address
+from ..record import Record
 
-THREADS = 96
-"""Requests of callers served at once, those in wait for an answer included."""
-
-SPARE_THREADS = 8
-"""Threads kept free for refusals, readiness and the directory."""
-
-ANSWER_TIMEOUT_S = 60.0
-"""Longer than any time-out of a route: only a defect leaves a request without an answer."""
+THREADS = 4
+"""Threads that write answers and serve what is answered at once."""
 
-BUSY_RETRY_MS = 200
 CHANNEL_IDLE_S = 120
 """Longer than callers keep idle connections, so that they close them and not the server."""
 
@@ -68,23 +64,51 @@
         self.app.forget_channel(self)
 
 
+class AnswerFirstDispatcher(ThreadedTaskDispatcher):
+    """Gives a caller's connection to a thread only when there is an answer for it."""
+
+    def __init__(self, app: 'FrontApp'):
+        super().__init__()
+        self.app = app
+        app.dispatch = super().add_task
+
+    def add_task(self, task: CallerChannel) -> None:
+        """Start the service of a connection's first request."""
+        if not self.app.start(task):
+            super().add_task(task)
+
+
+class WaitingCaller(Record):
+    """A connection whose request waits for its answer."""
+
+    __slots__ = ('channel', 'request_id')
+
+    def __init__(self, channel: CallerChannel, request_id: str):
+        self.channel = channel
+        self.request_id = request_id
+
+
 class FrontApp:
     """
     WSGI application that hands each request to what serves its port.
 
-    :param handlers: WSGI application by port
+    :param post: hands events to the gateway
+    :param handlers: WSGI application by port, for what is answered at once
+    :param callers_port: port of the callers' requests
+    :param dispatch: gives a connection to a thread
     """
 
     __slots__ = (
-        'active_count',
-        'channels',
-        'futures',
+        'answers',
+        'callers_port',
+        'dispatch',
         'handlers',
         'is_leaving',
         'keys',
-        'lock',
+        'keys_by_channel',
         'post',
         'read_request',
+        'waiting',
         'write_answer',
     )
 
@@ -99,80 +123,69 @@
         self.is_leaving = is_leaving
         self.read_request = read_request
         self.write_answer = write_answer
-        self.handlers: dict[str, Callable] = {}
-        self.futures: dict[int, Future] = {}
-        self.channels: dict[object, int] = {}
+        self.handlers: dict[int, Callable] = {}
+        self.callers_port: int | None = None
+        self.dispatch: Callable[[CallerChannel], None] | None = None
         self.keys = itertools.count(1)
-        self.active_count = 0
-        self.lock = threading.Lock()
+        self.waiting: dict[int, WaitingCaller] = {}
+        self.keys_by_channel: dict[CallerChannel, int] = {}
+        self.answers: dict[CallerChannel, tuple[Answer, str]] = {}
 
     def __call__(self, environ: dict, start_response: Callable) -> list[bytes]:
-        """Serve one request."""
-        return self.handlers[environ['SERVER_PORT']](environ, start_response)
-
-    def serve_caller(self, environ: dict, start_response: Callable) -> list[bytes]:
-        """Serve a request of a caller."""
-        with self.lock:
-            self.active_count += 1
-            is_busy = self.active_count > THREADS - SPARE_THREADS
-        try:
-            request = self.read_request(environ)
-            if isinstance(request, Failure):
-                return self.reply(request, '', start_response)
-            if is_busy:
-                refusal = not_run(Reason.OVERLOADED, 'all threads are busy', BUSY_RETRY_MS)
-                return self.reply(refusal, request.request_id, start_response)
-            answer = self.ask(request, environ[CHANNEL_KEY])
-            return self.reply(answer, request.request_id, start_response)
-        finally:
-            with self.lock:
-                self.active_count -= 1
-
-    def ask(self, request: CallerRequest, channel: CallerChannel) -> Answer:
-        """Hand a request to the gateway and wait for its answer."""
+        """Write the answer that is there, or serve what needs no waiting."""
+        answer = self.answers.pop(environ[CHANNEL_KEY], None)
+        if answer is None:
+            return self.handlers[int(environ['SERVER_PORT'])](environ, start_response)
+        wire = self.write_answer(*answer)
+        wire.headers.append(('Content-Length', str(len(wire.body))))
+        start_response(wire.status, wire.headers)
+        return [wire.body]
+
+    def start(self, channel: CallerChannel) -> bool:
+        """Hand a caller's request to the gateway; return False for what a thread serves now."""
+        parsed = channel.requests[0]
+        if int(channel.server.effective_port) != self.callers_port or parsed.error:
+            return False
+        request = self.read_request(CallerTask(channel, parsed).get_environment())
+        if isinstance(request, Failure):
+            self.answers[channel] = (request, '')
+            return False
         key = next(self.keys)
-        future: Future = Future()
-        self.futures[key] = future
-        self.channels[channel] = key
+        self.waiting[key] = WaitingCaller(channel, request.request_id)
+        self.keys_by_channel[channel] = key
         self.post(CallerAsked(key, request))
         if not channel.connected:
             self.forget_channel(channel)
-        try:
-            return future.result(ANSWER_TIMEOUT_S)
-        except FutureTimeoutError:
-            return unknown(Reason.INTERNAL, 'no answer from the gateway')
-        finally:
-            self.futures.pop(key, None)
-            self.channels.pop(channel, None)
+        return True
 
     def deliver(self, key: int, answer: Answer) -> None:
         """Give a waiting request its answer."""
-        future = self.futures.pop(key, None)
-        if future is not None:
-            future.set_result(answer)
+        caller = self.waiting.pop(key, None)
+        if caller is None:
+            return
+        self.keys_by_channel.pop(caller.channel, None)
+        self.answers[caller.channel] = (answer, caller.request_id)
+        self.dispatch(caller.channel)
 
     def forget_channel(self, channel: CallerChannel) -> None:
         """End the request of a caller that closed its connection."""
-        key = self.channels.pop(channel, None)
+        self.answers.pop(channel, None)
+        key = self.keys_by_channel.pop(channel, None)
         if key is None:
             return
         self.post(CallerLeft(key))
+        # The server still has to end the service of a request that it has begun.
         self.deliver(key, unknown(Reason.CONNECTION_LOST, 'the caller left'))
 
-    def reply(self, answer: Answer, request_id: str, start_response: Callable) -> list[bytes]:
-        """Write an answer."""
-        wire = self.write_answer(answer, request_id)
-        wire.headers.append(('Content-Length', str(len(wire.body))))
-        start_response(wire.status, wire.headers)
-        return [wire.body]
-
 
 def create_front(app: FrontApp, addresses: list[Address]) -> BaseWSGIServer:
     """Listen on all addresses with one server loop and one pool of threads."""
+    dispatcher = AnswerFirstDispatcher(app)
+    dispatcher.set_thread_count(THREADS)
     server = waitress.create_server(
         app,
         listen=' '.join(f'{address.host}:{address.port}' for address in addresses),
-        threads=THREADS,
+        _dispatcher=dispatcher,
         asyncore_use_poll=True,
         backlog=BACKLOG,
         channel_request_lookahead=1,
--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -37,7 +37,7 @@
 from ..platform.store import StoreClient
 from ..status import ExitStatus
 from ..wire.fleet import decode_changes, decode_heartbeat, encode_changes, encode_heartbeat
-from .driver import read_clock_ms
+from .clock import read_clock_ms
 from .exchanges import ExchangeClient
 from .front import FrontApp, close_idle_channels, create_front, list_listeners
 from .log_lines import LineHandler, write_line
@@ -111,7 +111,7 @@
         """Listen on the addresses of the settings and of the metrics."""
         settings = self.settings
         handlers = (
-            (settings.callers, self.front.serve_caller),
+            (settings.callers, self.serve_unknown),
             (settings.readiness, self.serve_readiness),
             (settings.directory, self.serve_directory),
             (settings.peers, self.serve_peers),
@@ -121,7 +121,8 @@
         for address, handler in handlers:
             if address is not None:
                 addresses.append(address)
-                self.front.handlers[str(address.port)] = handler
+                self.front.handlers[address.port] = handler
+        self.front.callers_port = settings.callers.port if settings.callers else None
         return create_front(self.front, addresses)
 
     def run(self) -> ExitStatus:
--- a/beechbridge/gateway/admission.py
+++ b/beechbridge/gateway/admission.py
@@ -17,6 +17,10 @@
 
 NOT_READY_RETRY_MS = 300
 NO_REPLICA_RETRY_MS = 250
+BUSY_RETRY_MS = 200
+MOST_ACTIVE = 500
+"""Requests worked on at once: a gather over a hundred shards holds about 0.1 MB."""
+
 STALE_VIEW_MS = 3_000.0
 """Age of the latest word from the store or a VM from which an unknown route may merely be new."""
 
@@ -38,6 +42,14 @@
     return None
 
 
+def check_capacity(work_request: CallerAsked, gateway) -> Failure | None:
+    """Refuse what exceeds the requests that this VM has memory for."""
+    if len(gateway.works) < MOST_ACTIVE:
+        return None
+    detail = f'{len(gateway.works)} requests are active'
+    return not_run(Reason.OVERLOADED, detail, BUSY_RETRY_MS)
+
+
 def check_body(work_request: CallerAsked, gateway) -> Failure | None:
     """Refuse bodies over the limit."""
     limit_bytes = gateway.table.limits.body_bytes
@@ -46,7 +58,7 @@
     return None
 
 
-REQUEST_FILTERS = (check_readiness, check_patience, check_body)
+REQUEST_FILTERS = (check_readiness, check_patience, check_capacity, check_body)
 
 
 def find_route(event: CallerAsked, gateway) -> Route | Failure:
--- a/beechbridge/gateway/gossip.py
+++ b/beechbridge/gateway/gossip.py
@@ -14,7 +14,7 @@
 from .models import Member
 
 HEARTBEAT_MS = 400.0
-FIRST_HEARTBEAT_MS = 100.0
+FIRST_HEARTBEAT_MS = 50.0
 """The same until there is a routing table."""
 
 FULL_EVERY = 8
@@ -26,7 +26,7 @@
 DELEGATES = 2
 """VMs of a data centre that tell the others of it."""
 
-YOUNG_BEATS = (1, 3, 6, 10, 16, 24)
+YOUNG_BEATS = (1, 4, 8, 12, 18, 26)
 """Heartbeats with which a starting VM asks the seeds for all that they know."""
 
 SEED_EVERY = 10
@@ -39,7 +39,7 @@
 """How long another VM may know a newer revision before it is asked: the store usually tells."""
 
 PULL_EVERY_MS = 250.0
-FIRST_FOLLOW_MS = 150.0
+FIRST_FOLLOW_MS = 50.0
 """Time after a start in which another VM may offer what it knows before the store is read."""
 
 FIRST_SUCCESSION_MS = 150.0
