--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,14 @@
 cost: $(READY) ## Measure processor time and memory against a bare loop
 	@$(BIN)/python -m measure.cost
 
+SEEDS ?= 3
+SECONDS ?= 20
+VMS ?= 4
+
+.PHONY: soak
+soak: $(READY) ## Run the real programs under faults; SEEDS, SECONDS and VMS set the size
+	@$(BIN)/python -m soak.run --seeds=$(SEEDS) --seconds=$(SECONDS) --vms=$(VMS)
+
 .PHONY: red
 red: $(READY) ## Run the tests that KNOWN-RED.txt lists, and all others
 	@RUN_KNOWN_RED=1 $(BIN)/nose2 -s tests -t .
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,108 @@
+"""The real programs as processes: started, signalled, and ended by their identifiers only."""
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+GRACE_S = 6.0
+PORTS = {'front': 18104, 'ready': 18108, 'control': 18106, 'directory': 18100}
+PEER_PORT = 18180
+
+SETTINGS = """
+nodeName = "{name}"
+role = "gateway"
+ip = "{host}"
+zone = "{zone}"
+region = "{region}"
+peerPortRange = [{peer_port}, {peer_port}]
+seeds = [{seeds}]
+[zones]
+brum-a = "brum"
+notts-a = "notts"
+wolves-a = "wolves"
+[listen]
+front = "{host}:{front}"
+ready = "{host}:{ready}"
+control = "{host}:{control}"
+directory = "{host}:{directory}"
+[bounds]
+graceS = {grace}
+budgetRatio = 0.2
+budgetWindowS = 10
+budgetExtra = 56
+[platform]
+addr = "{store}"
+"""
+ZONES = ('brum-a', 'notts-a', 'wolves-a')
+
+
+class Vm:
+    """One process of the fleet on a loopback address of its own."""
+
+    def __init__(self, number: int, hosts: list[str], store: str, folder: Path):
+        self.name = f'vm-{number}'
+        self.host = hosts[number]
+        self.zone = ZONES[number % len(ZONES)]
+        self.log_path = folder / f'{self.name}.log'
+        self.settings_path = folder / f'{self.name}.toml'
+        self.process: subprocess.Popen | None = None
+        self.is_stopping = False
+        seeds = ', '.join(f'"{host}:{PORTS["control"]}"' for host in hosts[:3])
+        text = SETTINGS.format(
+            name=self.name,
+            host=self.host,
+            zone=self.zone,
+            region=self.zone.partition('-')[0],
+            peer_port=PEER_PORT,
+            seeds=seeds,
+            grace=int(GRACE_S),
+            store=store,
+            **PORTS,
+        )
+        self.settings_path.write_text(text)
+
+    def start(self) -> None:
+        """Start the process."""
+        environ = {**os.environ, 'BEECHBRIDGE_SETTINGS': str(self.settings_path)}
+        log = self.log_path.open('ab')
+        self.process = subprocess.Popen(
+            [sys.executable, '-m', 'beechbridge.platform'],
+            cwd=ROOT,
+            env=environ,
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+        self.is_stopping = False
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it still runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    async def wait_ended(self, limit_s: float) -> bool:
+        """Wait for the end of the process; return whether it came."""
+        limit_s += time.monotonic()
+        while time.monotonic() < limit_s:
+            if self.process is None or self.process.poll() is not None:
+                return True
+            await asyncio.sleep(0.05)
+        return False
+
+    def kill(self) -> None:
+        """Kill the process and collect it."""
+        if self.process is None:
+            return
+        self.signal(signal.SIGKILL)
+        self.process.wait()
+
+
+def make_folder() -> Path:
+    """Return a new folder for settings and logs."""
+    return Path(tempfile.mkdtemp(prefix='beechbridge-soak-'))
--- /dev/null
+++ b/soak/http11.py
@@ -0,0 +1,40 @@
+"""Just enough of HTTP/1.1 for stand-ins and callers."""
+
+import asyncio
+
+
+class Message:
+    """A request or response: first line, headers in lower case, body."""
+
+    __slots__ = ('body', 'first_line', 'headers')
+
+    def __init__(self, first_line: str, headers: dict[str, str], body: bytes):
+        self.first_line = first_line
+        self.headers = headers
+        self.body = body
+
+    @property
+    def status(self) -> int:
+        """Return the status of a response."""
+        return int(self.first_line.split()[1])
+
+
+async def read_message(reader: asyncio.StreamReader) -> Message:
+    """Read a whole message; a connection that ends before that raises `IncompleteReadError`."""
+    head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
+    first_line, *lines = head.split('\r\n')
+    headers = {}
+    for line in lines:
+        name, separator, value = line.partition(':')
+        if separator:
+            headers[name.strip().lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get('content-length', 0)))
+    return Message(first_line, headers, body)
+
+
+def write_message(first_line: str, headers: dict[str, str], body: bytes = b'') -> bytes:
+    """Return the bytes of a message."""
+    lines = [first_line]
+    lines.extend(f'{name}: {value}' for name, value in headers.items())
+    lines.append(f'Content-Length: {len(body)}\r\n\r\n')
+    return '\r\n'.join(lines).encode('latin-1') + body
--- /dev/null
+++ b/soak/standins.py
@@ -0,0 +1,207 @@
+"""Stand-in replicas and a stand-in store, on loopback."""
+
+import asyncio
+import base64
+import contextlib
+import json
+import time
+from urllib.parse import parse_qs, urlsplit
+
+from .http11 import Message, read_message, write_message
+from .ledger import Arrival, Ledger, Part
+
+WORK_S = 0.006
+KEEP_ALIVE_S = 10
+REASONS = {200: 'OK', 404: 'Not Found', 410: 'Gone', 421: 'Misdirected', 503: 'Unavailable'}
+
+
+class Server:
+    """A loopback server that can be taken down and brought back on its port."""
+
+    def __init__(self, host: str):
+        self.host = host
+        self.port = 0
+        self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Listen, on the earlier port if there was one."""
+        self.server = await asyncio.start_server(self.serve, self.host, self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def stop(self) -> None:
+        """Stop listening and reset all connections."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer the requests of one connection."""
+        self.writers.add(writer)
+        errors = (asyncio.IncompleteReadError, asyncio.CancelledError, OSError)
+        with contextlib.suppress(*errors):
+            while True:
+                message = await read_message(reader)
+                answer = await self.answer(message, reader)
+                if answer is None:
+                    break
+                writer.write(answer)
+                await writer.drain()
+        self.writers.discard(writer)
+        writer.close()
+
+    async def answer(self, message: Message, reader: asyncio.StreamReader) -> bytes | None:
+        """Return the response to a request, or None to close the connection."""
+        raise NotImplementedError
+
+
+def respond(status: int, headers: dict[str, str], body: bytes = b'') -> bytes:
+    """Return the bytes of a response."""
+    return write_message(f'HTTP/1.1 {status} {REASONS[status]}', headers, body)
+
+
+class Replica(Server):
+    """
+    A replica of a service.
+
+    :param lose_share: share of the requests that run and whose answer is lost
+    :param reject_share: share of the requests that it rejects
+    """
+
+    def __init__(self, host: str, replica_id: str, service: str, ledger: Ledger, rng):
+        super().__init__(host)
+        self.replica_id = replica_id
+        self.service = service
+        self.ledger = ledger
+        self.rng = rng
+        self.work_factor = 1.0
+        self.lose_share = 0.0
+        self.reject_share = 0.0
+        self.late_share = 0.0
+        self.run_count = 0
+        self.late = b''
+
+    async def answer(self, message: Message, reader: asyncio.StreamReader) -> bytes | None:
+        """Run a request, reject it, or lose its answer."""
+        headers = message.headers
+        request_id = headers.get('beechbridge-request-id', '')
+        is_other = headers.get('beechbridge-expect-instance') != self.replica_id
+        is_rejected = is_other or self.rng.random() < self.reject_share
+        vm = headers.get('x-entry-vm', '')
+        self.ledger.arrivals.append(
+            Arrival(
+                time.monotonic(), request_id, self.replica_id, self.service, vm, not is_rejected
+            )
+        )
+        if is_other:
+            return respond(421, {'Beechbridge-Instance-Id': self.replica_id})
+        if is_rejected:
+            return respond(503, {'Beechbridge-Not-Run': '1'})
+        self.run_count += 1
+        signature = f'{self.replica_id}.{self.run_count}'
+        await asyncio.sleep(WORK_S * self.work_factor * self.rng.uniform(0.5, 2.0))
+        if self.rng.random() < self.lose_share:
+            return None
+        body = self.rng.randbytes(16 * self.rng.randrange(0, 8) + self.rng.randrange(0, 3))
+        self.ledger.parts[signature] = Part(request_id, self.service, body)
+        answer = respond(
+            200,
+            {
+                'Beechbridge-Server-Stamp': signature,
+                'Beechbridge-Request-Id': request_id,
+                'Keep-Alive': f'timeout={KEEP_ALIVE_S}',
+            },
+            body,
+        )
+        late, self.late = self.late, b''
+        if self.rng.random() < self.late_share:
+            # A second answer, which reaches whoever asks next.
+            self.late = answer
+        return late + answer
+
+
+class Store(Server):
+    """
+    The platform's store.
+
+    :param delay_s: how long it takes to answer
+    :param is_refusing: whether it answers 503
+    """
+
+    def __init__(self, host: str):
+        super().__init__(host)
+        self.items: dict[str, dict] = {}
+        self.events: list[dict] = []
+        self.revision = 1
+        self.compacted = 0
+        self.delay_s = 0.0
+        self.is_refusing = False
+        self.changed = asyncio.Event()
+
+    def put(self, key: str, value: object) -> float:
+        """Write an item; return when that is acknowledged."""
+        self.revision += 1
+        text = base64.b64encode(json.dumps(value).encode()).decode()
+        item = {'key': key, 'rev': self.revision, 'value': text, 'created': 1, 'lease': 0}
+        self.items[key] = item
+        return self.announce(item)
+
+    def remove(self, key: str) -> float:
+        """Delete an item; return when that is acknowledged."""
+        self.revision += 1
+        self.items.pop(key, None)
+        return self.announce({'key': key, 'rev': self.revision, 'tombstone': True})
+
+    def announce(self, event: dict) -> float:
+        """Wake the watches."""
+        self.events.append(event)
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return time.monotonic()
+
+    def compact(self) -> None:
+        """Forget the history."""
+        self.compacted = self.revision
+        self.events.clear()
+
+    async def answer(self, message: Message, reader: asyncio.StreamReader) -> bytes | None:
+        """Answer a read or a watch."""
+        await asyncio.sleep(self.delay_s)
+        if self.is_refusing:
+            return respond(503, {})
+        url = urlsplit(message.first_line.split()[1])
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        if url.path == '/kv-range':
+            return self.list_items(query)
+        if url.path == '/kv-watch':
+            return await self.watch(query)
+        return respond(404, {})
+
+    def list_items(self, query: dict[str, str]) -> bytes:
+        """Return a page of items."""
+        prefix, after = query.get('prefix', ''), query.get('after', '')
+        keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
+        body = {
+            'items': [self.items[key] for key in keys[:20]],
+            'hasMore': len(keys) > 20,
+            'currentRev': self.revision,
+        }
+        return respond(200, {}, json.dumps(body).encode())
+
+    async def watch(self, query: dict[str, str]) -> bytes:
+        """Return what changed after a revision, at once or when something does."""
+        after = int(query['after'])
+        if after < self.compacted:
+            return respond(410, {})
+        limit_s = time.monotonic() + int(query['waitMs']) / 1000.0
+        while self.revision <= after:
+            left_s = limit_s - time.monotonic()
+            if left_s <= 0:
+                break
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.changed.wait(), left_s)
+        events = [event for event in self.events if event['rev'] > after]
+        body = {'events': events, 'currentRev': self.revision}
+        return respond(200, {}, json.dumps(body).encode())
