Do not wait for shards whose replicas are all suspect

Change: a replica that leaves a request unanswered for eight times the usual time, 350 ms at least, is suspect at once and not only when the request times out. A gather with enough parts is answered when all open shards have only suspect replicas and were waited for twice the usual time; no hedge goes to a suspect replica.

--- a/beechbridge/gateway/progress.py
+++ b/beechbridge/gateway/progress.py
@@ -23,6 +23,9 @@
 HEDGE_RETRY_MS = 15.0
 """Time after which a hedge that could not be sent is tried again."""
 
+SUSPECT_WAIT_FACTOR = 2.0
+"""Multiple of the usual latency for which a shard is waited for whose replicas are all suspect."""
+
 LEAST_CHECK_MS = 2.0
 REJECTED_RETRY_MS = 300
 EXCHANGE_SLACK_MS = 300.0
@@ -151,9 +154,37 @@
     """Answer a gather once waiting for more no longer helps its caller."""
     if work.is_finished:
         return
-    is_late = gateway.now_ms >= work.soft_at_ms
-    if not work.open_count or not work.can_have_enough() or (is_late and work.has_enough()):
+    if not work.open_count or not work.can_have_enough():
         answer_work(work, gateway)
+        return
+    if not work.has_enough():
+        return
+    if gateway.now_ms >= work.soft_at_ms or not is_worth_waiting(work, gateway):
+        answer_work(work, gateway)
+
+
+def has_sound_replica(task: Task, gateway) -> bool:
+    """Tell whether a replica that was not asked yet is free of suspicion."""
+    for state in gateway.upstreams.usable(task.service):
+        if id(state) not in task.avoid and not state.is_suspect(gateway.now_ms):
+            return True
+    return False
+
+
+def is_worth_waiting(work: GatherWork, gateway) -> bool:
+    """Tell whether an open shard has a replica that may still answer."""
+    now_ms = gateway.now_ms
+    for task in work.tasks:
+        if not task.is_open:
+            continue
+        for state in gateway.upstreams.usable(task.service):
+            if not state.is_suspect(now_ms):
+                return True
+        for exchange in task.exchanges:
+            usual_ms = gateway.upstreams.usual_ms(work.route.name, exchange.replica.distance)
+            if now_ms - exchange.sent_ms < SUSPECT_WAIT_FACTOR * usual_ms:
+                return True
+    return False
 
 
 @on_task_closed.register
@@ -316,7 +347,7 @@
     next_ms = work.hard_at_ms
     if now_ms < work.soft_at_ms:
         next_ms = work.soft_at_ms
-    elif isinstance(work, GatherWork):
+    if isinstance(work, GatherWork):
         check_gather(work, gateway)
         if work.is_finished:
             return
@@ -330,11 +361,15 @@
                 next_ms = min(next_ms, due_ms)
                 continue
             task.avoid.add(id(exchange.replica))
+            if not has_sound_replica(task, gateway):
+                continue
             if ask(task, gateway, is_extra=True):
                 work.hedge_count += 1
                 gateway.counters.add('hedges')
                 continue
             next_ms = min(next_ms, now_ms + HEDGE_RETRY_MS)
+    if isinstance(work, GatherWork) and work.has_enough():
+        next_ms = min(next_ms, now_ms + HEDGE_RETRY_MS)
     next_ms = max(next_ms, now_ms + LEAST_CHECK_MS)
     if next_ms < work.hard_at_ms:
         gateway.timers.arm(next_ms, CheckTimer(work.key))
--- a/beechbridge/gateway/sending.py
+++ b/beechbridge/gateway/sending.py
@@ -3,7 +3,13 @@
 import heapq
 
 from .actions import DropConnection, SendRequest
-from .upstreams import UNREPEATABLE_IDLE_MS, Exchange, ReplicaState
+from .upstreams import (
+    LEAST_STALL_MS,
+    STALLED_FACTOR,
+    UNREPEATABLE_IDLE_MS,
+    Exchange,
+    ReplicaState,
+)
 from .works import RetryTimer, Task
 
 FIRST_PAUSE_MS = 10.0
@@ -110,7 +116,17 @@
     else:
         connection_id = idle.connection_id
     exchange_id = gateway.upstreams.new_id()
-    exchange = Exchange(exchange_id, state, task, connection_id, idle is None, now_ms, is_extra)
+    usual_ms = gateway.upstreams.usual_ms(work.route.name, state.distance)
+    exchange = Exchange(
+        exchange_id,
+        state,
+        task,
+        connection_id,
+        idle is None,
+        now_ms,
+        is_extra,
+        now_ms + max(LEAST_STALL_MS, STALLED_FACTOR * usual_ms),
+    )
     state.busy[connection_id] = exchange
     gateway.upstreams.exchanges[exchange_id] = exchange
     task.exchanges.append(exchange)
--- a/beechbridge/gateway/upstreams.py
+++ b/beechbridge/gateway/upstreams.py
@@ -34,6 +34,11 @@
 STALL_FACTOR = 3.0
 """Multiple of the expected latency after which an unanswered exchange counts as held up."""
 
+STALLED_FACTOR = 8.0
+LEAST_STALL_MS = 350.0
+"""Time without an answer, and multiple of the usual one, from which a replica is suspect: longer
+than the pauses that replicas make."""
+
 IDLE_MARGIN_MS = 1_000.0
 """How long before the replica would close an idle connection it is no longer used."""
 
@@ -48,7 +53,8 @@
     """
     One request to one replica.
 
-    :param task: what it is for; asks of it are forgotten once `is_abandoned`
+    :param task: what it is for; its reply is no longer waited for once `is_abandoned`
+    :param stalled_at_ms: when its replica counts as suspect for not having answered
     """
 
     __slots__ = (
@@ -59,6 +65,7 @@
         'is_new',
         'replica',
         'sent_ms',
+        'stalled_at_ms',
         'task',
     )
 
@@ -71,6 +78,7 @@
         is_new: bool,
         sent_ms: float,
         is_extra: bool,
+        stalled_at_ms: float,
     ):
         self.exchange_id = exchange_id
         self.replica = replica
@@ -79,6 +87,7 @@
         self.is_new = is_new
         self.sent_ms = sent_ms
         self.is_extra = is_extra
+        self.stalled_at_ms = stalled_at_ms
         self.is_abandoned = False
 
 
@@ -138,8 +147,10 @@
         return not self.is_gone and not self.entry.is_draining
 
     def is_suspect(self, now_ms: float) -> bool:
-        """Tell whether its latest exchange failed a short while ago."""
-        return now_ms < self.suspect_until_ms
+        """Tell whether its latest exchange failed a short while ago, or one has stalled."""
+        if now_ms < self.suspect_until_ms:
+            return True
+        return bool(self.busy) and now_ms >= next(iter(self.busy.values())).stalled_at_ms
 
     def fade(self, now_ms: float) -> None:
         """Let what is known of its slowness and rejections lose weight with time."""
--- a/tests/test_gather_load.py
+++ b/tests/test_gather_load.py
@@ -72,6 +72,16 @@
             self.assertEqual(answer.missing_count, 1)
             self.assertLessEqual(answered_ms - asked_ms, GOAL_MS)
 
+    def test_shard_known_to_be_dark_is_not_waited_for(self):
+        emulator = start_sweeps(20)
+        drive(emulator, '/sweep/x', 20, 5)
+        for copy in range(2):
+            emulator.replicas[f'r-3-{copy}'].spec.is_dark = True
+        drive(emulator, '/sweep/x', 20, 3)
+        asked = drive(emulator, '/sweep/x', 20, 5)
+        in_half = in_time_count(emulator, asked, MergedAnswer, GOAL_MS * 2 / 3)
+        self.assertGreaterEqual(in_half, 0.8 * len(asked))
+
     def test_too_few_shards_with_a_replica_are_refused_at_once(self):
         emulator = start_sweeps(10)
         for shard in range(2):
