Read the settings anew on SIGHUP and every five seconds

Cause: SIGHUP was only logged; bounds and seeds that change had to wait for a restart. Change: the file is read anew; bounds, seeds and places come in force, names and addresses hold, a file that cannot be read changes nothing. Request latencies join the metrics as a histogram.

--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -7,6 +7,7 @@
 import signal
 import threading
 import time
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from functools import singledispatch
 
@@ -25,7 +26,7 @@
     SendRequest,
     WriteLine,
 )
-from ..gateway.events import PauseNoticed, StopAsked, TimePassed
+from ..gateway.events import PauseNoticed, SettingsRead, StopAsked, TimePassed
 from ..gateway.models import Member
 from ..gateway.node import Gateway
 from ..gateway.settings import Address, GatewaySettings
@@ -60,6 +61,7 @@
 """Lateness of the loop from which the process counts as having been paused."""
 
 PAUSE_CHECK_S = 0.5
+SETTINGS_CHECK_S = 5.0
 LAST_ANSWERS_S = 0.15
 RANDOM_INCARNATION_BITS = 20
 
@@ -67,8 +69,13 @@
 class GatewayProcess:
     """One VM's gateway process."""
 
-    def __init__(self, settings: GatewaySettings):
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        load_settings: Callable[[], GatewaySettings | Failure],
+    ):
         self.settings = settings
+        self.load_settings = load_settings
         self.incarnation = (int(time.time() * 1000) << RANDOM_INCARNATION_BITS) | (
             secrets.randbits(RANDOM_INCARNATION_BITS)
         )
@@ -131,12 +138,13 @@
         write_line('started', {'vm': settings.name, 'incarnation': self.incarnation})
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.handle, StopAsked())
-        self.loop.add_signal_handler(signal.SIGHUP, self.note_reload)
+        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         self.loop.run_until_complete(self.open_datagrams())
         threading.Thread(target=self.server.run, name='front', daemon=True).start()
         self.store_reader.start()
         self.perform_all(self.core.start(read_clock_ms()))
         self.loop.call_later(PAUSE_CHECK_S, self.check_pause)
+        self.loop.call_later(SETTINGS_CHECK_S, self.watch_settings)
         self.loop.run_forever()
         return ExitStatus.OK
 
@@ -147,9 +155,21 @@
             lambda: HeartbeatProtocol(self), local_addr=address
         )
 
-    def note_reload(self) -> None:
-        """Log that the settings may have changed; addresses and names hold until a restart."""
-        write_line('reloaded', {'vm': self.settings.name})
+    def reload(self) -> None:
+        """Read the settings anew; keep the present ones if they cannot be read."""
+        settings = self.load_settings()
+        if isinstance(settings, Failure):
+            write_line('reload_failed', {'detail': settings.detail})
+            return
+        if settings == self.settings:
+            return
+        self.settings = settings
+        self.handle(SettingsRead(settings))
+
+    def watch_settings(self) -> None:
+        """Read the settings now and then: they may change without a signal."""
+        self.loop.call_later(SETTINGS_CHECK_S, self.watch_settings)
+        self.reload()
 
     def post(self, event: object) -> None:
         """Hand an event to the core from any thread."""
@@ -357,12 +377,18 @@
     process.end()
 
 
-def run_gateway(settings: GatewaySettings) -> ExitStatus:
-    """Run the process until it is told to stop."""
+def run_gateway(
+    settings: GatewaySettings, load_settings: Callable[[], GatewaySettings | Failure]
+) -> ExitStatus:
+    """
+    Run the process until it is told to stop.
+
+    :param load_settings: reads the settings anew
+    """
     handler = LineHandler()
     handler.push_application()
     try:
-        process = GatewayProcess(settings)
+        process = GatewayProcess(settings, load_settings)
     except OSError as error:
         write_line('cannot_listen', {'cause': str(error)})
         handler.close()
--- a/beechbridge/daemon/metrics.py
+++ b/beechbridge/daemon/metrics.py
@@ -1,7 +1,7 @@
 """Metrics of the gateway as `aioprometheus` collectors, copied when they are read."""
 
 from ..core.counters import Counters
-from ..gateway.latencies import BUCKETS_MS
+from ..gateway.latencies import BUCKETS_MS, Histogram
 from ..gateway.node import Gateway
 
 METRIC_PREFIX = 'beechbridge_'
@@ -21,6 +21,19 @@
         collector.set({'kind': label} if label else {}, value)
 
 
+def add_histogram(name: str, histogram: Histogram, registry) -> None:
+    """Copy a histogram into a registry, as counts of what took at most so long."""
+    from aioprometheus import Gauge
+
+    buckets = Gauge(f'{METRIC_PREFIX}{name}_bucket', name, registry=registry)
+    total = 0
+    for bound, count in zip((*BUCKETS_MS, '+Inf'), histogram.counts, strict=True):
+        total += count
+        buckets.set({'le': str(bound)}, total)
+    Gauge(f'{METRIC_PREFIX}{name}_sum', name, registry=registry).set({}, histogram.sum_ms)
+    Gauge(f'{METRIC_PREFIX}{name}_count', name, registry=registry).set({}, total)
+
+
 def render_gateway(core: Gateway) -> tuple[str, bytes]:
     """Return content type and body of the gateway's metrics."""
     # Imported on the first reading: it would double the time that a start takes.
@@ -39,14 +52,10 @@
     }
     for name, value in gauges.items():
         Gauge(METRIC_PREFIX + name, name, registry=registry).set({}, value)
-    buckets = Gauge(
-        METRIC_PREFIX + 'exchange_latency_ms_bucket',
-        'Exchanges that took at most so many milliseconds',
-        registry=registry,
-    )
-    total = 0
-    for bound, count in zip((*BUCKETS_MS, 'inf'), core.latencies.counts, strict=True):
-        total += count
-        buckets.set({'le': str(bound)}, total)
+    for name, histogram in (
+        ('exchange_latency_ms', core.latencies),
+        ('request_latency_ms', core.request_latencies),
+    ):
+        add_histogram(name, histogram, registry)
     body, headers = render(registry, ACCEPTED)
     return headers['Content-Type'], body
--- a/beechbridge/gateway/budgets.py
+++ b/beechbridge/gateway/budgets.py
@@ -1,5 +1,7 @@
 """Budget of repeated sub-requests to one service, safe when added up over the fleet."""
 
+from ..record import Record
+
 BUCKET_MS = 500.0
 """Resolution of the sliding window."""
 
@@ -8,7 +10,7 @@
 a few milliseconds after the callers sent them, and views of the fleet differ for a moment."""
 
 
-class BudgetRules:
+class BudgetRules(Record):
     """
     What the users allow.
 
--- a/beechbridge/gateway/events.py
+++ b/beechbridge/gateway/events.py
@@ -2,6 +2,7 @@
 
 from ..record import Record
 from .models import CallerRequest, Item, LinkFailure, Member, Reply
+from .settings import GatewaySettings
 
 
 class CallerAsked(Record):
@@ -100,6 +101,15 @@
         self.wants_members = wants_members
 
 
+class SettingsRead(Record):
+    """The settings were read anew."""
+
+    __slots__ = ('settings',)
+
+    def __init__(self, settings: GatewaySettings):
+        self.settings = settings
+
+
 class StopAsked(Record):
     """The process was told to stop."""
 
--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -19,6 +19,7 @@
     ExchangeEnded,
     HeartbeatArrived,
     PauseNoticed,
+    SettingsRead,
     StopAsked,
     StoreFailed,
     TimePassed,
@@ -93,6 +94,7 @@
         'patience',
         'placement',
         'replica_by_key',
+        'request_latencies',
         'rng',
         'splits',
         'started_ms',
@@ -128,6 +130,7 @@
         self.timers = Timers()
         self.counters = Counters()
         self.latencies = Histogram()
+        self.request_latencies = Histogram()
         self.patience = Patience()
         self.placement = Placement(regions)
         self.activity = Activity()
@@ -279,6 +282,19 @@
             connection.usable_until_ms = 0.0
 
 
+def handle_settings(event: SettingsRead, gateway: Gateway) -> None:
+    """Take over what may change in a running process; names and addresses may not."""
+    settings = event.settings
+    gateway.budget_rules = settings.budget
+    for budget in gateway.budgets.values():
+        budget.rules = settings.budget
+    gateway.stopping.grace_ms = settings.grace_ms
+    gateway.fleet.seeds = settings.seeds
+    gateway.fleet.regions.update(settings.regions)
+    gateway.fleet.own.capacity_millicores = settings.capacity_millicores
+    gateway.act(WriteLine('reloaded', {'seeds': list(settings.seeds)}))
+
+
 def fire_sweep(timer: SweepTimer, gateway: Gateway) -> None:
     """Look for silent exchanges."""
     gateway.timers.arm(gateway.now_ms + SWEEP_MS, timer)
@@ -295,6 +311,7 @@
     HeartbeatArrived: handle_heartbeat,
     StopAsked: handle_stop,
     PauseNoticed: handle_pause,
+    SettingsRead: handle_settings,
     TimePassed: ignore_time,
 }
 
--- a/beechbridge/gateway/progress.py
+++ b/beechbridge/gateway/progress.py
@@ -203,6 +203,7 @@
     for exchange in work.exchanges:
         exchange.is_abandoned = True
     gateway.act(AnswerRequest(work.key, answer))
+    gateway.request_latencies.add(gateway.now_ms - work.arrived_ms)
     log_answer(work, answer, gateway)
 
 
--- a/beechbridge/platform/__main__.py
+++ b/beechbridge/platform/__main__.py
@@ -14,7 +14,7 @@
     if isinstance(settings, Failure):
         print(f'beechbridge: {settings.detail}', file=sys.stderr)
         return ExitStatus.INVALID_SETTINGS
-    return run_gateway(settings)
+    return run_gateway(settings, load_settings)
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,28 @@
+"""Settings that are read anew come in force without anything being dropped."""
+
+import unittest
+
+from beechbridge.gateway.events import SettingsRead
+from beechbridge.platform.settings import parse_settings
+
+from .gateways import start_sweeps
+from .test_platform_items import SETTINGS
+
+
+class ReloadTest(unittest.TestCase):
+    def test_bounds_and_seeds_come_in_force(self):
+        emulator = start_sweeps(2, zones=('brum-a',))
+        gateway = emulator.vms[0].gateway
+        key = emulator.ask(0, '/sweep/x', 1_200.0)
+        text = SETTINGS.replace('budgetExtra = 56', 'budgetExtra = 7')
+        settings = parse_settings(text.replace('10.2.0.21', '10.3.0.9'), 'file')
+        emulator.tell(emulator.vms[0], SettingsRead(settings))
+        emulator.run(500.0)
+        self.assertEqual(gateway.budget('shard-0').rules.fixed_count, 7)
+        self.assertEqual(gateway.fleet.seeds, ('10.1.0.9', '10.3.0.9'))
+        self.assertIn(key, emulator.vms[0].answers)
+        subjects = [line.subject for line in emulator.vms[0].lines]
+        self.assertIn('reloaded', subjects)
+
+    def test_settings_are_the_same_by_value(self):
+        self.assertEqual(parse_settings(SETTINGS, 'file'), parse_settings(SETTINGS, 'file'))
