--- /dev/null
+++ b/beechbridge/core/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The VMs and their configuration: membership, gossip, the stop. Start at `membership`."""
--- a/beechbridge/core/configuration.py
+++ b/beechbridge/core/fleet/configuration.py
@@ -5,14 +5,15 @@
 never replaced by an older one, wherever that comes from.
 """
 
-from ..actions import LogChange, ReadConfiguration, SendPeer
-from ..document import Configuration, Delta, Document, apply_delta, check_document, difference
-from ..events import ConfigurationRead
-from ..failures import Failure, Reason
-from ..messages import ConfigurationOffered, ConfigurationWanted
-from ..models import Vm
-from ..record import Record
-from .hashing import rank_names
+from ...actions import LogChange, ReadConfiguration, SendPeer
+from ...document import Configuration, Delta, Document, apply_delta, check_document, difference
+from ...events import ConfigurationRead
+from ...failures import Failure, Reason
+from ...messages import ConfigurationOffered, ConfigurationWanted
+from ...models import Vm
+from ...record import Record
+from ..hashing import rank_names
+from ..surface import CoreSurface
 
 WATCH_MS = 10_000
 """How long the service may hold a watch."""
@@ -86,20 +87,20 @@
         """Return the digest in force, '' before the first."""
         return self.current.digest if self.current else ''
 
-    def is_reader(self, core) -> bool:
+    def is_reader(self, core: CoreSurface) -> bool:
         """Tell whether this VM watches the service for its place."""
         names = core.membership.names_in_place(core.place, core.now_ms)
         count = self.current.fleet.readers_per_place if self.current else 1
         return core.identity.name in rank_names('configuration', names)[:count]
 
-    def follow_role(self, core) -> None:
+    def follow_role(self, core: CoreSurface) -> None:
         """Read at once when this VM becomes a reader; its next look may be far away."""
         is_reader = self.is_reader(core)
         if is_reader and not self.was_reader and self.service_answered:
             self.refresh(core)
         self.was_reader = is_reader
 
-    def offer(self, document: Document, source: str, core) -> Failure | None:
+    def offer(self, document: Document, source: str, core: CoreSurface) -> Failure | None:
         """Put a document in force if it is newer and valid; return why not."""
         if document.generation < self.generation:
             core.counters.add('documents_refused', Reason.STALE_GENERATION.value)
@@ -118,7 +119,7 @@
         self.put_in_force(document, checked, core)
         return None
 
-    def compare_equal(self, document: Document, source: str, core) -> Failure | None:
+    def compare_equal(self, document: Document, source: str, core: CoreSurface) -> Failure | None:
         """Refuse another document of the generation in force."""
         if document.digest == self.digest:
             return None
@@ -127,14 +128,14 @@
         detail = f'{source}: another document has generation {document.generation}'
         return Failure(Reason.GENERATION_CONFLICT, detail=detail)
 
-    def note_conflict(self, core) -> None:
+    def note_conflict(self, core: CoreSurface) -> None:
         """Report once that two documents of the generation in force exist."""
         if self.conflict:
             return
         self.conflict = True
         core.act(LogChange(f'configuration {self.generation}', 'unique', 'in conflict'))
 
-    def put_in_force(self, document: Document, checked: Configuration, core) -> None:
+    def put_in_force(self, document: Document, checked: Configuration, core: CoreSurface) -> None:
         """Swap the configuration and tell everyone it concerns."""
         core.act(LogChange('configuration', str(self.generation), str(document.generation)))
         self.current = checked
@@ -148,7 +149,9 @@
         core.upstreams.apply_configuration(checked, core)
         core.membership.gossip_now(core)
 
-    def compare_gossip(self, sender: Vm | None, generation: int, digest: str, core) -> None:
+    def compare_gossip(
+        self, sender: Vm | None, generation: int, digest: str, core: CoreSurface
+    ) -> None:
         """Ask a peer for what it has and this VM lacks."""
         if generation == self.generation and generation and digest != self.digest:
             core.counters.add('generation_conflicts_seen')
@@ -163,7 +166,7 @@
         self.wanted_ms = core.now_ms
         core.act(SendPeer(sender, ConfigurationWanted(self.generation, self.digest)))
 
-    def answer_wanted(self, vm: Vm, message: ConfigurationWanted, core) -> None:
+    def answer_wanted(self, vm: Vm, message: ConfigurationWanted, core: CoreSurface) -> None:
         """Send a peer the difference to what it holds, or the whole document."""
         if not self.kept or message.generation >= self.generation:
             return
@@ -177,7 +180,7 @@
         core.counters.add('documents_sent', 'whole')
         core.act(SendPeer(vm, ConfigurationOffered(newest)))
 
-    def take_offered(self, vm: Vm | None, content: Document | Delta, core) -> None:
+    def take_offered(self, vm: Vm | None, content: Document | Delta, core: CoreSurface) -> None:
         """Take a document or a difference that a peer sent."""
         if isinstance(content, Document):
             self.offer(content, 'peer', core)
@@ -192,12 +195,12 @@
         if vm is not None:
             core.act(SendPeer(vm, ConfigurationWanted(0, '')))
 
-    def refresh(self, core) -> None:
+    def refresh(self, core: CoreSurface) -> None:
         """Look at the service soon: an upstream knows of a newer shard map."""
         if not self.is_reading:
             self.read(core)
 
-    def read(self, core) -> None:
+    def read(self, core: CoreSurface) -> None:
         """Watch the service as a reader, or read it once."""
         if self.is_reading:
             return
@@ -206,13 +209,13 @@
         core.counters.add('service_calls', 'configuration')
         core.act(ReadConfiguration(self.generation, wait_ms))
 
-    def arm_read(self, delay_ms: float, core) -> None:
+    def arm_read(self, delay_ms: float, core: CoreSurface) -> None:
         """Read the service again after a delay with jitter."""
         self.sequence += 1
         due_ms = core.now_ms + delay_ms * core.rng.uniform(0.5, 1.0)
         core.timers.arm(due_ms, ReadTimer(self.sequence))
 
-    def describe(self, core) -> dict:
+    def describe(self, core: CoreSurface) -> dict:
         """Return the state for a dump."""
         return {
             'generation': self.generation,
@@ -225,7 +228,7 @@
         }
 
 
-def handle_configuration_read(event: ConfigurationRead, core) -> None:
+def handle_configuration_read(event: ConfigurationRead, core: CoreSurface) -> None:
     """Take what the service answered and plan the next read."""
     controller = core.configuration
     controller.is_reading = False
@@ -255,7 +258,7 @@
     controller.arm_read(LONGEST_RETRY_MS if stale else FIRST_RETRY_MS, core)
 
 
-def fire_read(timer: ReadTimer, core) -> None:
+def fire_read(timer: ReadTimer, core: CoreSurface) -> None:
     """Read the service unless a later timer was armed."""
     if timer.sequence == core.configuration.sequence:
         core.configuration.read(core)
--- a/beechbridge/core/inbox.py
+++ b/beechbridge/core/fleet/inbox.py
@@ -2,25 +2,26 @@
 
 from functools import singledispatch
 
-from ..events import PeerMessageArrived
-from ..messages import (
+from ...events import PeerMessageArrived
+from ...messages import (
     ConfigurationOffered,
     ConfigurationWanted,
     Gossip,
     RelayedOutcome,
     RelayedRequest,
 )
-from ..models import Vm, VmIdentity
+from ...models import Vm, VmIdentity
+from ..surface import CoreSurface
 
 
-def handle_peer_message(event: PeerMessageArrived, core) -> None:
+def handle_peer_message(event: PeerMessageArrived, core: CoreSurface) -> None:
     """Pass a peer's message to the controller it concerns."""
     sender = core.membership.find_vm(event.sender.name)
     take_message(event.message, event.sender, sender, core)
 
 
 @singledispatch
-def take_message(message: object, identity: VmIdentity, vm: Vm | None, core) -> None:
+def take_message(message: object, identity: VmIdentity, vm: Vm | None, core: CoreSurface) -> None:
     """
     Act on one kind of peer message.
 
@@ -30,7 +31,7 @@
 
 
 @take_message.register
-def take_gossip(message: Gossip, identity: VmIdentity, vm: Vm | None, core) -> None:
+def take_gossip(message: Gossip, identity: VmIdentity, vm: Vm | None, core: CoreSurface) -> None:
     """Take heartbeats, compare configurations, and learn of replicas."""
     core.membership.take_views(identity, message, core)
     core.configuration.compare_gossip(vm, message.generation, message.digest, core)
@@ -39,26 +40,34 @@
 
 
 @take_message.register
-def take_wanted(message: ConfigurationWanted, identity: VmIdentity, vm: Vm | None, core) -> None:
+def take_wanted(
+    message: ConfigurationWanted, identity: VmIdentity, vm: Vm | None, core: CoreSurface
+) -> None:
     """Send a peer what it lacks."""
     if vm is not None:
         core.configuration.answer_wanted(vm, message, core)
 
 
 @take_message.register
-def take_offered(message: ConfigurationOffered, identity: VmIdentity, vm: Vm | None, core) -> None:
+def take_offered(
+    message: ConfigurationOffered, identity: VmIdentity, vm: Vm | None, core: CoreSurface
+) -> None:
     """Take a newer configuration."""
     core.configuration.take_offered(vm, message.content, core)
 
 
 @take_message.register
-def take_relayed(message: RelayedRequest, identity: VmIdentity, vm: Vm | None, core) -> None:
+def take_relayed(
+    message: RelayedRequest, identity: VmIdentity, vm: Vm | None, core: CoreSurface
+) -> None:
     """Run a request under a ticket of this process for a peer's caller."""
     if vm is not None:
         core.tickets.take_relayed(message, identity, core)
 
 
 @take_message.register
-def take_outcome(message: RelayedOutcome, identity: VmIdentity, vm: Vm | None, core) -> None:
+def take_outcome(
+    message: RelayedOutcome, identity: VmIdentity, vm: Vm | None, core: CoreSurface
+) -> None:
     """Pass the outcome of a relayed request to its caller."""
     core.tickets.take_outcome(message, identity, core)
--- a/beechbridge/core/membership.py
+++ b/beechbridge/core/fleet/membership.py
@@ -5,16 +5,17 @@
 the list alone, so that a partition cannot make a half believe it is the fleet.
 """
 
-from ..actions import AnswerCaller, LogChange, ReadVmList, SendPeer
-from ..events import EntryWanted, VmListRead
-from ..failures import Failure
-from ..messages import (
+from ...actions import AnswerCaller, LogChange, ReadVmList, SendPeer
+from ...events import EntryWanted, VmListRead
+from ...failures import Failure
+from ...messages import (
     Gossip,
     MemberView,
 )
-from ..models import EntryAnswer, Vm, VmIdentity, VmState
-from ..record import Record
-from .hashing import rank_score
+from ...models import EntryAnswer, Vm, VmIdentity, VmState
+from ...record import Record
+from ..hashing import rank_score
+from ..surface import CoreSurface
 
 GOSSIP_INTERVAL_MS = 500.0
 
@@ -177,7 +178,7 @@
             return []
         return [vm for name, vm in self.listed.items() if name != self.own.name]
 
-    def take_list(self, vms: tuple[Vm, ...], core) -> None:
+    def take_list(self, vms: tuple[Vm, ...], core: CoreSurface) -> None:
         """Take a new list. Shares shrink at once; they grow after the list has been stable."""
         listed = {vm.name: vm for vm in vms}
         for name in listed:
@@ -195,7 +196,7 @@
         core.upstreams.apply_shares(core)
         self.note_evidence(core)
 
-    def distrust(self, core) -> None:
+    def distrust(self, core: CoreSurface) -> None:
         """Ask for news of the fleet, and take no new work until there is some."""
         self.is_trusted = False
         self.list_read = False
@@ -207,20 +208,20 @@
         due_ms = core.now_ms + EVIDENCE_TIMEOUT_MS
         core.timers.arm(due_ms, EvidenceTimer(self.round_number))
 
-    def note_evidence(self, core) -> None:
+    def note_evidence(self, core: CoreSurface) -> None:
         """Trust the view again once the list was read and a peer was heard, or there is none."""
         if self.is_trusted or not self.list_read:
             return
         if self.peer_heard or not self.others():
             self.trust(core)
 
-    def trust(self, core) -> None:
+    def trust(self, core: CoreSurface) -> None:
         """Take new work."""
         self.is_trusted = True
         core.act(LogChange('fleet view', 'stale', 'current'))
         core.upstreams.pump_all(core)
 
-    def take_views(self, sender: VmIdentity, gossip: Gossip, core) -> None:
+    def take_views(self, sender: VmIdentity, gossip: Gossip, core: CoreSurface) -> None:
         """Take the heartbeats that a peer shares."""
         for view in gossip.members:
             name = view.identity.name
@@ -234,7 +235,7 @@
             self.peer_heard = True
             self.note_evidence(core)
 
-    def take_view(self, view: MemberView, core) -> None:
+    def take_view(self, view: MemberView, core: CoreSurface) -> None:
         """Take one VM's heartbeat if it is newer than what is known."""
         name = view.identity.name
         known = self.members.get(name)
@@ -257,7 +258,7 @@
             known.leaving = True
             core.act(LogChange(f'VM {name}', 'up', 'leaving'))
 
-    def gossip_now(self, core) -> None:
+    def gossip_now(self, core: CoreSurface) -> None:
         """Send a round of gossip to a few VMs."""
         if core.now_ms - self.gossiped_ms < LEAST_GOSSIP_GAP_MS:
             return
@@ -273,7 +274,7 @@
             core.counters.add('gossip_sent')
             core.act(SendPeer(vm, message))
 
-    def build_gossip(self, core) -> Gossip:
+    def build_gossip(self, core: CoreSurface) -> Gossip:
         """Return this VM's heartbeat, the freshest views of others, and the replica signs."""
         views = [MemberView(self.own, self.heartbeat, core.stopping.is_leaving)]
         freshest = sorted(self.members.values(), key=lambda member: -member.heard_ms)
@@ -283,7 +284,7 @@
         signs = core.health.signs(core)
         return Gossip(views, configuration.generation, configuration.digest, signs)
 
-    def best_entries(self, place: str | None, caller: str, core) -> list[Vm]:
+    def best_entries(self, place: str | None, caller: str, core: CoreSurface) -> list[Vm]:
         """Return the serving VMs, nearest first, in an order that spreads callers."""
         configuration = core.configuration.current
         places = configuration.places if configuration else {}
@@ -333,7 +334,7 @@
     return 2
 
 
-def handle_entry(event: EntryWanted, core) -> None:
+def handle_entry(event: EntryWanted, core: CoreSurface) -> None:
     """Tell a caller which VMs to use."""
     failure = core.refuse_if_no_view()
     if failure is not None:
@@ -344,7 +345,7 @@
     core.act(AnswerCaller(event.request_id, EntryAnswer(vms, keep_ms)))
 
 
-def handle_vm_list(event: VmListRead, core) -> None:
+def handle_vm_list(event: VmListRead, core: CoreSurface) -> None:
     """Take the list and plan the next read."""
     membership = core.membership
     membership.list_sequence += 1
@@ -363,7 +364,7 @@
     membership.take_list(event.result.vms, core)
 
 
-def fire_gossip(timer: GossipTimer, core) -> None:
+def fire_gossip(timer: GossipTimer, core: CoreSurface) -> None:
     """Gossip and arm the next round with jitter."""
     core.membership.gossip_now(core)
     core.configuration.follow_role(core)
@@ -371,7 +372,7 @@
     core.timers.arm(due_ms, timer)
 
 
-def fire_list(timer: ListTimer, core) -> None:
+def fire_list(timer: ListTimer, core: CoreSurface) -> None:
     """Read the VM list unless a later timer was armed."""
     if timer.sequence != core.membership.list_sequence:
         return
@@ -379,7 +380,7 @@
     core.act(ReadVmList())
 
 
-def fire_evidence(timer: EvidenceTimer, core) -> None:
+def fire_evidence(timer: EvidenceTimer, core: CoreSurface) -> None:
     """Go on without news of the fleet."""
     membership = core.membership
     if timer.round_number == membership.round_number and not membership.is_trusted:
--- a/beechbridge/core/stopping.py
+++ b/beechbridge/core/fleet/stopping.py
@@ -8,10 +8,11 @@
 
 import enum
 
-from ..actions import Exit, LogChange
-from ..events import StopWanted
-from ..failures import Failure, Reason, not_run
-from ..record import Record
+from ...actions import Exit, LogChange
+from ...events import StopWanted
+from ...failures import Failure, Reason, not_run
+from ...record import Record
+from ..surface import CoreSurface
 
 SPREAD_MS = 1_500.0
 """Time for the announcement to reach all VMs and the answers they were writing to leave."""
@@ -58,7 +59,7 @@
         """Tell whether a stop is under way."""
         return self.phase is not Phase.SERVING
 
-    def remaining_ms(self, core) -> float:
+    def remaining_ms(self, core: CoreSurface) -> float:
         """Return how long this VM still takes new work."""
         return self.serve_until_ms - core.now_ms
 
@@ -68,7 +69,7 @@
             return None
         return not_run(Reason.STOPPING, 'this VM stops; use another address', 1)
 
-    def start(self, core) -> None:
+    def start(self, core: CoreSurface) -> None:
         """Announce the stop and serve on for a bounded time."""
         if self.is_leaving:
             return
@@ -80,24 +81,24 @@
         core.timers.arm(self.serve_until_ms, LeaveTimer())
         core.membership.gossip_now(core)
 
-    def enter(self, phase: Phase, core) -> None:
+    def enter(self, phase: Phase, core: CoreSurface) -> None:
         """Go on to a phase."""
         core.act(LogChange('stop', self.phase.value, phase.value))
         self.phase = phase
 
-    def check(self, core) -> None:
+    def check(self, core: CoreSurface) -> None:
         """Exit once nothing is in flight."""
         if self.phase is Phase.FINISHING and not core.plans and core.tickets.is_idle():
             self.enter(Phase.STOPPED, core)
             core.act(Exit())
 
 
-def handle_stop(event: StopWanted, core) -> None:
+def handle_stop(event: StopWanted, core: CoreSurface) -> None:
     """Start a graceful stop."""
     core.stopping.start(core)
 
 
-def fire_leave(timer: LeaveTimer, core) -> None:
+def fire_leave(timer: LeaveTimer, core: CoreSurface) -> None:
     """Take no new work and wait for what is in flight."""
     stopping = core.stopping
     stopping.enter(Phase.FINISHING, core)
@@ -110,7 +111,7 @@
     stopping.check(core)
 
 
-def fire_stop_bound(timer: StopBoundTimer, core) -> None:
+def fire_stop_bound(timer: StopBoundTimer, core: CoreSurface) -> None:
     """Exit whatever is left."""
     if core.stopping.phase is Phase.FINISHING:
         core.stopping.enter(Phase.STOPPED, core)
--- a/beechbridge/core/node.py
+++ b/beechbridge/core/node.py
@@ -21,18 +21,15 @@
 from ..failures import Failure, Reason, not_run
 from ..models import VmIdentity
 from ..record import Record
-from .budgets import ExtraBudget
-from .configuration import ConfigurationController, ReadTimer, fire_read, handle_configuration_read
 from .counters import Counters
-from .endings import fire_hard_deadline, fire_soft_deadline
-from .exchanges import fire_stall, handle_attempt_failed, handle_reply
-from .fanout import fire_retry
-from .filters import handle_query
-from .health import HealthController, ProbeTimer, fire_probe
-from .hedging import fire_hedge, fire_move
-from .inbox import handle_peer_message
-from .limits import Limits
-from .membership import (
+from .fleet.configuration import (
+    ConfigurationController,
+    ReadTimer,
+    fire_read,
+    handle_configuration_read,
+)
+from .fleet.inbox import handle_peer_message
+from .fleet.membership import (
     EvidenceTimer,
     GossipTimer,
     ListTimer,
@@ -43,11 +40,7 @@
     handle_entry,
     handle_vm_list,
 )
-from .overload import OverloadController
-from .plans import HardDeadlineTimer, HedgeTimer, MoveTimer, Plan, RetryTimer, SoftDeadlineTimer
-from .policy import CURRENT, Policy
-from .snapshots import SnapshotsController
-from .stopping import (
+from .fleet.stopping import (
     LeaveTimer,
     StopBoundTimer,
     StoppingController,
@@ -55,7 +48,24 @@
     fire_stop_bound,
     handle_stop,
 )
-from .tickets import (
+from .limits import Limits
+from .policy import CURRENT, Policy
+from .requests.budgets import ExtraBudget
+from .requests.endings import fire_hard_deadline, fire_soft_deadline
+from .requests.fanout import fire_retry
+from .requests.filters import handle_query
+from .requests.hedging import fire_hedge, fire_move
+from .requests.overload import OverloadController
+from .requests.plans import (
+    HardDeadlineTimer,
+    HedgeTimer,
+    MoveTimer,
+    Plan,
+    RetryTimer,
+    SoftDeadlineTimer,
+)
+from .requests.snapshots import SnapshotsController
+from .tickets.controller import (
     ForgetTimer,
     RelayTimer,
     RunDeadlineTimer,
@@ -69,7 +79,9 @@
     handle_ticket_wanted,
 )
 from .timers import Timers
-from .upstreams import StallTimer, UpstreamsController
+from .upstreams.controller import StallTimer, UpstreamsController
+from .upstreams.exchanges import fire_stall, handle_attempt_failed, handle_reply
+from .upstreams.health import HealthController, ProbeTimer, fire_probe
 
 PAUSE_MS = 2_000.0
 """Lateness of a timer from which the process counts as having been paused."""
--- a/beechbridge/core/attempts.py
+++ b/beechbridge/core/requests/attempts.py
@@ -6,8 +6,9 @@
 
 from functools import singledispatch
 
-from ..failures import AttemptFailure, Reason
-from ..messages import Reply, UpstreamMessage
+from ...failures import AttemptFailure, Reason
+from ...messages import Reply, UpstreamMessage
+from ..surface import CoreSurface
 
 
 class Attempt:
@@ -62,31 +63,33 @@
 
 
 @singledispatch
-def build_message(owner: object, attempt: Attempt, core) -> UpstreamMessage:
+def build_message(owner: object, attempt: Attempt, core: CoreSurface) -> UpstreamMessage:
     """Return what to send for an attempt."""
     raise TypeError(f'no message for {type(owner).__name__}')
 
 
 @singledispatch
-def on_queued(owner: object, attempt: Attempt, core) -> None:
+def on_queued(owner: object, attempt: Attempt, core: CoreSurface) -> None:
     """Note that an attempt has to wait in its queue."""
 
 
 @singledispatch
-def on_sent(owner: object, attempt: Attempt, core) -> None:
+def on_sent(owner: object, attempt: Attempt, core: CoreSurface) -> None:
     """Note that an attempt left its queue."""
 
 
 @singledispatch
-def on_dropped(owner: object, attempt: Attempt, reason: Reason, core) -> None:
+def on_dropped(owner: object, attempt: Attempt, reason: Reason, core: CoreSurface) -> None:
     """Note that an attempt left its queue unsent: expired, displaced, or its replica drains."""
 
 
 @singledispatch
-def on_reply(owner: object, attempt: Attempt, reply: Reply, core) -> None:
+def on_reply(owner: object, attempt: Attempt, reply: Reply, core: CoreSurface) -> None:
     """Take a whole reply to an attempt that is still wanted."""
 
 
 @singledispatch
-def on_failure(owner: object, attempt: Attempt, failure: AttemptFailure, core) -> None:
+def on_failure(
+    owner: object, attempt: Attempt, failure: AttemptFailure, core: CoreSurface
+) -> None:
     """Take the failure of an attempt that is still wanted."""
--- a/beechbridge/core/endings.py
+++ b/beechbridge/core/requests/endings.py
@@ -1,12 +1,13 @@
 """How a query ends: coverage, merge, and the answer to its caller."""
 
-from ..actions import AnswerCaller
-from ..failures import CoverageFailure, Executed, Failure, Reason
-from ..models import Answer, Coverage, MissingShard
+from ...actions import AnswerCaller
+from ...failures import CoverageFailure, Executed, Failure, Reason
+from ...models import Answer, Coverage, MissingShard
+from ..surface import CoreSurface
 from .plans import HardDeadlineTimer, Plan, SoftDeadlineTimer, Task
 
 
-def fail_task(task: Task, reason: Reason, core) -> None:
+def fail_task(task: Task, reason: Reason, core: CoreSurface) -> None:
     """Give a shard up; answer at once where that decides the query."""
     if not task.is_open:
         return
@@ -16,7 +17,7 @@
     check_plan(task.plan, core)
 
 
-def check_plan(plan: Plan, core) -> None:
+def check_plan(plan: Plan, core: CoreSurface) -> None:
     """Answer a query as soon as nothing can change the answer any more."""
     if plan.is_finished:
         return
@@ -27,7 +28,7 @@
         finish_plan(plan, core)
 
 
-def cancel_attempts(plan: Plan, core) -> None:
+def cancel_attempts(plan: Plan, core: CoreSurface) -> None:
     """Cancel what a plan still waits for."""
     for task in plan.tasks.values():
         attempts, task.attempts = task.attempts, []
@@ -35,7 +36,7 @@
             core.upstreams.cancel(attempt, core)
 
 
-def finish_plan(plan: Plan, core) -> None:
+def finish_plan(plan: Plan, core: CoreSurface) -> None:
     """Give the caller the answer and end all that still runs for it."""
     if plan.is_finished:
         return
@@ -45,7 +46,7 @@
         note_shortage(plan, core)
 
 
-def end_plan(plan: Plan, answer: Answer | Failure, core) -> None:
+def end_plan(plan: Plan, answer: Answer | Failure, core: CoreSurface) -> None:
     """Take a plan out and answer its caller."""
     plan.is_finished = True
     del core.plans[plan.request_id]
@@ -54,7 +55,7 @@
     core.stopping.check(core)
 
 
-def note_shortage(plan: Plan, core) -> None:
+def note_shortage(plan: Plan, core: CoreSurface) -> None:
     """Raise the floor of a back end's urgencies, and refuse what waits below it unsent."""
     back_end = plan.query.back_end
     overload = core.overload_of(back_end)
@@ -69,7 +70,7 @@
         end_plan(other, refusal, core)
 
 
-def build_answer(plan: Plan, core) -> Answer | Failure:
+def build_answer(plan: Plan, core: CoreSurface) -> Answer | Failure:
     """Run the answer filters."""
     coverage = state_coverage(plan)
     kind = 'complete' if coverage.complete else 'partial'
@@ -104,14 +105,14 @@
     return rows[:limit], len(rows) > limit
 
 
-def fire_soft_deadline(timer: SoftDeadlineTimer, core) -> None:
+def fire_soft_deadline(timer: SoftDeadlineTimer, core: CoreSurface) -> None:
     """Answer with what is there if that is enough."""
     plan = core.plans.get(timer.request_id)
     if plan is not None:
         check_plan(plan, core)
 
 
-def fire_hard_deadline(timer: HardDeadlineTimer, core) -> None:
+def fire_hard_deadline(timer: HardDeadlineTimer, core: CoreSurface) -> None:
     """Answer in any case."""
     plan = core.plans.get(timer.request_id)
     if plan is not None:
--- a/beechbridge/core/fanout.py
+++ b/beechbridge/core/requests/fanout.py
@@ -1,8 +1,9 @@
 """Fan-out of a query: one task a shard, its attempts, and what their replies mean."""
 
-from ..failures import AttemptFailure, Executed, Reason
-from ..messages import Reply, ReplyStatus, ShardQuery, UpstreamMessage
-from ..models import Service
+from ...failures import AttemptFailure, Executed, Reason
+from ...messages import Reply, ReplyStatus, ShardQuery, UpstreamMessage
+from ...models import Service
+from ..surface import CoreSurface
 from .attempts import Attempt, build_message, on_dropped, on_failure, on_reply
 from .endings import cancel_attempts, check_plan, fail_task, finish_plan
 from .plans import HardDeadlineTimer, Plan, RetryTimer, SoftDeadlineTimer, Task
@@ -18,7 +19,7 @@
 """How long before a query's deadline its upstreams are told to be done."""
 
 
-def start_plan(plan: Plan, choice: SnapshotChoice, core) -> None:
+def start_plan(plan: Plan, choice: SnapshotChoice, core: CoreSurface) -> None:
     """Fan a query out over the shards of its snapshot."""
     core.plans[plan.request_id] = plan
     core.timers.arm(plan.hard_at_ms, HardDeadlineTimer(plan.request_id))
@@ -27,7 +28,7 @@
     fan_out(plan, choice, core)
 
 
-def fan_out(plan: Plan, choice: SnapshotChoice, core) -> None:
+def fan_out(plan: Plan, choice: SnapshotChoice, core: CoreSurface) -> None:
     """Open one task a shard and ask a replica for each."""
     plan.epoch += 1
     plan.snapshot = choice.snapshot
@@ -43,7 +44,7 @@
         ask_replica(task, core)
 
 
-def replan(plan: Plan, oldest_snapshot: int, core) -> None:
+def replan(plan: Plan, oldest_snapshot: int, core: CoreSurface) -> None:
     """Start a query over at a newer snapshot; what was collected is thrown away."""
     if plan.replans >= MAX_REPLANS:
         for task in list(plan.tasks.values()):
@@ -62,13 +63,13 @@
     fan_out(plan, choice, core)
 
 
-def find_service(task: Task, core) -> Service | None:
+def find_service(task: Task, core: CoreSurface) -> Service | None:
     """Return the service of a task's shard, if the configuration still has it."""
     back_end = core.configuration.current.back_ends.get(task.plan.query.back_end)
     return back_end.services.get(task.shard.service) if back_end else None
 
 
-def ask_replica(task: Task, core, is_extra: bool = False) -> None:
+def ask_replica(task: Task, core: CoreSurface, is_extra: bool = False) -> None:
     """Send a task to a replica, or pause or fail it where none can be asked."""
     plan = task.plan
     service = find_service(task, core)
@@ -87,7 +88,9 @@
     pause_task(task, core)
 
 
-def send_to(task: Task, state, core, is_extra: bool = False, fresh: bool = False) -> None:
+def send_to(
+    task: Task, state, core: CoreSurface, is_extra: bool = False, fresh: bool = False
+) -> None:
     """Queue an attempt of a task at a replica."""
     plan = task.plan
     attempt = Attempt(
@@ -103,7 +106,7 @@
     core.upstreams.submit(state, attempt, core)
 
 
-def pause_task(task: Task, core) -> None:
+def pause_task(task: Task, core: CoreSurface) -> None:
     """Ask all replicas again after a while that doubles each time."""
     task.tried.clear()
     delay_ms = min(LONGEST_BACKOFF_MS, FIRST_BACKOFF_MS * 2**task.pauses)
@@ -113,7 +116,7 @@
     core.timers.arm(due_ms, timer)
 
 
-def fire_retry(timer: RetryTimer, core) -> None:
+def fire_retry(timer: RetryTimer, core: CoreSurface) -> None:
     """Ask again for a task that had no replica to ask."""
     plan = core.plans.get(timer.request_id)
     if plan is None or plan.epoch != timer.epoch:
@@ -124,7 +127,7 @@
 
 
 @build_message.register
-def build_shard_query(owner: Task, attempt: Attempt, core) -> UpstreamMessage:
+def build_shard_query(owner: Task, attempt: Attempt, core: CoreSurface) -> UpstreamMessage:
     """Ask for one shard at the plan's snapshot."""
     plan = owner.plan
     deadline_ms = max(1.0, plan.hard_at_ms - core.now_ms - REPLY_MARGIN_MS)
@@ -139,7 +142,7 @@
 
 
 @on_dropped.register
-def note_task_dropped(owner: Task, attempt: Attempt, reason: Reason, core) -> None:
+def note_task_dropped(owner: Task, attempt: Attempt, reason: Reason, core: CoreSurface) -> None:
     """Ask elsewhere for a task whose attempt left its queue unsent."""
     if not take_out(owner, attempt):
         return
@@ -153,7 +156,7 @@
 
 
 @on_reply.register
-def take_task_reply(owner: Task, attempt: Attempt, reply: Reply, core) -> None:
+def take_task_reply(owner: Task, attempt: Attempt, reply: Reply, core: CoreSurface) -> None:
     """Take a partial answer, or the reason for its absence."""
     if not take_out(owner, attempt):
         core.counters.add('replies_late')
@@ -185,7 +188,7 @@
 }
 
 
-def take_partial(task: Task, attempt: Attempt, reply: Reply, core) -> None:
+def take_partial(task: Task, attempt: Attempt, reply: Reply, core: CoreSurface) -> None:
     """Count a partial answer once its shard, range and snapshot match the plan's."""
     shard = task.shard
     expected = (task.plan.request_id, shard.shard_id, shard.low, shard.high, task.plan.snapshot)
@@ -209,7 +212,9 @@
 
 
 @on_failure.register
-def take_task_failure(owner: Task, attempt: Attempt, failure: AttemptFailure, core) -> None:
+def take_task_failure(
+    owner: Task, attempt: Attempt, failure: AttemptFailure, core: CoreSurface
+) -> None:
     """Try again after a failed exchange: idempotent work may."""
     if not take_out(owner, attempt):
         return
@@ -245,7 +250,7 @@
     return task.is_open and not task.plan.is_finished
 
 
-def retry_task(task: Task, core) -> None:
+def retry_task(task: Task, core: CoreSurface) -> None:
     """Ask another replica within the class's retries and the budget for extra load."""
     if task.attempts:
         return
--- a/beechbridge/core/filters.py
+++ b/beechbridge/core/requests/filters.py
@@ -7,9 +7,10 @@
 
 from collections.abc import Callable
 
-from ..actions import AnswerCaller
-from ..events import QueryArrived
-from ..failures import Failure, Reason, not_run
+from ...actions import AnswerCaller
+from ...events import QueryArrived
+from ...failures import Failure, Reason, not_run
+from ..surface import CoreSurface
 from .endings import note_shortage
 from .fanout import start_plan
 from .plans import Plan
@@ -25,19 +26,19 @@
 """Share of the active queries that the least urgent classes may fill."""
 
 
-def check_identity(plan: Plan, core) -> Failure | None:
+def check_identity(plan: Plan, core: CoreSurface) -> Failure | None:
     """Refuse a request identifier that is in use."""
     if plan.request_id in core.plans:
         return not_run(Reason.DUPLICATE_REQUEST, 'a request with this identifier is running')
     return None
 
 
-def check_readiness(plan: Plan, core) -> Failure | None:
+def check_readiness(plan: Plan, core: CoreSurface) -> Failure | None:
     """Refuse work before there is a configuration, after a pause, and at the end of a stop."""
     return core.refuse_if_not_ready()
 
 
-def check_rules(plan: Plan, core) -> Failure | None:
+def check_rules(plan: Plan, core: CoreSurface) -> Failure | None:
     """Find the query's class and back end, and take its deadlines."""
     query = plan.query
     configuration = core.configuration.current
@@ -55,7 +56,7 @@
     return None
 
 
-def check_capacity(plan: Plan, core) -> Failure | None:
+def check_capacity(plan: Plan, core: CoreSurface) -> Failure | None:
     """Refuse what exceeds the active queries; the more urgent classes may fill all of them."""
     if not core.policy.admits:
         return None
@@ -72,13 +73,13 @@
     return not_run(Reason.OVERLOADED, f'{len(core.plans)} queries are active', RETRY_SOON_MS)
 
 
-def highest_urgency(core) -> int:
+def highest_urgency(core: CoreSurface) -> int:
     """Return the urgency of the most urgent class of queries."""
     classes = core.configuration.current.classes.values()
     return max(rules.urgency for rules in classes if rules.idempotent)
 
 
-def check_finish(plan: Plan, core) -> Failure | None:
+def check_finish(plan: Plan, core: CoreSurface) -> Failure | None:
     """Refuse a query whose shards are not expected to answer in its time."""
     back_end = core.configuration.current.back_ends[plan.query.back_end]
     choice = core.snapshots.choose(back_end, plan.query.minimum_snapshot, core)
@@ -110,7 +111,7 @@
     return not_run(Reason.WOULD_BE_LATE, detail, retry_after_ms)
 
 
-def expect_shard(plan: Plan, service, core) -> float:
+def expect_shard(plan: Plan, service, core: CoreSurface) -> float:
     """Return how long the service's best replica is expected to take, 0 if nothing is known."""
     best_ms = None
     for replica in service.replicas:
@@ -131,7 +132,7 @@
 )
 
 
-def handle_query(event: QueryArrived, core) -> None:
+def handle_query(event: QueryArrived, core: CoreSurface) -> None:
     """Run the filter chain; start the query or refuse it."""
     plan = Plan(event.request_id, event.query, core.now_ms)
     for query_filter in QUERY_FILTERS:
--- a/beechbridge/core/hedging.py
+++ b/beechbridge/core/requests/hedging.py
@@ -1,9 +1,10 @@
 """Hedging: a second replica for the shards that keep a query waiting."""
 
+from ..surface import CoreSurface
+from ..upstreams.replicas import ReplicaState
 from .attempts import Attempt, on_queued, on_sent
 from .fanout import find_service, send_to
 from .plans import HedgeTimer, MoveTimer, Task
-from .replicas import ReplicaState
 
 HEDGE_FACTOR = 2.5
 """Least multiple of the service's median latency after which a second replica is asked."""
@@ -16,7 +17,7 @@
 MIN_HEDGE_MS = 2.0
 
 
-def fire_hedge(timer: HedgeTimer, core) -> None:
+def fire_hedge(timer: HedgeTimer, core: CoreSurface) -> None:
     """Ask a second replica for a slow task if the budget allows."""
     attempt = core.upstreams.attempts.get(timer.attempt_id)
     if attempt is None or attempt.abandoned:
@@ -30,7 +31,7 @@
 
 
 @on_queued.register
-def note_task_queued(owner: Task, attempt: Attempt, core) -> None:
+def note_task_queued(owner: Task, attempt: Attempt, core: CoreSurface) -> None:
     """Watch an attempt that waits, for its replica may be held up by slow exchanges."""
     if not core.policy.hedges:
         return
@@ -38,7 +39,7 @@
     core.timers.arm(due_ms, MoveTimer(attempt.attempt_id))
 
 
-def fire_move(timer: MoveTimer, core) -> None:
+def fire_move(timer: MoveTimer, core: CoreSurface) -> None:
     """Take an attempt that still waits to another replica that can send it now."""
     attempt = core.upstreams.attempts.get(timer.attempt_id)
     if attempt is None or attempt.abandoned or attempt.sent_ms is not None:
@@ -57,7 +58,7 @@
     send_to(task, state, core)
 
 
-def try_hedge(task: Task, core) -> bool:
+def try_hedge(task: Task, core: CoreSurface) -> bool:
     """Hedge a task if that helps its query and the budget allows; True if it was done."""
     plan = task.plan
     if plan.answered_count < HEDGE_AFTER_SHARE * len(plan.tasks) - 1:
@@ -75,7 +76,7 @@
     return True
 
 
-def find_free_replica(task: Task, core) -> ReplicaState | None:
+def find_free_replica(task: Task, core: CoreSurface) -> ReplicaState | None:
     """Return a healthy replica that the task does not wait for and that can send at once."""
     service = find_service(task, core)
     if service is None:
@@ -88,7 +89,7 @@
     return state
 
 
-def hedge_delay_ms(task: Task, core) -> float:
+def hedge_delay_ms(task: Task, core: CoreSurface) -> float:
     """Return how long all but the slowest exchanges of a task's service take."""
     service = find_service(task, core)
     delays = []
@@ -102,7 +103,7 @@
 
 
 @on_sent.register
-def note_task_sent(owner: Task, attempt: Attempt, core) -> None:
+def note_task_sent(owner: Task, attempt: Attempt, core: CoreSurface) -> None:
     """Watch a sent attempt for slowness and for silence."""
     owner.plan.was_sent = True
     core.upstreams.arm_stall(attempt, core)
--- a/beechbridge/core/overload.py
+++ b/beechbridge/core/requests/overload.py
@@ -1,6 +1,6 @@
 """Controller of overload: which urgencies are admitted while there is too much work."""
 
-from ..failures import Failure, Reason, not_run
+from ...failures import Failure, Reason, not_run
 
 FLOOR_HOLD_MS = 1_000.0
 """How long a refusal at one urgency keeps the lower ones out."""
--- a/beechbridge/core/plans.py
+++ b/beechbridge/core/requests/plans.py
@@ -2,9 +2,9 @@
 
 import math
 
-from ..failures import Reason
-from ..models import Query, QueryClass, Shard
-from ..record import Record
+from ...failures import Reason
+from ...models import Query, QueryClass, Shard
+from ...record import Record
 from .attempts import Attempt
 
 
--- a/beechbridge/core/snapshots.py
+++ b/beechbridge/core/requests/snapshots.py
@@ -1,8 +1,9 @@
 """Controller of snapshots: which one a query reads."""
 
-from ..document import BackEnd
-from ..models import ShardMap
-from ..record import Record
+from ...document import BackEnd
+from ...models import ShardMap
+from ...record import Record
+from ..surface import CoreSurface
 
 LAG_LIMIT = 2
 """Snapshots that a replica may lag before the choice stops waiting for it."""
@@ -34,7 +35,7 @@
         """Choose anew everywhere: the shard maps may have changed."""
         self.choices.clear()
 
-    def choose(self, back_end: BackEnd, minimum: int, core) -> SnapshotChoice | None:
+    def choose(self, back_end: BackEnd, minimum: int, core: CoreSurface) -> SnapshotChoice | None:
         """Return a snapshot, at least the minimum, that every shard should have."""
         choice = self.choices.get(back_end.name)
         if choice is None:
@@ -47,7 +48,7 @@
             return None
         return SnapshotChoice(minimum, shard_map)
 
-    def find_common(self, back_end: BackEnd, core) -> SnapshotChoice:
+    def find_common(self, back_end: BackEnd, core: CoreSurface) -> SnapshotChoice:
         """Return the newest snapshot that all shards of its own map can serve."""
         for first_snapshot, shard_map in back_end.shard_maps:
             common = self.common_newest(back_end, shard_map, core)
@@ -56,7 +57,7 @@
         oldest_first, oldest_map = back_end.shard_maps[-1]
         return SnapshotChoice(oldest_first, oldest_map)
 
-    def common_newest(self, back_end: BackEnd, shard_map: ShardMap, core) -> int:
+    def common_newest(self, back_end: BackEnd, shard_map: ShardMap, core: CoreSurface) -> int:
         """
         Return the newest snapshot that the replicas of every shard reported.
 
--- a/beechbridge/core/tickets.py
+++ b/beechbridge/core/tickets/controller.py
@@ -6,12 +6,13 @@
 outcome is `unknown`, and a refusal spends the ticket, so that it stays true.
 """
 
-from ..actions import AnswerCaller, SendPeer
-from ..events import RequestArrived, TicketWanted
-from ..failures import AttemptFailure, Executed, Failure, Reason, not_run, unknown
-from ..messages import RelayedOutcome, RelayedRequest, Reply, ReplyStatus, ShardRequest
-from ..models import Done, Outcome, Ticket, TicketedRequest, TicketGrant, VmIdentity
-from .attempts import Attempt, build_message, on_dropped, on_failure, on_reply
+from ...actions import AnswerCaller, SendPeer
+from ...events import RequestArrived, TicketWanted
+from ...failures import AttemptFailure, Executed, Failure, Reason, not_run, unknown
+from ...messages import RelayedOutcome, RelayedRequest, Reply, ReplyStatus, ShardRequest
+from ...models import Done, Outcome, Ticket, TicketedRequest, TicketGrant, VmIdentity
+from ..requests.attempts import Attempt, build_message, on_dropped, on_failure, on_reply
+from ..surface import CoreSurface
 from .ticket_state import (
     ForgetTimer,
     LocalWaiter,
@@ -55,7 +56,7 @@
         self.relays: dict[str, Relay] = {}
         self.next_relay = 0
 
-    def issue(self, back_end: str, core) -> TicketGrant | Failure:
+    def issue(self, back_end: str, core: CoreSurface) -> TicketGrant | Failure:
         """Mint a ticket, if it can be kept."""
         failure = core.refuse_if_not_ready()
         if failure is not None:
@@ -75,7 +76,7 @@
         core.counters.add('tickets_issued')
         return TicketGrant(Ticket(core.identity, number), int(keep_ms))
 
-    def take_request(self, request_id: str, request: TicketedRequest, core) -> None:
+    def take_request(self, request_id: str, request: TicketedRequest, core: CoreSurface) -> None:
         """Run a caller's request, or relay it to the ticket's issuer."""
         issuer = request.ticket.issuer
         if issuer == core.identity:
@@ -92,7 +93,7 @@
         self.relays[relay_id] = relay
         self.send_relay(relay, core)
 
-    def refuse_relay(self, issuer: VmIdentity, core) -> Failure | None:
+    def refuse_relay(self, issuer: VmIdentity, core: CoreSurface) -> Failure | None:
         """Say `unknown` at once where the issuing process is gone for good."""
         if issuer.name == core.identity.name:
             return unknown(Reason.ISSUER_RESTARTED, 'the issuing process is gone')
@@ -103,7 +104,7 @@
             return unknown(Reason.ISSUER_UNREACHABLE, 'the issuing VM is not on the list')
         return None
 
-    def send_relay(self, relay: Relay, core) -> None:
+    def send_relay(self, relay: Relay, core: CoreSurface) -> None:
         """Send or repeat a relay; the issuer's table makes repeats harmless."""
         vm = core.membership.find_vm(relay.issuer.name)
         if vm is not None:
@@ -120,13 +121,13 @@
         due_ms = min(core.now_ms + RELAY_REPEAT_MS, relay.deadline_at_ms)
         core.timers.arm(due_ms, RelayTimer(relay.relay_id))
 
-    def finish_relay(self, relay: Relay, outcome: Outcome, core) -> None:
+    def finish_relay(self, relay: Relay, outcome: Outcome, core: CoreSurface) -> None:
         """Give the caller the outcome."""
         del self.relays[relay.relay_id]
         core.act(AnswerCaller(relay.request_id, outcome))
         core.stopping.check(core)
 
-    def take_relayed(self, message: RelayedRequest, sender: VmIdentity, core) -> None:
+    def take_relayed(self, message: RelayedRequest, sender: VmIdentity, core: CoreSurface) -> None:
         """Run a request that another VM passed on."""
         waiter = RelayWaiter(sender.name, message.relay_id)
         if message.request.ticket.issuer != core.identity:
@@ -135,7 +136,7 @@
             return
         self.run_once(waiter, message.request, core)
 
-    def take_outcome(self, message: RelayedOutcome, sender: VmIdentity, core) -> None:
+    def take_outcome(self, message: RelayedOutcome, sender: VmIdentity, core: CoreSurface) -> None:
         """Take the outcome of a relayed request from its issuer."""
         relay = self.relays.get(message.relay_id)
         if relay is None or sender.name != relay.issuer.name:
@@ -143,7 +144,7 @@
             return
         self.finish_relay(relay, message.outcome, core)
 
-    def run_once(self, waiter, request: TicketedRequest, core) -> None:
+    def run_once(self, waiter, request: TicketedRequest, core: CoreSurface) -> None:
         """Start the run of a ticket, or join the one under way, or repeat its outcome."""
         entry = self.entries.get(request.ticket.number)
         if entry is None:
@@ -163,7 +164,7 @@
         entry.waiting.append(waiter)
         self.start_run(entry, request, core)
 
-    def start_run(self, entry: TicketEntry, request: TicketedRequest, core) -> None:
+    def start_run(self, entry: TicketEntry, request: TicketedRequest, core: CoreSurface) -> None:
         """Run a ticket's request at the shard that holds its key."""
         entry.state = TicketState.RUNNING
         deadline_at_ms = core.now_ms + request.deadline_ms
@@ -176,7 +177,7 @@
         core.timers.arm(deadline_at_ms, RunDeadlineTimer(entry.number))
         self.try_replica(run, core)
 
-    def try_replica(self, run: Run, core) -> None:
+    def try_replica(self, run: Run, core: CoreSurface) -> None:
         """Send the request to one replica, over a new connection."""
         if run.tried and run.deadline_at_ms - core.now_ms < LEAST_RUN_MS:
             detail = 'every replica refused and too little time is left'
@@ -205,7 +206,7 @@
         )
         core.upstreams.submit(state, run.attempt, core)
 
-    def settle(self, run: Run, outcome: Outcome, core) -> None:
+    def settle(self, run: Run, outcome: Outcome, core: CoreSurface) -> None:
         """Fix a ticket's outcome for good and tell everyone who waits."""
         entry = run.entry
         if entry.state is TicketState.SETTLED:
@@ -222,7 +223,7 @@
             self.tell(waiter, outcome, core)
         core.stopping.check(core)
 
-    def tell(self, waiter, outcome: Outcome, core) -> None:
+    def tell(self, waiter, outcome: Outcome, core: CoreSurface) -> None:
         """Give an outcome to a caller here, or to the VM that relayed for one."""
         if isinstance(waiter, LocalWaiter):
             core.act(AnswerCaller(waiter.request_id, outcome))
@@ -243,17 +244,17 @@
         return {'entries': counts, 'runs': len(self.runs), 'relays': len(self.relays)}
 
 
-def handle_ticket_wanted(event: TicketWanted, core) -> None:
+def handle_ticket_wanted(event: TicketWanted, core: CoreSurface) -> None:
     """Answer a caller with a ticket."""
     core.act(AnswerCaller(event.request_id, core.tickets.issue(event.back_end, core)))
 
 
-def handle_request(event: RequestArrived, core) -> None:
+def handle_request(event: RequestArrived, core: CoreSurface) -> None:
     """Take a ticketed request from a caller."""
     core.tickets.take_request(event.request_id, event.request, core)
 
 
-def fire_run_deadline(timer: RunDeadlineTimer, core) -> None:
+def fire_run_deadline(timer: RunDeadlineTimer, core: CoreSurface) -> None:
     """Settle a run at its deadline: unknown if it was sent, not run and spent if it was not."""
     run = core.tickets.runs.get(timer.number)
     if run is None:
@@ -267,7 +268,7 @@
     core.tickets.settle(run, not_run(run.reason, 'not sent by the deadline'), core)
 
 
-def fire_run_retry(timer: RunRetryTimer, core) -> None:
+def fire_run_retry(timer: RunRetryTimer, core: CoreSurface) -> None:
     """Try a run again that certainly has not run."""
     run = core.tickets.runs.get(timer.number)
     if run is None or run.attempt is not None:
@@ -277,7 +278,7 @@
     core.tickets.try_replica(run, core)
 
 
-def fire_relay(timer: RelayTimer, core) -> None:
+def fire_relay(timer: RelayTimer, core: CoreSurface) -> None:
     """Repeat a relay, or give it up at its deadline."""
     relay = core.tickets.relays.get(timer.relay_id)
     if relay is None:
@@ -291,7 +292,7 @@
     core.tickets.send_relay(relay, core)
 
 
-def fire_forget(timer: ForgetTimer, core) -> None:
+def fire_forget(timer: ForgetTimer, core: CoreSurface) -> None:
     """Forget a ticket that was never used, or whose outcome was kept long enough."""
     entry = core.tickets.entries.get(timer.number)
     if entry is None or entry.until_ms > core.now_ms:
@@ -301,7 +302,7 @@
 
 
 @build_message.register
-def build_request(owner: Run, attempt: Attempt, core) -> ShardRequest:
+def build_request(owner: Run, attempt: Attempt, core: CoreSurface) -> ShardRequest:
     """Send the request itself."""
     return ShardRequest(
         owner.entry.number,
@@ -314,7 +315,7 @@
 
 
 @on_dropped.register
-def note_run_dropped(owner: Run, attempt: Attempt, reason: Reason, core) -> None:
+def note_run_dropped(owner: Run, attempt: Attempt, reason: Reason, core: CoreSurface) -> None:
     """Try another replica: nothing was sent. At the deadline its timer settles the run."""
     owner.attempt = None
     owner.reason = reason
@@ -325,7 +326,7 @@
 
 
 @on_reply.register
-def take_run_reply(owner: Run, attempt: Attempt, reply: Reply, core) -> None:
+def take_run_reply(owner: Run, attempt: Attempt, reply: Reply, core: CoreSurface) -> None:
     """Settle the run, or go on where the upstream says that it did not run."""
     if reply.status is ReplyStatus.DONE and reply.request_id == owner.entry.number:
         core.tickets.settle(owner, Done(reply.snapshot, reply.result), core)
@@ -341,7 +342,9 @@
 
 
 @on_failure.register
-def take_run_failure(owner: Run, attempt: Attempt, failure: AttemptFailure, core) -> None:
+def take_run_failure(
+    owner: Run, attempt: Attempt, failure: AttemptFailure, core: CoreSurface
+) -> None:
     """Go on only where no byte of the request can have left."""
     if failure.executed is not Executed.NOT_RUN:
         core.tickets.settle(owner, unknown(failure.reason, failure.detail), core)
--- a/beechbridge/core/ticket_state.py
+++ b/beechbridge/core/tickets/ticket_state.py
@@ -2,10 +2,10 @@
 
 import enum
 
-from ..failures import Reason
-from ..models import Outcome, TicketedRequest
-from ..record import Record
-from .attempts import Attempt
+from ...failures import Reason
+from ...models import Outcome, TicketedRequest
+from ...record import Record
+from ..requests.attempts import Attempt
 
 
 class TicketState(enum.Enum):
--- /dev/null
+++ b/beechbridge/core/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Replicas: choice, queues, windows, connections, health. Start at `upstreams`."""
--- a/beechbridge/core/connections.py
+++ b/beechbridge/core/upstreams/connections.py
@@ -1,6 +1,6 @@
 """Accounting of one replica's connections. The driver only opens and closes what it is told."""
 
-from ..record import Record
+from ...record import Record
 
 IDLE_TRUST_MS = 20_000.0
 """Idle time after which a connection is closed rather than used."""
--- a/beechbridge/core/upstreams.py
+++ b/beechbridge/core/upstreams/controller.py
@@ -1,12 +1,13 @@
 """Controller of the replicas: choice, queues, sending, and their connections."""
 
-from ..actions import CloseConnection, Send
-from ..document import Configuration
-from ..failures import Reason
-from ..messages import CancelOrder, UpstreamMessage
-from ..models import Service
-from ..record import Record
-from .attempts import Attempt, build_message, on_dropped, on_queued, on_sent
+from ...actions import CloseConnection, Send
+from ...document import Configuration
+from ...failures import Reason
+from ...messages import CancelOrder, UpstreamMessage
+from ...models import Service
+from ...record import Record
+from ..requests.attempts import Attempt, build_message, on_dropped, on_queued, on_sent
+from ..surface import CoreSurface
 from .connections import IDLE_TRUST_MS
 from .replicas import ReplicaState
 from .shares import connection_share
@@ -52,7 +53,7 @@
         self.next_number = 0
         self.next_connection_id = 0
 
-    def apply_configuration(self, configuration: Configuration, core) -> None:
+    def apply_configuration(self, configuration: Configuration, core: CoreSurface) -> None:
         """Add, change and remove replicas as the configuration says."""
         named = set()
         for back_end in configuration.back_ends.values():
@@ -70,7 +71,7 @@
                 del self.states[replica_id]
         self.apply_shares(core)
 
-    def put_replica(self, replica, back_end: str, service: str, core) -> None:
+    def put_replica(self, replica, back_end: str, service: str, core: CoreSurface) -> None:
         """Add a replica, or take over what changed about it."""
         state = self.states.get(replica.replica_id)
         if state is None:
@@ -91,7 +92,7 @@
         if replica.draining:
             self.flush_queue(state, core)
 
-    def apply_shares(self, core) -> None:
+    def apply_shares(self, core: CoreSurface) -> None:
         """Set each replica's connection share from the VM list."""
         configuration = core.configuration.current
         names = core.membership.share_names(core.now_ms)
@@ -108,23 +109,23 @@
                 core.act(CloseConnection(connection_id))
             self.pump(state, core)
 
-    def close_all(self, state: ReplicaState, core) -> None:
+    def close_all(self, state: ReplicaState, core: CoreSurface) -> None:
         """Close a replica's idle connections."""
         for connection_id in state.pool.retire_idle(float('inf')):
             core.act(CloseConnection(connection_id))
 
-    def distrust_connections(self, core) -> None:
+    def distrust_connections(self, core: CoreSurface) -> None:
         """Close all idle connections, as after a pause."""
         for state in self.states.values():
             self.close_all(state, core)
 
-    def new_attempt_id(self, core) -> str:
+    def new_attempt_id(self, core: CoreSurface) -> str:
         """Return an identifier that no other process and no earlier attempt used."""
         self.next_number += 1
         return f'{core.identity.name}-{core.identity.incarnation:x}-{self.next_number:x}'
 
     def choose(
-        self, service: Service, snapshot: int, exclude: set[str], urgency: int, core
+        self, service: Service, snapshot: int, exclude: set[str], urgency: int, core: CoreSurface
     ) -> ReplicaState | None:
         """Choose a replica of a service: the cheaper of two, the healthy ones first."""
         usable = []
@@ -156,7 +157,7 @@
             return core.rng.choice(pool)
         return first if difference < 0 else second
 
-    def is_held_up(self, service: Service, core) -> bool:
+    def is_held_up(self, service: Service, core: CoreSurface) -> bool:
         """Tell whether a replica could serve if it had a free connection."""
         for replica in service.replicas:
             state = self.states.get(replica.replica_id)
@@ -166,7 +167,7 @@
                 return True
         return False
 
-    def submit(self, state: ReplicaState, attempt: Attempt, core) -> None:
+    def submit(self, state: ReplicaState, attempt: Attempt, core: CoreSurface) -> None:
         """Queue an attempt and send what the window allows."""
         self.attempts[attempt.attempt_id] = attempt
         displaced = state.enqueue(attempt, core.limits.queue_length, core.policy.orders)
@@ -177,20 +178,22 @@
         if attempt.sent_ms is None and not attempt.abandoned:
             on_queued(attempt.owner, attempt, core)
 
-    def drop(self, attempt: Attempt, reason: Reason, core) -> None:
+    def drop(self, attempt: Attempt, reason: Reason, core: CoreSurface) -> None:
         """Take an unsent attempt out and tell its owner."""
         self.attempts.pop(attempt.attempt_id, None)
         if attempt.abandoned:
             return
         on_dropped(attempt.owner, attempt, reason, core)
 
-    def flush_queue(self, state: ReplicaState, core, reason: Reason = Reason.DRAINING) -> None:
+    def flush_queue(
+        self, state: ReplicaState, core: CoreSurface, reason: Reason = Reason.DRAINING
+    ) -> None:
         """Take all unsent attempts off a replica that cannot or must not get them."""
         queue, state.queue = state.queue, []
         for _, _, _, attempt in queue:
             self.drop(attempt, reason, core)
 
-    def pump(self, state: ReplicaState, core) -> None:
+    def pump(self, state: ReplicaState, core: CoreSurface) -> None:
         """Send queued attempts as far as window and connections allow."""
         while state.queue:
             attempt = state.queue[0][3]
@@ -213,12 +216,12 @@
                 return
             state.queue.pop(0)
 
-    def pump_all(self, core) -> None:
+    def pump_all(self, core: CoreSurface) -> None:
         """Send what every replica's window allows."""
         for state in list(self.states.values()):
             self.pump(state, core)
 
-    def send(self, state: ReplicaState, attempt: Attempt, core) -> bool:
+    def send(self, state: ReplicaState, attempt: Attempt, core: CoreSurface) -> bool:
         """Send an attempt over a connection of the pool; False if none is to be had."""
         for connection_id in state.pool.retire_idle(core.now_ms - IDLE_TRUST_MS):
             core.act(CloseConnection(connection_id))
@@ -233,7 +236,7 @@
         self.carry(state, attempt, lease, core)
         return True
 
-    def carry(self, state: ReplicaState, attempt: Attempt, lease, core) -> None:
+    def carry(self, state: ReplicaState, attempt: Attempt, lease, core: CoreSurface) -> None:
         """Hand an attempt and its connection to the driver."""
         if lease.is_new:
             self.next_connection_id = lease.connection_id
@@ -256,7 +259,7 @@
         )
         on_sent(attempt.owner, attempt, core)
 
-    def arm_stall(self, attempt: Attempt, core) -> None:
+    def arm_stall(self, attempt: Attempt, core: CoreSurface) -> None:
         """Give up on an exchange of idempotent work that makes no progress."""
         state = self.states.get(attempt.replica_id)
         if state is None:
@@ -266,7 +269,7 @@
             stall_ms = max(MIN_STALL_MS, STALL_FACTOR * state.latency.median_ms)
         core.timers.arm(core.now_ms + stall_ms, StallTimer(attempt.attempt_id))
 
-    def cancel(self, attempt: Attempt, core) -> None:
+    def cancel(self, attempt: Attempt, core: CoreSurface) -> None:
         """
         Stop waiting for an attempt.
 
@@ -289,7 +292,7 @@
         owner = Cancellation(attempt.attempt_id)
         self.start_control(state, owner, lease, core)
 
-    def start_control(self, state: ReplicaState, owner: object, lease, core) -> None:
+    def start_control(self, state: ReplicaState, owner: object, lease, core: CoreSurface) -> None:
         """Send a probe or a cancel order past the queue over a connection already taken."""
         attempt_id = self.new_attempt_id(core)
         deadline_ms = core.now_ms + CONTROL_DEADLINE_MS
@@ -298,7 +301,7 @@
         self.carry(state, attempt, lease, core)
         core.timers.arm(deadline_ms, StallTimer(attempt_id))
 
-    def finish(self, attempt: Attempt, reusable: bool, core) -> ReplicaState | None:
+    def finish(self, attempt: Attempt, reusable: bool, core: CoreSurface) -> ReplicaState | None:
         """Account for the end of an exchange's connection."""
         state = self.states.get(attempt.replica_id)
         if state is None:
@@ -319,6 +322,6 @@
 
 
 @build_message.register
-def build_cancel(owner: Cancellation, attempt: Attempt, core) -> UpstreamMessage:
+def build_cancel(owner: Cancellation, attempt: Attempt, core: CoreSurface) -> UpstreamMessage:
     """Tell the upstream which attempt to stop."""
     return CancelOrder(owner.cancelled_attempt_id)
--- a/beechbridge/core/exchanges.py
+++ b/beechbridge/core/upstreams/exchanges.py
@@ -1,14 +1,15 @@
 """Ends of exchanges: replies, failures and stalls, and what they say of a replica."""
 
-from ..actions import CloseConnection
-from ..events import AttemptFailed, ReplyArrived
-from ..failures import AttemptFailure, Executed, Reason
-from ..messages import Reply, ReplyStatus
-from .attempts import Attempt, on_failure, on_reply
+from ...actions import CloseConnection
+from ...events import AttemptFailed, ReplyArrived
+from ...failures import AttemptFailure, Executed, Reason
+from ...messages import Reply, ReplyStatus
+from ..requests.attempts import Attempt, on_failure, on_reply
+from ..surface import CoreSurface
 from .connections import SILENT_HOLD_MS
+from .controller import Cancellation, StallTimer
 from .health import Probe, readmit
 from .replicas import CLOSING_HOLD_MS, ReplicaState
-from .upstreams import Cancellation, StallTimer
 
 OWN_FAILURES = frozenset(
     (
@@ -28,7 +29,7 @@
     return reply.attempt_id == attempt.attempt_id
 
 
-def handle_reply(event: ReplyArrived, core) -> None:
+def handle_reply(event: ReplyArrived, core: CoreSurface) -> None:
     """Free the connection, learn from the reply, and pass it to the attempt's owner."""
     upstreams = core.upstreams
     attempt = upstreams.attempts.pop(event.attempt_id, None)
@@ -55,7 +56,9 @@
         upstreams.pump(state, core)
 
 
-def learn_from_reply(state: ReplicaState, attempt: Attempt, reply: Reply, core) -> None:
+def learn_from_reply(
+    state: ReplicaState, attempt: Attempt, reply: Reply, core: CoreSurface
+) -> None:
     """Update what is known of a replica from its reply."""
     if state.note_snapshots(reply.oldest_snapshot, reply.newest_snapshot, core.now_ms):
         core.snapshots.forget_choice(state.back_end)
@@ -86,7 +89,7 @@
     state.adapt_window(core.now_ms - attempt.sent_ms)
 
 
-def handle_attempt_failed(event: AttemptFailed, core) -> None:
+def handle_attempt_failed(event: AttemptFailed, core: CoreSurface) -> None:
     """Free the connection and pass the failure to the attempt's owner."""
     attempt = core.upstreams.attempts.pop(event.attempt_id, None)
     if attempt is None:
@@ -104,7 +107,7 @@
 
 
 def pass_failure(
-    attempt: Attempt, state: ReplicaState | None, failure: AttemptFailure, core
+    attempt: Attempt, state: ReplicaState | None, failure: AttemptFailure, core: CoreSurface
 ) -> None:
     """Hold a failure against the replica where it is its own, and tell the owner."""
     core.counters.add('attempts_failed', failure.reason.value)
@@ -117,7 +120,7 @@
     on_failure(attempt.owner, attempt, failure, core)
 
 
-def fire_stall(timer: StallTimer, core) -> None:
+def fire_stall(timer: StallTimer, core: CoreSurface) -> None:
     """Retire the connection of an exchange that made no progress, and tell the owner."""
     attempt = core.upstreams.attempts.get(timer.attempt_id)
     if attempt is None or attempt.sent_ms is None or attempt.hold_ms > 0:
--- a/beechbridge/core/health.py
+++ b/beechbridge/core/upstreams/health.py
@@ -1,10 +1,11 @@
 """Controller of the replicas' health: probes, signs of leaving, ejection, silent connections."""
 
-from ..actions import CloseConnection, LogChange
-from ..failures import AttemptFailure, Reason
-from ..messages import LoadProbe, ReplicaSign, Reply, ReplyStatus, UpstreamMessage
-from ..record import Record
-from .attempts import Attempt, build_message, on_failure, on_reply
+from ...actions import CloseConnection, LogChange
+from ...failures import AttemptFailure, Reason
+from ...messages import LoadProbe, ReplicaSign, Reply, ReplyStatus, UpstreamMessage
+from ...record import Record
+from ..requests.attempts import Attempt, build_message, on_failure, on_reply
+from ..surface import CoreSurface
 from .connections import SILENT_HOLD_MS
 from .replicas import DRAIN_HOLD_MS, ReplicaState
 
@@ -52,7 +53,7 @@
         self.watched: frozenset[str] = frozenset()
         self.watched_for: tuple | None = None
 
-    def find_watched(self, core) -> frozenset[str]:
+    def find_watched(self, core: CoreSurface) -> frozenset[str]:
         """Return the replicas that this VM probes for the fleet."""
         names = core.membership.serving_names(core.now_ms)
         key = (names, core.configuration.generation)
@@ -64,7 +65,7 @@
         return self.watched
 
     def suspect_connections(
-        self, state: ReplicaState, attempt: Attempt, is_silent: bool, core
+        self, state: ReplicaState, attempt: Attempt, is_silent: bool, core: CoreSurface
     ) -> None:
         """
         Retire the connections that are as old as one that broke or went silent.
@@ -88,7 +89,7 @@
                 core.counters.add('connections_suspected')
                 core.act(CloseConnection(connection_id))
 
-    def probe_due(self, core) -> None:
+    def probe_due(self, core: CoreSurface) -> None:
         """Probe the replicas that are due, those that wait longest first."""
         watched = self.find_watched(core)
         due = []
@@ -103,7 +104,7 @@
         for state in due[:PROBES_PER_ROUND]:
             self.probe(state, core)
 
-    def probe(self, state: ReplicaState, core, fresh: bool = False) -> None:
+    def probe(self, state: ReplicaState, core: CoreSurface, fresh: bool = False) -> None:
         """
         Probe a replica over its longest idle connection, or a new one.
 
@@ -118,7 +119,7 @@
         state.probed_ms = core.now_ms
         core.upstreams.start_control(state, Probe(state.replica.replica_id), lease, core)
 
-    def mark_draining(self, state: ReplicaState, sign_ms: float, core) -> None:
+    def mark_draining(self, state: ReplicaState, sign_ms: float, core: CoreSurface) -> None:
         """Stop new work on a replica that showed a sign of leaving."""
         is_news = state.drain_sign_ms is None
         state.drain_sign_ms = max(sign_ms, state.drain_sign_ms or 0.0)
@@ -129,12 +130,12 @@
         core.upstreams.flush_queue(state, core)
         core.membership.gossip_now(core)
 
-    def end_drain(self, state: ReplicaState, core) -> None:
+    def end_drain(self, state: ReplicaState, core: CoreSurface) -> None:
         """Give a replica work again."""
         state.drain_sign_ms = None
         core.act(LogChange(state.replica.replica_id, 'draining', 'serving'))
 
-    def take_sign(self, sign: ReplicaSign, core) -> None:
+    def take_sign(self, sign: ReplicaSign, core: CoreSurface) -> None:
         """Take what a peer saw of a replica."""
         state = core.upstreams.states.get(sign.replica_id)
         if state is None:
@@ -150,7 +151,7 @@
         if state.note_snapshots(sign.oldest_snapshot, sign.newest_snapshot, seen_ms):
             core.snapshots.forget_choice(state.back_end)
 
-    def signs(self, core) -> list[ReplicaSign]:
+    def signs(self, core: CoreSurface) -> list[ReplicaSign]:
         """Return what peers should hear: drains, and the replicas this VM watches."""
         watched = self.find_watched(core)
         signs = []
@@ -172,20 +173,20 @@
             )
         return signs
 
-    def log_ejection(self, state: ReplicaState, core) -> None:
+    def log_ejection(self, state: ReplicaState, core: CoreSurface) -> None:
         """Report a replica's ejection, and send what waits for it elsewhere."""
         core.counters.add('ejections')
         core.act(LogChange(state.replica.replica_id, 'serving', 'ejected'))
         core.upstreams.flush_queue(state, core, Reason.NO_PROGRESS)
 
 
-def readmit(state: ReplicaState, core) -> None:
+def readmit(state: ReplicaState, core: CoreSurface) -> None:
     """Take an ejected replica back."""
     state.readmit()
     core.act(LogChange(state.replica.replica_id, 'ejected', 'serving'))
 
 
-def fire_probe(timer: ProbeTimer, core) -> None:
+def fire_probe(timer: ProbeTimer, core: CoreSurface) -> None:
     """Probe what is due and arm the next round with jitter."""
     core.health.probe_due(core)
     jitter_ms = core.rng.uniform(0.8, 1.2) * PROBE_ROUND_MS
@@ -193,13 +194,13 @@
 
 
 @build_message.register
-def build_probe(owner: Probe, attempt: Attempt, core) -> UpstreamMessage:
+def build_probe(owner: Probe, attempt: Attempt, core: CoreSurface) -> UpstreamMessage:
     """Ask for health and load."""
     return LoadProbe()
 
 
 @on_reply.register
-def take_probe_reply(owner: Probe, attempt: Attempt, reply: Reply, core) -> None:
+def take_probe_reply(owner: Probe, attempt: Attempt, reply: Reply, core: CoreSurface) -> None:
     """Readmit an ejected replica; end a drain only long after its last sign."""
     state = core.upstreams.states.get(owner.replica_id)
     if state is None:
@@ -215,7 +216,9 @@
 
 
 @on_failure.register
-def take_probe_failure(owner: Probe, attempt: Attempt, failure: AttemptFailure, core) -> None:
+def take_probe_failure(
+    owner: Probe, attempt: Attempt, failure: AttemptFailure, core: CoreSurface
+) -> None:
     """Let the next probe go out."""
     state = core.upstreams.states.get(owner.replica_id)
     if state is None:
--- a/beechbridge/core/replicas.py
+++ b/beechbridge/core/upstreams/replicas.py
@@ -2,10 +2,10 @@
 
 import bisect
 
-from ..models import Replica
-from .attempts import Attempt
+from ...models import Replica
+from ..latency import LatencyEstimate
+from ..requests.attempts import Attempt
 from .connections import ConnectionPool
-from .latency import LatencyEstimate
 
 DEFAULT_LATENCY_MS = 5.0
 CLOSING_HOLD_MS = 3_000.0
--- a/beechbridge/core/shares.py
+++ b/beechbridge/core/upstreams/shares.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Collection
 
-from .hashing import rank_names
+from ..hashing import rank_names
 
 
 def connection_share(
--- /dev/null
+++ b/beechbridge/gateway/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The VMs: heartbeats, followers of the store, placement, the stop. Start at `gossip`."""
--- a/beechbridge/gateway/gossip.py
+++ b/beechbridge/gateway/fleet/gossip.py
@@ -7,11 +7,12 @@
 is new. Any VM that hears of no better one follows the store itself.
 """
 
-from ..core.hashing import rank_score
-from ..record import Record
-from .actions import FollowStore, PullChanges, SendHeartbeat, WriteLine
-from .events import HeartbeatArrived
-from .models import Member
+from ...core.hashing import rank_score
+from ...record import Record
+from ..actions import FollowStore, PullChanges, SendHeartbeat, WriteLine
+from ..events import HeartbeatArrived
+from ..models import Member
+from ..surface import GatewaySurface
 
 HEARTBEAT_MS = 400.0
 FIRST_HEARTBEAT_MS = 50.0
@@ -84,7 +85,7 @@
         self.is_following = False
 
 
-def handle_heartbeat(event: HeartbeatArrived, gateway) -> None:
+def handle_heartbeat(event: HeartbeatArrived, gateway: GatewaySurface) -> None:
     """Take a heartbeat in; ask its sender for changes if it knows more of the store."""
     if not event.members:
         return
@@ -98,7 +99,7 @@
     note_revision(event, sender, gateway)
 
 
-def note_revision(event: HeartbeatArrived, sender: Member, gateway) -> None:
+def note_revision(event: HeartbeatArrived, sender: Member, gateway: GatewaySurface) -> None:
     """Ask a VM for changes if it has known more for long enough."""
     gossip = gateway.gossip
     now_ms = gateway.now_ms
@@ -119,19 +120,19 @@
         gateway.act(PullChanges(sender.host, gateway.view.revision))
 
 
-def note_caught_up(gateway) -> None:
+def note_caught_up(gateway: GatewaySurface) -> None:
     """Forget that another VM was ahead: changes have just been taken in."""
     gateway.gossip.behind_since_ms = None
 
 
-def share_news(gateway) -> None:
+def share_news(gateway: GatewaySurface) -> None:
     """Tell the VMs of this data centre at once that there is news."""
     send(
         gateway, [member.host for member in gateway.fleet.near(gateway.now_ms)], own_view(gateway)
     )
 
 
-def fire_heartbeat(timer: HeartbeatTimer, gateway) -> None:
+def fire_heartbeat(timer: HeartbeatTimer, gateway: GatewaySurface) -> None:
     """Send a heartbeat, write down who came and went, and see who follows the store."""
     period_ms = HEARTBEAT_MS if gateway.table else FIRST_HEARTBEAT_MS
     gateway.timers.arm(gateway.now_ms + period_ms * gateway.rng.uniform(0.9, 1.1), timer)
@@ -140,7 +141,7 @@
     choose_follower(gateway)
 
 
-def note_changes(gateway) -> None:
+def note_changes(gateway: GatewaySurface) -> None:
     """Write down which VMs fell silent or came back."""
     fleet = gateway.fleet
     fleet.forget_silent(gateway.now_ms)
@@ -151,7 +152,7 @@
     fleet.alive_names = alive_names
 
 
-def choose_follower(gateway) -> None:
+def choose_follower(gateway: GatewaySurface) -> None:
     """Follow the store unless a better VM of this data centre does, or may soon."""
     gossip = gateway.gossip
     fleet = gateway.fleet
@@ -177,7 +178,7 @@
     follow_store(is_wanted, gateway)
 
 
-def follow_store(is_wanted: bool, gateway) -> None:
+def follow_store(is_wanted: bool, gateway: GatewaySurface) -> None:
     """Start or stop following the store."""
     gateway.gossip.is_following = is_wanted
     revision = gateway.view.revision if gateway.table else None
@@ -187,7 +188,7 @@
         gateway.store.leave()
 
 
-def own_view(gateway) -> list[Member]:
+def own_view(gateway: GatewaySurface) -> list[Member]:
     """Return this VM as others should know it, with its heartbeat moved on."""
     own = gateway.fleet.own
     own.heartbeat += 1
@@ -198,7 +199,9 @@
     return [own]
 
 
-def send(gateway, hosts: list[str], members: list[Member], wants_members: bool = False) -> None:
+def send(
+    gateway: GatewaySurface, hosts: list[str], members: list[Member], wants_members: bool = False
+) -> None:
     """Send a heartbeat to some VMs."""
     if not hosts:
         return
@@ -206,7 +209,7 @@
     gateway.act(SendHeartbeat(hosts, members, version, gateway.view.revision, wants_members))
 
 
-def send_heartbeat(gateway) -> None:
+def send_heartbeat(gateway: GatewaySurface) -> None:
     """Tell other VMs that this one lives, and now and then whom it knows."""
     fleet = gateway.fleet
     now_ms = gateway.now_ms
@@ -231,7 +234,7 @@
     ask_seeds(gateway, beat)
 
 
-def relay(gateway, far: list[Member]) -> None:
+def relay(gateway: GatewaySurface, far: list[Member]) -> None:
     """Tell one VM of each other data centre who lives in this one."""
     fleet = gateway.fleet
     hosts_by_zone: dict[str, list[str]] = {}
@@ -242,7 +245,7 @@
     send(gateway, hosts, [fleet.own, *fleet.near(gateway.now_ms)][:LARGEST_MESSAGE])
 
 
-def ask_seeds(gateway, beat: int) -> None:
+def ask_seeds(gateway: GatewaySurface, beat: int) -> None:
     """Ask the seeds for the fleet while this VM is young, and those that are unknown later on."""
     fleet = gateway.fleet
     if beat in YOUNG_BEATS:
--- a/beechbridge/gateway/fleet.py
+++ b/beechbridge/gateway/fleet/members.py
@@ -1,7 +1,7 @@
 """The VMs of the fleet as one of them sees it: who lives, who serves, who reads the store."""
 
-from ..core.hashing import rank_score
-from .models import Member
+from ...core.hashing import rank_score
+from ..models import Member
 
 MESH_SIZE = 12
 """VMs up to which each sends its heartbeats to all others."""
--- a/beechbridge/gateway/placement.py
+++ b/beechbridge/gateway/fleet/placement.py
@@ -1,9 +1,9 @@
 """Which VMs callers at a place should use: near to them and to what they fan out to."""
 
-from ..record import Record
-from .fleet import Fleet
-from .models import Member, RoutingTable
-from .upstreams import Upstreams
+from ...record import Record
+from ..models import Member, RoutingTable
+from ..replicas.upstreams import Upstreams
+from .members import Fleet
 
 NEAR_COST = 0.0
 """Cost of a message within a region: the users pay a third of one between regions, and a caller
--- a/beechbridge/gateway/stopping.py
+++ b/beechbridge/gateway/fleet/stopping.py
@@ -1,8 +1,9 @@
 """Graceful stop: leave the fleet at once, serve on while callers may still come, then end."""
 
-from ..record import Record
-from .actions import CloseIdleCallers, EndProcess, WriteLine
-from .events import StopAsked
+from ...record import Record
+from ..actions import CloseIdleCallers, EndProcess, WriteLine
+from ..events import StopAsked
+from ..surface import GatewaySurface
 from .gossip import send_heartbeat
 
 SERVE_SHARE = 0.62
@@ -44,7 +45,7 @@
         self.is_closed = False
 
 
-def handle_stop(event: StopAsked, gateway) -> None:
+def handle_stop(event: StopAsked, gateway: GatewaySurface) -> None:
     """Leave the fleet and go on serving."""
     stopping = gateway.stopping
     if stopping.is_leaving:
@@ -57,14 +58,14 @@
     gateway.timers.arm(latest_ms, EndTimer(latest_ms))
 
 
-def fire_close(timer: CloseTimer, gateway) -> None:
+def fire_close(timer: CloseTimer, gateway: GatewaySurface) -> None:
     """Take no more connections; end once nothing is in flight."""
     gateway.act(CloseIdleCallers())
     latest_ms = gateway.now_ms + (END_SHARE - SERVE_SHARE) * gateway.stopping.grace_ms
     gateway.timers.arm(gateway.now_ms + CHECK_MS, EndTimer(latest_ms))
 
 
-def fire_end(timer: EndTimer, gateway) -> None:
+def fire_end(timer: EndTimer, gateway: GatewaySurface) -> None:
     """End the process if nothing is in flight or the time is over."""
     if gateway.works and gateway.now_ms < timer.latest_ms:
         gateway.timers.arm(gateway.now_ms + CHECK_MS, timer)
--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -9,8 +9,6 @@
 from ..core.timers import Timers
 from ..failures import Failure
 from .actions import GatewayAction, WriteLine
-from .admission import handle_caller_asked
-from .budgets import BudgetRules, BudgetShare, RepeatBudget
 from .events import (
     CallerAsked,
     CallerLeft,
@@ -24,9 +22,13 @@
     StoreFailed,
     TimePassed,
 )
-from .fleet import Fleet
-from .gossip import Gossip, HeartbeatTimer, fire_heartbeat, handle_heartbeat
-from .knowledge import (
+from .fleet.gossip import Gossip, HeartbeatTimer, fire_heartbeat, handle_heartbeat
+from .fleet.members import Fleet
+from .fleet.placement import Activity, Placement
+from .fleet.stopping import CloseTimer, EndTimer, Stopping, fire_close, fire_end, handle_stop
+from .latencies import Histogram, Patience
+from .models import Member, ReplicaEntry, RoutingTable
+from .replicas.knowledge import (
     StoreContact,
     VanishTimer,
     drop_replica,
@@ -34,10 +36,11 @@
     handle_changes,
     handle_store_failed,
 )
-from .latencies import Histogram, Patience
-from .models import Member, ReplicaEntry, RoutingTable
-from .placement import Activity, Placement
-from .progress import (
+from .replicas.store_view import StoreView
+from .replicas.upstreams import ReplicaState, Upstreams
+from .requests.admission import handle_caller_asked
+from .requests.budgets import BudgetRules, BudgetShare, RepeatBudget
+from .requests.progress import (
     fire_check,
     fire_deadline,
     handle_caller_left,
@@ -45,12 +48,9 @@
     handle_exchange_ended,
     sweep_exchanges,
 )
-from .sending import fire_retry, pump
-from .splits import Splits
-from .stopping import CloseTimer, EndTimer, Stopping, fire_close, fire_end, handle_stop
-from .store_view import StoreView
-from .upstreams import ReplicaState, Upstreams
-from .works import CheckTimer, DeadlineTimer, RetryTimer, Work
+from .requests.sending import fire_retry, pump
+from .requests.splits import Splits
+from .requests.works import CheckTimer, DeadlineTimer, RetryTimer, Work
 
 SWEEP_MS = 250.0
 MOST_ADDRESSES = 64
--- /dev/null
+++ b/beechbridge/gateway/replicas/__init__.py
@@ -0,0 +1,1 @@
+"""Replicas: what the store says of them, choice, connections. Start at `knowledge`."""
--- a/beechbridge/gateway/knowledge.py
+++ b/beechbridge/gateway/replicas/knowledge.py
@@ -1,11 +1,12 @@
 """What the gateway takes from the store: the routing table and the replicas, and their doubts."""
 
-from ..failures import Failure
-from ..record import Record
-from .actions import DropConnection, WriteLine
-from .events import ChangesRead, StoreFailed
-from .gossip import note_caught_up, share_news
-from .models import Item, ReplicaEntry, RoutingTable
+from ...failures import Failure
+from ...record import Record
+from ..actions import DropConnection, WriteLine
+from ..events import ChangesRead, StoreFailed
+from ..fleet.gossip import note_caught_up, share_news
+from ..models import Item, ReplicaEntry, RoutingTable
+from ..surface import GatewaySurface
 from .upstreams import ReplicaState
 
 UNSTABLE_MS = 3_000.0
@@ -47,7 +48,7 @@
         return now_ms - self.failed_ms < UNSTABLE_MS
 
 
-def handle_store_failed(event: StoreFailed, gateway) -> None:
+def handle_store_failed(event: StoreFailed, gateway: GatewaySurface) -> None:
     """Note that the store does not answer."""
     if not gateway.gossip.is_following:
         return
@@ -59,7 +60,7 @@
         gateway.act(WriteLine('store_lost', {'cause': event.detail}))
 
 
-def handle_changes(event: ChangesRead, gateway) -> None:
+def handle_changes(event: ChangesRead, gateway: GatewaySurface) -> None:
     """Take changes of the store in and act on those that are news."""
     store = gateway.store
     now_ms = gateway.now_ms
@@ -79,7 +80,7 @@
         share_news(gateway)
 
 
-def take_item(item: Item, gateway) -> None:
+def take_item(item: Item, gateway: GatewaySurface) -> None:
     """Act on one changed item."""
     if item.value is None:
         state = gateway.replica_by_key.get(item.key)
@@ -102,7 +103,7 @@
     apply_entry(item.key, decoded, state, gateway)
 
 
-def apply_table(table: RoutingTable, gateway) -> None:
+def apply_table(table: RoutingTable, gateway: GatewaySurface) -> None:
     """Put a newer routing table in force; an older one never."""
     current = gateway.table
     if current is not None and table.version <= current.version:
@@ -121,7 +122,9 @@
     )
 
 
-def apply_entry(key: str, entry: ReplicaEntry, state: ReplicaState | None, gateway) -> None:
+def apply_entry(
+    key: str, entry: ReplicaEntry, state: ReplicaState | None, gateway: GatewaySurface
+) -> None:
     """Add a replica, or take over what its entry says now."""
     if state is not None:
         known = state.entry
@@ -148,13 +151,13 @@
     gateway.pump(entry.service)
 
 
-def log_replica(entry: ReplicaEntry, state: str, gateway) -> None:
+def log_replica(entry: ReplicaEntry, state: str, gateway: GatewaySurface) -> None:
     """Write the line of a replica's change."""
     fields = {'replica': entry.replica_id, 'service': entry.service, 'state': state}
     gateway.act(WriteLine('replica_changed', {**fields, 'revision': gateway.view.revision}))
 
 
-def note_vanished(key: str, state: ReplicaState, gateway) -> None:
+def note_vanished(key: str, state: ReplicaState, gateway: GatewaySurface) -> None:
     """Drop a replica whose entry is gone, or wait while the entry may have lapsed."""
     if not gateway.store.is_unstable(gateway.now_ms):
         drop_replica(key, state, 'entry removed', gateway)
@@ -164,7 +167,7 @@
     gateway.timers.arm(gateway.now_ms + LAPSE_GRACE_MS, VanishTimer(key, gateway.now_ms))
 
 
-def fire_vanish(timer: VanishTimer, gateway) -> None:
+def fire_vanish(timer: VanishTimer, gateway: GatewaySurface) -> None:
     """Drop a replica whose entry has not come back."""
     state = gateway.replica_by_key.get(timer.replica_id)
     if state is None or state.vanished_ms != timer.vanished_ms:
@@ -172,7 +175,7 @@
     drop_replica(timer.replica_id, state, 'entry did not come back', gateway)
 
 
-def drop_replica(key: str, state: ReplicaState, cause: str, gateway) -> None:
+def drop_replica(key: str, state: ReplicaState, cause: str, gateway: GatewaySurface) -> None:
     """Forget a replica; what it is working on goes on."""
     gateway.replica_by_key.pop(key, None)
     for connection_id in gateway.upstreams.remove(state):
--- a/beechbridge/gateway/store_view.py
+++ b/beechbridge/gateway/replicas/store_view.py
@@ -1,6 +1,6 @@
 """Copy of the platform's store that a VM works from, fed by the store or by other VMs."""
 
-from .models import Item
+from ..models import Item
 
 TOMBSTONES = 4_000
 """Deletions that are remembered, so that an older copy cannot bring an item back."""
--- a/beechbridge/gateway/upstreams.py
+++ b/beechbridge/gateway/replicas/upstreams.py
@@ -2,8 +2,8 @@
 
 import math
 
-from ..core.latency import LatencyEstimate
-from .models import ReplicaEntry
+from ...core.latency import LatencyEstimate
+from ..models import ReplicaEntry
 
 DISTANCE_MS = (0.5, 3.5, 17.0)
 """Round trip to a replica in the own data centre, region, elsewhere, before one was measured."""
--- a/beechbridge/gateway/admission.py
+++ b/beechbridge/gateway/requests/admission.py
@@ -5,9 +5,10 @@
 then, so that every refusal here is truly `not_run`.
 """
 
-from ..failures import Failure, Reason, not_run
-from .events import CallerAsked
-from .models import Route
+from ...failures import Failure, Reason, not_run
+from ..events import CallerAsked
+from ..models import Route
+from ..surface import GatewaySurface
 from .progress import answer_work, check_gather, refuse_request
 from .sending import ask
 from .works import CheckTimer, DeadlineTimer, GatherWork, SingleWork, Task, Work
@@ -25,7 +26,7 @@
 """Age of the latest word from the store or a VM from which an unknown route may merely be new."""
 
 
-def check_readiness(work_request: CallerAsked, gateway) -> Failure | None:
+def check_readiness(work_request: CallerAsked, gateway: GatewaySurface) -> Failure | None:
     """Refuse work before there is a routing table, and at the end of a stop."""
     if gateway.table is None:
         return not_run(Reason.NOT_READY, 'no routing table yet', NOT_READY_RETRY_MS)
@@ -34,7 +35,7 @@
     return None
 
 
-def check_patience(work_request: CallerAsked, gateway) -> Failure | None:
+def check_patience(work_request: CallerAsked, gateway: GatewaySurface) -> Failure | None:
     """Refuse what the caller no longer waits for."""
     patience_ms = work_request.request.patience_ms
     if patience_ms is not None and patience_ms <= 0:
@@ -42,7 +43,7 @@
     return None
 
 
-def check_capacity(work_request: CallerAsked, gateway) -> Failure | None:
+def check_capacity(work_request: CallerAsked, gateway: GatewaySurface) -> Failure | None:
     """Refuse what exceeds the requests that this VM has memory for."""
     if len(gateway.works) < MOST_ACTIVE:
         return None
@@ -50,7 +51,7 @@
     return not_run(Reason.OVERLOADED, detail, BUSY_RETRY_MS)
 
 
-def check_body(work_request: CallerAsked, gateway) -> Failure | None:
+def check_body(work_request: CallerAsked, gateway: GatewaySurface) -> Failure | None:
     """Refuse bodies over the limit."""
     limit_bytes = gateway.table.limits.body_bytes
     if len(work_request.request.body) > limit_bytes:
@@ -61,7 +62,7 @@
 REQUEST_FILTERS = (check_readiness, check_patience, check_capacity, check_body)
 
 
-def find_route(event: CallerAsked, gateway) -> Route | Failure:
+def find_route(event: CallerAsked, gateway: GatewaySurface) -> Route | Failure:
     """Return the route of a request, or why it is refused."""
     request = event.request
     route = gateway.table.find_route(request.host, request.path)
@@ -73,7 +74,7 @@
     return not_run(Reason.NOT_FOUND, f'no route for host {request.host!r}, path {request.path!r}')
 
 
-def check_replicas(work: Work, gateway) -> Failure | None:
+def check_replicas(work: Work, gateway: GatewaySurface) -> Failure | None:
     """Refuse what too few services have a replica for."""
     able_count = 0
     for task in work.tasks:
@@ -89,7 +90,7 @@
 WORK_FILTERS = (check_replicas,)
 
 
-def make_work(event: CallerAsked, route: Route, gateway) -> Work:
+def make_work(event: CallerAsked, route: Route, gateway: GatewaySurface) -> Work:
     """Return the work for a request, with its tasks and times."""
     kind = GatherWork if route.is_gather else SingleWork
     work = kind(event.key, event.request, route, gateway.table.version, gateway.now_ms)
@@ -108,7 +109,7 @@
     return work
 
 
-def handle_caller_asked(event: CallerAsked, gateway) -> None:
+def handle_caller_asked(event: CallerAsked, gateway: GatewaySurface) -> None:
     """Run the filter chain; start the request or refuse it."""
     for request_filter in REQUEST_FILTERS:
         failure = request_filter(event, gateway)
@@ -130,7 +131,7 @@
     start_work(work, gateway)
 
 
-def start_work(work: Work, gateway) -> None:
+def start_work(work: Work, gateway: GatewaySurface) -> None:
     """Ask every service that the request needs."""
     gateway.works[work.key] = work
     gateway.counters.add('requests', work.route.name)
--- a/beechbridge/gateway/budgets.py
+++ b/beechbridge/gateway/requests/budgets.py
@@ -1,6 +1,6 @@
 """Budget of repeated sub-requests to one service, safe when added up over the fleet."""
 
-from ..record import Record
+from ...record import Record
 
 BUCKET_MS = 500.0
 """Resolution of the sliding window."""
--- a/beechbridge/gateway/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -3,12 +3,13 @@
 import heapq
 from functools import singledispatch
 
-from ..failures import Executed, Failure, Reason, not_run, unknown
-from .actions import AnswerRequest, DropConnection, WriteLine
-from .events import CallerAsked, CallerLeft, ConnectionEnded, ExchangeEnded
-from .models import Answer, LinkFailure, LinkFault, MergedAnswer, PassedAnswer, Reply
+from ...failures import Executed, Failure, Reason, not_run, unknown
+from ..actions import AnswerRequest, DropConnection, WriteLine
+from ..events import CallerAsked, CallerLeft, ConnectionEnded, ExchangeEnded
+from ..models import Answer, LinkFailure, LinkFault, MergedAnswer, PassedAnswer, Reply
+from ..replicas.upstreams import Exchange, ReplicaState
+from ..surface import GatewaySurface
 from .sending import ask, drop_exchange, end_exchange
-from .upstreams import Exchange, ReplicaState
 from .works import CheckTimer, DeadlineTimer, GatherWork, SingleWork, Task, Work
 
 RECORD_BYTES = 16
@@ -39,7 +40,7 @@
 }
 
 
-def handle_exchange_ended(event: ExchangeEnded, gateway) -> None:
+def handle_exchange_ended(event: ExchangeEnded, gateway: GatewaySurface) -> None:
     """Take the end of an exchange with a replica."""
     exchange = gateway.upstreams.exchanges.get(event.exchange_id)
     if exchange is None:
@@ -50,7 +51,7 @@
     take_reply(exchange, event.result, gateway)
 
 
-def take_link_failure(exchange: Exchange, failure: LinkFailure, gateway) -> None:
+def take_link_failure(exchange: Exchange, failure: LinkFailure, gateway: GatewaySurface) -> None:
     """Learn from a failed exchange; ask elsewhere where that is allowed."""
     task = exchange.task
     state = exchange.replica
@@ -67,7 +68,7 @@
         go_on(task, gateway, may_repeat=not failure.was_sent or task.work.route.is_idempotent)
 
 
-def suspect_replica(state: ReplicaState, cause: str, gateway) -> None:
+def suspect_replica(state: ReplicaState, cause: str, gateway: GatewaySurface) -> None:
     """Avoid a replica for a while."""
     if not state.suspect(gateway.now_ms):
         return
@@ -77,7 +78,7 @@
     )
 
 
-def take_reply(exchange: Exchange, reply: Reply, gateway) -> None:
+def take_reply(exchange: Exchange, reply: Reply, gateway: GatewaySurface) -> None:
     """Take a whole reply of a replica."""
     task = exchange.task
     work = task.work
@@ -119,7 +120,7 @@
     go_on(task, gateway, may_repeat=work.route.is_idempotent)
 
 
-def go_on(task: Task, gateway, may_repeat: bool) -> None:
+def go_on(task: Task, gateway: GatewaySurface, may_repeat: bool) -> None:
     """Ask elsewhere after a failure, or end the task if nothing else is under way."""
     if not task.is_open or task.work.is_finished:
         return
@@ -129,7 +130,7 @@
         close_task(task, gateway)
 
 
-def close_task(task: Task, gateway) -> None:
+def close_task(task: Task, gateway: GatewaySurface) -> None:
     """End a task with its reply or without."""
     if not task.is_open:
         return
@@ -144,13 +145,13 @@
 
 
 @singledispatch
-def on_task_closed(work: Work, gateway) -> None:
+def on_task_closed(work: Work, gateway: GatewaySurface) -> None:
     """Act on the end of one of a work's tasks."""
     raise TypeError(f'no rule for {type(work).__name__}')
 
 
 @on_task_closed.register
-def check_gather(work: GatherWork, gateway) -> None:
+def check_gather(work: GatherWork, gateway: GatewaySurface) -> None:
     """Answer a gather once waiting for more no longer helps its caller."""
     if work.is_finished:
         return
@@ -163,7 +164,7 @@
         answer_work(work, gateway)
 
 
-def has_sound_replica(task: Task, gateway) -> bool:
+def has_sound_replica(task: Task, gateway: GatewaySurface) -> bool:
     """Tell whether a replica that was not asked yet is free of suspicion."""
     for state in gateway.upstreams.usable(task.service):
         if id(state) not in task.avoid and not state.is_suspect(gateway.now_ms):
@@ -171,7 +172,7 @@
     return False
 
 
-def is_worth_waiting(work: GatherWork, gateway) -> bool:
+def is_worth_waiting(work: GatherWork, gateway: GatewaySurface) -> bool:
     """Tell whether an open shard has a replica that may still answer."""
     now_ms = gateway.now_ms
     for task in work.tasks:
@@ -188,12 +189,12 @@
 
 
 @on_task_closed.register
-def check_single(work: SingleWork, gateway) -> None:
+def check_single(work: SingleWork, gateway: GatewaySurface) -> None:
     """Answer a request with the end of its only task."""
     answer_work(work, gateway)
 
 
-def answer_work(work: Work, gateway) -> None:
+def answer_work(work: Work, gateway: GatewaySurface) -> None:
     """Give the final answer and stop waiting for anything else."""
     if work.is_finished:
         return
@@ -208,13 +209,13 @@
 
 
 @singledispatch
-def build_answer(work: Work, gateway) -> Answer:
+def build_answer(work: Work, gateway: GatewaySurface) -> Answer:
     """Return the answer that a work has come to."""
     raise TypeError(f'no answer for {type(work).__name__}')
 
 
 @build_answer.register
-def merge_parts(work: GatherWork, gateway) -> Answer:
+def merge_parts(work: GatherWork, gateway: GatewaySurface) -> Answer:
     """Merge the parts that are in, if they are enough."""
     if not work.has_enough():
         return explain_failure(work, gateway)
@@ -233,7 +234,7 @@
 
 
 @build_answer.register
-def pass_reply(work: SingleWork, gateway) -> Answer:
+def pass_reply(work: SingleWork, gateway: GatewaySurface) -> Answer:
     """Pass a replica's own answer on, a failure of its own too."""
     task = work.tasks[0]
     reply = task.reply or task.failed_reply
@@ -242,7 +243,7 @@
     return explain_failure(work, gateway)
 
 
-def explain_failure(work: Work, gateway) -> Failure:
+def explain_failure(work: Work, gateway: GatewaySurface) -> Failure:
     """Return why there is no answer, and whether the request may have run."""
     total = len(work.tasks)
     detail = f'{work.answered_count} of {total} services answered'
@@ -257,7 +258,7 @@
     return unknown(reason, detail)
 
 
-def log_answer(work: Work, answer: Answer, gateway) -> None:
+def log_answer(work: Work, answer: Answer, gateway: GatewaySurface) -> None:
     """Write the line of a request's end."""
     fields = {
         'request': work.request.request_id,
@@ -309,7 +310,9 @@
     return 'refused' if answer.executed is Executed.NOT_RUN else 'failed'
 
 
-def refuse_request(event: CallerAsked, work: Work | None, failure: Failure, gateway) -> None:
+def refuse_request(
+    event: CallerAsked, work: Work | None, failure: Failure, gateway: GatewaySurface
+) -> None:
     """Answer a request that nothing was sent for."""
     gateway.act(AnswerRequest(event.key, failure))
     gateway.counters.add('answers', 'refused')
@@ -326,7 +329,7 @@
     gateway.act(WriteLine('request_ended', fields))
 
 
-def hedge_delay_ms(work: Work, exchange: Exchange, gateway) -> float:
+def hedge_delay_ms(work: Work, exchange: Exchange, gateway: GatewaySurface) -> float:
     """Return the age from which an exchange's task is also asked elsewhere."""
     usual_ms = gateway.upstreams.usual_ms(work.route.name, exchange.replica.distance)
     factor = HEDGE_FACTOR if work.route.is_gather else SINGLE_HEDGE_FACTOR
@@ -339,7 +342,7 @@
     return delay_ms
 
 
-def fire_check(timer: CheckTimer, gateway) -> None:
+def fire_check(timer: CheckTimer, gateway: GatewaySurface) -> None:
     """Hedge what is late; answer with what is in once the answer would lose its value."""
     work = gateway.works.get(timer.key)
     if work is None:
@@ -376,14 +379,14 @@
         gateway.timers.arm(next_ms, CheckTimer(work.key))
 
 
-def fire_deadline(timer: DeadlineTimer, gateway) -> None:
+def fire_deadline(timer: DeadlineTimer, gateway: GatewaySurface) -> None:
     """Answer a work whose time is over."""
     work = gateway.works.get(timer.key)
     if work is not None:
         answer_work(work, gateway)
 
 
-def handle_caller_left(event: CallerLeft, gateway) -> None:
+def handle_caller_left(event: CallerLeft, gateway: GatewaySurface) -> None:
     """Stop the work of a caller that is gone, where it may be stopped."""
     work = gateway.works.pop(event.key, None)
     if work is None:
@@ -405,7 +408,7 @@
     gateway.act(WriteLine('caller_left', fields))
 
 
-def handle_connection_ended(event: ConnectionEnded, gateway) -> None:
+def handle_connection_ended(event: ConnectionEnded, gateway: GatewaySurface) -> None:
     """Forget an idle connection that is no longer open."""
     for state in gateway.upstreams.by_id.values():
         for connection in state.idle:
@@ -415,7 +418,7 @@
                 return
 
 
-def sweep_exchanges(gateway) -> None:
+def sweep_exchanges(gateway: GatewaySurface) -> None:
     """End the exchanges whose replica stayed silent past their deadline."""
     now_ms = gateway.now_ms
     for exchange in list(gateway.upstreams.exchanges.values()):
--- a/beechbridge/gateway/sending.py
+++ b/beechbridge/gateway/requests/sending.py
@@ -2,14 +2,15 @@
 
 import heapq
 
-from .actions import DropConnection, SendRequest
-from .upstreams import (
+from ..actions import DropConnection, SendRequest
+from ..replicas.upstreams import (
     LEAST_STALL_MS,
     STALLED_FACTOR,
     UNREPEATABLE_IDLE_MS,
     Exchange,
     ReplicaState,
 )
+from ..surface import GatewaySurface
 from .works import RetryTimer, Task
 
 FIRST_PAUSE_MS = 10.0
@@ -21,7 +22,7 @@
 DISTANCE_NAMES = ('own_zone', 'own_region', 'other_region')
 
 
-def ask(task: Task, gateway, is_extra: bool = False) -> bool:
+def ask(task: Task, gateway: GatewaySurface, is_extra: bool = False) -> bool:
     """Send a task to the best replica, or let it wait or end; return whether it was sent."""
     if not task.is_open or task.work.is_finished:
         return False
@@ -55,7 +56,7 @@
     return False
 
 
-def wait_for_connection(task: Task, gateway) -> None:
+def wait_for_connection(task: Task, gateway: GatewaySurface) -> None:
     """Queue a task until a connection to its service is free, the most urgent first."""
     if task.is_waiting:
         return
@@ -67,7 +68,7 @@
     gateway.counters.add('tasks_queued')
 
 
-def pump(service: str, gateway) -> None:
+def pump(service: str, gateway: GatewaySurface) -> None:
     """Ask for the tasks that wait for a connection to a service."""
     queue = gateway.waiting.get(service)
     while queue:
@@ -82,7 +83,7 @@
             return
 
 
-def pause(task: Task, gateway) -> None:
+def pause(task: Task, gateway: GatewaySurface) -> None:
     """Ask all replicas again after a while that doubles each time."""
     delay_ms = min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2**task.pause_count)
     task.pause_count += 1
@@ -91,7 +92,7 @@
     gateway.timers.arm(due_ms, RetryTimer(task))
 
 
-def fire_retry(timer: RetryTimer, gateway) -> None:
+def fire_retry(timer: RetryTimer, gateway: GatewaySurface) -> None:
     """Ask again for a task that every replica had rejected."""
     task = timer.task
     task.is_waiting = False
@@ -101,7 +102,9 @@
     ask(task, gateway, is_extra=True)
 
 
-def send_to(task: Task, state: ReplicaState, gateway, is_extra: bool = False) -> None:
+def send_to(
+    task: Task, state: ReplicaState, gateway: GatewaySurface, is_extra: bool = False
+) -> None:
     """Send a task to a replica over an idle connection or a new one."""
     now_ms = gateway.now_ms
     work = task.work
@@ -153,7 +156,7 @@
     )
 
 
-def make_room(state: ReplicaState, service: str, gateway) -> None:
+def make_room(state: ReplicaState, service: str, gateway: GatewaySurface) -> None:
     """Close idle connections until one more fits into this VM's share."""
     share = gateway.connection_share(service)
     while state.idle and len(state.idle) + len(state.busy) >= share:
@@ -161,7 +164,10 @@
 
 
 def end_exchange(
-    exchange: Exchange, gateway, is_reusable: bool, keep_alive_ms: float | None = None
+    exchange: Exchange,
+    gateway: GatewaySurface,
+    is_reusable: bool,
+    keep_alive_ms: float | None = None,
 ) -> None:
     """Account for the end of an exchange's connection."""
     gateway.upstreams.exchanges.pop(exchange.exchange_id, None)
@@ -173,6 +179,6 @@
     pump(state.entry.service, gateway)
 
 
-def drop_exchange(exchange: Exchange, gateway) -> None:
+def drop_exchange(exchange: Exchange, gateway: GatewaySurface) -> None:
     """Break an exchange off; the replica stops working on it."""
     end_exchange(exchange, gateway, is_reusable=False)
--- a/beechbridge/gateway/splits.py
+++ b/beechbridge/gateway/requests/splits.py
@@ -1,6 +1,6 @@
 """Choice of a service for routes that are split by weight."""
 
-from .models import Route
+from ..models import Route
 
 
 class Splits:
--- a/beechbridge/gateway/works.py
+++ b/beechbridge/gateway/requests/works.py
@@ -2,9 +2,9 @@
 
 import math
 
-from ..record import Record
-from .models import CallerRequest, LinkFault, Reply, Route
-from .upstreams import Exchange, ReplicaState
+from ...record import Record
+from ..models import CallerRequest, LinkFault, Reply, Route
+from ..replicas.upstreams import Exchange, ReplicaState
 
 
 class Work:
--- a/beechbridge/gateway/settings.py
+++ b/beechbridge/gateway/settings.py
@@ -1,7 +1,7 @@
 """Settings of one gateway process."""
 
 from ..record import Record
-from .budgets import BudgetRules
+from .requests.budgets import BudgetRules
 
 
 class Address(Record):
--- /dev/null
+++ b/beechbridge/gateway/surface.py
@@ -0,0 +1,74 @@
+"""What the rooms of the gateway may use of it: its state, and the ways to act."""
+
+import random
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from ..core.counters import Counters
+    from ..core.timers import Timers
+    from ..failures import Failure
+    from .actions import GatewayAction
+    from .fleet.gossip import Gossip
+    from .fleet.members import Fleet
+    from .fleet.placement import Activity
+    from .fleet.stopping import Stopping
+    from .latencies import Histogram, Patience
+    from .models import ReplicaEntry, RoutingTable
+    from .replicas.knowledge import StoreContact
+    from .replicas.store_view import StoreView
+    from .replicas.upstreams import ReplicaState, Upstreams
+    from .requests.budgets import BudgetShare, RepeatBudget
+    from .requests.splits import Splits
+    from .requests.works import Work
+
+
+class GatewaySurface(Protocol):
+    """The gateway as its rooms see it; `node.Gateway` implements it."""
+
+    now_ms: float
+    started_ms: float
+    news_ms: float
+    rng: random.Random
+    timers: 'Timers'
+    counters: 'Counters'
+    latencies: 'Histogram'
+    request_latencies: 'Histogram'
+    patience: 'Patience'
+    table: 'RoutingTable | None'
+    view: 'StoreView'
+    store: 'StoreContact'
+    upstreams: 'Upstreams'
+    replica_by_key: 'dict[str, ReplicaState]'
+    decode_item: 'Callable[[str, bytes], RoutingTable | ReplicaEntry | Failure | None]'
+    fleet: 'Fleet'
+    gossip: 'Gossip'
+    activity: 'Activity'
+    splits: 'Splits'
+    waiting: dict[str, list]
+    works: 'dict[int, Work]'
+    stopping: 'Stopping'
+
+    def act(self, action: 'GatewayAction') -> None:
+        """Ask the driver for something."""
+
+    def budget(self, service: str) -> 'RepeatBudget':
+        """Return a service's budget of repeats."""
+
+    def budget_share(self) -> 'BudgetShare':
+        """Return this VM's share of the fixed part of a budget."""
+
+    def connection_share(self, service: str) -> int:
+        """Return how many connections this VM may hold to one replica of a service."""
+
+    def distance_to(self, zone: str) -> int:
+        """Return 0 for the own data centre, 1 for the own region, 2 for elsewhere."""
+
+    def pump(self, service: str) -> None:
+        """Ask for the tasks that wait for a connection to a service."""
+
+    def forget_replica(self, state: 'ReplicaState', cause: str) -> None:
+        """Drop a replica that is known to be gone, until its entry changes."""
+
+    def is_ready(self) -> bool:
+        """Tell whether callers should be sent here."""
--- a/beechbridge/platform/settings.py
+++ b/beechbridge/platform/settings.py
@@ -9,7 +9,7 @@
 
 from ..failures import InputFailure
 from ..fields import decode_toml
-from ..gateway.budgets import BudgetRules
+from ..gateway.requests.budgets import BudgetRules
 from ..gateway.settings import Address, GatewaySettings
 from .names import SETTINGS_VARIABLE
 
--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -12,8 +12,8 @@
 
 import msgspec
 
-from beechbridge.core.configuration import WATCH_MS
-from beechbridge.core.membership import (
+from beechbridge.core.fleet.configuration import WATCH_MS
+from beechbridge.core.fleet.membership import (
     GOSSIP_FANOUT,
     GOSSIP_INTERVAL_MS,
     SHARED_VIEWS,
--- a/measure/emulator.py
+++ b/measure/emulator.py
@@ -23,7 +23,6 @@
     SendRequest,
     WriteLine,
 )
-from beechbridge.gateway.budgets import BudgetRules
 from beechbridge.gateway.events import (
     CallerAsked,
     CallerLeft,
@@ -48,6 +47,7 @@
     ServiceRules,
 )
 from beechbridge.gateway.node import Gateway
+from beechbridge.gateway.requests.budgets import BudgetRules
 
 ZONE_DELAY_MS = 0.1
 REGION_DELAY_MS = 8.0
--- a/model/mutants.py
+++ b/model/mutants.py
@@ -39,12 +39,12 @@
         self.tests = tests
 
 
-TICKETS = 'beechbridge/core/tickets.py'
-FANOUT = 'beechbridge/core/fanout.py'
-UPSTREAMS = 'beechbridge/core/upstreams.py'
-HEALTH = 'beechbridge/core/health.py'
-EXCHANGES = 'beechbridge/core/exchanges.py'
-CONFIGURATION = 'beechbridge/core/configuration.py'
+TICKETS = 'beechbridge/core/tickets/controller.py'
+FANOUT = 'beechbridge/core/requests/fanout.py'
+UPSTREAMS = 'beechbridge/core/upstreams/controller.py'
+HEALTH = 'beechbridge/core/upstreams/health.py'
+EXCHANGES = 'beechbridge/core/upstreams/exchanges.py'
+CONFIGURATION = 'beechbridge/core/fleet/configuration.py'
 
 MUTANTS = (
     Mutant(
@@ -112,7 +112,7 @@
     ),
     Mutant(
         'configuration is not compared by gossip',
-        'beechbridge/core/inbox.py',
+        'beechbridge/core/fleet/inbox.py',
         'core.configuration.compare_gossip(vm, message.generation, message.digest, core)',
         'pass',
         ('test_configuration',),
@@ -177,21 +177,21 @@
     ),
     Mutant(
         'the reserve of connections is used up',
-        'beechbridge/core/connections.py',
+        'beechbridge/core/upstreams/connections.py',
         'if not fresh and len(self.idle) + len(self.busy) >= self.usable:',
         'if False:',
         ('test_connections',),
     ),
     Mutant(
         'hedges have no budget',
-        'beechbridge/core/hedging.py',
+        'beechbridge/core/requests/hedging.py',
         'if not core.budget(plan.query.back_end).take():',
         'if False:',
         ('test_hedging',),
     ),
     Mutant(
         'nothing is refused as late',
-        'beechbridge/core/filters.py',
+        'beechbridge/core/requests/filters.py',
         'if total - late_count >= plan.rules.minimum_coverage * total and late_count < total:',
         'if True:',
         ('test_overload',),
@@ -205,7 +205,7 @@
     ),
     Mutant(
         'spare VMs are not reserved for',
-        'beechbridge/core/shares.py',
+        'beechbridge/core/upstreams/shares.py',
         'fleet_size = len(vm_names) + spare_vms',
         'fleet_size = max(1, len(vm_names))',
         ('test_shares',),
@@ -219,21 +219,21 @@
     ),
     Mutant(
         'a stopping VM exits with work in flight',
-        'beechbridge/core/stopping.py',
+        'beechbridge/core/fleet/stopping.py',
         'if self.phase is Phase.FINISHING and not core.plans and core.tickets.is_idle():',
         'if self.phase is Phase.FINISHING:',
         ('test_stop',),
     ),
     Mutant(
         'a leaving VM stays in entry answers',
-        'beechbridge/core/membership.py',
+        'beechbridge/core/fleet/membership.py',
         'if core.stopping.is_leaving:\n            vms =',
         'if False:\n            vms =',
         ('test_stop',),
     ),
     Mutant(
         'a leaving VM serves no further',
-        'beechbridge/core/stopping.py',
+        'beechbridge/core/fleet/stopping.py',
         'self.serve_until_ms = core.now_ms + keep_ms + SPREAD_MS',
         'self.serve_until_ms = core.now_ms',
         ('test_stop',),
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -1,7 +1,7 @@
 """Deployments for the tests of the gateway, on the emulator's virtual time."""
 
-from beechbridge.gateway.budgets import BudgetRules
 from beechbridge.gateway.models import Route
+from beechbridge.gateway.requests.budgets import BudgetRules
 from measure.emulator import HOST, Emulator, ReplicaSpec
 
 ZONES = ('brum-a', 'brum-b', 'notts-a', 'notts-b', 'wolves-a', 'wolves-b')
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,10 +5,10 @@
 from nose2.tools import params
 
 from beechbridge.failures import Executed, Failure, Reason
-from beechbridge.gateway import admission
 from beechbridge.gateway.actions import AnswerRequest
 from beechbridge.gateway.events import CallerAsked
 from beechbridge.gateway.models import CallerRequest
+from beechbridge.gateway.requests import admission
 from measure.emulator import HOST, Emulator
 
 from .gateways import WORK_MS, single_route, start_register
--- a/tests/test_budget_window.py
+++ b/tests/test_budget_window.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from beechbridge.gateway.budgets import BudgetRules, BudgetShare, RepeatBudget
+from beechbridge.gateway.requests.budgets import BudgetRules, BudgetShare, RepeatBudget
 
 RULES = BudgetRules(ratio=0.2, fixed_count=56.0, window_ms=10_000.0)
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -5,7 +5,7 @@
 from nose2.tools import params
 
 from beechbridge.actions import CloseConnection, Send
-from beechbridge.core.connections import SILENT_HOLD_MS, ConnectionPool
+from beechbridge.core.upstreams.connections import SILENT_HOLD_MS, ConnectionPool
 from beechbridge.document import Document
 from beechbridge.events import ConfigurationRead
 from beechbridge.messages import CancelOrder, LoadProbe, ShardQuery
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from beechbridge.core.budgets import MAX_TOKENS
+from beechbridge.core.requests.budgets import MAX_TOKENS
 
 from .utils import World, make_document
 
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -6,10 +6,10 @@
 from nose2.tools import params
 
 from beechbridge.failures import InputFailure
-from beechbridge.gateway.budgets import BudgetRules
 from beechbridge.gateway.events import ChangesRead, HeartbeatArrived, StoreFailed, TimePassed
 from beechbridge.gateway.models import CallerLimits, Item, Member, ReplicaEntry, RoutingTable
 from beechbridge.gateway.node import Gateway
+from beechbridge.gateway.requests.budgets import BudgetRules
 
 LIMITS = CallerLimits(16_384, 262_144, 3_000.0, 15_000.0)
 KEY = 'replica/r-1'
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,7 +4,7 @@
 
 from nose2.tools import params
 
-from beechbridge.core.membership import list_interval_ms
+from beechbridge.core.fleet.membership import list_interval_ms
 from beechbridge.events import PeerMessageArrived
 from beechbridge.messages import Gossip, MemberView
 from beechbridge.models import VmIdentity
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -3,10 +3,10 @@
 import random
 import unittest
 
-from beechbridge.core.endings import finish_plan
-from beechbridge.core.fanout import start_plan
 from beechbridge.core.limits import Limits
-from beechbridge.core.plans import Plan
+from beechbridge.core.requests.endings import finish_plan
+from beechbridge.core.requests.fanout import start_plan
+from beechbridge.core.requests.plans import Plan
 from beechbridge.document import Document
 from beechbridge.events import QueryArrived
 from beechbridge.failures import Executed, Failure
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 from nose2.tools import params
 
-from beechbridge.core.shares import connection_share
+from beechbridge.core.upstreams.shares import connection_share
 
 from .utils import World
 
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -3,8 +3,8 @@
 import unittest
 
 from beechbridge.actions import SendPeer
+from beechbridge.core.fleet.stopping import FINISH_MARGIN_MS, SPREAD_MS
 from beechbridge.core.limits import Limits
-from beechbridge.core.stopping import FINISH_MARGIN_MS, SPREAD_MS
 from beechbridge.events import EntryWanted, StopWanted
 from beechbridge.failures import Reason
 from beechbridge.models import Done
