Refuse as not run what never left the VM, and end in time

Change: the link tells when a connection is open and the request on its way; a request of which nothing has left is refused with a time to come back, and its connections are dropped so that nothing leaves later. Pulls run in daemon threads; the latest end is at 88% of the grace.

--- a/beechbridge/daemon/exchanges.py
+++ b/beechbridge/daemon/exchanges.py
@@ -13,7 +13,7 @@
 import httptools
 
 from ..gateway.actions import DropConnection, SendRequest
-from ..gateway.events import ConnectionEnded, ExchangeEnded
+from ..gateway.events import ConnectionEnded, ExchangeEnded, RequestSent
 from ..gateway.models import LinkFailure, LinkFault, Reply
 
 CONNECT_TIMEOUT_S = 0.6
@@ -99,6 +99,7 @@
         if self.pending:
             transport.write(self.pending)
             self.pending = b''
+            self.post(RequestSent(self.exchange_id))
 
     def data_received(self, data: bytes) -> None:
         """Read responses; bytes that nobody asked for end the connection."""
--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -8,7 +8,6 @@
 import threading
 import time
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
 from functools import singledispatch
 
 import msgspec
@@ -49,7 +48,6 @@
 """Time for an answer of the store, which takes milliseconds."""
 
 PULL_TIMEOUT_S = 0.8
-PULL_THREADS = 2
 DIRECTORY_TTL_S = 1.0
 """How long callers keep a directory answer; some keep it three times as long."""
 
@@ -110,7 +108,6 @@
             '',
             self.post,
         )
-        self.pullers = ThreadPoolExecutor(PULL_THREADS, thread_name_prefix='pull')
         self.datagrams: asyncio.DatagramTransport | None = None
         self.checked_ms = read_clock_ms()
 
@@ -362,7 +359,8 @@
 @perform.register
 def perform_pull(action: PullChanges, process: GatewayProcess) -> None:
     """Ask another VM for changes."""
-    process.pullers.submit(process.pull, action)
+    # A pool's threads would hold the end of the process up.
+    threading.Thread(target=process.pull, args=(action,), name='pull', daemon=True).start()
 
 
 @perform.register
--- a/beechbridge/gateway/events.py
+++ b/beechbridge/gateway/events.py
@@ -28,6 +28,15 @@
         self.key = key
 
 
+class RequestSent(Record):
+    """The connection of an exchange is open, and its request is on the way."""
+
+    __slots__ = ('exchange_id',)
+
+    def __init__(self, exchange_id: int):
+        self.exchange_id = exchange_id
+
+
 class ExchangeEnded(Record):
     """An exchange with a replica ended, with a whole reply or without."""
 
--- a/beechbridge/gateway/fleet/stopping.py
+++ b/beechbridge/gateway/fleet/stopping.py
@@ -9,7 +9,7 @@
 SERVE_SHARE = 0.62
 """Share of the time to the kill in which requests are still taken: callers keep addresses."""
 
-END_SHARE = 0.93
+END_SHARE = 0.88
 """Share of the time to the kill after which the process ends whatever is in flight."""
 
 CHECK_MS = 50.0
--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -17,6 +17,7 @@
     ExchangeEnded,
     HeartbeatArrived,
     PauseNoticed,
+    RequestSent,
     SettingsRead,
     StopAsked,
     StoreFailed,
@@ -46,6 +47,7 @@
     handle_caller_left,
     handle_connection_ended,
     handle_exchange_ended,
+    handle_request_sent,
     sweep_exchanges,
 )
 from .requests.sending import fire_retry, pump
@@ -304,6 +306,7 @@
 EVENT_HANDLERS = {
     CallerAsked: handle_caller_asked,
     CallerLeft: handle_caller_left,
+    RequestSent: handle_request_sent,
     ExchangeEnded: handle_exchange_ended,
     ConnectionEnded: handle_connection_ended,
     ChangesRead: handle_changes,
--- a/beechbridge/gateway/replicas/upstreams.py
+++ b/beechbridge/gateway/replicas/upstreams.py
@@ -54,6 +54,7 @@
     One request to one replica.
 
     :param task: what it is for; its reply is no longer waited for once `is_abandoned`
+    :param was_sent: whether its request may have reached the replica
     :param stalled_at_ms: when its replica counts as suspect for not having answered
     """
 
@@ -67,6 +68,7 @@
         'sent_ms',
         'stalled_at_ms',
         'task',
+        'was_sent',
     )
 
     def __init__(
@@ -89,6 +91,7 @@
         self.is_extra = is_extra
         self.stalled_at_ms = stalled_at_ms
         self.is_abandoned = False
+        self.was_sent = not is_new
 
 
 class IdleConnection:
--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -5,7 +5,7 @@
 
 from ...failures import Executed, Failure, Reason, not_run, unknown
 from ..actions import AnswerRequest, DropConnection, WriteLine
-from ..events import CallerAsked, CallerLeft, ConnectionEnded, ExchangeEnded
+from ..events import CallerAsked, CallerLeft, ConnectionEnded, ExchangeEnded, RequestSent
 from ..models import Answer, LinkFailure, LinkFault, MergedAnswer, PassedAnswer, Reply
 from ..replicas.upstreams import Exchange, ReplicaState
 from ..surface import GatewaySurface
@@ -51,6 +51,13 @@
     take_reply(exchange, event.result, gateway)
 
 
+def handle_request_sent(event: RequestSent, gateway: GatewaySurface) -> None:
+    """Note that a replica may work on a request from now on."""
+    exchange = gateway.upstreams.exchanges.get(event.exchange_id)
+    if exchange is not None:
+        exchange.was_sent = True
+
+
 def take_link_failure(exchange: Exchange, failure: LinkFailure, gateway: GatewaySurface) -> None:
     """Learn from a failed exchange; ask elsewhere where that is allowed."""
     task = exchange.task
@@ -248,6 +255,9 @@
     total = len(work.tasks)
     detail = f'{work.answered_count} of {total} services answered'
     if not work.may_have_run:
+        # Nothing has left this VM yet, and by this nothing will.
+        for exchange in work.under_way():
+            drop_exchange(exchange, gateway)
         return not_run(Reason.OVERLOADED, f'{detail}, no replica took it', REJECTED_RETRY_MS)
     if gateway.now_ms >= work.hard_at_ms - LEAST_CHECK_MS:
         return unknown(Reason.DEADLINE, detail)
--- a/beechbridge/gateway/requests/works.py
+++ b/beechbridge/gateway/requests/works.py
@@ -54,7 +54,12 @@
     @property
     def may_have_run(self) -> bool:
         """Tell whether a replica may have worked on it, or still may."""
-        return any(task.run_count for task in self.tasks)
+        unsent_count = sum(not exchange.was_sent for exchange in self.under_way())
+        return sum(task.run_count for task in self.tasks) > unsent_count
+
+    def under_way(self) -> list[Exchange]:
+        """Return the exchanges that have not ended."""
+        return [exchange for task in self.tasks for exchange in task.exchanges]
 
 
 class SingleWork(Work):
--- a/measure/emulator.py
+++ b/measure/emulator.py
@@ -29,6 +29,7 @@
     ChangesRead,
     ExchangeEnded,
     HeartbeatArrived,
+    RequestSent,
     TimePassed,
 )
 from beechbridge.gateway.models import (
@@ -410,6 +411,10 @@
     if action.is_new:
         delay_ms = 3 * delay_ms + HANDSHAKE_MS
         replica.open_connections.add((vm.gateway.fleet.own.name, action.connection_id))
+        opened_ms = 2 * emulator.delay_ms(vm, replica.entry.zone) + HANDSHAKE_MS
+        event = RequestSent(action.exchange_id)
+        if not replica.spec.is_dark:
+            emulator.later(opened_ms, lambda: emulator.tell(vm, event))
     emulator.later(delay_ms, lambda: emulator.arrive(job))
 
 
--- a/tests/test_gather.py
+++ b/tests/test_gather.py
@@ -6,7 +6,13 @@
 
 from beechbridge.failures import Executed, Failure, Reason
 from beechbridge.gateway.actions import AnswerRequest, SendRequest
-from beechbridge.gateway.events import CallerAsked, CallerLeft, ExchangeEnded, TimePassed
+from beechbridge.gateway.events import (
+    CallerAsked,
+    CallerLeft,
+    ExchangeEnded,
+    RequestSent,
+    TimePassed,
+)
 from beechbridge.gateway.models import (
     CallerRequest,
     LinkFailure,
@@ -24,12 +30,13 @@
 class HandDriven:
     """One gateway whose exchanges the test ends itself."""
 
-    def __init__(self, shard_count=4, least_share=0.5, copies=2):
+    def __init__(self, shard_count=4, least_share=0.5, copies=2, is_sending=True):
         emulator = start_sweeps(shard_count, least_share=least_share, copies=copies)
         self.emulator = emulator
         self.gateway = emulator.vms[0].gateway
         self.now_ms = emulator.now_ms
         self.sends = []
+        self.is_sending = is_sending
         self.answers = []
         request = CallerRequest(
             REQUEST_ID, 'GET', '/sweep/x', HOST, '/sweep/x', [], b'', TIMEOUT_MS
@@ -40,6 +47,8 @@
         for action in self.gateway.handle(event, self.now_ms):
             if isinstance(action, SendRequest):
                 self.sends.append(action)
+                if self.is_sending:
+                    self.gateway.handle(RequestSent(action.exchange_id), self.now_ms)
             if isinstance(action, AnswerRequest):
                 self.answers.append(action.answer)
 
--- a/tests/test_replica_link.py
+++ b/tests/test_replica_link.py
@@ -10,7 +10,7 @@
 
 from beechbridge.daemon.exchanges import ExchangeClient
 from beechbridge.gateway.actions import DropConnection, SendRequest
-from beechbridge.gateway.events import ConnectionEnded, ExchangeEnded
+from beechbridge.gateway.events import ConnectionEnded, ExchangeEnded, RequestSent
 from beechbridge.gateway.models import CallerRequest, LinkFailure, LinkFault, Reply
 from beechbridge.platform.replicas import read_reply, write_request
 
@@ -80,7 +80,10 @@
         )
 
     async def next(self):
-        return await asyncio.wait_for(self.events.get(), WAIT_S)
+        while True:
+            event = await asyncio.wait_for(self.events.get(), WAIT_S)
+            if not isinstance(event, RequestSent):
+                return event
 
 
 def play(script, steps):
@@ -207,6 +210,15 @@
 
         play([], steps)
 
+    def test_request_counts_as_sent_once_its_connection_is_open(self):
+        async def steps(wire, replica):
+            wire.send(1)
+            self.assertTrue(wire.events.empty())
+            event = await asyncio.wait_for(wire.events.get(), WAIT_S)
+            self.assertEqual(event, RequestSent(1))
+
+        play([[response('q1')]], steps)
+
     def test_dropped_exchange_ends_without_an_event(self):
         async def steps(wire, replica):
             wire.send(1)
--- a/tests/test_single.py
+++ b/tests/test_single.py
@@ -6,7 +6,13 @@
 
 from beechbridge.failures import Executed, Failure
 from beechbridge.gateway.actions import AnswerRequest, SendRequest
-from beechbridge.gateway.events import CallerAsked, CallerLeft, ExchangeEnded, TimePassed
+from beechbridge.gateway.events import (
+    CallerAsked,
+    CallerLeft,
+    ExchangeEnded,
+    RequestSent,
+    TimePassed,
+)
 from beechbridge.gateway.models import (
     CallerRequest,
     LinkFailure,
@@ -25,12 +31,13 @@
 class Filing:
     """One request whose exchanges the test ends itself."""
 
-    def __init__(self, is_idempotent=False, replica_count=2):
+    def __init__(self, is_idempotent=False, replica_count=2, is_sending=True):
         name = 'lookup' if is_idempotent else 'file'
         emulator = start_register(single_route(name, is_idempotent), replica_count)
         self.gateway = emulator.vms[0].gateway
         self.now_ms = emulator.now_ms
         self.sends = []
+        self.is_sending = is_sending
         self.answers = []
         path = f'/{name}/x'
         request = CallerRequest(REQUEST_ID, 'POST', path, HOST, path, [], b'deed', 4000.0)
@@ -40,6 +47,8 @@
         for action in self.gateway.handle(event, self.now_ms):
             if isinstance(action, SendRequest):
                 self.sends.append(action)
+                if self.is_sending:
+                    self.gateway.handle(RequestSent(action.exchange_id), self.now_ms)
             if isinstance(action, AnswerRequest):
                 self.answers.append(action.answer)
 
@@ -94,6 +103,12 @@
         filing.wait(4_500.0)
         self.assertIs(filing.answers[0].executed, Executed.UNKNOWN)
 
+    def test_request_that_never_left_is_refused_truly_and_never_leaves(self):
+        filing = Filing(is_sending=False)
+        filing.wait(4_500.0)
+        self.assertIs(filing.answers[0].executed, Executed.NOT_RUN)
+        self.assertFalse(filing.gateway.upstreams.exchanges)
+
     @params(
         (REJECTED,), (OTHER_INSTANCE,), (LinkFailure(LinkFault.CONNECT_FAILED, was_sent=False),)
     )
