--- a/Makefile
+++ b/Makefile
@@ -44,10 +44,11 @@
 SEEDS ?= 3
 SECONDS ?= 20
 VMS ?= 4
+SOAK_FLAGS ?=
 
 .PHONY: soak
 soak: $(READY) ## Run the real programs under faults; SEEDS, SECONDS and VMS set the size
-	@$(BIN)/python -m soak.run --seeds=$(SEEDS) --seconds=$(SECONDS) --vms=$(VMS)
+	@$(BIN)/python -m soak.run --seeds=$(SEEDS) --seconds=$(SECONDS) --vms=$(VMS) $(SOAK_FLAGS)
 
 .PHONY: red
 red: $(READY) ## Run the tests that KNOWN-RED.txt lists, and all others
--- a/beechbridge/gateway/requests/admission.py
+++ b/beechbridge/gateway/requests/admission.py
@@ -103,6 +103,9 @@
         wait_ms = min(wait_ms, event.request.patience_ms)
         # What is missing from the route's time was spent before this attempt.
         spent_ms = gateway.patience.spent_ms(route.name, event.request.patience_ms)
+        if spent_ms >= route.goal_ms:
+            # Too late for the goal in any case, or a caller with another patience.
+            spent_ms = 0.0
     work.hard_at_ms = work.arrived_ms + max(1.0, wait_ms - ANSWER_MARGIN_MS)
     soft_ms = max(1.0, route.goal_ms - ANSWER_MARGIN_MS - spent_ms)
     work.soft_at_ms = min(work.hard_at_ms, work.arrived_ms + soft_ms)
--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -29,6 +29,9 @@
 
 LEAST_CHECK_MS = 2.0
 REJECTED_RETRY_MS = 300
+RETRY_SPREAD = (0.7, 1.3)
+"""Factors between which times to come back are spread."""
+
 EXCHANGE_SLACK_MS = 300.0
 """Time past an exchange's deadline after which its connection counts as silent."""
 
@@ -258,7 +261,8 @@
         # Nothing has left this VM yet, and by this nothing will.
         for exchange in work.under_way():
             drop_exchange(exchange, gateway)
-        return not_run(Reason.OVERLOADED, f'{detail}, no replica took it', REJECTED_RETRY_MS)
+        retry_after_ms = spread_ms(REJECTED_RETRY_MS, gateway)
+        return not_run(Reason.OVERLOADED, f'{detail}, no replica took it', retry_after_ms)
     if gateway.now_ms >= work.hard_at_ms - LEAST_CHECK_MS:
         return unknown(Reason.DEADLINE, detail)
     reason = Reason.COVERAGE_TOO_LOW
@@ -320,10 +324,17 @@
     return 'refused' if answer.executed is Executed.NOT_RUN else 'failed'
 
 
+def spread_ms(retry_after_ms: int, gateway: GatewaySurface) -> int:
+    """Return a time to come back at which not all callers come at once."""
+    return round(retry_after_ms * gateway.rng.uniform(*RETRY_SPREAD))
+
+
 def refuse_request(
     event: CallerAsked, work: Work | None, failure: Failure, gateway: GatewaySurface
 ) -> None:
     """Answer a request that nothing was sent for."""
+    if failure.retry_after_ms is not None:
+        failure.retry_after_ms = spread_ms(failure.retry_after_ms, gateway)
     gateway.act(AnswerRequest(event.key, failure))
     gateway.counters.add('answers', 'refused')
     gateway.counters.add('refusals', failure.reason.value)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -93,7 +93,7 @@
         asked_s = time.monotonic()
         if not await vm.wait_ended(GRACE_S):
             is_known = self.soak.ledger.is_disturbed(vm.name, asked_s, time.monotonic())
-            if not is_known:
+            if self.soak.is_timed and not is_known:
                 self.soak.broken.append(f'{vm.name} did not end within its grace')
             vm.kill()
         vm.start()
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -83,8 +83,8 @@
                 return True
         return False
 
-    def check(self) -> list[str]:
-        """Return every broken promise as a sentence."""
+    def check(self, is_timed: bool = True) -> list[str]:
+        """Return every broken promise as a sentence, those with a time bound if asked for."""
         broken = []
         for asked in self.asked:
             if asked.status is None:
@@ -94,10 +94,12 @@
             if asked.kind != 'gather' and asked.status == 200:
                 broken.extend(self.check_passed(asked))
         broken.extend(self.check_runs())
-        broken.extend(self.check_gone())
         broken.extend(self.check_budget())
-        broken.extend(self.check_routes())
-        broken.extend(self.check_cut())
+        broken.extend(self.check_denied())
+        if is_timed:
+            broken.extend(self.check_gone())
+            broken.extend(self.check_routes())
+            broken.extend(self.check_cut())
         return broken
 
     def check_merged(self, asked: Asked) -> list[str]:
@@ -179,12 +181,18 @@
                     break
         return broken
 
-    def check_routes(self) -> list[str]:
+    def check_denied(self) -> list[str]:
         """Check that a route which every configuration names is never denied."""
         broken = []
         for asked in self.asked:
             if asked.status in (400, 401, 403, 404) and asked.kind != 'new':
                 broken.append(f'{asked.kind} {asked.request_id} was answered {asked.status}')
+        return broken
+
+    def check_routes(self) -> list[str]:
+        """Check that a new route is known everywhere in time."""
+        broken = []
+        for asked in self.asked:
             if asked.kind != 'new' or asked.status != 404:
                 continue
             since_s = self.table_acknowledged_s[asked.request_id.partition('.')[0]]
--- a/soak/run.py
+++ b/soak/run.py
@@ -28,10 +28,15 @@
 
 
 class Soak:
-    """One deployment: processes, stand-ins, proxies and callers."""
+    """
+    One deployment: processes, stand-ins, proxies and callers.
 
-    def __init__(self, seed: int, vm_count: int, shard_count: int):
+    :param is_timed: whether promises with a time bound are checked, too
+    """
+
+    def __init__(self, seed: int, vm_count: int, shard_count: int, is_timed: bool):
         self.rng = random.Random(seed)
+        self.is_timed = is_timed
         self.ledger = Ledger()
         self.ledger.least_share = LEAST_SHARE
         self.ledger.top_records = TOP_RECORDS
@@ -210,9 +215,9 @@
         for caller in self.callers:
             caller.is_ended = True
         await asyncio.gather(*tasks)
-        self.broken.extend(self.ledger.check())
+        self.broken.extend(self.ledger.check(self.is_timed))
         served_count = sum(asked.status == 200 for asked in self.ledger.asked)
-        if served_count < SERVED_SHARE * len(self.ledger.asked):
+        if self.is_timed and served_count < SERVED_SHARE * len(self.ledger.asked):
             self.broken.append(f'{served_count} of {len(self.ledger.asked)} requests were served')
         for vm in self.vms:
             if vm.process.poll() not in (None, 0):
@@ -227,9 +232,11 @@
             server.stop()
 
 
-def run_seed(seed: int, seconds: float, vm_count: int, shard_count: int = 6) -> list[str]:
+def run_seed(
+    seed: int, seconds: float, vm_count: int, is_timed: bool = True, shard_count: int = 6
+) -> list[str]:
     """Run one seed; return the broken promises. Logs are kept where there are any."""
-    soak = Soak(seed, vm_count, shard_count)
+    soak = Soak(seed, vm_count, shard_count, is_timed)
 
     async def run() -> None:
         try:
@@ -255,7 +262,7 @@
     failed = []
     first = FLAGS.first_seed or int(time.time())
     for seed in range(first, first + FLAGS.seeds):
-        if run_seed(seed, FLAGS.seconds, FLAGS.vms):
+        if run_seed(seed, FLAGS.seconds, FLAGS.vms, FLAGS.timed):
             failed.append(seed)
     print(f'{FLAGS.seeds - len(failed)} passed, {len(failed)} failed')
     return ExitStatus.ERROR if failed else ExitStatus.OK
@@ -266,4 +273,5 @@
     flags.DEFINE_integer('first_seed', 0, 'first seed; 0 takes a fresh one')
     flags.DEFINE_float('seconds', 20.0, 'how long faults come in each run')
     flags.DEFINE_integer('vms', 4, 'processes of the fleet')
+    flags.DEFINE_boolean('timed', True, 'check promises with a time bound, too')
     sys.exit(app.run(main))
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -56,6 +56,17 @@
         self.assertIs(answers[-1].reason, Reason.OVERLOADED)
         self.assertIsNotNone(answers[-1].retry_after_ms)
 
+    def test_callers_are_not_told_to_come_back_at_the_same_time(self):
+        gateway = Emulator(('brum-a',), WORK_MS).vms[0].gateway
+        times = {ask(gateway, 0.0, key=key)[0].retry_after_ms for key in range(20)}
+        self.assertGreater(len(times), 5)
+
+    def test_caller_with_another_patience_does_not_count_as_late(self):
+        ask(self.gateway, self.now_ms, key=1, patience_ms=60_000.0)
+        ask(self.gateway, self.now_ms, key=2, patience_ms=4_000.0)
+        first, second = self.gateway.works[1], self.gateway.works[2]
+        self.assertEqual(first.soft_at_ms, second.soft_at_ms)
+
     def test_time_spent_before_an_attempt_counts_against_the_goal(self):
         ask(self.gateway, self.now_ms, key=1)
         ask(self.gateway, self.now_ms, key=2, patience_ms=3_900.0)
