End requests at once that may not be repeated any more, and split their progress

Cause: a reading of the code: after all replicas had rejected a request, a repeat that the budget did not allow left it open with nothing under way until its deadline; so did a task that waited for a connection. Change: both go through the rule that ends a task with nothing under way; hedges and answers have modules of their own. The test fails without it.

--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -41,16 +41,17 @@
 from .replicas.upstreams import ReplicaState, Upstreams
 from .requests.admission import handle_caller_asked
 from .requests.budgets import BudgetRules, BudgetShare, RepeatBudget
+from .requests.hedges import fire_check
 from .requests.progress import (
-    fire_check,
     fire_deadline,
+    fire_retry,
     handle_caller_left,
     handle_connection_ended,
     handle_exchange_ended,
     handle_request_sent,
+    pump,
     sweep_exchanges,
 )
-from .requests.sending import fire_retry, pump
 from .requests.splits import Splits
 from .requests.works import CheckTimer, DeadlineTimer, RetryTimer, Work
 
--- a/beechbridge/gateway/requests/admission.py
+++ b/beechbridge/gateway/requests/admission.py
@@ -9,7 +9,8 @@
 from ..events import CallerAsked
 from ..models import Route
 from ..surface import GatewaySurface
-from .progress import answer_work, check_gather, refuse_request
+from .answers import refuse_request
+from .progress import answer_work, check_gather
 from .sending import ask
 from .works import CheckTimer, DeadlineTimer, GatherWork, SingleWork, Task, Work
 
--- /dev/null
+++ b/beechbridge/gateway/requests/hedges.py
@@ -0,0 +1,79 @@
+"""Hedges: a second replica is asked where the first is late and the budget allows it."""
+
+from ..replicas.upstreams import Exchange
+from ..surface import GatewaySurface
+from .progress import check_gather
+from .sending import ask
+from .works import CheckTimer, GatherWork, Task, Work
+
+HEDGE_FACTOR = 2.0
+"""Multiple of the usual latency after which a second replica is asked."""
+
+HEDGE_BASE_MS = 6.0
+HEDGE_SCARCITY = 4.0
+"""How much later hedges go out while less than half of the budget is left."""
+
+SINGLE_HEDGE_FACTOR = 2.5
+HEDGE_RETRY_MS = 15.0
+"""Time after which a hedge that could not be sent is tried again."""
+
+LEAST_CHECK_MS = 2.0
+"""Shortest time between two looks at a request."""
+
+
+def has_sound_replica(task: Task, gateway: GatewaySurface) -> bool:
+    """Tell whether a replica that was not asked yet is free of suspicion."""
+    for state in gateway.upstreams.usable(task.service):
+        if id(state) not in task.avoid and not state.is_suspect(gateway.now_ms):
+            return True
+    return False
+
+
+def hedge_delay_ms(work: Work, exchange: Exchange, gateway: GatewaySurface) -> float:
+    """Return the age from which an exchange's task is also asked elsewhere."""
+    usual_ms = gateway.upstreams.usual_ms(work.route.name, exchange.replica.distance)
+    factor = HEDGE_FACTOR if work.route.is_gather else SINGLE_HEDGE_FACTOR
+    delay_ms = factor * usual_ms + HEDGE_BASE_MS
+    left_share = gateway.budget(exchange.task.service).left_share(
+        gateway.budget_share(), gateway.now_ms
+    )
+    if left_share < 0.5:
+        delay_ms *= 1.0 + HEDGE_SCARCITY * (0.5 - left_share)
+    return delay_ms
+
+
+def fire_check(timer: CheckTimer, gateway: GatewaySurface) -> None:
+    """Hedge what is late; answer with what is in once the answer would lose its value."""
+    work = gateway.works.get(timer.key)
+    if work is None:
+        return
+    now_ms = gateway.now_ms
+    next_ms = work.hard_at_ms
+    if now_ms < work.soft_at_ms:
+        next_ms = work.soft_at_ms
+    if isinstance(work, GatherWork):
+        check_gather(work, gateway)
+        if work.is_finished:
+            return
+    if work.route.is_idempotent:
+        for task in work.tasks:
+            if not task.is_open or len(task.exchanges) != 1:
+                continue
+            exchange = task.exchanges[0]
+            due_ms = exchange.sent_ms + hedge_delay_ms(work, exchange, gateway)
+            if due_ms > now_ms:
+                next_ms = min(next_ms, due_ms)
+                continue
+            task.avoid.add(id(exchange.replica))
+            if not has_sound_replica(task, gateway):
+                continue
+            if ask(task, gateway, is_extra=True):
+                work.hedge_count += 1
+                gateway.counters.add('hedges')
+                continue
+            next_ms = min(next_ms, now_ms + HEDGE_RETRY_MS)
+    if isinstance(work, GatherWork) and work.has_enough():
+        next_ms = min(next_ms, now_ms + HEDGE_RETRY_MS)
+    next_ms = max(next_ms, now_ms + LEAST_CHECK_MS)
+    if next_ms < work.hard_at_ms:
+        gateway.timers.arm(next_ms, CheckTimer(work.key))
--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -1,47 +1,23 @@
-"""Progress of requests: replies, failures, hedges, and the final answers."""
+"""Progress of requests: replies, failures, and when a request is done."""
 
 import heapq
 from functools import singledispatch
 
-from ...failures import Executed, Failure, Reason, not_run, unknown
 from ..actions import AnswerRequest, DropConnection, WriteLine
-from ..events import CallerAsked, CallerLeft, ConnectionEnded, ExchangeEnded, RequestSent
-from ..models import Answer, LinkFailure, LinkFault, MergedAnswer, PassedAnswer, Reply
+from ..events import CallerLeft, ConnectionEnded, ExchangeEnded, RequestSent
+from ..models import LinkFailure, LinkFault, Reply
 from ..replicas.upstreams import Exchange, ReplicaState
 from ..surface import GatewaySurface
+from .answers import build_answer, log_answer
 from .sending import ask, drop_exchange, end_exchange
-from .works import CheckTimer, DeadlineTimer, GatherWork, SingleWork, Task, Work
-
-RECORD_BYTES = 16
-HEDGE_FACTOR = 2.0
-"""Multiple of the usual latency after which a second replica is asked."""
-
-HEDGE_BASE_MS = 6.0
-HEDGE_SCARCITY = 4.0
-"""How much later hedges go out while less than half of the budget is left."""
-
-SINGLE_HEDGE_FACTOR = 2.5
-HEDGE_RETRY_MS = 15.0
-"""Time after which a hedge that could not be sent is tried again."""
+from .works import DeadlineTimer, GatherWork, RetryTimer, SingleWork, Task, Work
 
 SUSPECT_WAIT_FACTOR = 2.0
 """Multiple of the usual latency for which a shard is waited for whose replicas are all suspect."""
 
-LEAST_CHECK_MS = 2.0
-REJECTED_RETRY_MS = 300
-RETRY_SPREAD = (0.7, 1.3)
-"""Factors between which times to come back are spread."""
-
 EXCHANGE_SLACK_MS = 300.0
 """Time past an exchange's deadline after which its connection counts as silent."""
 
-LOST_FAULTS = {
-    LinkFault.CONNECT_FAILED: Reason.CONNECT_FAILED,
-    LinkFault.LOST: Reason.CONNECTION_LOST,
-    LinkFault.MALFORMED: Reason.MISMATCHED,
-    LinkFault.TIMED_OUT: Reason.NO_PROGRESS,
-}
-
 
 def handle_exchange_ended(event: ExchangeEnded, gateway: GatewaySurface) -> None:
     """Take the end of an exchange with a replica."""
@@ -140,6 +116,29 @@
         close_task(task, gateway)
 
 
+def pump(service: str, gateway: GatewaySurface) -> None:
+    """Ask for the tasks that wait for a connection to a service; end those that cannot be sent."""
+    queue = gateway.waiting.get(service)
+    while queue:
+        task = heapq.heappop(queue)[3]
+        task.is_waiting = False
+        if not task.is_open or task.work.is_finished or task.exchanges:
+            continue
+        go_on(task, gateway, may_repeat=True)
+        if task.is_waiting:
+            return
+
+
+def fire_retry(timer: RetryTimer, gateway: GatewaySurface) -> None:
+    """Ask again for a task that every replica had rejected."""
+    task = timer.task
+    task.is_waiting = False
+    if task.exchanges:
+        return
+    task.avoid.clear()
+    go_on(task, gateway, may_repeat=True)
+
+
 def close_task(task: Task, gateway: GatewaySurface) -> None:
     """End a task with its reply or without."""
     if not task.is_open:
@@ -174,14 +173,6 @@
         answer_work(work, gateway)
 
 
-def has_sound_replica(task: Task, gateway: GatewaySurface) -> bool:
-    """Tell whether a replica that was not asked yet is free of suspicion."""
-    for state in gateway.upstreams.usable(task.service):
-        if id(state) not in task.avoid and not state.is_suspect(gateway.now_ms):
-            return True
-    return False
-
-
 def is_worth_waiting(work: GatherWork, gateway: GatewaySurface) -> bool:
     """Tell whether an open shard has a replica that may still answer."""
     now_ms = gateway.now_ms
@@ -218,188 +209,6 @@
     log_answer(work, answer, gateway)
 
 
-@singledispatch
-def build_answer(work: Work, gateway: GatewaySurface) -> Answer:
-    """Return the answer that a work has come to."""
-    raise TypeError(f'no answer for {type(work).__name__}')
-
-
-@build_answer.register
-def merge_parts(work: GatherWork, gateway: GatewaySurface) -> Answer:
-    """Merge the parts that are in, if they are enough."""
-    if not work.has_enough():
-        return explain_failure(work, gateway)
-    records = []
-    signatures = []
-    for task in work.tasks:
-        if task.reply is None:
-            continue
-        signatures.append(task.reply.signature)
-        body = task.reply.body
-        whole_bytes = len(body) - len(body) % RECORD_BYTES
-        for start in range(0, whole_bytes, RECORD_BYTES):
-            records.append(body[start : start + RECORD_BYTES])
-    greatest = heapq.nlargest(work.route.top_records, records)
-    return MergedAnswer(b''.join(greatest), signatures, len(work.tasks) - len(signatures))
-
-
-@build_answer.register
-def pass_reply(work: SingleWork, gateway: GatewaySurface) -> Answer:
-    """Pass a replica's own answer on, a failure of its own too."""
-    task = work.tasks[0]
-    reply = task.reply or task.failed_reply
-    if reply is not None:
-        return PassedAnswer(reply)
-    return explain_failure(work, gateway)
-
-
-def explain_failure(work: Work, gateway: GatewaySurface) -> Failure:
-    """Return why there is no answer, and whether the request may have run."""
-    total = len(work.tasks)
-    detail = f'{work.answered_count} of {total} services answered'
-    if not work.may_have_run:
-        # Nothing has left this VM yet, and by this nothing will.
-        for exchange in work.under_way():
-            drop_exchange(exchange, gateway)
-        retry_after_ms = spread_ms(REJECTED_RETRY_MS, gateway)
-        return not_run(Reason.OVERLOADED, f'{detail}, no replica took it', retry_after_ms)
-    if gateway.now_ms >= work.hard_at_ms - LEAST_CHECK_MS:
-        return unknown(Reason.DEADLINE, detail)
-    reason = Reason.COVERAGE_TOO_LOW
-    for task in work.tasks:
-        if task.fault is not None:
-            reason = LOST_FAULTS[task.fault]
-    return unknown(reason, detail)
-
-
-def log_answer(work: Work, answer: Answer, gateway: GatewaySurface) -> None:
-    """Write the line of a request's end."""
-    fields = {
-        'request': work.request.request_id,
-        'route': work.route.name,
-        'table': work.table_version,
-        'ms': round(gateway.now_ms - work.arrived_ms, 1),
-        'goal_ms': work.route.goal_ms,
-        'patience_ms': work.request.patience_ms,
-        'parts': work.answered_count,
-        'shards': len(work.tasks),
-        'repeats': work.repeat_count,
-    }
-    missing = []
-    for task in work.tasks:
-        if task.reply is None:
-            cause = task.fault.value if task.fault else 'no_reply'
-            missing.append(f'{task.service}:{cause}:{task.run_count}')
-    if missing:
-        fields['missing'] = missing[:8]
-    outcome = describe_outcome(answer, fields)
-    gateway.counters.add('answers', outcome)
-    gateway.act(WriteLine('request_ended', {'outcome': outcome, **fields}))
-
-
-@singledispatch
-def describe_outcome(answer: Answer, fields: dict) -> str:
-    """Return a word for an answer; add what explains it to a line's fields."""
-    raise TypeError(f'no word for {type(answer).__name__}')
-
-
-@describe_outcome.register
-def describe_merged(answer: MergedAnswer, fields: dict) -> str:
-    """Tell a whole answer from a partial one."""
-    return 'partial' if answer.missing_count else 'whole'
-
-
-@describe_outcome.register
-def describe_passed(answer: PassedAnswer, fields: dict) -> str:
-    """Tell a replica's success from its failure."""
-    fields['status'] = answer.reply.status
-    return 'passed' if answer.reply.is_success else 'replica_failed'
-
-
-@describe_outcome.register
-def describe_failure(answer: Failure, fields: dict) -> str:
-    """Tell a refusal from a failure."""
-    fields['reason'] = answer.reason.value
-    fields['detail'] = answer.detail
-    return 'refused' if answer.executed is Executed.NOT_RUN else 'failed'
-
-
-def spread_ms(retry_after_ms: int, gateway: GatewaySurface) -> int:
-    """Return a time to come back at which not all callers come at once."""
-    return round(retry_after_ms * gateway.rng.uniform(*RETRY_SPREAD))
-
-
-def refuse_request(
-    event: CallerAsked, work: Work | None, failure: Failure, gateway: GatewaySurface
-) -> None:
-    """Answer a request that nothing was sent for."""
-    if failure.retry_after_ms is not None:
-        failure.retry_after_ms = spread_ms(failure.retry_after_ms, gateway)
-    gateway.act(AnswerRequest(event.key, failure))
-    gateway.counters.add('answers', 'refused')
-    gateway.counters.add('refusals', failure.reason.value)
-    fields = {
-        'outcome': 'refused',
-        'request': event.request.request_id,
-        'route': work.route.name if work else None,
-        'table': gateway.table.version if gateway.table else None,
-        'reason': failure.reason.value,
-        'detail': failure.detail,
-        'retry_after_ms': failure.retry_after_ms,
-    }
-    gateway.act(WriteLine('request_ended', fields))
-
-
-def hedge_delay_ms(work: Work, exchange: Exchange, gateway: GatewaySurface) -> float:
-    """Return the age from which an exchange's task is also asked elsewhere."""
-    usual_ms = gateway.upstreams.usual_ms(work.route.name, exchange.replica.distance)
-    factor = HEDGE_FACTOR if work.route.is_gather else SINGLE_HEDGE_FACTOR
-    delay_ms = factor * usual_ms + HEDGE_BASE_MS
-    left_share = gateway.budget(exchange.task.service).left_share(
-        gateway.budget_share(), gateway.now_ms
-    )
-    if left_share < 0.5:
-        delay_ms *= 1.0 + HEDGE_SCARCITY * (0.5 - left_share)
-    return delay_ms
-
-
-def fire_check(timer: CheckTimer, gateway: GatewaySurface) -> None:
-    """Hedge what is late; answer with what is in once the answer would lose its value."""
-    work = gateway.works.get(timer.key)
-    if work is None:
-        return
-    now_ms = gateway.now_ms
-    next_ms = work.hard_at_ms
-    if now_ms < work.soft_at_ms:
-        next_ms = work.soft_at_ms
-    if isinstance(work, GatherWork):
-        check_gather(work, gateway)
-        if work.is_finished:
-            return
-    if work.route.is_idempotent:
-        for task in work.tasks:
-            if not task.is_open or len(task.exchanges) != 1:
-                continue
-            exchange = task.exchanges[0]
-            due_ms = exchange.sent_ms + hedge_delay_ms(work, exchange, gateway)
-            if due_ms > now_ms:
-                next_ms = min(next_ms, due_ms)
-                continue
-            task.avoid.add(id(exchange.replica))
-            if not has_sound_replica(task, gateway):
-                continue
-            if ask(task, gateway, is_extra=True):
-                work.hedge_count += 1
-                gateway.counters.add('hedges')
-                continue
-            next_ms = min(next_ms, now_ms + HEDGE_RETRY_MS)
-    if isinstance(work, GatherWork) and work.has_enough():
-        next_ms = min(next_ms, now_ms + HEDGE_RETRY_MS)
-    next_ms = max(next_ms, now_ms + LEAST_CHECK_MS)
-    if next_ms < work.hard_at_ms:
-        gateway.timers.arm(next_ms, CheckTimer(work.key))
-
-
 def fire_deadline(timer: DeadlineTimer, gateway: GatewaySurface) -> None:
     """Answer a work whose time is over."""
     work = gateway.works.get(timer.key)
--- a/beechbridge/gateway/requests/sending.py
+++ b/beechbridge/gateway/requests/sending.py
@@ -68,21 +68,6 @@
     gateway.counters.add('tasks_queued')
 
 
-def pump(service: str, gateway: GatewaySurface) -> None:
-    """Ask for the tasks that wait for a connection to a service."""
-    queue = gateway.waiting.get(service)
-    while queue:
-        task = queue[0][3]
-        if not task.is_open or task.work.is_finished or task.exchanges:
-            heapq.heappop(queue)
-            task.is_waiting = False
-            continue
-        heapq.heappop(queue)
-        task.is_waiting = False
-        if not ask(task, gateway):
-            return
-
-
 def pause(task: Task, gateway: GatewaySurface) -> None:
     """Ask all replicas again after a while that doubles each time."""
     delay_ms = min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2**task.pause_count)
@@ -92,16 +77,6 @@
     gateway.timers.arm(due_ms, RetryTimer(task))
 
 
-def fire_retry(timer: RetryTimer, gateway: GatewaySurface) -> None:
-    """Ask again for a task that every replica had rejected."""
-    task = timer.task
-    task.is_waiting = False
-    if not task.is_open or task.work.is_finished or task.exchanges:
-        return
-    task.avoid.clear()
-    ask(task, gateway, is_extra=True)
-
-
 def send_to(
     task: Task, state: ReplicaState, gateway: GatewaySurface, is_extra: bool = False
 ) -> None:
@@ -176,7 +151,7 @@
         gateway.act(DropConnection(exchange.connection_id))
     if exchange in exchange.task.exchanges:
         exchange.task.exchanges.remove(exchange)
-    pump(state.entry.service, gateway)
+    gateway.pump(state.entry.service)
 
 
 def drop_exchange(exchange: Exchange, gateway: GatewaySurface) -> None:
--- a/tests/test_single.py
+++ b/tests/test_single.py
@@ -21,6 +21,7 @@
     Reply,
     Route,
 )
+from beechbridge.gateway.requests.budgets import BudgetRules
 from measure.emulator import HOST, ReplicaSpec
 
 from .gateways import answer_of, arrivals_of, drive, single_route, start_register
@@ -31,10 +32,12 @@
 class Filing:
     """One request whose exchanges the test ends itself."""
 
-    def __init__(self, is_idempotent=False, replica_count=2, is_sending=True):
+    def __init__(self, is_idempotent=False, replica_count=2, is_sending=True, budget=None):
         name = 'lookup' if is_idempotent else 'file'
         emulator = start_register(single_route(name, is_idempotent), replica_count)
         self.gateway = emulator.vms[0].gateway
+        if budget is not None:
+            self.gateway.budget_rules = budget
         self.now_ms = emulator.now_ms
         self.sends = []
         self.is_sending = is_sending
@@ -133,6 +136,15 @@
         filing.wait(5_000.0)
         self.assertEqual(len(filing.sends), sent_count)
 
+    def test_request_that_may_not_be_repeated_any_more_is_refused_at_once(self):
+        one_repeat = BudgetRules(ratio=0.0, fixed_count=4.0)
+        filing = Filing(budget=one_repeat)
+        filing.end(REJECTED)
+        filing.end(REJECTED)
+        self.assertEqual(len(filing.sends), 2)
+        filing.wait(50.0)
+        self.assertIs(filing.answers[0].executed, Executed.NOT_RUN)
+
     def test_caller_that_left_does_not_break_a_filing_off(self):
         filing = Filing()
         filing.tell(CallerLeft(3))
