Drive single exchanges in tests from one place

Cause: two test modules had the same driver of one request. Change: it moved to tests/gateways.py; assertions are unchanged.

--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -1,6 +1,13 @@
 """Deployments for the tests of the gateway, on the emulator's virtual time."""
 
-from beechbridge.gateway.models import Route
+from beechbridge.gateway.actions import AnswerRequest, SendRequest
+from beechbridge.gateway.events import (
+    CallerAsked,
+    ExchangeEnded,
+    RequestSent,
+    TimePassed,
+)
+from beechbridge.gateway.models import CallerRequest, LinkFailure, LinkFault, Route
 from beechbridge.gateway.requests.budgets import BudgetRules
 from measure.emulator import HOST, Emulator, ReplicaSpec
 
@@ -106,3 +113,41 @@
         if replica.entry.service == service:
             found.extend(replica.arrivals)
     return sorted(found)
+
+
+class HandDriven:
+    """One request at one gateway, whose exchanges the test ends itself."""
+
+    def __init__(self, emulator, request_id, path, method, patience_ms, is_sending=True):
+        self.emulator = emulator
+        self.gateway = emulator.vms[0].gateway
+        self.now_ms = emulator.now_ms
+        self.is_sending = is_sending
+        self.sends = []
+        self.answers = []
+        body = b'deed' if method == 'POST' else b''
+        request = CallerRequest(request_id, method, path, HOST, path, [], body, patience_ms)
+        self.key = 7
+        self.tell(CallerAsked(self.key, request))
+
+    def tell(self, event):
+        for action in self.gateway.handle(event, self.now_ms):
+            if isinstance(action, SendRequest):
+                self.sends.append(action)
+                if self.is_sending:
+                    self.gateway.handle(RequestSent(action.exchange_id), self.now_ms)
+            if isinstance(action, AnswerRequest):
+                self.answers.append(action.answer)
+
+    def wait(self, for_ms):
+        until_ms = self.now_ms + for_ms
+        while (self.gateway.timers.next_due_ms() or until_ms + 1) <= until_ms:
+            self.now_ms = max(self.now_ms, self.gateway.timers.next_due_ms())
+            self.tell(TimePassed())
+        self.now_ms = until_ms
+
+    def end(self, result, number=-1):
+        self.tell(ExchangeEnded(self.sends[number].exchange_id, result))
+
+    def fail(self, number, fault=LinkFault.LOST, was_sent=True):
+        self.end(LinkFailure(fault, was_sent), number)
--- a/tests/test_gather.py
+++ b/tests/test_gather.py
@@ -5,71 +5,30 @@
 from nose2.tools import params
 
 from beechbridge.failures import Executed, Failure, Reason
-from beechbridge.gateway.actions import AnswerRequest, SendRequest
 from beechbridge.gateway.events import (
-    CallerAsked,
     CallerLeft,
-    ExchangeEnded,
-    RequestSent,
-    TimePassed,
 )
 from beechbridge.gateway.models import (
-    CallerRequest,
-    LinkFailure,
     LinkFault,
     MergedAnswer,
     Reply,
 )
-from measure.emulator import HOST
 
-from .gateways import GOAL_MS, TIMEOUT_MS, start_sweeps, sweep_route
+from .gateways import GOAL_MS, TIMEOUT_MS, HandDriven, start_sweeps, sweep_route
 
 REQUEST_ID = 'request-of-the-test'
 
 
-class HandDriven:
-    """One gateway whose exchanges the test ends itself."""
+class Gather(HandDriven):
+    """One gather over some shards."""
 
-    def __init__(self, shard_count=4, least_share=0.5, copies=2, is_sending=True):
+    def __init__(self, shard_count=4, least_share=0.5, copies=2):
         emulator = start_sweeps(shard_count, least_share=least_share, copies=copies)
-        self.emulator = emulator
-        self.gateway = emulator.vms[0].gateway
-        self.now_ms = emulator.now_ms
-        self.sends = []
-        self.is_sending = is_sending
-        self.answers = []
-        request = CallerRequest(
-            REQUEST_ID, 'GET', '/sweep/x', HOST, '/sweep/x', [], b'', TIMEOUT_MS
-        )
-        self.tell(CallerAsked(7, request))
-
-    def tell(self, event):
-        for action in self.gateway.handle(event, self.now_ms):
-            if isinstance(action, SendRequest):
-                self.sends.append(action)
-                if self.is_sending:
-                    self.gateway.handle(RequestSent(action.exchange_id), self.now_ms)
-            if isinstance(action, AnswerRequest):
-                self.answers.append(action.answer)
-
-    def wait(self, for_ms):
-        until_ms = self.now_ms + for_ms
-        while True:
-            due_ms = self.gateway.timers.next_due_ms()
-            if due_ms is None or due_ms > until_ms:
-                break
-            self.now_ms = max(self.now_ms, due_ms)
-            self.tell(TimePassed())
-        self.now_ms = until_ms
+        super().__init__(emulator, REQUEST_ID, '/sweep/x', 'GET', TIMEOUT_MS)
 
     def reply(self, number, body=b'', request_id=REQUEST_ID, status=200, **fields):
-        send = self.sends[number]
         signature = fields.pop('signature', f'signature-{number}')
-        reply = Reply(status, [], body, signature, request_id, **fields)
-        self.tell(ExchangeEnded(send.exchange_id, reply))
-
-    def fail(self, number, fault=LinkFault.LOST, was_sent=True):
-        self.tell(ExchangeEnded(self.sends[number].exchange_id, LinkFailure(fault, was_sent)))
+        self.end(Reply(status, [], body, signature, request_id, **fields), number)
 
 
 def record(value):
@@ -78,7 +37,7 @@
 
 class MergeTest(unittest.TestCase):
     def test_greatest_records_of_all_parts_with_equal_ones_counted(self):
-        driven = HandDriven()
+        driven = Gather()
         driven.reply(0, record(1) + record(9) + b'rest')
         driven.reply(1, record(9) + record(5))
         driven.reply(2, b''.join(record(value) for value in range(10, 22)))
@@ -91,7 +50,7 @@
         self.assertEqual(answer.missing_count, 0)
 
     def test_equal_records_all_count(self):
-        driven = HandDriven()
+        driven = Gather()
         for number in range(4):
             driven.reply(number, record(3) * 2)
         self.assertEqual(driven.answers[0].body, record(3) * 8)
@@ -105,7 +64,7 @@
         ({'status': 503, 'is_rejected': True},),
     )
     def test_what_is_no_answer_to_this_request_is_no_part(self, fields):
-        driven = HandDriven(copies=1)
+        driven = Gather(copies=1)
         for number in range(3):
             driven.reply(number, record(number))
         driven.reply(3, record(200), **fields)
@@ -115,7 +74,7 @@
         self.assertNotIn(record(200), answer.body)
 
     def test_hedge_of_a_shard_gives_one_part(self):
-        driven = HandDriven()
+        driven = Gather()
         for number in range(3):
             driven.reply(number, record(number))
         driven.wait(80.0)
@@ -128,7 +87,7 @@
         self.assertEqual(answer.missing_count, 0)
 
     def test_answer_waits_for_the_goal_and_not_beyond(self):
-        driven = HandDriven()
+        driven = Gather()
         driven.reply(0, record(1))
         driven.reply(1, record(2))
         driven.wait(GOAL_MS - 20.0)
@@ -138,7 +97,7 @@
         self.assertEqual(driven.answers[0].missing_count, 2)
 
     def test_below_the_least_share_nothing_is_a_success(self):
-        driven = HandDriven(least_share=0.75)
+        driven = Gather(least_share=0.75)
         driven.reply(0, record(1))
         driven.reply(1, record(2))
         driven.wait(TIMEOUT_MS)
@@ -148,7 +107,7 @@
         self.assertIs(answer.executed, Executed.UNKNOWN)
 
     def test_share_that_cannot_be_reached_fails_at_once(self):
-        driven = HandDriven(least_share=1.0, copies=1)
+        driven = Gather(least_share=1.0, copies=1)
         driven.fail(0)
         driven.wait(20.0)
         driven.fail(4)
@@ -156,7 +115,7 @@
         self.assertIs(answer.executed, Executed.UNKNOWN)
 
     def test_newer_table_leaves_a_running_gather_its_shards(self):
-        driven = HandDriven()
+        driven = Gather()
         for number in range(4, 6):
             driven.emulator.put_replica(f's-{number}', f'shard-{number}', 'brum-a')
         driven.emulator.put_table([sweep_route(6)], version=9)
@@ -168,13 +127,13 @@
 
 class RepeatsTest(unittest.TestCase):
     def test_lost_exchange_is_repeated_at_the_other_replica(self):
-        driven = HandDriven()
+        driven = Gather()
         driven.fail(0)
         self.assertEqual(len(driven.sends), 5)
         self.assertNotEqual(driven.sends[4].instance_id, driven.sends[0].instance_id)
 
     def test_attempts_bound_the_replicas_that_may_have_run_it(self):
-        driven = HandDriven()
+        driven = Gather()
         driven.fail(0)
         driven.fail(4)
         driven.wait(100.0)
@@ -182,14 +141,14 @@
         self.assertLessEqual(len(asked), 2)
 
     def test_refused_connection_is_no_attempt(self):
-        driven = HandDriven()
+        driven = Gather()
         driven.fail(0, LinkFault.CONNECT_FAILED, was_sent=False)
         driven.fail(4)
         self.assertEqual(len(driven.sends), 5)
         self.assertEqual(driven.gateway.works[7].tasks[0].run_count, 1)
 
     def test_caller_that_left_gets_nothing_more(self):
-        driven = HandDriven()
+        driven = Gather()
         driven.tell(CallerLeft(7))
         driven.wait(TIMEOUT_MS)
         self.assertFalse(driven.answers)
--- a/tests/test_single.py
+++ b/tests/test_single.py
@@ -5,16 +5,10 @@
 from nose2.tools import params
 
 from beechbridge.failures import Executed, Failure
-from beechbridge.gateway.actions import AnswerRequest, SendRequest
 from beechbridge.gateway.events import (
-    CallerAsked,
     CallerLeft,
-    ExchangeEnded,
-    RequestSent,
-    TimePassed,
 )
 from beechbridge.gateway.models import (
-    CallerRequest,
     LinkFailure,
     LinkFault,
     PassedAnswer,
@@ -24,46 +18,27 @@
 from beechbridge.gateway.requests.budgets import BudgetRules
 from measure.emulator import HOST, ReplicaSpec
 
-from .gateways import answer_of, arrivals_of, drive, single_route, start_register
+from .gateways import (
+    HandDriven,
+    answer_of,
+    arrivals_of,
+    drive,
+    single_route,
+    start_register,
+)
 
 REQUEST_ID = 'filing-1'
 
 
-class Filing:
-    """One request whose exchanges the test ends itself."""
+class Filing(HandDriven):
+    """One request for the register."""
 
     def __init__(self, is_idempotent=False, replica_count=2, is_sending=True, budget=None):
         name = 'lookup' if is_idempotent else 'file'
         emulator = start_register(single_route(name, is_idempotent), replica_count)
-        self.gateway = emulator.vms[0].gateway
         if budget is not None:
-            self.gateway.budget_rules = budget
-        self.now_ms = emulator.now_ms
-        self.sends = []
-        self.is_sending = is_sending
-        self.answers = []
-        path = f'/{name}/x'
-        request = CallerRequest(REQUEST_ID, 'POST', path, HOST, path, [], b'deed', 4000.0)
-        self.tell(CallerAsked(3, request))
-
-    def tell(self, event):
-        for action in self.gateway.handle(event, self.now_ms):
-            if isinstance(action, SendRequest):
-                self.sends.append(action)
-                if self.is_sending:
-                    self.gateway.handle(RequestSent(action.exchange_id), self.now_ms)
-            if isinstance(action, AnswerRequest):
-                self.answers.append(action.answer)
-
-    def end(self, result):
-        self.tell(ExchangeEnded(self.sends[-1].exchange_id, result))
-
-    def wait(self, for_ms):
-        until_ms = self.now_ms + for_ms
-        while (self.gateway.timers.next_due_ms() or until_ms + 1) <= until_ms:
-            self.now_ms = max(self.now_ms, self.gateway.timers.next_due_ms())
-            self.tell(TimePassed())
-        self.now_ms = until_ms
+            emulator.vms[0].gateway.budget_rules = budget
+        super().__init__(emulator, REQUEST_ID, f'/{name}/x', 'POST', 4000.0, is_sending)
 
 
 REJECTED = Reply(503, [], b'', request_id=REQUEST_ID, is_rejected=True)
@@ -147,7 +122,7 @@
 
     def test_caller_that_left_does_not_break_a_filing_off(self):
         filing = Filing()
-        filing.tell(CallerLeft(3))
+        filing.tell(CallerLeft(filing.key))
         self.assertTrue(filing.gateway.upstreams.exchanges)
         self.assertFalse(filing.answers)
 
