--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,10 @@
 	@$(BIN)/python -m measure.run --output=build/measure.json
 	@$(BIN)/python -m measure.plot build/measure.json
 
+.PHONY: experiment
+experiment: $(READY) ## Compare policies on the emulator, one table for each file in measure/experiments
+	@$(BIN)/python -m measure.experiment measure/experiments/*.toml
+
 .PHONY: model
 model: $(READY) ## Prove the specifications of the core protocols and break their mutants
 	@$(BIN)/python -m model.check
