Count cut VMs for shares for ten minutes

Cause: the argument for the budgets showed that VMs cut off from each other for over 30 s, and in a large fleet at once, divide the fixed part by less and together spend more than is allowed. Change: silent VMs are remembered for ten minutes; a large fleet shares by the most VMs that callers were sent to in that time. The test of a cut small fleet fails without it.

--- a/beechbridge/gateway/fleet/members.py
+++ b/beechbridge/gateway/fleet/members.py
@@ -12,8 +12,8 @@
 RELAYED_ALIVE_MS = 7_000.0
 """The same for a VM that is heard of through others: three lost relays."""
 
-REMEMBERED_MS = 30_000.0
-"""How long a silent VM counts for shares: it may be cut off and still serve."""
+REMEMBERED_MS = 600_000.0
+"""How long a silent VM counts for shares: it may be cut off for minutes and still serve."""
 
 
 class Fleet:
--- a/beechbridge/gateway/fleet/placement.py
+++ b/beechbridge/gateway/fleet/placement.py
@@ -3,7 +3,7 @@
 from ...record import Record
 from ..models import Member, RoutingTable
 from ..replicas.upstreams import Upstreams
-from .members import Fleet
+from .members import REMEMBERED_MS, Fleet
 
 NEAR_COST = 0.0
 """Cost of a message within a region: the users pay a third of one between regions, and a caller
@@ -104,6 +104,7 @@
 
     :param sent_count: requests sent since the last measurement
     :param active_names: VMs that callers of any place are sent to
+    :param sharing_count: most of them within the time for which silent VMs are remembered
     :param active_since_ms: since when this VM is one of them, None while it is not
     """
 
@@ -111,9 +112,11 @@
         'active_names',
         'active_since_ms',
         'chosen_ms',
+        'counted_ms',
         'measured_ms',
         'rate_per_s',
         'sent_count',
+        'sharing_count',
     )
 
     def __init__(self):
@@ -122,6 +125,8 @@
         self.rate_per_s = 0.0
         self.chosen_ms = -CHOICE_MS
         self.active_names: set[str] = set()
+        self.sharing_count = 1
+        self.counted_ms = 0.0
         self.active_since_ms: float | None = None
 
     def measure(self, now_ms: float) -> float:
@@ -149,6 +154,10 @@
         for members in by_region.values():
             chosen = members if fleet.is_mesh else pick_largest(members)
             self.active_names.update(member.name for member in chosen)
+        is_forgotten = now_ms - self.counted_ms > REMEMBERED_MS
+        if len(self.active_names) >= self.sharing_count or is_forgotten:
+            self.sharing_count = max(1, len(self.active_names))
+            self.counted_ms = now_ms
         if fleet.own.name not in self.active_names:
             self.active_since_ms = None
         elif self.active_since_ms is None:
--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -185,7 +185,7 @@
         self.activity.choose(self.fleet, self.now_ms)
         if self.fleet.is_mesh:
             return self.fleet.size
-        return max(1, len(self.activity.active_names))
+        return self.activity.sharing_count
 
     def budget(self, service: str) -> RepeatBudget:
         """Return a service's budget of repeats."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -57,6 +57,18 @@
         self.assertEqual(len(alive), 3)
 
 
+class CutTest(unittest.TestCase):
+    @params((1, 300_000.0), (4, 20_000.0))
+    def test_halves_of_a_cut_fleet_do_not_share_more_than_the_whole(self, per_zone, cut_ms):
+        emulator = start_fleet(per_zone)
+        before = [vm.gateway.budget_share().count for vm in emulator.vms]
+        for vm in emulator.vms[3:]:
+            vm.is_up = False
+        emulator.run(cut_ms)
+        after = [vm.gateway.budget_share().count for vm in emulator.vms[:3]]
+        self.assertEqual(after, before[:3])
+
+
 class FollowersTest(unittest.TestCase):
     @params((1, 6), (4, 6))
     def test_one_vm_of_each_data_centre_follows_the_store(self, per_zone, expected):
