Hear a VM again whose clock was set back before its restart

Cause: a reading of the code: incarnations come from the time of day, and a process with a lower one than its predecessor was ignored for as long as that was remembered. Change: a VM's own word counts also with a lower incarnation once its predecessor has fallen silent; what others say of it does not. The test fails without it.

--- a/beechbridge/gateway/fleet/gossip.py
+++ b/beechbridge/gateway/fleet/gossip.py
@@ -92,7 +92,7 @@
     fleet = gateway.fleet
     sender = event.members[0]
     for member in event.members:
-        fleet.take_member(member, gateway.now_ms)
+        fleet.take_member(member, gateway.now_ms, is_sender=member is sender)
     if event.wants_members:
         views = [fleet.own, *fleet.alive(gateway.now_ms)][:LARGEST_MESSAGE]
         send(gateway, [sender.host], views)
--- a/beechbridge/gateway/fleet/members.py
+++ b/beechbridge/gateway/fleet/members.py
@@ -86,18 +86,27 @@
                 place += 1
         return place
 
-    def take_member(self, view: Member, now_ms: float) -> bool:
-        """Take in what is told of a VM if it is newer; return whether the VM was unknown."""
+    def take_member(self, view: Member, now_ms: float, is_sender: bool = False) -> None:
+        """
+        Take in what is told of a VM if it is newer.
+
+        :param is_sender: whether the VM says so itself
+        """
         if view.name == self.own.name:
-            return False
+            return
         known = self.members.get(view.name)
         if known is not None:
             order = (view.incarnation, view.heartbeat)
-            if order <= (known.incarnation, known.heartbeat):
-                return False
+            # A clock that was set back gives a new process a lower incarnation.
+            is_restarted = (
+                is_sender
+                and view.incarnation < known.incarnation
+                and not self.is_alive(known, now_ms)
+            )
+            if order <= (known.incarnation, known.heartbeat) and not is_restarted:
+                return
         view.heard_ms = now_ms
         self.members[view.name] = view
-        return known is None
 
     def forget_silent(self, now_ms: float) -> None:
         """Forget the VMs that have been silent for long."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,11 +1,12 @@
 """The fleet: who is heard, who follows the store, where callers are sent, a graceful stop."""
 
+import copy
 import unittest
 
 from nose2.tools import params
 
 from beechbridge.gateway.actions import CloseIdleCallers, EndProcess
-from beechbridge.gateway.events import StopAsked, TimePassed
+from beechbridge.gateway.events import HeartbeatArrived, StopAsked, TimePassed
 from measure.emulator import Emulator, ReplicaSpec
 
 from .gateways import WORK_MS, ZONES, start_sweeps, sweep_route
@@ -57,6 +58,32 @@
         self.assertEqual(len(alive), 3)
 
 
+class ClockTest(unittest.TestCase):
+    def test_vm_whose_clock_was_set_back_is_heard_again_after_a_restart(self):
+        emulator = start_fleet(1)
+        restarted = emulator.vms[4]
+        restarted.is_up = False
+        emulator.run(3_000.0)
+        own = restarted.gateway.fleet.own
+        own.incarnation, own.heartbeat = own.incarnation - 1, 0
+        restarted.is_up = True
+        emulator.tell(restarted, TimePassed())
+        emulator.run(3_000.0)
+        serving = emulator.vms[0].gateway.fleet.serving(emulator.now_ms)
+        self.assertIn('vm-4', {member.name for member in serving})
+
+    def test_late_word_of_a_lost_vm_does_not_bring_it_back(self):
+        emulator = start_fleet(1)
+        gateway = emulator.vms[0].gateway
+        old = copy.copy(gateway.fleet.members['vm-4'])
+        emulator.vms[4].is_up = False
+        emulator.run(3_000.0)
+        sender = copy.copy(gateway.fleet.members['vm-1'])
+        emulator.tell(emulator.vms[0], HeartbeatArrived([sender, old], 1, 1))
+        serving = gateway.fleet.serving(emulator.now_ms)
+        self.assertNotIn('vm-4', {member.name for member in serving})
+
+
 class CutTest(unittest.TestCase):
     @params((1, 300_000.0), (4, 20_000.0))
     def test_halves_of_a_cut_fleet_do_not_share_more_than_the_whole(self, per_zone, cut_ms):
