Let VMs that share a replica end with equal windows

Cause: under overload one VM held a window of 5 exchanges at each replica and another a window of 1. Both steps of a window, wider and narrower, shrank with the window, so that unequal windows stayed unequal. The narrow VM refused urgent queries as late (301 of 931) while the wide one had room, and slots stood empty for 2% of the time.

Change: a window narrows by a fixed step for each exchange that waited too long, and what counts as too long is 5 times the unloaded latency.

--- a/beechbridge/core/upstreams/replicas.py
+++ b/beechbridge/core/upstreams/replicas.py
@@ -21,10 +21,18 @@
 TAIL_WEIGHT = 0.5
 """Weight of a replica's slow exchanges beside its average in the choice between two."""
 
-QUEUED_FACTOR = 3.0
-"""Multiple of the unloaded latency from which an exchange must have waited at the upstream."""
+QUEUED_FACTOR = 5.0
+"""Multiple of the unloaded latency from which too much waits at the upstream.
 
-NARROW_STEP = 0.5
+At 3 the slots of a replica shared by three VMs stood empty 2% of an overload; at 5 they did not.
+"""
+
+NARROW_STEP = 0.2
+"""Exchanges by which the window narrows for each that waited too long.
+
+The step does not shrink as the window grows, as the widening does: of two VMs that see the same
+latencies, the one with the wider window narrows faster, so that both end with the same share.
+"""
 KNOWN_SAMPLES = 32
 """Samples from which on the latency estimates decide what is not worth sending."""
 
@@ -155,7 +163,7 @@
         Otherwise it widens if it was the limit.
         """
         if latency_ms > QUEUED_FACTOR * self.latency.unloaded_ms:
-            self.window = max(1.0, self.window - NARROW_STEP / self.window)
+            self.window = max(1.0, self.window - NARROW_STEP)
             return
         if self.in_flight + 1 < int(self.window):
             return
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -7,13 +7,13 @@
 from beechbridge.core.requests.endings import finish_plan
 from beechbridge.core.requests.fanout import start_plan
 from beechbridge.core.requests.plans import Plan
-from beechbridge.document import Document
+from beechbridge.core.upstreams.replicas import KNOWN_SAMPLES, ReplicaState
+from beechbridge.document import Document, check_document
 from beechbridge.events import QueryArrived
 from beechbridge.failures import Executed, Failure
 from beechbridge.models import Answer, Query
 
-from .known_red import known_red
-from .utils import World, make_entries
+from .utils import World, make_document, make_entries
 
 SERVICE_MS = 50.0
 CAPACITY_PER_S = 80.0
@@ -47,7 +47,6 @@
             world.run(rng.expovariate(rate) * 1000.0)
         return asked
 
-    @known_red
     def test_urgent_queries_are_answered_and_the_rest_refused_truly(self):
         world = self.start()
         asked = self.offer(world, 'o', 3 * CAPACITY_PER_S, 8000)
@@ -101,3 +100,27 @@
         world.perform('v1', core.take_actions())
         self.assertEqual(world.answer('low').executed, Executed.NOT_RUN)
         self.assertEqual(core.counters.total('refusals'), 0)
+
+
+class WindowTest(unittest.TestCase):
+    def make_state(self, window):
+        replica = check_document(make_document()).back_ends['b'].services['svc0'].replicas[0]
+        state = ReplicaState(replica, 'b', 'svc0')
+        state.pool.share = 12
+        state.window = window
+        for _ in range(KNOWN_SAMPLES):
+            state.latency.add(SERVICE_MS)
+        return state
+
+    def test_two_vms_that_share_a_replica_end_with_the_same_window(self):
+        states = [self.make_state(1.0), self.make_state(11.0)]
+        for _ in range(1000):
+            running = sum(int(state.window) for state in states)
+            latency_ms = SERVICE_MS * max(1.0, running / 2)
+            for state in states:
+                state.pool.busy = dict.fromkeys(range(int(state.window)), 0.0)
+                for _ in range(int(state.window)):
+                    state.adapt_window(latency_ms)
+        narrow, wide = states
+        self.assertLess(abs(wide.window - narrow.window), 2.0)
+        self.assertGreater(narrow.window, 3.0)
