Hold callers to the limits of the routing table

Cause: the listener had fixed bounds. Headers of up to 64 KiB were read whatever headerBytes says, headers that never became whole held a connection for 120 s without an answer, bodies of up to 8 MiB were read before the refusal, and what was refused as no request left no line.

Change: the gateway hands the limits of a new table to the front, which holds the callers' port to them: 431, 413 from twice the largest body on (up to there the body is read, so that its sender sees the typed refusal), and 408 for headers that are not whole in headerMs. Each is counted and written as request_malformed. The test of bad input now asserts that event where it asserted that no event came.

--- a/beechbridge/daemon/front.py
+++ b/beechbridge/daemon/front.py
@@ -5,18 +5,24 @@
 first, and only gives the connection to a thread once the answer is there to be written.
 """
 
+import copy
 import itertools
 import logging
+import math
+import time
 from collections.abc import Callable
 
 import waitress
+from waitress.adjustments import Adjustments
 from waitress.channel import HTTPChannel
+from waitress.parser import HTTPRequestParser
 from waitress.server import BaseWSGIServer
 from waitress.task import ThreadedTaskDispatcher, WSGITask
+from waitress.utilities import Error
 
 from ..failures import Failure, Reason, unknown
-from ..gateway.events import CallerAsked, CallerLeft
-from ..gateway.models import Answer, CallerRequest
+from ..gateway.events import CallerAsked, CallerLeft, CallerMalformed
+from ..gateway.models import Answer, CallerLimits, CallerRequest
 from ..gateway.settings import Address
 from ..record import Record
 
@@ -28,11 +34,24 @@
 
 LARGEST_HEADER_BYTES = 65_536
 LARGEST_BODY_BYTES = 8 * 1024 * 1024
+"""Bounds on what other VMs and operators send, and on callers until there is a routing table."""
+
+BODY_READ_FACTOR = 2
+"""Multiple of the largest body up to which a body is read, so that its sender sees the refusal."""
+
+LONGEST_HEADER_S = 10.0
 CONNECTION_LIMIT = 2_000
 BACKLOG = 512
 CHANNEL_KEY = 'beechbridge.channel'
 
 
+class LateHeadersError(Error):
+    """A request whose headers were not whole in time; nothing of it can have run."""
+
+    code = 408
+    reason = 'Request Timeout'
+
+
 class CallerTask(WSGITask):
     """Lets the application see the connection that it answers on."""
 
@@ -48,10 +67,44 @@
     A connection of a caller; tells when it is closed while a request is in service.
 
     :cvar app: application that serves it
+    :param timed_request: the latest request whose headers did not come at once
+    :param headers_due_s: when the headers that are being read must be whole
     """
 
     task_class = CallerTask
     app: 'FrontApp'
+    timed_request: HTTPRequestParser | None = None
+    headers_due_s = math.inf
+
+    def received(self, data: bytes) -> bool:
+        """Take bytes in, and time headers that are not whole yet."""
+        is_open = super().received(data)
+        request = self.request
+        if request is None or request.headers_finished:
+            self.headers_due_s = math.inf
+        elif request is not self.timed_request:
+            self.timed_request = request
+            self.headers_due_s = time.monotonic() + self.app.longest_header_s
+        return is_open
+
+    def readable(self) -> bool:
+        """Tell whether to read on; the server asks in each round of its loop."""
+        if time.monotonic() > self.headers_due_s:
+            self.refuse_headers()
+        return super().readable()
+
+    def refuse_headers(self) -> None:
+        """Answer a request whose headers are late, and read no more of it."""
+        self.headers_due_s = math.inf
+        with self.requests_lock:
+            request, self.request = self.request, None
+            request.parse_header(b'GET / HTTP/1.0\r\n')
+            request.error = LateHeadersError(f'no whole headers in {self.app.longest_header_s} s')
+            request.completed = True
+            self.requests.append(request)
+            is_first = len(self.requests) == 1
+        if is_first:
+            self.server.add_task(self)
 
     def service(self) -> None:
         """Serve a request; the last one on this connection if the VM is leaving."""
@@ -96,17 +149,21 @@
     :param post: hands events to the gateway
     :param handlers: WSGI application by port, for what is answered at once
     :param callers_port: port of the callers' requests
+    :param callers_adjustments: limits of the server on that port
+    :param longest_header_s: time for the headers of a request
     :param dispatch: gives a connection to a thread
     """
 
     __slots__ = (
         'answers',
+        'callers_adjustments',
         'callers_port',
         'dispatch',
         'handlers',
         'is_leaving',
         'keys',
         'keys_by_channel',
+        'longest_header_s',
         'post',
         'read_request',
         'waiting',
@@ -126,6 +183,8 @@
         self.write_answer = write_answer
         self.handlers: dict[int, Callable] = {}
         self.callers_port: int | None = None
+        self.callers_adjustments: Adjustments | None = None
+        self.longest_header_s = LONGEST_HEADER_S
         self.dispatch: Callable[[CallerChannel], None] | None = None
         self.keys = itertools.count(1)
         self.waiting: dict[int, WaitingCaller] = {}
@@ -145,10 +204,14 @@
     def start(self, channel: CallerChannel) -> bool:
         """Hand a caller's request to the gateway; return False for what a thread serves now."""
         parsed = channel.requests[0]
-        if int(channel.server.effective_port) != self.callers_port or parsed.error:
+        if int(channel.server.effective_port) != self.callers_port:
+            return False
+        if parsed.error:
+            self.post(CallerMalformed(str(parsed.error.code), parsed.error.body))
             return False
         request = self.read_request(CallerTask(channel, parsed).get_environment())
         if isinstance(request, Failure):
+            self.post(CallerMalformed(request.reason.value, request.detail))
             self.answers[channel] = (request, '')
             return False
         key = next(self.keys)
@@ -159,6 +222,15 @@
             self.forget_channel(channel)
         return True
 
+    def limit_callers(self, limits: CallerLimits) -> None:
+        """Hold callers to the limits of the routing table."""
+        self.longest_header_s = limits.header_ms / 1000.0
+        if self.callers_adjustments is None:
+            return
+        # The server refuses what reaches its bounds.
+        self.callers_adjustments.max_request_header_size = limits.header_bytes + 1
+        self.callers_adjustments.max_request_body_size = BODY_READ_FACTOR * limits.body_bytes + 1
+
     def deliver(self, key: int, answer: Answer) -> None:
         """Give a waiting request its answer."""
         caller = self.waiting.pop(key, None)
@@ -203,6 +275,8 @@
     channel_class = type('FrontChannel', (CallerChannel,), {'app': app})
     for listener in list_listeners(server):
         listener.channel_class = channel_class
+        if int(listener.effective_port) == app.callers_port:
+            listener.adj = app.callers_adjustments = copy.copy(listener.adj)
     return server
 
 
--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -20,6 +20,7 @@
     DropConnection,
     EndProcess,
     FollowStore,
+    LimitCallers,
     PullChanges,
     SendHeartbeat,
     SendRequest,
@@ -336,6 +337,12 @@
     process.front.deliver(action.key, action.answer)
 
 
+@perform.register
+def perform_limit(action: LimitCallers, process: GatewayProcess) -> None:
+    """Hold callers to new limits."""
+    process.front.limit_callers(action.limits)
+
+
 @perform.register
 def perform_line(action: WriteLine, process: GatewayProcess) -> None:
     """Write a log line."""
--- a/beechbridge/gateway/actions.py
+++ b/beechbridge/gateway/actions.py
@@ -1,7 +1,7 @@
 """What the gateway asks its driver to do."""
 
 from ..record import Record
-from .models import Answer, CallerRequest, Member
+from .models import Answer, CallerLimits, CallerRequest, Member
 
 
 class SendRequest(Record):
@@ -64,6 +64,15 @@
         self.answer = answer
 
 
+class LimitCallers(Record):
+    """Hold callers to the limits of a new routing table."""
+
+    __slots__ = ('limits',)
+
+    def __init__(self, limits: CallerLimits):
+        self.limits = limits
+
+
 class WriteLine(Record):
     """
     Write one log line.
@@ -145,6 +154,7 @@
     SendRequest
     | DropConnection
     | AnswerRequest
+    | LimitCallers
     | WriteLine
     | SendHeartbeat
     | FollowStore
--- a/beechbridge/gateway/events.py
+++ b/beechbridge/gateway/events.py
@@ -28,6 +28,20 @@
         self.key = key
 
 
+class CallerMalformed(Record):
+    """
+    What a caller sent was no request, and was refused before it reached the filters.
+
+    :param cause: status or reason of the refusal
+    """
+
+    __slots__ = ('cause', 'detail')
+
+    def __init__(self, cause: str, detail: str):
+        self.cause = cause
+        self.detail = detail
+
+
 class RequestSent(Record):
     """The connection of an exchange is open, and its request is on the way."""
 
--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -12,6 +12,7 @@
 from .events import (
     CallerAsked,
     CallerLeft,
+    CallerMalformed,
     ChangesRead,
     ConnectionEnded,
     ExchangeEnded,
@@ -39,7 +40,7 @@
 )
 from .replicas.store_view import StoreView
 from .replicas.upstreams import ReplicaState, Upstreams
-from .requests.admission import handle_caller_asked
+from .requests.admission import handle_caller_asked, handle_caller_malformed
 from .requests.budgets import BudgetRules, BudgetShare, RepeatBudget
 from .requests.hedges import fire_check
 from .requests.progress import (
@@ -307,6 +308,7 @@
 EVENT_HANDLERS = {
     CallerAsked: handle_caller_asked,
     CallerLeft: handle_caller_left,
+    CallerMalformed: handle_caller_malformed,
     RequestSent: handle_request_sent,
     ExchangeEnded: handle_exchange_ended,
     ConnectionEnded: handle_connection_ended,
--- a/beechbridge/gateway/replicas/knowledge.py
+++ b/beechbridge/gateway/replicas/knowledge.py
@@ -2,7 +2,7 @@
 
 from ...failures import Failure
 from ...record import Record
-from ..actions import DropConnection, WriteLine
+from ..actions import DropConnection, LimitCallers, WriteLine
 from ..events import ChangesRead, StoreFailed
 from ..fleet.gossip import note_caught_up, share_news
 from ..models import Item, ReplicaEntry, RoutingTable
@@ -110,6 +110,8 @@
         return
     gateway.table = table
     gateway.splits.forget()
+    if current is None or table.limits != current.limits:
+        gateway.act(LimitCallers(table.limits))
     gateway.act(
         WriteLine(
             'table_applied',
--- a/beechbridge/gateway/requests/admission.py
+++ b/beechbridge/gateway/requests/admission.py
@@ -6,7 +6,8 @@
 """
 
 from ...failures import Failure, Reason, not_run
-from ..events import CallerAsked
+from ..actions import WriteLine
+from ..events import CallerAsked, CallerMalformed
 from ..models import Route
 from ..surface import GatewaySurface
 from .answers import refuse_request
@@ -113,6 +114,12 @@
     return work
 
 
+def handle_caller_malformed(event: CallerMalformed, gateway: GatewaySurface) -> None:
+    """Count and tell what was refused before it could be read as a request."""
+    gateway.counters.add('callers_malformed', event.cause)
+    gateway.act(WriteLine('request_malformed', {'cause': event.cause, 'detail': event.detail}))
+
+
 def handle_caller_asked(event: CallerAsked, gateway: GatewaySurface) -> None:
     """Run the filter chain; start the request or refuse it."""
     for request_filter in REQUEST_FILTERS:
--- a/measure/emulator.py
+++ b/measure/emulator.py
@@ -18,6 +18,7 @@
     DropConnection,
     EndProcess,
     FollowStore,
+    LimitCallers,
     PullChanges,
     SendHeartbeat,
     SendRequest,
@@ -471,5 +472,6 @@
 
 @perform.register(CloseIdleCallers)
 @perform.register(EndProcess)
+@perform.register(LimitCallers)
 def ignore(action: object, vm: EmulatedVm, emulator: Emulator) -> None:
     """Do nothing: no process and no listener stands behind a VM here."""
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -10,8 +10,8 @@
 
 from beechbridge.daemon.front import FrontApp, close_idle_channels, create_front, list_listeners
 from beechbridge.failures import Reason, not_run
-from beechbridge.gateway.events import CallerAsked, CallerLeft
-from beechbridge.gateway.models import MergedAnswer
+from beechbridge.gateway.events import CallerAsked, CallerLeft, CallerMalformed
+from beechbridge.gateway.models import CallerLimits, MergedAnswer
 from beechbridge.gateway.settings import Address
 from beechbridge.platform.callers import read_request, write_answer
 
@@ -157,7 +157,45 @@
         with self.front.connect() as sock:
             sock.sendall(text.encode())
             self.assertEqual(read_response(sock)[0].status, status)
-        self.assertFalse(self.front.events)
+        self.assertEqual([type(event) for event in self.front.events], [CallerMalformed])
+
+    @params(
+        ('X-Long: ' + 'x' * 1_000 + '\r\n\r\n', 431),
+        ('Content-Length: 1001\r\n\r\n', 413),
+        ('Transfer-Encoding: chunked\r\n\r\n7d0\r\n' + 'x' * 2_000 + '\r\n', 413),
+    )
+    def test_limits_of_the_routing_table_are_enforced(self, rest, status):
+        self.front.app.limit_callers(CallerLimits(1_000, 500, 3_000, 15_000))
+        with self.front.connect() as sock:
+            sock.sendall((HEAD + rest).encode())
+            self.assertEqual(read_response(sock)[0].status, status)
+        self.assertEqual(self.front.next_event().cause, str(status))
+
+    def test_limits_of_callers_do_not_bind_other_ports(self):
+        self.front.app.limit_callers(CallerLimits(1_000, 500, 3_000, 15_000))
+        with self.front.connect(self.front.other_port) as sock:
+            sock.sendall(b'GET / HTTP/1.1\r\nHost: h\r\nX: ' + b'x' * 2_000 + b'\r\n\r\n')
+            self.assertEqual(read_response(sock)[1], b'ok')
+
+    def test_headers_that_are_not_whole_in_time_are_refused_as_not_run(self):
+        self.front.app.limit_callers(CallerLimits(1_000, 500, 100, 15_000))
+        with self.front.connect() as sock:
+            sock.sendall(HEAD.encode())
+            response, _ = read_response(sock)
+            self.assertEqual((response.status, sock.recv(1)), (408, b''))
+        event = self.front.next_event()
+        self.assertEqual((type(event), event.cause), (CallerMalformed, '408'))
+
+    def test_late_headers_after_a_waiting_request_do_not_disturb_it(self):
+        self.front.app.limit_callers(CallerLimits(1_000, 500, 50, 15_000))
+        with self.front.connect() as sock:
+            sock.sendall((HEAD + '\r\n').encode())
+            event = self.front.next_event()
+            sock.sendall(HEAD.encode())
+            time.sleep(0.2)
+            self.front.app.deliver(event.key, ANSWER)
+            self.assertEqual(read_response(sock)[0].status, 200)
+            self.assertEqual(read_response(sock)[0].status, 408)
 
     def test_refusal_names_the_time_to_come_back(self):
         with self.front.connect() as sock:
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -6,12 +6,14 @@
 from nose2.tools import params
 
 from beechbridge.failures import InputFailure
+from beechbridge.gateway.actions import LimitCallers
 from beechbridge.gateway.events import ChangesRead, HeartbeatArrived, StoreFailed, TimePassed
 from beechbridge.gateway.models import CallerLimits, Item, Member, ReplicaEntry, RoutingTable
 from beechbridge.gateway.node import Gateway
 from beechbridge.gateway.requests.budgets import BudgetRules
 
 LIMITS = CallerLimits(16_384, 262_144, 3_000.0, 15_000.0)
+NARROW_LIMITS = CallerLimits(8_192, 65_536, 1_000.0, 15_000.0)
 KEY = 'replica/r-1'
 GRACE_MS = 2_000.0
 """Time in which lapsed entries of live replicas are back, as the users state it."""
@@ -63,7 +65,7 @@
         return Item(key, value, self.revision)
 
     def put(self, key, decoded, **fields):
-        self.tell(ChangesRead([self.item(key, decoded)], self.revision, **fields))
+        return self.tell(ChangesRead([self.item(key, decoded)], self.revision, **fields))
 
     def list(self, items):
         self.revision += 1
@@ -87,6 +89,12 @@
         reader.put('table', InputFailure('table', 'routes', None, 'a list'))
         self.assertEqual(reader.gateway.table.version, 1)
 
+    @params((LIMITS, []), (NARROW_LIMITS, [LimitCallers(NARROW_LIMITS)]))
+    def test_callers_are_held_to_new_limits(self, limits, expected):
+        reader = Reader()
+        actions = reader.put('table', RoutingTable(2, [], {}, limits))
+        self.assertEqual([a for a in actions if isinstance(a, LimitCallers)], expected)
+
 
 class EntryTest(unittest.TestCase):
     def test_draining_replica_gets_nothing_new_at_once(self):
