--- a/beechbridge/daemon/exchanges.py
+++ b/beechbridge/daemon/exchanges.py
@@ -12,9 +12,10 @@
 
 import httptools
 
-from ..gateway.actions import DropConnection, SendRequest
+from ..gateway.actions import DropConnection, SendOrder, SendRequest
 from ..gateway.events import ConnectionEnded, ExchangeEnded, RequestSent
-from ..gateway.models import LinkFailure, LinkFault, Reply
+from ..gateway.models import LinkFailure, LinkFault, PartsReply, Reply
+from ..record import Record
 
 CONNECT_TIMEOUT_S = 0.6
 """Time for a connection to open: a lost first packet is only sent again after a second."""
@@ -26,7 +27,22 @@
 FINAL_STATUS = 200
 """Lower statuses announce a response and are none."""
 
-ReplyReader = Callable[[int, list[tuple[str, str]], bytes, bool], Reply]
+ReplyReader = Callable[[int, list[tuple[str, str]], bytes, bool], Reply | PartsReply]
+
+
+class Codec(Record):
+    """
+    How what is sent is written, and what comes back is read.
+
+    :param write: makes the bytes of a request
+    :param read: makes a reply of status, headers, body and whether the connection ends
+    """
+
+    __slots__ = ('read', 'write')
+
+    def __init__(self, write: Callable[[SendRequest | SendOrder], bytes], read: ReplyReader):
+        self.write = write
+        self.read = read
 
 
 class Response:
@@ -206,34 +222,28 @@
 
 class ExchangeClient:
     """
-    Carries the gateway's requests to replicas.
+    Carries the gateway's requests to replicas, and its orders to other VMs.
 
-    :param write_request: makes the bytes of a request
+    :param codecs: by kind of action
     """
 
-    __slots__ = ('links', 'loop', 'post', 'read_reply', 'tasks', 'write_request')
+    __slots__ = ('codecs', 'links', 'loop', 'post', 'tasks')
 
-    def __init__(
-        self,
-        loop: asyncio.AbstractEventLoop,
-        post: Callable,
-        write_request: Callable[[SendRequest], bytes],
-        read_reply: ReplyReader,
-    ):
+    def __init__(self, loop: asyncio.AbstractEventLoop, post: Callable, codecs: dict[type, Codec]):
         self.loop = loop
         self.post = post
-        self.write_request = write_request
-        self.read_reply = read_reply
+        self.codecs = codecs
         self.links: dict[int, ReplicaLink] = {}
         self.tasks: set[asyncio.Task] = set()
 
-    def send(self, action: SendRequest) -> None:
-        """Start an exchange."""
-        data = self.write_request(action)
+    def send(self, action: SendRequest | SendOrder, port: int) -> None:
+        """Start an exchange with what listens on a port of the action's host."""
+        codec = self.codecs[type(action)]
+        data = codec.write(action)
         if action.is_new:
-            link = ReplicaLink(action.connection_id, self.post, self.read_reply)
+            link = ReplicaLink(action.connection_id, self.post, codec.read)
             self.links[action.connection_id] = link
-            task = self.loop.create_task(self.connect(link, action.host, action.port))
+            task = self.loop.create_task(self.connect(link, action.host, port))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
         link = self.links.get(action.connection_id)
@@ -241,8 +251,7 @@
             failure = LinkFailure(LinkFault.LOST, was_sent=False)
             self.loop.call_soon(self.post, ExchangeEnded(action.exchange_id, failure))
             return
-        request = action.request
-        link.begin(action.exchange_id, request.request_id, data)
+        link.begin(action.exchange_id, action.request_id, data)
 
     async def connect(self, link: ReplicaLink, host: str, port: int) -> None:
         """Open a connection; nothing has been sent if that fails."""
--- a/beechbridge/daemon/front.py
+++ b/beechbridge/daemon/front.py
@@ -21,10 +21,11 @@
 from waitress.utilities import Error
 
 from ..failures import Failure, Reason, unknown
-from ..gateway.events import CallerAsked, CallerLeft, CallerMalformed
-from ..gateway.models import Answer, CallerLimits, CallerRequest
+from ..gateway.events import CallerLeft, CallerMalformed
+from ..gateway.models import Answer, CallerLimits
 from ..gateway.settings import Address
 from ..record import Record
+from ..wire.http import WireAnswer
 
 THREADS = 4
 """Threads that write answers and serve what is answered at once."""
@@ -132,6 +133,29 @@
             super().add_task(task)
 
 
+class Door(Record):
+    """
+    What waits for its answer on one port.
+
+    :param ask: makes the gateway's event of a key and a request
+    :param read: makes a request of a WSGI environment, or says why it is none; None for what is
+        served at once
+    :param write: makes the wire form of an answer to a request
+    """
+
+    __slots__ = ('ask', 'read', 'write')
+
+    def __init__(
+        self,
+        ask: Callable[[int, object], object],
+        read: Callable[[dict], object],
+        write: Callable[[Answer, str], WireAnswer],
+    ):
+        self.ask = ask
+        self.read = read
+        self.write = write
+
+
 class WaitingCaller(Record):
     """A connection whose request waits for its answer."""
 
@@ -147,6 +171,7 @@
     WSGI application that hands each request to what serves its port.
 
     :param post: hands events to the gateway
+    :param doors: what waits for its answers, by port
     :param handlers: WSGI application by port, for what is answered at once
     :param callers_port: port of the callers' requests
     :param callers_adjustments: limits of the server on that port
@@ -159,28 +184,20 @@
         'callers_adjustments',
         'callers_port',
         'dispatch',
+        'doors',
         'handlers',
         'is_leaving',
         'keys',
         'keys_by_channel',
         'longest_header_s',
         'post',
-        'read_request',
         'waiting',
-        'write_answer',
     )
 
-    def __init__(
-        self,
-        post: Callable[[object], None],
-        is_leaving: Callable[[], bool],
-        read_request: Callable[[dict], CallerRequest | Failure],
-        write_answer: Callable[[Answer, str], object],
-    ):
+    def __init__(self, post: Callable[[object], None], is_leaving: Callable[[], bool]):
         self.post = post
         self.is_leaving = is_leaving
-        self.read_request = read_request
-        self.write_answer = write_answer
+        self.doors: dict[int, Door] = {}
         self.handlers: dict[int, Callable] = {}
         self.callers_port: int | None = None
         self.callers_adjustments: Adjustments | None = None
@@ -193,23 +210,27 @@
 
     def __call__(self, environ: dict, start_response: Callable) -> list[bytes]:
         """Write the answer that is there, or serve what needs no waiting."""
+        port = int(environ['SERVER_PORT'])
         answer = self.answers.pop(environ[CHANNEL_KEY], None)
         if answer is None:
-            return self.handlers[int(environ['SERVER_PORT'])](environ, start_response)
-        wire = self.write_answer(*answer)
+            return self.handlers[port](environ, start_response)
+        wire = self.doors[port].write(*answer)
         wire.headers.append(('Content-Length', str(len(wire.body))))
         start_response(wire.status, wire.headers)
         return [wire.body]
 
     def start(self, channel: CallerChannel) -> bool:
-        """Hand a caller's request to the gateway; return False for what a thread serves now."""
+        """Hand a request to the gateway; return False for what a thread serves now."""
         parsed = channel.requests[0]
-        if int(channel.server.effective_port) != self.callers_port:
+        door = self.doors.get(int(channel.server.effective_port))
+        if door is None:
             return False
         if parsed.error:
             self.post(CallerMalformed(str(parsed.error.code), parsed.error.body))
             return False
-        request = self.read_request(CallerTask(channel, parsed).get_environment())
+        request = door.read(CallerTask(channel, parsed).get_environment())
+        if request is None:
+            return False
         if isinstance(request, Failure):
             self.post(CallerMalformed(request.reason.value, request.detail))
             self.answers[channel] = (request, '')
@@ -217,7 +238,7 @@
         key = next(self.keys)
         self.waiting[key] = WaitingCaller(channel, request.request_id)
         self.keys_by_channel[channel] = key
-        self.post(CallerAsked(key, request))
+        self.post(door.ask(key, request))
         if not channel.connected:
             self.forget_channel(channel)
         return True
--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -23,10 +23,18 @@
     LimitCallers,
     PullChanges,
     SendHeartbeat,
+    SendOrder,
     SendRequest,
     WriteLine,
 )
-from ..gateway.events import PauseNoticed, SettingsRead, StopAsked, TimePassed
+from ..gateway.events import (
+    CallerAsked,
+    PartsAsked,
+    PauseNoticed,
+    SettingsRead,
+    StopAsked,
+    TimePassed,
+)
 from ..gateway.models import Member
 from ..gateway.node import Gateway
 from ..gateway.settings import Address, GatewaySettings
@@ -37,10 +45,19 @@
 from ..platform.replicas import read_reply, write_request
 from ..platform.store import StoreClient
 from ..status import ExitStatus
-from ..wire.fleet import decode_changes, decode_heartbeat, encode_changes, encode_heartbeat
+from ..wire.fleet import (
+    decode_changes,
+    decode_heartbeat,
+    encode_changes,
+    encode_heartbeat,
+    read_order,
+    read_parts,
+    write_order,
+    write_parts,
+)
 from .clock import read_clock_ms
-from .exchanges import ExchangeClient
-from .front import FrontApp, close_idle_channels, create_front, list_listeners
+from .exchanges import Codec, ExchangeClient
+from .front import Door, FrontApp, close_idle_channels, create_front, list_listeners
 from .log_lines import LineHandler, write_line
 from .metrics import render_gateway
 from .store_reader import StoreReader
@@ -97,10 +114,12 @@
         self.loop = asyncio.new_event_loop()
         self.timer: asyncio.TimerHandle | None = None
         self.timer_due_ms = float('inf')
-        self.exchanges = ExchangeClient(self.loop, self.handle, write_request, read_reply)
-        self.front = FrontApp(
-            self.post, lambda: self.core.stopping.is_leaving, read_request, write_answer
-        )
+        codecs = {
+            SendRequest: Codec(write_request, read_reply),
+            SendOrder: Codec(write_order, read_parts),
+        }
+        self.exchanges = ExchangeClient(self.loop, self.handle, codecs)
+        self.front = FrontApp(self.post, lambda: self.core.stopping.is_leaving)
         self.server = self.open_server()
         self.listeners = list_listeners(self.server)
         self.store_reader = StoreReader(
@@ -127,7 +146,11 @@
             if address is not None:
                 addresses.append(address)
                 self.front.handlers[address.port] = handler
-        self.front.callers_port = settings.callers.port if settings.callers else None
+        if settings.callers is not None:
+            self.front.callers_port = settings.callers.port
+            self.front.doors[settings.callers.port] = Door(CallerAsked, read_request, write_answer)
+        if settings.peers is not None:
+            self.front.doors[settings.peers.port] = Door(PartsAsked, read_order, write_parts)
         return create_front(self.front, addresses)
 
     def run(self) -> ExitStatus:
@@ -322,7 +345,13 @@
 @perform.register
 def perform_send(action: SendRequest, process: GatewayProcess) -> None:
     """Send a request to a replica."""
-    process.exchanges.send(action)
+    process.exchanges.send(action, action.port)
+
+
+@perform.register
+def perform_order(action: SendOrder, process: GatewayProcess) -> None:
+    """Ask another VM for parts."""
+    process.exchanges.send(action, process.settings.peers.port)
 
 
 @perform.register
--- a/beechbridge/gateway/actions.py
+++ b/beechbridge/gateway/actions.py
@@ -1,7 +1,7 @@
 """What the gateway asks its driver to do."""
 
 from ..record import Record
-from .models import Answer, CallerLimits, CallerRequest, Member
+from .models import Answer, CallerLimits, CallerRequest, Member, PartsOrder
 
 
 class SendRequest(Record):
@@ -44,6 +44,35 @@
         self.request = request
         self.patience_ms = patience_ms
 
+    @property
+    def request_id(self) -> str:
+        """Return the request that it is for."""
+        return self.request.request_id
+
+
+class SendOrder(Record):
+    """
+    Ask another VM for parts; its end is reported with one event.
+
+    :param is_new: whether the connection must be opened first
+    """
+
+    __slots__ = ('connection_id', 'exchange_id', 'host', 'is_new', 'order')
+
+    def __init__(
+        self, exchange_id: int, connection_id: int, is_new: bool, host: str, order: PartsOrder
+    ):
+        self.exchange_id = exchange_id
+        self.connection_id = connection_id
+        self.is_new = is_new
+        self.host = host
+        self.order = order
+
+    @property
+    def request_id(self) -> str:
+        """Return the request that it is for."""
+        return self.order.request_id
+
 
 class DropConnection(Record):
     """Close a connection; an exchange on it ends without an event."""
@@ -152,6 +181,7 @@
 
 GatewayAction = (
     SendRequest
+    | SendOrder
     | DropConnection
     | AnswerRequest
     | LimitCallers
--- a/beechbridge/gateway/events.py
+++ b/beechbridge/gateway/events.py
@@ -1,7 +1,7 @@
 """What the driver tells the gateway."""
 
 from ..record import Record
-from .models import CallerRequest, Item, LinkFailure, Member, Reply
+from .models import CallerRequest, Item, LinkFailure, Member, PartsOrder, PartsReply, Reply
 from .settings import GatewaySettings
 
 
@@ -42,6 +42,20 @@
         self.detail = detail
 
 
+class PartsAsked(Record):
+    """
+    Another VM asks for shards of a gather.
+
+    :param key: names the waiting VM in this process, as `CallerAsked` does a caller
+    """
+
+    __slots__ = ('key', 'order')
+
+    def __init__(self, key: int, order: PartsOrder):
+        self.key = key
+        self.order = order
+
+
 class RequestSent(Record):
     """The connection of an exchange is open, and its request is on the way."""
 
@@ -52,11 +66,11 @@
 
 
 class ExchangeEnded(Record):
-    """An exchange with a replica ended, with a whole reply or without."""
+    """An exchange with a replica or another VM ended, with a whole reply or without."""
 
     __slots__ = ('exchange_id', 'result')
 
-    def __init__(self, exchange_id: int, result: Reply | LinkFailure):
+    def __init__(self, exchange_id: int, result: Reply | PartsReply | LinkFailure):
         self.exchange_id = exchange_id
         self.result = result
 
--- a/beechbridge/gateway/models.py
+++ b/beechbridge/gateway/models.py
@@ -307,7 +307,94 @@
         self.missing_count = missing_count
 
 
-Answer = PassedAnswer | MergedAnswer | Failure
+class PartsOrder(Record):
+    """
+    Shards of a gather that another VM is asked for.
+
+    :param attempts: replicas of one service that may run the request at most
+    :param soft_ms: time after the arrival by which the answer must leave
+    :param hard_ms: time after the arrival for which replicas may work on it
+    """
+
+    __slots__ = (
+        'attempts',
+        'hard_ms',
+        'priority',
+        'request',
+        'route_name',
+        'services',
+        'soft_ms',
+        'top_records',
+    )
+
+    def __init__(
+        self,
+        request: CallerRequest,
+        route_name: str,
+        priority: int,
+        services: tuple[str, ...],
+        attempts: int,
+        top_records: int,
+        soft_ms: float,
+        hard_ms: float,
+    ):
+        self.request = request
+        self.route_name = route_name
+        self.priority = priority
+        self.services = services
+        self.attempts = attempts
+        self.top_records = top_records
+        self.soft_ms = soft_ms
+        self.hard_ms = hard_ms
+
+    @property
+    def request_id(self) -> str:
+        """Return the request that it is for."""
+        return self.request.request_id
+
+
+class PartsAnswer(Record):
+    """
+    What another VM got from the shards that it was asked for.
+
+    :param signatures: signature by service, of the parts that are in
+    :param run_counts: replicas that may have run it, by service, of those that are not
+    :param body: the greatest records of all parts together
+    :param work_ms: time from the order to the answer at that VM
+    """
+
+    __slots__ = ('body', 'run_counts', 'signatures', 'work_ms')
+
+    def __init__(
+        self,
+        signatures: dict[str, str],
+        run_counts: dict[str, int],
+        body: bytes,
+        work_ms: float,
+    ):
+        self.signatures = signatures
+        self.run_counts = run_counts
+        self.body = body
+        self.work_ms = work_ms
+
+
+class PartsReply(Record):
+    """
+    The end of an exchange with another VM.
+
+    :param answer: what it got, or None where it did not take the order and nothing has run
+    :param is_closing: the connection ends with this reply
+    """
+
+    __slots__ = ('answer', 'is_closing', 'request_id')
+
+    def __init__(self, answer: PartsAnswer | None, request_id: str, is_closing: bool):
+        self.answer = answer
+        self.request_id = request_id
+        self.is_closing = is_closing
+
+
+Answer = PassedAnswer | MergedAnswer | PartsAnswer | Failure
 
 
 class Member(Record):
--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -17,6 +17,7 @@
     ConnectionEnded,
     ExchangeEnded,
     HeartbeatArrived,
+    PartsAsked,
     PauseNoticed,
     RequestSent,
     SettingsRead,
@@ -24,6 +25,7 @@
     StoreFailed,
     TimePassed,
 )
+from .fleet.aggregators import Aggregators
 from .fleet.gossip import Gossip, HeartbeatTimer, fire_heartbeat, handle_heartbeat
 from .fleet.members import Fleet
 from .fleet.placement import Activity, Placement
@@ -40,7 +42,11 @@
 )
 from .replicas.store_view import StoreView
 from .replicas.upstreams import ReplicaState, Upstreams
-from .requests.admission import handle_caller_asked, handle_caller_malformed
+from .requests.admission import (
+    handle_caller_asked,
+    handle_caller_malformed,
+    handle_parts_asked,
+)
 from .requests.budgets import BudgetRules, BudgetShare, RepeatBudget
 from .requests.hedges import fire_check
 from .requests.progress import (
@@ -86,6 +92,7 @@
     __slots__ = (
         'actions',
         'activity',
+        'aggregators',
         'budget_rules',
         'budgets',
         'counters',
@@ -138,6 +145,7 @@
         self.patience = Patience()
         self.placement = Placement(regions)
         self.activity = Activity()
+        self.aggregators = Aggregators()
         self.table: RoutingTable | None = None
         self.view = StoreView()
         self.store = StoreContact()
@@ -281,7 +289,8 @@
 def handle_pause(event: PauseNoticed, gateway: Gateway) -> None:
     """Trust no idle connection from before a pause."""
     gateway.act(WriteLine('paused', {'ms': round(event.pause_ms)}))
-    for state in gateway.upstreams.by_id.values():
+    states = (*gateway.upstreams.by_id.values(), *gateway.aggregators.states.values())
+    for state in states:
         for connection in state.idle:
             connection.usable_until_ms = 0.0
 
@@ -309,6 +318,7 @@
     CallerAsked: handle_caller_asked,
     CallerLeft: handle_caller_left,
     CallerMalformed: handle_caller_malformed,
+    PartsAsked: handle_parts_asked,
     RequestSent: handle_request_sent,
     ExchangeEnded: handle_exchange_ended,
     ConnectionEnded: handle_connection_ended,
--- a/beechbridge/gateway/replicas/upstreams.py
+++ b/beechbridge/gateway/replicas/upstreams.py
@@ -5,8 +5,14 @@
 from ...core.latency import LatencyEstimate
 from ..models import ReplicaEntry
 
-DISTANCE_MS = (0.5, 3.5, 17.0)
-"""Round trip to a replica in the own data centre, region, elsewhere, before one was measured."""
+ELSEWHERE = 2
+"""Distance of what is in another region; 0 is the own data centre, 1 the own region."""
+
+AGGREGATED = 3
+"""What stands for the distance of a VM that gathers parts for this one."""
+
+DISTANCE_MS = (0.5, 3.5, 17.0, 17.0)
+"""Round trip over each distance before one was measured."""
 
 FIRST_WORK_MS = 15.0
 """Work of a request before any was measured."""
@@ -51,9 +57,9 @@
 
 class Exchange:
     """
-    One request to one replica.
+    One request to one replica or, where it is an order of parts, to another VM.
 
-    :param task: what it is for; its reply is no longer waited for once `is_abandoned`
+    :param owner: what it is for; its reply is no longer waited for once `is_abandoned`
     :param was_sent: whether its request may have reached the replica
     :param stalled_at_ms: when its replica counts as suspect for not having answered
     """
@@ -62,12 +68,11 @@
         'connection_id',
         'exchange_id',
         'is_abandoned',
-        'is_extra',
         'is_new',
+        'owner',
         'replica',
         'sent_ms',
         'stalled_at_ms',
-        'task',
         'was_sent',
     )
 
@@ -75,20 +80,18 @@
         self,
         exchange_id: int,
         replica: 'ReplicaState',
-        task: object,
+        owner: object,
         connection_id: int,
         is_new: bool,
         sent_ms: float,
-        is_extra: bool,
         stalled_at_ms: float,
     ):
         self.exchange_id = exchange_id
         self.replica = replica
-        self.task = task
+        self.owner = owner
         self.connection_id = connection_id
         self.is_new = is_new
         self.sent_ms = sent_ms
-        self.is_extra = is_extra
         self.stalled_at_ms = stalled_at_ms
         self.is_abandoned = False
         self.was_sent = not is_new
--- a/beechbridge/gateway/requests/admission.py
+++ b/beechbridge/gateway/requests/admission.py
@@ -5,15 +5,26 @@
 then, so that every refusal here is truly `not_run`.
 """
 
+from functools import singledispatch
+
 from ...failures import Failure, Reason, not_run
-from ..actions import WriteLine
-from ..events import CallerAsked, CallerMalformed
+from ..actions import AnswerRequest, WriteLine
+from ..events import CallerAsked, CallerMalformed, PartsAsked
 from ..models import Route
 from ..surface import GatewaySurface
 from .answers import refuse_request
+from .orders import order_far_parts
 from .progress import answer_work, check_gather
 from .sending import ask
-from .works import CheckTimer, DeadlineTimer, GatherWork, SingleWork, Task, Work
+from .works import (
+    CheckTimer,
+    DeadlineTimer,
+    GatherWork,
+    OrderedWork,
+    SingleWork,
+    Task,
+    Work,
+)
 
 ANSWER_MARGIN_MS = 12.0
 """Time kept for the way of an answer back to its caller."""
@@ -139,18 +150,74 @@
         if failure is not None:
             refuse_request(event, work, failure, gateway)
             return
+    gateway.counters.add('requests', route.name)
     start_work(work, gateway)
 
 
+ORDER_FILTERS = (check_readiness, check_capacity)
+
+
+def handle_parts_asked(event: PartsAsked, gateway: GatewaySurface) -> None:
+    """Gather parts for another VM, or refuse at once."""
+    for order_filter in ORDER_FILTERS:
+        failure = order_filter(event, gateway)
+        if failure is None:
+            continue
+        gateway.counters.add('orders_refused', failure.reason.value)
+        fields = {'request': event.order.request.request_id, 'reason': failure.reason.value}
+        gateway.act(WriteLine('order_refused', fields))
+        gateway.act(AnswerRequest(event.key, failure))
+        return
+    gateway.counters.add('orders_taken')
+    start_work(make_ordered_work(event, gateway), gateway)
+
+
+def make_ordered_work(event: PartsAsked, gateway: GatewaySurface) -> OrderedWork:
+    """Return the work for an order of another VM, which has counted the request already."""
+    order = event.order
+    route = Route(
+        order.route_name,
+        order.request.host,
+        '',
+        order.services,
+        is_gather=True,
+        attempts=order.attempts,
+        timeout_ms=order.hard_ms,
+        goal_ms=order.soft_ms,
+        priority=order.priority,
+        top_records=order.top_records,
+    )
+    work = OrderedWork(event.key, order.request, route, gateway.table.version, gateway.now_ms)
+    work.tasks = [Task(work, service) for service in order.services]
+    work.open_count = len(work.tasks)
+    return work
+
+
+@singledispatch
+def order_parts(work: Work, gateway: GatewaySurface) -> set[Task]:
+    """Return the tasks that another VM was asked for: none, but for a caller's gather."""
+    return set()
+
+
+order_parts.register(GatherWork, order_far_parts)
+
+
+@order_parts.register
+def keep_parts(work: OrderedWork, gateway: GatewaySurface) -> set[Task]:
+    """Order nothing further: an order is served by the VM that it reached."""
+    return set()
+
+
 def start_work(work: Work, gateway: GatewaySurface) -> None:
     """Ask every service that the request needs."""
     gateway.works[work.key] = work
-    gateway.counters.add('requests', work.route.name)
     gateway.timers.arm(work.hard_at_ms, DeadlineTimer(work.key))
+    ordered = order_parts(work, gateway)
     for task in work.tasks:
         if work.is_finished:
             return
-        ask(task, gateway)
+        if task not in ordered:
+            ask(task, gateway)
     if work.is_finished:
         return
     gateway.timers.arm(gateway.now_ms + 1.0, CheckTimer(work.key))
--- a/beechbridge/gateway/requests/answers.py
+++ b/beechbridge/gateway/requests/answers.py
@@ -6,10 +6,10 @@
 from ...failures import Executed, Failure, Reason, not_run, unknown
 from ..actions import AnswerRequest, WriteLine
 from ..events import CallerAsked
-from ..models import Answer, LinkFault, MergedAnswer, PassedAnswer
+from ..models import Answer, LinkFault, MergedAnswer, PartsAnswer, PassedAnswer, Reply
 from ..surface import GatewaySurface
 from .sending import drop_exchange
-from .works import GatherWork, SingleWork, Work
+from .works import GatherWork, OrderedWork, SingleWork, Work
 
 RECORD_BYTES = 16
 DEADLINE_SLACK_MS = 2.0
@@ -41,18 +41,36 @@
     """Merge the parts that are in, if they are enough."""
     if not work.has_enough():
         return explain_failure(work, gateway)
-    records = []
-    signatures = []
+    replies = [task.reply for task in work.tasks if task.reply is not None]
+    signatures = [reply.signature for reply in replies]
+    body = merge_greatest(replies, work.route.top_records)
+    return MergedAnswer(body, signatures, len(work.tasks) - len(signatures))
+
+
+@build_answer.register
+def collect_parts(work: OrderedWork, gateway: GatewaySurface) -> Answer:
+    """Return what is in for the VM that asked, and what it may still try."""
+    signatures = {}
+    run_counts = {}
     for task in work.tasks:
-        if task.reply is None:
+        if task.reply is not None:
+            signatures[task.service] = task.reply.signature
             continue
-        signatures.append(task.reply.signature)
-        body = task.reply.body
+        run_counts[task.service] = task.run_count
+    replies = [task.reply for task in work.tasks if task.reply is not None]
+    body = merge_greatest(replies, work.route.top_records)
+    return PartsAnswer(signatures, run_counts, body, gateway.now_ms - work.arrived_ms)
+
+
+def merge_greatest(replies: list[Reply], count: int) -> bytes:
+    """Return the greatest records of some replies, falling; a shorter rest is no record."""
+    records = []
+    for reply in replies:
+        body = reply.body
         whole_bytes = len(body) - len(body) % RECORD_BYTES
         for start in range(0, whole_bytes, RECORD_BYTES):
             records.append(body[start : start + RECORD_BYTES])
-    greatest = heapq.nlargest(work.route.top_records, records)
-    return MergedAnswer(b''.join(greatest), signatures, len(work.tasks) - len(signatures))
+    return b''.join(heapq.nlargest(count, records))
 
 
 @build_answer.register
@@ -84,8 +102,24 @@
     return unknown(reason, detail)
 
 
-def log_answer(work: Work, answer: Answer, gateway: GatewaySurface) -> None:
-    """Write the line of a request's end."""
+@singledispatch
+def note_end(work: Work, answer: Answer, gateway: GatewaySurface) -> None:
+    """Measure a request and write the line of its end."""
+    gateway.request_latencies.add(gateway.now_ms - work.arrived_ms)
+    fields = describe_work(work, gateway)
+    outcome = describe_outcome(answer, fields)
+    gateway.counters.add('answers', outcome)
+    gateway.act(WriteLine('request_ended', {'outcome': outcome, **fields}))
+
+
+@note_end.register
+def note_order_end(work: OrderedWork, answer: Answer, gateway: GatewaySurface) -> None:
+    """Write the line of an order's end."""
+    gateway.act(WriteLine('order_ended', describe_work(work, gateway)))
+
+
+def describe_work(work: Work, gateway: GatewaySurface) -> dict:
+    """Return what explains the end of a work."""
     fields = {
         'request': work.request.request_id,
         'route': work.route.name,
@@ -96,6 +130,7 @@
         'parts': work.answered_count,
         'shards': len(work.tasks),
         'repeats': work.repeat_count,
+        'orders': work.order_count,
     }
     missing = []
     for task in work.tasks:
@@ -104,9 +139,7 @@
             missing.append(f'{task.service}:{cause}:{task.run_count}')
     if missing:
         fields['missing'] = missing[:MISSING_NAMED]
-    outcome = describe_outcome(answer, fields)
-    gateway.counters.add('answers', outcome)
-    gateway.act(WriteLine('request_ended', {'outcome': outcome, **fields}))
+    return fields
 
 
 @singledispatch
--- a/beechbridge/gateway/requests/hedges.py
+++ b/beechbridge/gateway/requests/hedges.py
@@ -34,7 +34,7 @@
     usual_ms = gateway.upstreams.usual_ms(work.route.name, exchange.replica.distance)
     factor = HEDGE_FACTOR if work.route.is_gather else SINGLE_HEDGE_FACTOR
     delay_ms = factor * usual_ms + HEDGE_BASE_MS
-    left_share = gateway.budget(exchange.task.service).left_share(
+    left_share = gateway.budget(exchange.owner.service).left_share(
         gateway.budget_share(), gateway.now_ms
     )
     if left_share < 0.5:
@@ -68,7 +68,6 @@
             if not has_sound_replica(task, gateway):
                 continue
             if ask(task, gateway, is_extra=True):
-                work.hedge_count += 1
                 gateway.counters.add('hedges')
                 continue
             next_ms = min(next_ms, now_ms + HEDGE_RETRY_MS)
--- /dev/null
+++ b/beechbridge/gateway/requests/orders.py
@@ -0,0 +1,256 @@
+"""
+Orders of parts between VMs: shards of a gather that are only in another region.
+
+A VM there asks the shards' replicas, merges what they answer and sends only the greatest records
+back, so that the parts themselves do not cross between regions. The VM that was asked may use all
+attempts at a shard; the one that asks then has none left, unless the order never arrived or the
+answer says how many are.
+"""
+
+from collections import Counter
+
+from ..actions import SendOrder
+from ..models import LinkFailure, LinkFault, PartsOrder, PartsReply, Reply
+from ..replicas.upstreams import ELSEWHERE, Exchange, ReplicaState
+from ..surface import GatewaySurface
+from .answers import RECORD_BYTES
+from .progress import close_task, go_on, suspect_replica, take_failure, take_result
+from .sending import end_exchange
+from .works import GatherWork, Task
+
+LEAST_ORDERED = 2
+"""Shards from which an order costs less than to ask for them one by one."""
+
+LEAST_SOFT_MS = 15.0
+"""Time below which an order is no use: it is about what one shard works."""
+
+ANSWER_MARGIN_MS = 4.0
+"""Time kept for the work on an order and its answer besides the way."""
+
+STALL_SLACK_MS = 60.0
+"""Time past the moment at which an order's answer was due after which its VM is suspect."""
+
+SUCCESS_STATUS = 200
+
+
+class Order:
+    """
+    Shards that one other VM was asked for; owner of the exchange.
+
+    :param tasks: what it was asked for, by service
+    """
+
+    __slots__ = ('exchanges', 'region', 'tasks', 'work')
+
+    def __init__(self, work: GatherWork, tasks: list[Task], region: str):
+        self.work = work
+        self.tasks = {task.service: task for task in tasks}
+        self.region = region
+        self.exchanges: list[Exchange] = []
+
+    @property
+    def open_tasks(self) -> list[Task]:
+        """Return the tasks that have no reply yet."""
+        return [task for task in self.tasks.values() if task.is_open]
+
+
+def order_far_parts(work: GatherWork, gateway: GatewaySurface) -> set[Task]:
+    """Order the parts of shards that are only elsewhere; return what was ordered."""
+    ordered: set[Task] = set()
+    gateway.aggregators.refresh(gateway)
+    if not gateway.aggregators.states:
+        return ordered
+    regions_by_task: dict[Task, set[str]] = {}
+    for task in work.tasks:
+        regions = far_regions(task, gateway)
+        if regions:
+            regions_by_task[task] = regions
+    tried: set[str] = set()
+    while True:
+        counts = Counter()
+        for regions in regions_by_task.values():
+            counts.update(regions - tried)
+        if not counts:
+            return ordered
+        most = max(counts.values())
+        if most < LEAST_ORDERED:
+            return ordered
+        region = gateway.rng.choice(sorted(name for name in counts if counts[name] == most))
+        tried.add(region)
+        tasks = [task for task, regions in regions_by_task.items() if region in regions]
+        if place_order(Order(work, tasks, region), gateway):
+            ordered.update(tasks)
+            for task in tasks:
+                del regions_by_task[task]
+
+
+def far_regions(task: Task, gateway: GatewaySurface) -> set[str]:
+    """Return the regions with a sound replica for a task, none if this VM's own has any."""
+    regions = set()
+    for state in gateway.upstreams.usable(task.service):
+        if state.distance < ELSEWHERE:
+            # Suspect or not, this VM learns of it, and of others to hedge with, by asking itself.
+            return set()
+        if state.is_suspect(gateway.now_ms):
+            continue
+        region = gateway.fleet.regions.get(state.entry.zone)
+        if region is not None:
+            regions.add(region)
+    return regions
+
+
+def place_order(order: Order, gateway: GatewaySurface) -> bool:
+    """Send an order to a VM of its region; return whether there was one, and time enough."""
+    now_ms = gateway.now_ms
+    work = order.work
+    route = work.route
+    state = gateway.aggregators.choose(order.region, route.name, gateway)
+    if state is None:
+        return False
+    idle = state.take_idle(now_ms, float('inf'))
+    round_trip_ms = gateway.aggregators.round_trip_ms(order.region)
+    way_ms = round_trip_ms + ANSWER_MARGIN_MS
+    if idle is None:
+        way_ms += round_trip_ms
+    soft_ms = work.soft_at_ms - now_ms - way_ms
+    if soft_ms < LEAST_SOFT_MS:
+        if idle is not None:
+            state.idle.append(idle)
+        return False
+    parts_order = PartsOrder(
+        work.request,
+        route.name,
+        route.priority,
+        tuple(order.tasks),
+        route.attempts,
+        route.top_records,
+        soft_ms,
+        work.hard_at_ms - now_ms - way_ms,
+    )
+    send_order(order, parts_order, state, idle.connection_id if idle else None, gateway)
+    return True
+
+
+def send_order(
+    order: Order,
+    parts_order: PartsOrder,
+    state: ReplicaState,
+    connection_id: int | None,
+    gateway: GatewaySurface,
+) -> None:
+    """Send an order over an idle connection or a new one."""
+    work = order.work
+    is_new = connection_id is None
+    if is_new:
+        connection_id = gateway.upstreams.new_id()
+    exchange = Exchange(
+        gateway.upstreams.new_id(),
+        state,
+        order,
+        connection_id,
+        is_new,
+        gateway.now_ms,
+        work.soft_at_ms + STALL_SLACK_MS,
+    )
+    state.busy[connection_id] = exchange
+    gateway.upstreams.exchanges[exchange.exchange_id] = exchange
+    order.exchanges.append(exchange)
+    work.exchanges.append(exchange)
+    work.order_count += 1
+    for task in order.tasks.values():
+        task.arrival_count += 1
+        task.run_count += work.route.attempts
+    gateway.counters.add('orders_sent')
+    gateway.act(
+        SendOrder(exchange.exchange_id, connection_id, is_new, state.entry.host, parts_order)
+    )
+
+
+@take_failure.register
+def take_order_failure(
+    owner: Order, exchange: Exchange, failure: LinkFailure, gateway: GatewaySurface
+) -> None:
+    """Ask the replicas themselves if the order cannot have arrived."""
+    gateway.counters.add('orders_failed', failure.fault.value)
+    if exchange.is_new or failure.fault is LinkFault.TIMED_OUT:
+        suspect_replica(exchange.replica, failure.fault.value, gateway)
+    end_exchange(exchange, gateway, is_reusable=False)
+    give_back(owner, exchange, failure.fault, not failure.was_sent, gateway)
+
+
+@take_result.register
+def take_parts(
+    owner: Order, exchange: Exchange, reply: PartsReply, gateway: GatewaySurface
+) -> None:
+    """Take the parts that another VM got; ask the replicas for what it left undone."""
+    now_ms = gateway.now_ms
+    work = owner.work
+    latency_ms = now_ms - exchange.sent_ms
+    end_exchange(exchange, gateway, not reply.is_closing)
+    if reply.answer is None or not is_answer_to(owner, reply):
+        gateway.counters.add('orders_failed', 'refused' if reply.answer is None else 'malformed')
+        exchange.replica.note_rejection(True, now_ms)
+        give_back(owner, exchange, LinkFault.MALFORMED, reply.answer is None, gateway)
+        return
+    learn(owner, exchange, reply, latency_ms, gateway)
+    if exchange.is_abandoned or work.is_finished:
+        return
+    answer = reply.answer
+    # The records of all parts are merged, so that one of them stands for all.
+    body = answer.body
+    for service, signature in answer.signatures.items():
+        task = owner.tasks[service]
+        if task.is_open:
+            task.reply = Reply(SUCCESS_STATUS, [], body, signature, reply.request_id)
+            body = b''
+    for service, run_count in answer.run_counts.items():
+        task = owner.tasks[service]
+        task.run_count = task.arrival_count = min(run_count, work.route.attempts)
+        task.fault = LinkFault.TIMED_OUT
+    for task in owner.open_tasks:
+        if task.reply is not None or task.run_count:
+            # Where it ran without a reply, that VM has tried what it could.
+            close_task(task, gateway)
+            continue
+        go_on(task, gateway, may_repeat=True)
+
+
+def is_answer_to(order: Order, reply: PartsReply) -> bool:
+    """Tell whether a reply is about this order's request and exactly its shards."""
+    answer = reply.answer
+    if reply.request_id != order.work.request.request_id:
+        return False
+    if len(answer.body) % RECORD_BYTES or answer.signatures.keys() & answer.run_counts.keys():
+        return False
+    return answer.signatures.keys() | answer.run_counts.keys() == order.tasks.keys()
+
+
+def learn(
+    order: Order, exchange: Exchange, reply: PartsReply, latency_ms: float, gateway: GatewaySurface
+) -> None:
+    """Learn how fast a VM is, and how far."""
+    state = exchange.replica
+    route_name = order.work.route.name
+    usual_ms = gateway.upstreams.usual_ms(route_name, state.distance)
+    state.note_latency(latency_ms, usual_ms, gateway.now_ms)
+    state.note_rejection(False, gateway.now_ms)
+    if exchange.is_new:
+        return
+    gateway.upstreams.note_usual(route_name, state.distance, latency_ms)
+    way_ms = max(0.0, latency_ms - reply.answer.work_ms)
+    gateway.aggregators.note_round_trip(order.region, way_ms)
+
+
+def give_back(
+    order: Order, exchange: Exchange, fault: LinkFault, is_unsent: bool, gateway: GatewaySurface
+) -> None:
+    """Go on with an order's shards one by one, those that may have used all attempts excepted."""
+    for task in order.tasks.values():
+        if is_unsent:
+            task.arrival_count -= 1
+            task.run_count -= order.work.route.attempts
+        task.fault = task.fault or fault
+    if exchange.is_abandoned:
+        return
+    for task in order.open_tasks:
+        go_on(task, gateway, may_repeat=True)
--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -5,10 +5,10 @@
 
 from ..actions import AnswerRequest, DropConnection, WriteLine
 from ..events import CallerLeft, ConnectionEnded, ExchangeEnded, RequestSent
-from ..models import LinkFailure, LinkFault, Reply
+from ..models import LinkFailure, LinkFault, PartsReply, Reply
 from ..replicas.upstreams import Exchange, ReplicaState
 from ..surface import GatewaySurface
-from .answers import build_answer, log_answer
+from .answers import build_answer, note_end
 from .sending import ask, drop_exchange, end_exchange
 from .works import DeadlineTimer, GatherWork, RetryTimer, SingleWork, Task, Work
 
@@ -25,9 +25,9 @@
     if exchange is None:
         return
     if isinstance(event.result, LinkFailure):
-        take_link_failure(exchange, event.result, gateway)
+        take_failure(exchange.owner, exchange, event.result, gateway)
         return
-    take_reply(exchange, event.result, gateway)
+    take_result(exchange.owner, exchange, event.result, gateway)
 
 
 def handle_request_sent(event: RequestSent, gateway: GatewaySurface) -> None:
@@ -37,9 +37,28 @@
         exchange.was_sent = True
 
 
-def take_link_failure(exchange: Exchange, failure: LinkFailure, gateway: GatewaySurface) -> None:
+@singledispatch
+def take_failure(
+    owner: object, exchange: Exchange, failure: LinkFailure, gateway: GatewaySurface
+) -> None:
+    """Act on an exchange that ended without a whole answer."""
+    raise TypeError(f'no rule for a failure of {type(owner).__name__}')
+
+
+@singledispatch
+def take_result(
+    owner: object, exchange: Exchange, result: Reply | PartsReply, gateway: GatewaySurface
+) -> None:
+    """Act on a whole answer."""
+    raise TypeError(f'no rule for a result of {type(owner).__name__}')
+
+
+@take_failure.register
+def take_link_failure(
+    owner: Task, exchange: Exchange, failure: LinkFailure, gateway: GatewaySurface
+) -> None:
     """Learn from a failed exchange; ask elsewhere where that is allowed."""
-    task = exchange.task
+    task = owner
     state = exchange.replica
     gateway.counters.add('exchange_failures', failure.fault.value)
     if not failure.was_sent:
@@ -64,9 +83,10 @@
     )
 
 
-def take_reply(exchange: Exchange, reply: Reply, gateway: GatewaySurface) -> None:
+@take_result.register
+def take_reply(owner: Task, exchange: Exchange, reply: Reply, gateway: GatewaySurface) -> None:
     """Take a whole reply of a replica."""
-    task = exchange.task
+    task = owner
     work = task.work
     state = exchange.replica
     now_ms = gateway.now_ms
@@ -83,7 +103,8 @@
         usual_ms = gateway.upstreams.usual_ms(work.route.name, state.distance)
         state.note_latency(latency_ms, usual_ms, now_ms)
         state.note_rejection(False, now_ms)
-        gateway.upstreams.note_usual(work.route.name, state.distance, latency_ms)
+        if not exchange.is_new:
+            gateway.upstreams.note_usual(work.route.name, state.distance, latency_ms)
         gateway.latencies.add(latency_ms)
     elif not reply.is_success:
         state.note_rejection(True, now_ms)
@@ -205,8 +226,7 @@
     for exchange in work.exchanges:
         exchange.is_abandoned = True
     gateway.act(AnswerRequest(work.key, answer))
-    gateway.request_latencies.add(gateway.now_ms - work.arrived_ms)
-    log_answer(work, answer, gateway)
+    note_end(work, answer, gateway)
 
 
 def fire_deadline(timer: DeadlineTimer, gateway: GatewaySurface) -> None:
@@ -240,7 +260,8 @@
 
 def handle_connection_ended(event: ConnectionEnded, gateway: GatewaySurface) -> None:
     """Forget an idle connection that is no longer open."""
-    for state in gateway.upstreams.by_id.values():
+    states = (*gateway.upstreams.by_id.values(), *gateway.aggregators.states.values())
+    for state in states:
         for connection in state.idle:
             if connection.connection_id == event.connection_id:
                 state.idle.remove(connection)
@@ -252,7 +273,7 @@
     """End the exchanges whose replica stayed silent past their deadline."""
     now_ms = gateway.now_ms
     for exchange in list(gateway.upstreams.exchanges.values()):
-        if now_ms < exchange.task.work.hard_at_ms + EXCHANGE_SLACK_MS:
+        if now_ms < exchange.owner.work.hard_at_ms + EXCHANGE_SLACK_MS:
             continue
         failure = LinkFailure(LinkFault.TIMED_OUT, was_sent=True)
-        take_link_failure(exchange, failure, gateway)
+        take_failure(exchange.owner, exchange, failure, gateway)
--- a/beechbridge/gateway/requests/sending.py
+++ b/beechbridge/gateway/requests/sending.py
@@ -102,7 +102,6 @@
         connection_id,
         idle is None,
         now_ms,
-        is_extra,
         now_ms + max(LEAST_STALL_MS, STALLED_FACTOR * usual_ms),
     )
     state.busy[connection_id] = exchange
@@ -149,8 +148,8 @@
     state = exchange.replica
     if not state.release(exchange, keep_alive_ms, gateway.now_ms, is_reusable):
         gateway.act(DropConnection(exchange.connection_id))
-    if exchange in exchange.task.exchanges:
-        exchange.task.exchanges.remove(exchange)
+    if exchange in exchange.owner.exchanges:
+        exchange.owner.exchanges.remove(exchange)
     gateway.pump(state.entry.service)
 
 
--- a/beechbridge/gateway/requests/works.py
+++ b/beechbridge/gateway/requests/works.py
@@ -14,6 +14,7 @@
     :param key: names the waiting caller
     :param soft_at_ms: when the answer starts to lose its value
     :param hard_at_ms: when an answer must be given
+    :param order_count: other VMs that were asked for parts
     """
 
     __slots__ = (
@@ -21,10 +22,10 @@
         'arrived_ms',
         'exchanges',
         'hard_at_ms',
-        'hedge_count',
         'is_finished',
         'key',
         'open_count',
+        'order_count',
         'repeat_count',
         'request',
         'route',
@@ -47,7 +48,7 @@
         self.exchanges: list[Exchange] = []
         self.answered_count = 0
         self.open_count = 0
-        self.hedge_count = 0
+        self.order_count = 0
         self.repeat_count = 0
         self.is_finished = False
 
@@ -87,6 +88,17 @@
         return self.answered_count + self.open_count >= self.needed_count
 
 
+class OrderedWork(GatherWork):
+    """Shards of a gather that another VM asks for; it takes whatever is in at its time."""
+
+    __slots__ = ()
+
+    @property
+    def needed_count(self) -> int:
+        """Return 0: the VM that asks decides what is enough."""
+        return 0
+
+
 class Task:
     """
     What one service is asked for.
--- a/beechbridge/gateway/surface.py
+++ b/beechbridge/gateway/surface.py
@@ -9,6 +9,7 @@
     from ..core.timers import Timers
     from ..failures import Failure
     from .actions import GatewayAction
+    from .fleet.aggregators import Aggregators
     from .fleet.gossip import Gossip
     from .fleet.members import Fleet
     from .fleet.placement import Activity
@@ -44,6 +45,7 @@
     fleet: 'Fleet'
     gossip: 'Gossip'
     activity: 'Activity'
+    aggregators: 'Aggregators'
     splits: 'Splits'
     waiting: dict[str, list]
     works: 'dict[int, Work]'
--- a/beechbridge/platform/callers.py
+++ b/beechbridge/platform/callers.py
@@ -6,7 +6,7 @@
 
 from ..failures import Executed, Failure, Reason, not_run
 from ..gateway.models import Answer, CallerRequest, MergedAnswer, PassedAnswer
-from ..record import Record
+from ..wire.http import WireAnswer
 from .names import MISSING_PARTS, PART_SIGNATURES, PATIENCE, REQUEST_ID
 
 FORWARDED_PREFIX = 'HTTP_'
@@ -26,17 +26,6 @@
 STATUS_WORDS = {200: 'OK', 201: 'Created', 202: 'Accepted', 204: 'No Content'}
 
 
-class WireAnswer(Record):
-    """Status line, headers and body of an answer."""
-
-    __slots__ = ('body', 'headers', 'status')
-
-    def __init__(self, status: str, headers: list[tuple[str, str]], body: bytes):
-        self.status = status
-        self.headers = headers
-        self.body = body
-
-
 def read_request(environ: dict) -> CallerRequest | Failure:
     """Return the request that a WSGI environment holds."""
     request_id = environ.get(REQUEST_ID_VARIABLE, '')
--- a/beechbridge/wire/fleet.py
+++ b/beechbridge/wire/fleet.py
@@ -1,17 +1,33 @@
-"""Messages between gateways as Thrift frames: heartbeats and changes of the store."""
+"""Messages between gateways as Thrift frames: heartbeats, changes of the store, orders."""
 
 import struct
+from functools import singledispatch
 
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
 from thrift.Thrift import TException
 from thrift.transport.TTransport import TMemoryBuffer
 
-from ..failures import Failure, InputFailure
-from ..gateway.actions import SendHeartbeat
+from ..failures import Failure, InputFailure, Reason, not_run
+from ..gateway.actions import SendHeartbeat, SendOrder
 from ..gateway.events import ChangesRead, HeartbeatArrived
-from ..gateway.models import Item, Member
+from ..gateway.models import (
+    CallerRequest,
+    Item,
+    Member,
+    PartsAnswer,
+    PartsOrder,
+    PartsReply,
+)
+from .http import WireAnswer
 from .peer import ttypes
 
+PARTS_PATH = '/v1/parts'
+FRAME_TYPE = ('Content-Type', 'application/x-thrift')
+ORDER_ID = 'Order-Request-Id'
+"""Header of an answer to an order: the request that it is about."""
+
+TAKEN_STATUS = 200
+
 DECODE_ERRORS = (
     TException,
     EOFError,
@@ -93,3 +109,94 @@
         return frame
     changes = [Item(item.key, item.value, item.revision) for item in frame.items]
     return ChangesRead(changes, frame.revision, is_from_store=False)
+
+
+def write_order(action: SendOrder) -> bytes:
+    """Return the bytes of an order of parts to another VM."""
+    order = action.order
+    request = order.request
+    frame = ttypes.PartsOrder(
+        request.request_id,
+        request.method,
+        request.target,
+        [ttypes.Header(name, value) for name, value in request.headers],
+        request.body,
+        order.route_name,
+        order.priority,
+        list(order.services),
+        order.attempts,
+        order.top_records,
+        order.soft_ms,
+        order.hard_ms,
+    )
+    body = encode(frame)
+    head = (
+        f'POST {PARTS_PATH} HTTP/1.1\r\nHost: {action.host}\r\nContent-Length: {len(body)}\r\n\r\n'
+    )
+    return head.encode('latin-1') + body
+
+
+def read_order(environ: dict) -> PartsOrder | Failure | None:
+    """Return the order that a WSGI environment holds, None where it is about something else."""
+    if environ['PATH_INFO'] != PARTS_PATH:
+        return None
+    frame = decode(environ['wsgi.input'].read(), ttypes.PartsOrder)
+    if isinstance(frame, Failure):
+        return not_run(Reason.INVALID_INPUT, frame.detail)
+    headers = [(header.name, header.value) for header in frame.headers]
+    path = frame.target.partition('?')[0]
+    request = CallerRequest(
+        frame.request_id, frame.method, frame.target, '', path, headers, frame.body
+    )
+    return PartsOrder(
+        request,
+        frame.route,
+        frame.priority,
+        tuple(frame.services),
+        frame.attempts,
+        frame.top_records,
+        frame.soft_ms,
+        frame.hard_ms,
+    )
+
+
+@singledispatch
+def write_parts(answer: PartsAnswer | Failure, request_id: str) -> WireAnswer:
+    """Return the wire form of an answer to an order."""
+    raise TypeError(f'no wire form for {type(answer).__name__}')
+
+
+@write_parts.register
+def write_parts_answer(answer: PartsAnswer, request_id: str) -> WireAnswer:
+    """Return the parts that are in, and what is known of the others."""
+    parts = [ttypes.Part(name, signature) for name, signature in answer.signatures.items()]
+    missing = [ttypes.MissingPart(name, count) for name, count in answer.run_counts.items()]
+    body = encode(ttypes.PartsAnswer(parts, missing, answer.body, answer.work_ms))
+    return WireAnswer('200 OK', [FRAME_TYPE, (ORDER_ID, request_id)], body)
+
+
+@write_parts.register
+def write_refusal(answer: Failure, request_id: str) -> WireAnswer:
+    """Tell that nothing of an order has run."""
+    return WireAnswer('503 Service Unavailable', [(ORDER_ID, request_id)], b'')
+
+
+def read_parts(
+    status: int, headers: list[tuple[str, str]], body: bytes, closes: bool
+) -> PartsReply:
+    """Return the answer to an order that a response holds."""
+    request_id = ''
+    for name, value in headers:
+        if name.lower() == ORDER_ID.lower():
+            request_id = value
+    if status != TAKEN_STATUS:
+        return PartsReply(None, request_id, closes)
+    frame = decode(body, ttypes.PartsAnswer)
+    if isinstance(frame, Failure):
+        # An answer without parts fits no order, and is refused as malformed.
+        return PartsReply(PartsAnswer({}, {}, b'', 0.0), request_id, closes)
+    signatures = {part.service_name: part.signature for part in frame.parts}
+    run_counts = {part.service_name: part.run_count for part in frame.missing}
+    return PartsReply(
+        PartsAnswer(signatures, run_counts, frame.body, frame.work_ms), request_id, closes
+    )
--- /dev/null
+++ b/beechbridge/wire/http.py
@@ -0,0 +1,14 @@
+"""The form in which an answer leaves over HTTP."""
+
+from ..record import Record
+
+
+class WireAnswer(Record):
+    """Status line, headers and body of an answer."""
+
+    __slots__ = ('body', 'headers', 'status')
+
+    def __init__(self, status: str, headers: list[tuple[str, str]], body: bytes):
+        self.status = status
+        self.headers = headers
+        self.body = body
--- a/beechbridge/wire/peer.thrift
+++ b/beechbridge/wire/peer.thrift
@@ -130,3 +130,42 @@
   1: required i64 revision
   2: required list<StoreItem> items
 }
+
+struct Header {
+  1: required string name
+  2: required string value
+}
+
+// Asks a VM for the shards of a gather that are near to it. Times count from the arrival.
+struct PartsOrder {
+  1: required string request_id
+  2: required string method
+  3: required string target
+  4: required list<Header> headers
+  5: required binary body
+  6: required string route
+  7: required i32 priority
+  8: required list<string> services
+  9: required i32 attempts
+  10: required i32 top_records
+  11: required double soft_ms
+  12: required double hard_ms
+}
+
+struct Part {
+  1: required string service_name
+  2: required string signature
+}
+
+struct MissingPart {
+  1: required string service_name
+  2: required i32 run_count
+}
+
+// The records of all parts are merged.
+struct PartsAnswer {
+  1: required list<Part> parts
+  2: required list<MissingPart> missing
+  3: required binary body
+  4: required double work_ms
+}
--- a/beechbridge/wire/peer/ttypes.py
+++ b/beechbridge/wire/peer/ttypes.py
@@ -2057,6 +2057,629 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class Header(object):
+    """
+    Attributes:
+     - name
+     - value
+
+    """
+
+    __slots__ = (
+        'name',
+        'value',
+    )
+
+
+    def __init__(self, name=None, value=None,):
+        self.name = name
+        self.value = value
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.value = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Header')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.value is not None:
+            oprot.writeFieldBegin('value', TType.STRING, 2)
+            oprot.writeString(self.value.encode('utf-8') if sys.version_info[0] == 2 else self.value)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.name is None:
+            raise TProtocolException(message='Required field name is unset!')
+        if self.value is None:
+            raise TProtocolException(message='Required field value is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PartsOrder(object):
+    """
+    Attributes:
+     - request_id
+     - method
+     - target
+     - headers
+     - body
+     - route
+     - priority
+     - services
+     - attempts
+     - top_records
+     - soft_ms
+     - hard_ms
+
+    """
+
+    __slots__ = (
+        'request_id',
+        'method',
+        'target',
+        'headers',
+        'body',
+        'route',
+        'priority',
+        'services',
+        'attempts',
+        'top_records',
+        'soft_ms',
+        'hard_ms',
+    )
+
+
+    def __init__(self, request_id=None, method=None, target=None, headers=None, body=None, route=None, priority=None, services=None, attempts=None, top_records=None, soft_ms=None, hard_ms=None,):
+        self.request_id = request_id
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.route = route
+        self.priority = priority
+        self.services = services
+        self.attempts = attempts
+        self.top_records = top_records
+        self.soft_ms = soft_ms
+        self.hard_ms = hard_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.method = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.headers = []
+                    (_etype56, _size53) = iprot.readListBegin()
+                    for _i57 in range(_size53):
+                        _elem58 = Header()
+                        _elem58.read(iprot)
+                        self.headers.append(_elem58)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.body = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.priority = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.services = []
+                    (_etype62, _size59) = iprot.readListBegin()
+                    for _i63 in range(_size59):
+                        _elem64 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.services.append(_elem64)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.attempts = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.top_records = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.DOUBLE:
+                    self.soft_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.DOUBLE:
+                    self.hard_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PartsOrder')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 1)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
+        if self.method is not None:
+            oprot.writeFieldBegin('method', TType.STRING, 2)
+            oprot.writeString(self.method.encode('utf-8') if sys.version_info[0] == 2 else self.method)
+            oprot.writeFieldEnd()
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 3)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.headers is not None:
+            oprot.writeFieldBegin('headers', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.headers))
+            for iter65 in self.headers:
+                iter65.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.body is not None:
+            oprot.writeFieldBegin('body', TType.STRING, 5)
+            oprot.writeBinary(self.body)
+            oprot.writeFieldEnd()
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRING, 6)
+            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
+            oprot.writeFieldEnd()
+        if self.priority is not None:
+            oprot.writeFieldBegin('priority', TType.I32, 7)
+            oprot.writeI32(self.priority)
+            oprot.writeFieldEnd()
+        if self.services is not None:
+            oprot.writeFieldBegin('services', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRING, len(self.services))
+            for iter66 in self.services:
+                oprot.writeString(iter66.encode('utf-8') if sys.version_info[0] == 2 else iter66)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.attempts is not None:
+            oprot.writeFieldBegin('attempts', TType.I32, 9)
+            oprot.writeI32(self.attempts)
+            oprot.writeFieldEnd()
+        if self.top_records is not None:
+            oprot.writeFieldBegin('top_records', TType.I32, 10)
+            oprot.writeI32(self.top_records)
+            oprot.writeFieldEnd()
+        if self.soft_ms is not None:
+            oprot.writeFieldBegin('soft_ms', TType.DOUBLE, 11)
+            oprot.writeDouble(self.soft_ms)
+            oprot.writeFieldEnd()
+        if self.hard_ms is not None:
+            oprot.writeFieldBegin('hard_ms', TType.DOUBLE, 12)
+            oprot.writeDouble(self.hard_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.request_id is None:
+            raise TProtocolException(message='Required field request_id is unset!')
+        if self.method is None:
+            raise TProtocolException(message='Required field method is unset!')
+        if self.target is None:
+            raise TProtocolException(message='Required field target is unset!')
+        if self.headers is None:
+            raise TProtocolException(message='Required field headers is unset!')
+        if self.body is None:
+            raise TProtocolException(message='Required field body is unset!')
+        if self.route is None:
+            raise TProtocolException(message='Required field route is unset!')
+        if self.priority is None:
+            raise TProtocolException(message='Required field priority is unset!')
+        if self.services is None:
+            raise TProtocolException(message='Required field services is unset!')
+        if self.attempts is None:
+            raise TProtocolException(message='Required field attempts is unset!')
+        if self.top_records is None:
+            raise TProtocolException(message='Required field top_records is unset!')
+        if self.soft_ms is None:
+            raise TProtocolException(message='Required field soft_ms is unset!')
+        if self.hard_ms is None:
+            raise TProtocolException(message='Required field hard_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Part(object):
+    """
+    Attributes:
+     - service_name
+     - signature
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'signature',
+    )
+
+
+    def __init__(self, service_name=None, signature=None,):
+        self.service_name = service_name
+        self.signature = signature
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.signature = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Part')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.signature is not None:
+            oprot.writeFieldBegin('signature', TType.STRING, 2)
+            oprot.writeString(self.signature.encode('utf-8') if sys.version_info[0] == 2 else self.signature)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.signature is None:
+            raise TProtocolException(message='Required field signature is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class MissingPart(object):
+    """
+    Attributes:
+     - service_name
+     - run_count
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'run_count',
+    )
+
+
+    def __init__(self, service_name=None, run_count=None,):
+        self.service_name = service_name
+        self.run_count = run_count
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.run_count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MissingPart')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.run_count is not None:
+            oprot.writeFieldBegin('run_count', TType.I32, 2)
+            oprot.writeI32(self.run_count)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.run_count is None:
+            raise TProtocolException(message='Required field run_count is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PartsAnswer(object):
+    """
+    Attributes:
+     - parts
+     - missing
+     - body
+     - work_ms
+
+    """
+
+    __slots__ = (
+        'parts',
+        'missing',
+        'body',
+        'work_ms',
+    )
+
+
+    def __init__(self, parts=None, missing=None, body=None, work_ms=None,):
+        self.parts = parts
+        self.missing = missing
+        self.body = body
+        self.work_ms = work_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.parts = []
+                    (_etype70, _size67) = iprot.readListBegin()
+                    for _i71 in range(_size67):
+                        _elem72 = Part()
+                        _elem72.read(iprot)
+                        self.parts.append(_elem72)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.missing = []
+                    (_etype76, _size73) = iprot.readListBegin()
+                    for _i77 in range(_size73):
+                        _elem78 = MissingPart()
+                        _elem78.read(iprot)
+                        self.missing.append(_elem78)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.body = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.work_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PartsAnswer')
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.parts))
+            for iter79 in self.parts:
+                iter79.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.missing is not None:
+            oprot.writeFieldBegin('missing', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.missing))
+            for iter80 in self.missing:
+                iter80.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.body is not None:
+            oprot.writeFieldBegin('body', TType.STRING, 3)
+            oprot.writeBinary(self.body)
+            oprot.writeFieldEnd()
+        if self.work_ms is not None:
+            oprot.writeFieldBegin('work_ms', TType.DOUBLE, 4)
+            oprot.writeDouble(self.work_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.parts is None:
+            raise TProtocolException(message='Required field parts is unset!')
+        if self.missing is None:
+            raise TProtocolException(message='Required field missing is unset!')
+        if self.body is None:
+            raise TProtocolException(message='Required field body is unset!')
+        if self.work_ms is None:
+            raise TProtocolException(message='Required field work_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(MemberView)
 MemberView.thrift_spec = (
     None,  # 0
@@ -2199,5 +2822,47 @@
     (1, TType.I64, 'revision', None, None, ),  # 1
     (2, TType.LIST, 'items', (TType.STRUCT, [StoreItem, None], False), None, ),  # 2
 )
+all_structs.append(Header)
+Header.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'value', 'UTF8', None, ),  # 2
+)
+all_structs.append(PartsOrder)
+PartsOrder.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'method', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'target', 'UTF8', None, ),  # 3
+    (4, TType.LIST, 'headers', (TType.STRUCT, [Header, None], False), None, ),  # 4
+    (5, TType.STRING, 'body', 'BINARY', None, ),  # 5
+    (6, TType.STRING, 'route', 'UTF8', None, ),  # 6
+    (7, TType.I32, 'priority', None, None, ),  # 7
+    (8, TType.LIST, 'services', (TType.STRING, 'UTF8', False), None, ),  # 8
+    (9, TType.I32, 'attempts', None, None, ),  # 9
+    (10, TType.I32, 'top_records', None, None, ),  # 10
+    (11, TType.DOUBLE, 'soft_ms', None, None, ),  # 11
+    (12, TType.DOUBLE, 'hard_ms', None, None, ),  # 12
+)
+all_structs.append(Part)
+Part.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'signature', 'UTF8', None, ),  # 2
+)
+all_structs.append(MissingPart)
+MissingPart.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'run_count', None, None, ),  # 2
+)
+all_structs.append(PartsAnswer)
+PartsAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'parts', (TType.STRUCT, [Part, None], False), None, ),  # 1
+    (2, TType.LIST, 'missing', (TType.STRUCT, [MissingPart, None], False), None, ),  # 2
+    (3, TType.STRING, 'body', 'BINARY', None, ),  # 3
+    (4, TType.DOUBLE, 'work_ms', None, None, ),  # 4
+)
 fix_spec(all_structs)
 del all_structs
--- a/measure/emulator.py
+++ b/measure/emulator.py
@@ -21,6 +21,7 @@
     LimitCallers,
     PullChanges,
     SendHeartbeat,
+    SendOrder,
     SendRequest,
     WriteLine,
 )
@@ -30,6 +31,7 @@
     ChangesRead,
     ExchangeEnded,
     HeartbeatArrived,
+    PartsAsked,
     RequestSent,
     TimePassed,
 )
@@ -37,7 +39,11 @@
     CallerLimits,
     CallerRequest,
     Item,
+    LinkFailure,
+    LinkFault,
     Member,
+    PartsAnswer,
+    PartsReply,
     ReplicaEntry,
     Reply,
     Route,
@@ -132,13 +138,47 @@
         self.is_cancelled = False
 
 
+class PlacedOrder:
+    """
+    One order of parts between two VMs.
+
+    :param key: names it at the VM that was asked
+    """
+
+    __slots__ = ('action', 'is_cancelled', 'key', 'target', 'vm')
+
+    def __init__(self, action: SendOrder, vm: 'EmulatedVm', target: 'EmulatedVm', key: int):
+        self.action = action
+        self.vm = vm
+        self.target = target
+        self.key = key
+        self.is_cancelled = False
+
+
 class EmulatedVm:
-    """One gateway, its answers and its log lines."""
+    """
+    One gateway, its answers and its log lines.
+
+    :param placed: orders by the connection that carries them
+    :param taken: orders of other VMs by their key here
+    """
 
-    __slots__ = ('answers', 'gateway', 'is_following', 'is_up', 'jobs', 'lines', 'timer_ms')
+    __slots__ = (
+        'answers',
+        'gateway',
+        'is_following',
+        'is_up',
+        'jobs',
+        'lines',
+        'placed',
+        'taken',
+        'timer_ms',
+    )
 
     def __init__(self, gateway: Gateway):
         self.gateway = gateway
+        self.placed: dict[int, PlacedOrder] = {}
+        self.taken: dict[int, PlacedOrder] = {}
         self.answers: dict[int, tuple[float, object]] = {}
         self.jobs: dict[int, Job] = {}
         self.lines: list[WriteLine] = []
@@ -274,11 +314,10 @@
     def ask(self, vm_number: int, path: str, patience_ms: float, method: str = 'GET') -> int:
         """Let a caller ask a VM now; return the key of its answer."""
         self.next_key += 1
-        request = CallerRequest(
-            f'request-{self.next_key}', method, path, HOST, path, [], b'', patience_ms
-        )
-        self.tell(self.vms[vm_number], CallerAsked(self.next_key, request))
-        return self.next_key
+        key = self.next_key
+        request = CallerRequest(f'request-{key}', method, path, HOST, path, [], b'', patience_ms)
+        self.tell(self.vms[vm_number], CallerAsked(key, request))
+        return key
 
     def leave(self, vm_number: int, key: int) -> None:
         """Let a caller close its connection."""
@@ -382,6 +421,32 @@
         if not job.is_cancelled:
             self.tell(job.vm, ExchangeEnded(job.action.exchange_id, reply))
 
+    def vm_at(self, host: str) -> EmulatedVm:
+        """Return the VM that has an address."""
+        return next(vm for vm in self.vms if vm.gateway.fleet.own.host == host)
+
+    def take_order(self, placed: PlacedOrder) -> None:
+        """Let an order reach its VM; a process that is gone refuses the connection."""
+        if placed.is_cancelled:
+            return
+        if not placed.target.is_up:
+            if placed.action.is_new:
+                failure = LinkFailure(LinkFault.CONNECT_FAILED, was_sent=False)
+                event = ExchangeEnded(placed.action.exchange_id, failure)
+                self.tell(placed.vm, event)
+            return
+        placed.target.taken[placed.key] = placed
+        self.tell(placed.vm, RequestSent(placed.action.exchange_id))
+        self.tell(placed.target, PartsAsked(placed.key, placed.action.order))
+
+    def return_parts(self, placed: PlacedOrder, answer: PartsAnswer | Failure) -> None:
+        """Send the answer to an order back."""
+        parts = answer if isinstance(answer, PartsAnswer) else None
+        reply = PartsReply(parts, placed.action.request_id, is_closing=False)
+        delay_ms = self.delay_ms(placed.vm, placed.target.gateway.fleet.own.zone)
+        event = ExchangeEnded(placed.action.exchange_id, reply)
+        self.later(delay_ms, lambda: placed.is_cancelled or self.tell(placed.vm, event))
+
     def connection_count(self, replica_id: str) -> int:
         """Return how many connections a replica has."""
         return len(self.replicas[replica_id].open_connections)
@@ -415,9 +480,28 @@
     emulator.later(delay_ms, lambda: emulator.arrive(job))
 
 
+@perform.register
+def perform_order(action: SendOrder, vm: EmulatedVm, emulator: Emulator) -> None:
+    """Send an order of parts to another VM."""
+    emulator.next_key += 1
+    target = emulator.vm_at(action.host)
+    placed = PlacedOrder(action, vm, target, emulator.next_key)
+    vm.placed[action.connection_id] = placed
+    delay_ms = emulator.delay_ms(vm, target.gateway.fleet.own.zone)
+    if action.is_new:
+        delay_ms *= 3
+    emulator.later(delay_ms, lambda: emulator.take_order(placed))
+
+
 @perform.register
 def perform_drop(action: DropConnection, vm: EmulatedVm, emulator: Emulator) -> None:
-    """Close a connection: the replica stops working on its request."""
+    """Close a connection: what was asked over it is worked on no more."""
+    placed = vm.placed.pop(action.connection_id, None)
+    if placed is not None:
+        placed.is_cancelled = True
+        delay_ms = emulator.delay_ms(vm, placed.target.gateway.fleet.own.zone)
+        emulator.later(delay_ms, lambda: emulator.tell(placed.target, CallerLeft(placed.key)))
+        return
     job = vm.jobs.pop(action.connection_id, None)
     if job is None:
         return
@@ -428,7 +512,11 @@
 
 @perform.register
 def perform_answer(action: AnswerRequest, vm: EmulatedVm, emulator: Emulator) -> None:
-    """Keep a caller's answer."""
+    """Keep a caller's answer; send another VM the parts that it asked for."""
+    placed = vm.taken.pop(action.key, None)
+    if placed is not None:
+        emulator.return_parts(placed, action.answer)
+        return
     vm.answers[action.key] = (emulator.now_ms, action.answer)
 
 
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -1,6 +1,6 @@
 """Deployments for the tests of the gateway, on the emulator's virtual time."""
 
-from beechbridge.gateway.actions import AnswerRequest, SendRequest
+from beechbridge.gateway.actions import AnswerRequest, SendOrder, SendRequest
 from beechbridge.gateway.events import (
     CallerAsked,
     ExchangeEnded,
@@ -124,6 +124,7 @@
         self.now_ms = emulator.now_ms
         self.is_sending = is_sending
         self.sends = []
+        self.orders = []
         self.answers = []
         body = b'deed' if method == 'POST' else b''
         request = CallerRequest(request_id, method, path, HOST, path, [], body, patience_ms)
@@ -136,6 +137,8 @@
                 self.sends.append(action)
                 if self.is_sending:
                     self.gateway.handle(RequestSent(action.exchange_id), self.now_ms)
+            if isinstance(action, SendOrder):
+                self.orders.append(action)
             if isinstance(action, AnswerRequest):
                 self.answers.append(action.answer)
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -8,7 +8,13 @@
 
 from nose2.tools import params
 
-from beechbridge.daemon.front import FrontApp, close_idle_channels, create_front, list_listeners
+from beechbridge.daemon.front import (
+    Door,
+    FrontApp,
+    close_idle_channels,
+    create_front,
+    list_listeners,
+)
 from beechbridge.failures import Reason, not_run
 from beechbridge.gateway.events import CallerAsked, CallerLeft, CallerMalformed
 from beechbridge.gateway.models import CallerLimits, MergedAnswer
@@ -32,9 +38,10 @@
         self.events = []
         self.is_leaving = False
         self.arrived = threading.Semaphore(0)
-        self.app = FrontApp(self.post, lambda: self.is_leaving, read_request, write_answer)
+        self.app = FrontApp(self.post, lambda: self.is_leaving)
         self.port, other_port = free_port(), free_port()
         self.app.callers_port = self.port
+        self.app.doors[self.port] = Door(CallerAsked, read_request, write_answer)
         self.app.handlers = {other_port: serve_other}
         addresses = [Address('127.0.0.1', self.port), Address('127.0.0.1', other_port)]
         self.other_port = other_port
--- a/tests/test_gather_load.py
+++ b/tests/test_gather_load.py
@@ -6,7 +6,7 @@
 
 from beechbridge.failures import Executed, Failure
 from beechbridge.gateway.models import MergedAnswer
-from measure.emulator import ReplicaSpec
+from measure.emulator import REGION_DELAY_MS, ReplicaSpec
 
 from .gateways import GOAL_MS, answer_of, arrivals_of, drive, in_time_count, start_sweeps
 
@@ -118,6 +118,8 @@
         emulator.run(60.0)
         emulator.leave(0, key)
         self.assertFalse(emulator.vms[0].gateway.upstreams.exchanges)
+        # The VMs that parts were ordered from hear of it on the way between regions.
+        emulator.run(REGION_DELAY_MS)
         for replica in emulator.replicas.values():
             for job in replica.running:
                 self.assertTrue(job.is_cancelled)
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,231 @@
+"""Pattern: many gathers, each with shards that have no replica in the region of its VM."""
+
+import unittest
+
+from nose2.tools import params
+
+from beechbridge.failures import Failure, Reason, not_run
+from beechbridge.gateway.events import CallerLeft, ExchangeEnded
+from beechbridge.gateway.models import (
+    LinkFailure,
+    LinkFault,
+    MergedAnswer,
+    PartsAnswer,
+    PartsOrder,
+    PartsReply,
+    Reply,
+)
+from beechbridge.wire.fleet import (
+    ORDER_ID,
+    PARTS_PATH,
+    read_order,
+    read_parts,
+    write_order,
+    write_parts,
+)
+from measure.emulator import REGION_DELAY_MS, ReplicaSpec, region_of
+
+from .gateways import (
+    GOAL_MS,
+    ZONES,
+    HandDriven,
+    answer_of,
+    drive,
+    in_time_count,
+    start_sweeps,
+)
+
+SHARDS = 20
+RECORD = b'0123456789abcdef'
+UNSENT = LinkFailure(LinkFault.CONNECT_FAILED, was_sent=False)
+LOST = LinkFailure(LinkFault.LOST, was_sent=True)
+
+
+def far_services(emulator, zone='brum-a'):
+    """Return the services without a replica in a data centre's region."""
+    near = set()
+    services = set()
+    for replica in emulator.replicas.values():
+        services.add(replica.entry.service)
+        if region_of(replica.entry.zone) == region_of(zone):
+            near.add(replica.entry.service)
+    return services - near
+
+
+def lines_of(emulator, subject):
+    return [line for vm in emulator.vms for line in vm.lines if line.subject == subject]
+
+
+class OrderedGatherTest(unittest.TestCase):
+    def test_far_shards_are_asked_for_once_and_by_a_vm_near_to_them(self):
+        emulator = start_sweeps(SHARDS, zones=ZONES)
+        asked = drive(emulator, '/sweep/x', 30, 10)
+        self.assertGreaterEqual(in_time_count(emulator, asked, MergedAnswer), 0.95 * len(asked))
+        orders = lines_of(emulator, 'order_ended')
+        self.assertGreaterEqual(len(orders), 0.95 * len(asked))
+        crossing = 0
+        for vm in emulator.vms:
+            crossing += vm.gateway.counters.get('sub_requests', 'other_region')
+        self.assertLess(crossing, 0.1 * SHARDS * len(asked))
+
+    def test_answer_holds_the_greatest_records_of_all_regions(self):
+        emulator = start_sweeps(SHARDS, zones=ZONES)
+        vm, key, _ = drive(emulator, '/sweep/x', 1, 1)[0]
+        _, answer = answer_of(emulator, vm, key)
+        self.assertEqual(answer.missing_count, 0)
+        self.assertEqual(len(set(answer.signatures)), SHARDS)
+        self.assertEqual(len(answer.body), 10 * 16)
+
+    def test_goals_are_met_across_pauses_of_replicas(self):
+        emulator = start_sweeps(
+            SHARDS,
+            zones=ZONES,
+            spec=lambda: ReplicaSpec(pause_ms=150.0, pause_every_ms=3_600.0),
+        )
+        drive(emulator, '/sweep/x', 30, 5)
+        asked = drive(emulator, '/sweep/x', 30, 10)
+        self.assertGreaterEqual(in_time_count(emulator, asked, MergedAnswer), 0.95 * len(asked))
+
+    def test_silent_vm_is_left_alone_after_the_first_requests(self):
+        emulator = start_sweeps(SHARDS, zones=ZONES)
+        drive(emulator, '/sweep/x', 30, 5)
+        emulator.vms[2].is_up = False
+        asked = drive(emulator, '/sweep/x', 30, 10)
+        alive = [one for one in asked if one[0] != 2]
+        answered = [one for one in alive if one[1] in emulator.vms[one[0]].answers]
+        self.assertEqual(len(answered), len(alive))
+        self.assertGreaterEqual(in_time_count(emulator, alive, MergedAnswer), 0.9 * len(alive))
+
+    def test_no_replica_gets_a_request_more_often_than_its_route_allows(self):
+        emulator = start_sweeps(
+            SHARDS,
+            zones=ZONES,
+            spec=lambda: ReplicaSpec(pause_ms=150.0, pause_every_ms=1_000.0, reject_share=0.02),
+        )
+        drive(emulator, '/sweep/x', 30, 10)
+        arrivals = {}
+        for replica in emulator.replicas.values():
+            for _, request_id in replica.arrivals:
+                key = (replica.entry.service, request_id)
+                arrivals.setdefault(key, set()).add(replica.entry.replica_id)
+        self.assertLessEqual(max(len(replicas) for replicas in arrivals.values()), 2)
+
+    def test_caller_that_leaves_ends_the_work_in_all_regions(self):
+        emulator = start_sweeps(SHARDS, zones=ZONES, spec=lambda: ReplicaSpec(slow_factor=20.0))
+        key = emulator.ask(0, '/sweep/x', 1_200.0)
+        emulator.run(60.0)
+        emulator.leave(0, key)
+        emulator.run(REGION_DELAY_MS)
+        for vm in emulator.vms:
+            self.assertFalse(vm.gateway.upstreams.exchanges)
+            self.assertFalse(vm.gateway.works)
+
+
+class OrderEndTest(unittest.TestCase):
+    """One gather whose order and exchanges the test ends itself."""
+
+    def setUp(self):
+        self.emulator = start_sweeps(SHARDS, zones=ZONES)
+        self.far = far_services(self.emulator)
+        self.request = HandDriven(self.emulator, 'q1', '/sweep/x', 'GET', 1_200.0)
+        self.order = self.request.orders[0]
+        self.sent = len(self.request.sends)
+
+    def end(self, result):
+        self.request.tell(ExchangeEnded(self.order.exchange_id, result))
+
+    def services_asked_since(self):
+        hosts = [send.host for send in self.request.sends[self.sent :]]
+        return {self.emulator.replicas[host].entry.service for host in hosts}
+
+    def answer_near(self):
+        for send in self.request.sends[: self.sent]:
+            reply = Reply(200, [], RECORD, f's-{send.host}', 'q1')
+            self.request.tell(ExchangeEnded(send.exchange_id, reply))
+
+    def test_order_names_what_has_no_replica_here(self):
+        self.assertEqual(set(self.order.order.services), self.far)
+        self.assertEqual(self.sent, SHARDS - len(self.far))
+        self.assertLess(self.order.order.soft_ms, GOAL_MS)
+
+    @params(UNSENT, PartsReply(None, 'q1', False))
+    def test_order_that_was_not_taken_is_replaced_by_requests_to_replicas(self, result):
+        self.end(result)
+        self.assertEqual(self.services_asked_since(), self.far)
+
+    @params(
+        LOST,
+        PartsReply(PartsAnswer({}, {}, b'', 1.0), 'q1', False),
+        PartsReply(PartsAnswer({'shard-0': 's'}, {}, b'', 1.0), 'other', False),
+    )
+    def test_order_that_may_have_used_all_attempts_is_not_repeated(self, result):
+        self.answer_near()
+        self.end(result)
+        self.assertEqual(self.services_asked_since(), set())
+        self.assertIsInstance(self.request.answers[0], Failure)
+
+    def test_parts_and_missing_shards_are_told_from_each_other(self):
+        self.answer_near()
+        ran, unrun, *answered = sorted(self.far)
+        signatures = dict.fromkeys(answered, 's')
+        body = RECORD * 2
+        self.end(PartsReply(PartsAnswer(signatures, {ran: 1, unrun: 0}, body, 20.0), 'q1', False))
+        self.assertEqual(self.services_asked_since(), {unrun})
+        send = self.request.sends[-1]
+        self.request.tell(ExchangeEnded(send.exchange_id, Reply(200, [], RECORD, 's9', 'q1')))
+        answer = self.request.answers[0]
+        self.assertEqual((answer.missing_count, len(answer.signatures)), (1, SHARDS - 1))
+        self.assertEqual(len(answer.body), 10 * 16)
+
+    def test_late_parts_do_not_disturb_the_next_request(self):
+        self.request.tell(CallerLeft(self.request.key))
+        self.end(PartsReply(PartsAnswer(dict.fromkeys(self.far, 's'), {}, b'', 1.0), 'q1', False))
+        self.assertFalse(self.request.answers)
+
+
+class OrderWireTest(unittest.TestCase):
+    def setUp(self):
+        emulator = start_sweeps(SHARDS, zones=ZONES)
+        self.action = HandDriven(emulator, 'q1', '/sweep/x?a=1', 'GET', 1_200.0).orders[0]
+
+    def test_order_arrives_as_it_was_sent(self):
+        data = write_order(self.action)
+        head, _, body = data.partition(b'\r\n\r\n')
+        self.assertIn(b'Content-Length: %d' % len(body), head)
+        order = read_order({'PATH_INFO': PARTS_PATH, 'wsgi.input': Body(body)})
+        for name in PartsOrder.__slots__:
+            if name != 'request':
+                self.assertEqual(getattr(order, name), getattr(self.action.order, name))
+        self.assertEqual(order.request.target, '/sweep/x?a=1')
+        self.assertEqual(order.request_id, 'q1')
+
+    def test_answer_arrives_as_it_was_sent(self):
+        answer = PartsAnswer({'a': 's'}, {'b': 2}, RECORD, 12.5)
+        wire = write_parts(answer, 'q1')
+        reply = read_parts(200, wire.headers, wire.body, False)
+        self.assertEqual(reply, PartsReply(answer, 'q1', False))
+
+    def test_refusal_says_that_nothing_has_run(self):
+        wire = write_parts(not_run(Reason.NOT_READY, 'no table', 300), 'q1')
+        status = int(wire.status.split()[0])
+        self.assertEqual(read_parts(status, wire.headers, wire.body, True).answer, None)
+
+    @params(b'', b'\x00', b'\xff' * 40)
+    def test_bytes_that_are_no_order_are_refused(self, body):
+        order = read_order({'PATH_INFO': PARTS_PATH, 'wsgi.input': Body(body)})
+        self.assertIsInstance(order, Failure)
+
+    def test_other_paths_are_served_at_once(self):
+        self.assertIsNone(read_order({'PATH_INFO': '/v1/changes'}))
+
+    def test_answer_that_cannot_be_read_has_no_parts(self):
+        reply = read_parts(200, [(ORDER_ID, 'q1')], b'\x00\x01', False)
+        self.assertEqual(reply.answer.signatures, {})
+
+
+class Body:
+    def __init__(self, data):
+        self.data = data
+
+    def read(self):
+        return self.data
--- a/tests/test_replica_link.py
+++ b/tests/test_replica_link.py
@@ -8,7 +8,7 @@
 
 from nose2.tools import params
 
-from beechbridge.daemon.exchanges import ExchangeClient
+from beechbridge.daemon.exchanges import Codec, ExchangeClient
 from beechbridge.gateway.actions import DropConnection, SendRequest
 from beechbridge.gateway.events import ConnectionEnded, ExchangeEnded, RequestSent
 from beechbridge.gateway.models import CallerRequest, LinkFailure, LinkFault, Reply
@@ -70,14 +70,14 @@
     def __init__(self, port):
         self.events = asyncio.Queue()
         loop = asyncio.get_running_loop()
-        self.client = ExchangeClient(loop, self.events.put_nowait, write_request, read_reply)
+        codecs = {SendRequest: Codec(write_request, read_reply)}
+        self.client = ExchangeClient(loop, self.events.put_nowait, codecs)
         self.port = port
 
     def send(self, number, is_new=True):
         request = CallerRequest(f'q{number}', 'GET', '/x', 'h', '/x', [('Host', 'h')])
-        self.client.send(
-            SendRequest(number, 1, is_new, '127.0.0.1', self.port, 'i-1', request, 500.0)
-        )
+        action = SendRequest(number, 1, is_new, '127.0.0.1', self.port, 'i-1', request, 500.0)
+        self.client.send(action, self.port)
 
     async def next(self):
         while True:
