Hedge overdue orders, and merge a part that came twice once

Cause: a VM that fell silent with an order took a third of the shards with it, and the request failed at its deadline.

Change: where a shard has no more replicas than attempts, an overdue, lost or unreadable order is replaced by requests to the replicas; the parts of an order replace those that came directly.

--- a/beechbridge/gateway/fleet/aggregators.py
+++ b/beechbridge/gateway/fleet/aggregators.py
@@ -50,9 +50,8 @@
         """Ask a VM no more; what it was asked for goes on."""
         state = self.states.pop(name)
         state.is_gone = True
-        for connection in state.idle:
-            gateway.act(DropConnection(connection.connection_id))
-        state.idle = []
+        for connection_id in state.take_all_idle():
+            gateway.act(DropConnection(connection_id))
 
     def choose(self, region: str, route_name: str, gateway: GatewaySurface) -> ReplicaState | None:
         """Return the VM of a region that is expected to answer first, None if none is sound."""
--- a/beechbridge/gateway/replicas/upstreams.py
+++ b/beechbridge/gateway/replicas/upstreams.py
@@ -215,6 +215,11 @@
             return None
         return self.idle.pop()
 
+    def take_all_idle(self) -> list[int]:
+        """Take out all idle connections."""
+        idle, self.idle = self.idle, []
+        return [connection.connection_id for connection in idle]
+
     def take_expired(self, now_ms: float) -> list[int]:
         """Take out the idle connections that are no longer good."""
         expired = [
@@ -284,9 +289,7 @@
         states = self.by_service.get(state.entry.service, [])
         if state in states:
             states.remove(state)
-        connection_ids = [connection.connection_id for connection in state.idle]
-        state.idle = []
-        return connection_ids
+        return state.take_all_idle()
 
     def usual_ms(self, route_name: str, distance: int) -> float:
         """Return the usual latency of a route's requests at a distance."""
--- a/beechbridge/gateway/requests/answers.py
+++ b/beechbridge/gateway/requests/answers.py
@@ -130,7 +130,7 @@
         'parts': work.answered_count,
         'shards': len(work.tasks),
         'repeats': work.repeat_count,
-        'orders': work.order_count,
+        'orders': len(work.orders),
     }
     missing = []
     for task in work.tasks:
--- a/beechbridge/gateway/requests/hedges.py
+++ b/beechbridge/gateway/requests/hedges.py
@@ -2,8 +2,9 @@
 
 from ..replicas.upstreams import Exchange
 from ..surface import GatewaySurface
+from .budgets import BudgetShare
 from .progress import check_gather
-from .sending import ask
+from .sending import FOREVER_MS, ask
 from .works import CheckTimer, GatherWork, Task, Work
 
 HEDGE_FACTOR = 2.0
@@ -29,48 +30,76 @@
     return False
 
 
-def hedge_delay_ms(work: Work, exchange: Exchange, gateway: GatewaySurface) -> float:
+def hedge_delay_ms(exchange: Exchange, share: BudgetShare, gateway: GatewaySurface) -> float:
     """Return the age from which an exchange's task is also asked elsewhere."""
-    usual_ms = gateway.upstreams.usual_ms(work.route.name, exchange.replica.distance)
-    factor = HEDGE_FACTOR if work.route.is_gather else SINGLE_HEDGE_FACTOR
+    task = exchange.owner
+    route = task.work.route
+    usual_ms = gateway.upstreams.usual_ms(route.name, exchange.replica.distance)
+    factor = HEDGE_FACTOR if route.is_gather else SINGLE_HEDGE_FACTOR
     delay_ms = factor * usual_ms + HEDGE_BASE_MS
-    left_share = gateway.budget(exchange.owner.service).left_share(
-        gateway.budget_share(), gateway.now_ms
-    )
+    left_share = gateway.budget(task.service).left_share(share, gateway.now_ms)
     if left_share < 0.5:
         delay_ms *= 1.0 + HEDGE_SCARCITY * (0.5 - left_share)
     return delay_ms
 
 
+def hedge_late(work: Work, gateway: GatewaySurface) -> float:
+    """Ask a second replica for the tasks that are late; return when to look again."""
+    now_ms = gateway.now_ms
+    share = gateway.budget_share()
+    next_ms = FOREVER_MS
+    for task in work.tasks:
+        if not task.is_open or len(task.exchanges) != 1:
+            continue
+        exchange = task.exchanges[0]
+        due_ms = exchange.sent_ms + hedge_delay_ms(exchange, share, gateway)
+        if due_ms > now_ms:
+            next_ms = min(next_ms, due_ms)
+            continue
+        task.add_to_avoid(exchange.replica)
+        if not has_sound_replica(task, gateway):
+            continue
+        if ask(task, gateway, is_extra=True):
+            gateway.counters.add('hedges')
+            continue
+        next_ms = min(next_ms, now_ms + HEDGE_RETRY_MS)
+    return next_ms
+
+
+def hedge_orders(work: Work, gateway: GatewaySurface) -> float:
+    """
+    Ask the replicas for what an overdue order was to bring; return when to look again.
+
+    Before its answer is due, the VM that was asked hedges its parts itself.
+    """
+    next_ms = FOREVER_MS
+    for order in work.orders:
+        if order.is_hedged or not order.exchanges:
+            continue
+        due_ms = order.exchanges[0].stalled_at_ms
+        if due_ms > gateway.now_ms:
+            next_ms = min(next_ms, due_ms)
+            continue
+        order.is_hedged = True
+        for task in order.open_tasks:
+            if not task.exchanges and not task.is_waiting:
+                ask(task, gateway, is_extra=True)
+    return next_ms
+
+
 def fire_check(timer: CheckTimer, gateway: GatewaySurface) -> None:
     """Hedge what is late; answer with what is in once the answer would lose its value."""
     work = gateway.works.get(timer.key)
     if work is None:
         return
     now_ms = gateway.now_ms
-    next_ms = work.hard_at_ms
-    if now_ms < work.soft_at_ms:
-        next_ms = work.soft_at_ms
+    next_ms = work.soft_at_ms if now_ms < work.soft_at_ms else work.hard_at_ms
     if isinstance(work, GatherWork):
         check_gather(work, gateway)
         if work.is_finished:
             return
     if work.route.is_idempotent:
-        for task in work.tasks:
-            if not task.is_open or len(task.exchanges) != 1:
-                continue
-            exchange = task.exchanges[0]
-            due_ms = exchange.sent_ms + hedge_delay_ms(work, exchange, gateway)
-            if due_ms > now_ms:
-                next_ms = min(next_ms, due_ms)
-                continue
-            task.avoid.add(id(exchange.replica))
-            if not has_sound_replica(task, gateway):
-                continue
-            if ask(task, gateway, is_extra=True):
-                gateway.counters.add('hedges')
-                continue
-            next_ms = min(next_ms, now_ms + HEDGE_RETRY_MS)
+        next_ms = min(next_ms, hedge_orders(work, gateway), hedge_late(work, gateway))
     if isinstance(work, GatherWork) and work.has_enough():
         next_ms = min(next_ms, now_ms + HEDGE_RETRY_MS)
     next_ms = max(next_ms, now_ms + LEAST_CHECK_MS)
--- a/beechbridge/gateway/requests/orders.py
+++ b/beechbridge/gateway/requests/orders.py
@@ -3,8 +3,9 @@
 
 A VM there asks the shards' replicas, merges what they answer and sends only the greatest records
 back, so that the parts themselves do not cross between regions. The VM that was asked may use all
-attempts at a shard; the one that asks then has none left, unless the order never arrived or the
-answer says how many are.
+attempts at a shard. The one that asks then has none left where the shard has more replicas than
+attempts, unless the order never arrived or the answer says how many are; where it has not, the
+request cannot reach too many replicas, and a late order is hedged like a late replica.
 """
 
 from collections import Counter
@@ -15,7 +16,7 @@
 from ..surface import GatewaySurface
 from .answers import RECORD_BYTES
 from .progress import close_task, go_on, suspect_replica, take_failure, take_result
-from .sending import end_exchange
+from .sending import drop_idle, end_exchange
 from .works import GatherWork, Task
 
 LEAST_ORDERED = 2
@@ -38,15 +39,18 @@
     Shards that one other VM was asked for; owner of the exchange.
 
     :param tasks: what it was asked for, by service
+    :param reserved_counts: attempts set aside for that VM, by service
     """
 
-    __slots__ = ('exchanges', 'region', 'tasks', 'work')
+    __slots__ = ('exchanges', 'is_hedged', 'region', 'reserved_counts', 'tasks', 'work')
 
     def __init__(self, work: GatherWork, tasks: list[Task], region: str):
         self.work = work
         self.tasks = {task.service: task for task in tasks}
         self.region = region
+        self.reserved_counts: dict[str, int] = {}
         self.exchanges: list[Exchange] = []
+        self.is_hedged = False
 
     @property
     def open_tasks(self) -> list[Task]:
@@ -156,24 +160,36 @@
     gateway.upstreams.exchanges[exchange.exchange_id] = exchange
     order.exchanges.append(exchange)
     work.exchanges.append(exchange)
-    work.order_count += 1
-    for task in order.tasks.values():
+    work.orders.append(order)
+    for service, task in order.tasks.items():
+        reserved_count = count_reserved(task, gateway)
+        order.reserved_counts[service] = reserved_count
         task.arrival_count += 1
-        task.run_count += work.route.attempts
+        task.run_count += reserved_count
     gateway.counters.add('orders_sent')
     gateway.act(
         SendOrder(exchange.exchange_id, connection_id, is_new, state.entry.host, parts_order)
     )
 
 
+def count_reserved(task: Task, gateway: GatewaySurface) -> int:
+    """Return how many of a shard's attempts an order must be given."""
+    attempts = task.work.route.attempts
+    return attempts if len(gateway.upstreams.by_service[task.service]) > attempts else 1
+
+
 @take_failure.register
 def take_order_failure(
     owner: Order, exchange: Exchange, failure: LinkFailure, gateway: GatewaySurface
 ) -> None:
     """Ask the replicas themselves if the order cannot have arrived."""
     gateway.counters.add('orders_failed', failure.fault.value)
+    state = exchange.replica
     if exchange.is_new or failure.fault is LinkFault.TIMED_OUT:
-        suspect_replica(exchange.replica, failure.fault.value, gateway)
+        suspect_replica(state, failure.fault.value, gateway)
+    if failure.fault is LinkFault.TIMED_OUT:
+        # What silenced one connection may have silenced all that are as old.
+        drop_idle(state, gateway)
     end_exchange(exchange, gateway, is_reusable=False)
     give_back(owner, exchange, failure.fault, not failure.was_sent, gateway)
 
@@ -196,23 +212,23 @@
     if exchange.is_abandoned or work.is_finished:
         return
     answer = reply.answer
-    # The records of all parts are merged, so that one of them stands for all.
+    # The records of all parts are merged, so that one reply stands for all; a part that came from
+    # a replica itself meanwhile is among them, and would be counted twice.
     body = answer.body
     for service, signature in answer.signatures.items():
-        task = owner.tasks[service]
-        if task.is_open:
-            task.reply = Reply(SUCCESS_STATUS, [], body, signature, reply.request_id)
-            body = b''
+        owner.tasks[service].reply = Reply(SUCCESS_STATUS, [], body, signature, reply.request_id)
+        body = b''
     for service, run_count in answer.run_counts.items():
         task = owner.tasks[service]
-        task.run_count = task.arrival_count = min(run_count, work.route.attempts)
+        task.run_count += min(run_count, work.route.attempts) - owner.reserved_counts[service]
+        task.arrival_count -= run_count == 0
         task.fault = LinkFault.TIMED_OUT
     for task in owner.open_tasks:
-        if task.reply is not None or task.run_count:
-            # Where it ran without a reply, that VM has tried what it could.
+        if task.reply is not None:
             close_task(task, gateway)
             continue
-        go_on(task, gateway, may_repeat=True)
+        # Where it ran without a reply, that VM has tried what it could.
+        go_on(task, gateway, may_repeat=not answer.run_counts[task.service])
 
 
 def is_answer_to(order: Order, reply: PartsReply) -> bool:
@@ -245,10 +261,10 @@
     order: Order, exchange: Exchange, fault: LinkFault, is_unsent: bool, gateway: GatewaySurface
 ) -> None:
     """Go on with an order's shards one by one, those that may have used all attempts excepted."""
-    for task in order.tasks.values():
+    for service, task in order.tasks.items():
         if is_unsent:
             task.arrival_count -= 1
-            task.run_count -= order.work.route.attempts
+            task.run_count -= order.reserved_counts[service]
         task.fault = task.fault or fault
     if exchange.is_abandoned:
         return
--- a/beechbridge/gateway/requests/sending.py
+++ b/beechbridge/gateway/requests/sending.py
@@ -137,6 +137,12 @@
         gateway.act(DropConnection(state.idle.pop(0).connection_id))
 
 
+def drop_idle(state: ReplicaState, gateway: GatewaySurface) -> None:
+    """Close all idle connections to a replica."""
+    for connection_id in state.take_all_idle():
+        gateway.act(DropConnection(connection_id))
+
+
 def end_exchange(
     exchange: Exchange,
     gateway: GatewaySurface,
--- a/beechbridge/gateway/requests/works.py
+++ b/beechbridge/gateway/requests/works.py
@@ -14,7 +14,7 @@
     :param key: names the waiting caller
     :param soft_at_ms: when the answer starts to lose its value
     :param hard_at_ms: when an answer must be given
-    :param order_count: other VMs that were asked for parts
+    :param orders: parts that other VMs were asked for
     """
 
     __slots__ = (
@@ -25,7 +25,7 @@
         'is_finished',
         'key',
         'open_count',
-        'order_count',
+        'orders',
         'repeat_count',
         'request',
         'route',
@@ -48,7 +48,7 @@
         self.exchanges: list[Exchange] = []
         self.answered_count = 0
         self.open_count = 0
-        self.order_count = 0
+        self.orders: list[object] = []
         self.repeat_count = 0
         self.is_finished = False
 
