Close connections over a share that has shrunk

Cause: when other VMs join, a VM's share of a replica's connections shrinks, but idle ones above it stayed until they were used or timed out; with several VMs joining at once the fleet could exceed the limit.

--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -59,6 +59,7 @@
     pump,
     sweep_exchanges,
 )
+from .requests.sending import keep_to_shares
 from .requests.splits import Splits
 from .requests.works import CheckTimer, DeadlineTimer, RetryTimer, Work
 
@@ -87,6 +88,7 @@
     :param budget_rules: bound on repeated sub-requests
     :param grace_ms: time between a request to stop and the kill
     :param rng: source of all randomness
+    :param kept_count: VMs among which connections were divided when they were last looked at
     """
 
     __slots__ = (
@@ -99,6 +101,7 @@
         'decode_item',
         'fleet',
         'gossip',
+        'kept_count',
         'latencies',
         'news_ms',
         'now_ms',
@@ -156,6 +159,7 @@
         self.waiting: dict[str, list] = {}
         self.works: dict[int, Work] = {}
         self.stopping = Stopping(grace_ms)
+        self.kept_count = 0
 
     def start(self, now_ms: float) -> list[GatewayAction]:
         """Arm the periodic timers."""
@@ -309,9 +313,12 @@
 
 
 def fire_sweep(timer: SweepTimer, gateway: Gateway) -> None:
-    """Look for silent exchanges."""
+    """Look for silent exchanges, and for connections that other VMs now have a claim to."""
     gateway.timers.arm(gateway.now_ms + SWEEP_MS, timer)
     sweep_exchanges(gateway)
+    if gateway.sharing_count > gateway.kept_count:
+        keep_to_shares(gateway)
+    gateway.kept_count = gateway.sharing_count
 
 
 EVENT_HANDLERS = {
--- a/beechbridge/gateway/requests/sending.py
+++ b/beechbridge/gateway/requests/sending.py
@@ -132,11 +132,23 @@
 
 def make_room(state: ReplicaState, service: str, gateway: GatewaySurface) -> None:
     """Close idle connections until one more fits into this VM's share."""
-    share = gateway.connection_share(service)
-    while state.idle and len(state.idle) + len(state.busy) >= share:
+    close_surplus(state, gateway.connection_share(service) - 1, gateway)
+
+
+def close_surplus(state: ReplicaState, most: int, gateway: GatewaySurface) -> None:
+    """Close idle connections until a replica has no more than some, or none idle."""
+    while state.idle and len(state.idle) + len(state.busy) > most:
         gateway.act(DropConnection(state.idle.pop(0).connection_id))
 
 
+def keep_to_shares(gateway: GatewaySurface) -> None:
+    """Close what exceeds this VM's shares, which shrink when others join."""
+    for service, states in gateway.upstreams.by_service.items():
+        share = gateway.connection_share(service)
+        for state in states:
+            close_surplus(state, share, gateway)
+
+
 def drop_idle(state: ReplicaState, gateway: GatewaySurface) -> None:
     """Close all idle connections to a replica."""
     for connection_id in state.take_all_idle():
--- a/tests/test_gather_load.py
+++ b/tests/test_gather_load.py
@@ -5,10 +5,11 @@
 from nose2.tools import params
 
 from beechbridge.failures import Executed, Failure
-from beechbridge.gateway.models import MergedAnswer
+from beechbridge.gateway.events import HeartbeatArrived
+from beechbridge.gateway.models import Member, MergedAnswer
 from measure.emulator import REGION_DELAY_MS, ReplicaSpec
 
-from .gateways import GOAL_MS, answer_of, arrivals_of, drive, in_time_count, start_sweeps
+from .gateways import GOAL_MS, ZONES, answer_of, arrivals_of, drive, in_time_count, start_sweeps
 
 WANTED_IN_TIME = 0.95
 """Share of gathers within the goal: what the users' calm day asks for."""
@@ -139,3 +140,19 @@
 
         drive(emulator, '/sweep/x', 120, 5, after=count)
         self.assertLessEqual(most, 26)
+
+    def test_connections_over_a_share_that_has_shrunk_are_closed(self):
+        emulator = start_sweeps(4, zones=ZONES[:2])
+        drive(emulator, '/sweep/x', 200, 2)
+        gateway = emulator.vms[0].gateway
+        replica = emulator.replicas['r-0-0']
+        held = [one for one in replica.open_connections if one[0] == 'vm-0']
+        self.assertGreater(len(held), 26 // 11)
+        for number in range(2, 10):
+            member = Member(f'vm-{number}', f'vm-{number}', ZONES[0], incarnation=1, heartbeat=1)
+            emulator.tell(emulator.vms[0], HeartbeatArrived([member], 0, 0, False))
+        emulator.run(300.0)
+        for state in gateway.upstreams.by_id.values():
+            self.assertLessEqual(len(state.idle) + len(state.busy), 26 // 11)
+        held = [one for one in replica.open_connections if one[0] == 'vm-0']
+        self.assertLessEqual(len(held), 26 // 11)
