Model the fixed part of budgets and orders of parts, and break the product under the soak

Two specifications join `make model`: `repeats` proves that starts, ends and joins never let a window hold more than the fixed part; `orders` proves that a shard of two or three replicas never reaches more of them than the attempts and that its part is merged once.

`make soak-mutants` breaks one promise of the product at a time in a copy of the tree, and asks that the soak names it.

--- a/Makefile
+++ b/Makefile
@@ -54,6 +54,10 @@
 soak: $(READY) ## Run the real programs under faults; SEEDS, SECONDS and VMS set the size
 	@$(BIN)/python -m soak.run --seeds=$(SEEDS) --seconds=$(SECONDS) --vms=$(VMS) $(SOAK_FLAGS)
 
+.PHONY: soak-mutants
+soak-mutants: $(READY) ## Show that the soak notices each promise that a mutant breaks
+	@$(BIN)/python -m soak.mutants
+
 .PHONY: red
 red: $(READY) ## Run the tests that KNOWN-RED.txt lists, and all others
 	@RUN_KNOWN_RED=1 $(BIN)/nose2 -s tests -t .
--- a/model/check.py
+++ b/model/check.py
@@ -6,19 +6,20 @@
 
 import sys
 
-from . import configuration, drain, shares, stopping, tickets
+from . import configuration, drain, orders, repeats, shares, stopping, tickets
 from .spec import Spec, find_trace, format_trace, prove
 
 
 def build_specs() -> list[Spec]:
     """Return the specifications whose mutants are checked."""
-    modules = (tickets, configuration, stopping, drain, shares)
+    modules = (tickets, configuration, stopping, drain, shares, repeats, orders)
     return [module.build_spec() for module in modules]
 
 
 def check_proofs() -> bool:
-    """Prove the specifications, further instances of the shares, and their division."""
+    """Prove the specifications, further instances of some, and the division of shares."""
     specs = build_specs() + [shares.build_spec(*sizes) for sizes in shares.INSTANCES[1:]]
+    specs += [orders.build_spec(count) for count in orders.INSTANCES[1:]]
     all_hold = True
     for spec in specs:
         holds = prove(spec)
--- a/model/mutants.py
+++ b/model/mutants.py
@@ -241,18 +241,29 @@
 )
 
 
+def copy_tree(names: tuple[str, ...], root: Path) -> None:
+    """Copy some folders of the repository."""
+    for name in names:
+        shutil.copytree(ROOT / name, root / name, ignore=shutil.ignore_patterns('__pycache__'))
+
+
+def replace_once(path: Path, old: str, new: str) -> str:
+    """Replace a text that a file holds exactly once; return what is wrong, if anything."""
+    text = path.read_text()
+    if text.count(old) != 1:
+        return f'NOT MADE: text found {text.count(old)} times'
+    path.write_text(text.replace(old, new))
+    return ''
+
+
 def run_mutant(mutant: Mutant) -> str:
     """Return 'noticed', or what is wrong with the mutant."""
     with tempfile.TemporaryDirectory(prefix='mutant-') as folder:
         root = Path(folder)
-        for name in COPIED:
-            ignored = shutil.ignore_patterns('__pycache__')
-            shutil.copytree(ROOT / name, root / name, ignore=ignored)
-        path = root / mutant.file
-        text = path.read_text()
-        if text.count(mutant.old) != 1:
-            return f'NOT MADE: text found {text.count(mutant.old)} times'
-        path.write_text(text.replace(mutant.old, mutant.new))
+        copy_tree(COPIED, root)
+        problem = replace_once(root / mutant.file, mutant.old, mutant.new)
+        if problem:
+            return problem
         modules = [f'tests.{name}' for name in mutant.tests]
         done = subprocess.run(
             [sys.executable, '-m', 'nose2', '-F', '-s', 'tests', '-t', '.', *modules],
--- a/model/spec.py
+++ b/model/spec.py
@@ -12,7 +12,8 @@
 from beechbridge.record import Record
 
 MAX_DEPTH = 25
-PROOF_TIMEOUT_MS = 120_000
+PROOF_TIMEOUT_MS = 400_000
+"""Five times what the longest proof, `repeats`, took on a busy machine."""
 
 
 class Action(Record):
