--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,6 +7,27 @@
 from .fleet import GRACE_S, Vm
 
 FAULT_GAP_S = (0.3, 2.0)
+KINDS = (
+    'kill_vm',
+    'pause_vm',
+    'stop_vm',
+    'reload_vm',
+    'reset_links',
+    'silence_links',
+    'delay_links',
+    'cut_links',
+    'slow_replica',
+    'lossy_replica',
+    'drain_replica',
+    'remove_replica',
+    'store_down',
+    'store_refuses',
+    'store_slow',
+    'compact_store',
+    'change_table',
+    'reshard',
+)
+"""Kinds of fault; each is a method of `Faults`."""
 
 
 class Faults:
@@ -14,42 +35,24 @@
     Applies faults to a deployment until told to end.
 
     :param soak: the deployment, see `run.Soak`
+    :param kinds: kinds of fault to draw from
     """
 
-    def __init__(self, soak, rng):
+    def __init__(self, soak, rng, kinds: tuple[str, ...] = KINDS):
         self.soak = soak
         self.rng = rng
+        self.kinds = kinds
         self.is_ended = False
         self.tasks: set[asyncio.Task] = set()
         self.played: list[str] = []
 
     async def run(self) -> None:
         """Start one fault after the other; earlier ones go on meanwhile."""
-        kinds = (
-            self.kill_vm,
-            self.pause_vm,
-            self.stop_vm,
-            self.reload_vm,
-            self.reset_links,
-            self.silence_links,
-            self.delay_links,
-            self.cut_links,
-            self.slow_replica,
-            self.lossy_replica,
-            self.drain_replica,
-            self.remove_replica,
-            self.store_down,
-            self.store_refuses,
-            self.store_slow,
-            self.compact_store,
-            self.change_table,
-            self.reshard,
-        )
         while not self.is_ended:
             await asyncio.sleep(self.rng.uniform(*FAULT_GAP_S))
-            fault = self.rng.choice(kinds)
-            self.played.append(fault.__name__)
-            task = asyncio.create_task(fault(self.rng.uniform(0.5, 4.0)))
+            name = self.rng.choice(self.kinds)
+            self.played.append(name)
+            task = asyncio.create_task(getattr(self, name)(self.rng.uniform(0.5, 4.0)))
             self.tasks.add(task)
         await asyncio.gather(*self.tasks)
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,7 +11,7 @@
 from beechbridge.status import ExitStatus
 
 from .callers import HOST, Caller
-from .faults import Faults
+from .faults import KINDS, Faults
 from .fleet import Vm, make_folder
 from .ledger import Ledger
 from .proxy import Proxy
@@ -201,15 +201,14 @@
         await asyncio.sleep(1.0)
         self.announce_end(old, with_notice)
 
-    async def play(self, seconds: float, with_faults: bool = True) -> None:
+    async def play(self, seconds: float, kinds: tuple[str, ...]) -> None:
         """Let callers ask while faults come; end with a quiet time."""
         tasks = [asyncio.create_task(caller.run()) for caller in self.callers]
-        faults = Faults(self, random.Random(self.rng.getrandbits(64)))
-        if with_faults:
-            fault_task = asyncio.create_task(faults.run())
-            await asyncio.sleep(seconds)
-            faults.is_ended = True
-            await fault_task
+        faults = Faults(self, random.Random(self.rng.getrandbits(64)), kinds)
+        fault_task = asyncio.create_task(faults.run())
+        await asyncio.sleep(seconds)
+        faults.is_ended = True
+        await fault_task
         await asyncio.sleep(QUIET_S)
         await self.wait_served()
         for caller in self.callers:
@@ -232,16 +231,14 @@
             server.stop()
 
 
-def run_seed(
-    seed: int, seconds: float, vm_count: int, is_timed: bool = True, shard_count: int = 6
-) -> list[str]:
+def run_seed(seed: int) -> list[str]:
     """Run one seed; return the broken promises. Logs are kept where there are any."""
-    soak = Soak(seed, vm_count, shard_count, is_timed)
+    soak = Soak(seed, FLAGS.vms, FLAGS.shards, FLAGS.timed)
 
     async def run() -> None:
         try:
             await soak.start()
-            await soak.play(seconds)
+            await soak.play(FLAGS.seconds, tuple(FLAGS.faults))
         finally:
             soak.stop()
 
@@ -262,7 +259,7 @@
     failed = []
     first = FLAGS.first_seed or int(time.time())
     for seed in range(first, first + FLAGS.seeds):
-        if run_seed(seed, FLAGS.seconds, FLAGS.vms, FLAGS.timed):
+        if run_seed(seed):
             failed.append(seed)
     print(f'{FLAGS.seeds - len(failed)} passed, {len(failed)} failed')
     return ExitStatus.ERROR if failed else ExitStatus.OK
@@ -273,5 +270,7 @@
     flags.DEFINE_integer('first_seed', 0, 'first seed; 0 takes a fresh one')
     flags.DEFINE_float('seconds', 20.0, 'how long faults come in each run')
     flags.DEFINE_integer('vms', 4, 'processes of the fleet')
+    flags.DEFINE_integer('shards', 6, 'shards of the index')
+    flags.DEFINE_multi_enum('faults', KINDS, KINDS, 'kinds of fault to draw from')
     flags.DEFINE_boolean('timed', True, 'check promises with a time bound, too')
     sys.exit(app.run(main))
