--- a/Makefile
+++ b/Makefile
@@ -54,6 +54,11 @@
 soak: $(READY) ## Run the real programs under faults; SEEDS, SECONDS and VMS set the size
 	@$(BIN)/python -m soak.run --seeds=$(SEEDS) --seconds=$(SECONDS) --vms=$(VMS) $(SOAK_FLAGS)
 
+.PHONY: soak-regressions
+soak-regressions: $(READY) ## Run every seed of the soak that ever failed
+	@grep -v '^#' soak/regressions.txt | while read -r options; do \
+		$(BIN)/python -m soak.run --seeds=1 $$options || exit 1; done
+
 .PHONY: soak-mutants
 soak-mutants: $(READY) ## Show that the soak notices each promise that a mutant breaks
 	@$(BIN)/python -m soak.mutants
