--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -29,13 +29,14 @@
 )
 from ..gateway.events import (
     CallerAsked,
+    ExchangeEnded,
     PartsAsked,
     PauseNoticed,
     SettingsRead,
     StopAsked,
     TimePassed,
 )
-from ..gateway.models import Member
+from ..gateway.models import LinkFailure, LinkFault, Member
 from ..gateway.node import Gateway
 from ..gateway.settings import Address, GatewaySettings
 from ..platform.callers import read_request, write_answer
@@ -296,6 +297,9 @@
 
     def pull(self, action: PullChanges) -> None:
         """Ask another VM for changes of the store; in a thread of its own."""
+        if self.settings.peers is None:
+            write_line('pull_failed', {'peer': action.host, 'cause': 'no address for VMs is set'})
+            return
         client = http.client.HTTPConnection(
             action.host, self.settings.peers.port, timeout=PULL_TIMEOUT_S
         )
@@ -350,8 +354,13 @@
 
 @perform.register
 def perform_order(action: SendOrder, process: GatewayProcess) -> None:
-    """Ask another VM for parts."""
-    process.exchanges.send(action, process.settings.peers.port)
+    """Ask another VM for parts; where VMs have no address for that, nothing is sent."""
+    peers = process.settings.peers
+    if peers is None:
+        failure = LinkFailure(LinkFault.CONNECT_FAILED, was_sent=False)
+        process.post(ExchangeEnded(action.exchange_id, failure))
+        return
+    process.exchanges.send(action, peers.port)
 
 
 @perform.register
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -1,9 +1,11 @@
 """Pattern: many gathers, each with shards that have no replica in the region of its VM."""
 
 import unittest
+from types import SimpleNamespace
 
 from nose2.tools import params
 
+from beechbridge.daemon.gateway import perform
 from beechbridge.failures import Failure, Reason, not_run
 from beechbridge.gateway.events import CallerLeft, ExchangeEnded
 from beechbridge.gateway.models import (
@@ -255,6 +257,18 @@
         self.assertIsInstance(request.answers[0], Failure)
 
 
+class NoPeersTest(unittest.TestCase):
+    """VMs whose settings name no address for other VMs."""
+
+    def test_order_counts_as_not_sent(self):
+        emulator = start_sweeps(SHARDS, zones=ZONES)
+        order = HandDriven(emulator, 'q1', '/sweep/x', 'GET', 1_200.0).orders[0]
+        events = []
+        process = SimpleNamespace(settings=SimpleNamespace(peers=None), post=events.append)
+        perform(order, process)
+        self.assertEqual(events, [ExchangeEnded(order.exchange_id, UNSENT)])
+
+
 class OrderWireTest(unittest.TestCase):
     def setUp(self):
         emulator = start_sweeps(SHARDS, zones=ZONES)
