--- a/beechbridge/wire/codec.py
+++ b/beechbridge/wire/codec.py
@@ -1,12 +1,8 @@
 """Frames between VMs: core messages to Thrift structs and back."""
 
-import struct
 from functools import singledispatch
 
 import msgspec
-from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
-from thrift.Thrift import TException
-from thrift.transport.TTransport import TMemoryBuffer
 
 from ..document import Delta, Document
 from ..failures import Executed, Failure, InputFailure, Reason
@@ -22,21 +18,12 @@
 )
 from ..models import Done, Outcome, Ticket, TicketedRequest, VmIdentity
 from ..record import Record
+from .frames import DECODE_ERRORS, decode_struct, encode_struct
 from .peer import ttypes
 
 SOURCE = 'peer frame'
 MAX_FRAME_BYTES = 8 * 1024 * 1024
-DECODE_ERRORS = (
-    TException,
-    EOFError,
-    ValueError,
-    TypeError,
-    AttributeError,
-    OverflowError,
-    RecursionError,
-    struct.error,
-    msgspec.MsgspecError,
-)
+FRAME_ERRORS = (*DECODE_ERRORS, msgspec.MsgspecError)
 """What Thrift and the conversion raise on frames that are not well formed."""
 
 
@@ -54,23 +41,16 @@
     """Return the bytes of one message."""
     sender = envelope.sender
     body = to_body(envelope.message)
-    frame = ttypes.Envelope(sender.name, sender.incarnation, body)
-    buffer = TMemoryBuffer()
-    frame.write(TBinaryProtocolAccelerated(buffer))
-    return buffer.getvalue()
+    return encode_struct(ttypes.Envelope(sender.name, sender.incarnation, body))
 
 
 def decode_frame(data: bytes) -> Envelope | InputFailure:
     """Read the bytes of one message."""
     if len(data) > MAX_FRAME_BYTES:
         return InputFailure(SOURCE, 'size', len(data), f'at most {MAX_FRAME_BYTES} bytes')
-    frame = ttypes.Envelope()
     try:
-        limits = {'string_length_limit': len(data), 'container_length_limit': len(data)}
-        frame.read(TBinaryProtocolAccelerated(TMemoryBuffer(data), **limits))
-        frame.validate()
-        return from_envelope(frame)
-    except DECODE_ERRORS as error:
+        return from_envelope(decode_struct(data, ttypes.Envelope))
+    except FRAME_ERRORS as error:
         return InputFailure(SOURCE, 'frame', type(error).__name__, 'a well-formed envelope')
 
 
--- a/beechbridge/wire/fleet.py
+++ b/beechbridge/wire/fleet.py
@@ -1,12 +1,7 @@
 """Messages between gateways as Thrift frames: heartbeats, changes of the store, orders."""
 
-import struct
 from functools import singledispatch
 
-from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
-from thrift.Thrift import TException
-from thrift.transport.TTransport import TMemoryBuffer
-
 from ..failures import Failure, InputFailure, Reason, not_run
 from ..gateway.actions import SendHeartbeat, SendOrder
 from ..gateway.events import ChangesRead, HeartbeatArrived
@@ -18,6 +13,7 @@
     PartsOrder,
     PartsReply,
 )
+from .frames import DECODE_ERRORS, decode_struct, encode_struct
 from .http import WireAnswer
 from .peer import ttypes
 
@@ -28,35 +24,13 @@
 
 TAKEN_STATUS = 200
 
-DECODE_ERRORS = (
-    TException,
-    EOFError,
-    ValueError,
-    TypeError,
-    AttributeError,
-    OverflowError,
-    RecursionError,
-    struct.error,
-)
-"""What Thrift raises on frames that are not well formed."""
-
-
-def encode(frame: object) -> bytes:
-    """Return the bytes of a Thrift struct."""
-    buffer = TMemoryBuffer()
-    frame.write(TBinaryProtocolAccelerated(buffer))
-    return buffer.getvalue()
-
 
 def decode(data: bytes, kind: type) -> object | Failure:
     """Read a Thrift struct, or return why it cannot be read."""
-    frame = kind()
     try:
-        frame.read(TBinaryProtocolAccelerated(TMemoryBuffer(data)))
-        frame.validate()
+        return decode_struct(data, kind)
     except DECODE_ERRORS as error:
         return InputFailure('peer frame', kind.__name__, type(error).__name__, 'a whole struct')
-    return frame
 
 
 def encode_heartbeat(action: SendHeartbeat) -> bytes:
@@ -77,7 +51,7 @@
             )
         )
     frame = ttypes.Heartbeat(members, action.table_version, action.revision, action.wants_members)
-    return encode(frame)
+    return encode_struct(frame)
 
 
 def decode_heartbeat(data: bytes) -> HeartbeatArrived | Failure:
@@ -99,7 +73,7 @@
 def encode_changes(changes: list[Item], revision: int) -> bytes:
     """Return the bytes of changes of the store."""
     items = [ttypes.StoreItem(item.key, item.value, item.revision) for item in changes]
-    return encode(ttypes.StoreChanges(revision, items))
+    return encode_struct(ttypes.StoreChanges(revision, items))
 
 
 def decode_changes(data: bytes) -> ChangesRead | Failure:
@@ -129,7 +103,7 @@
         order.soft_ms,
         order.hard_ms,
     )
-    body = encode(frame)
+    body = encode_struct(frame)
     head = (
         f'POST {PARTS_PATH} HTTP/1.1\r\nHost: {action.host}\r\nContent-Length: {len(body)}\r\n\r\n'
     )
@@ -171,7 +145,7 @@
     """Return the parts that are in, and what is known of the others."""
     parts = [ttypes.Part(name, signature) for name, signature in answer.signatures.items()]
     missing = [ttypes.MissingPart(name, count) for name, count in answer.run_counts.items()]
-    body = encode(ttypes.PartsAnswer(parts, missing, answer.body, answer.work_ms))
+    body = encode_struct(ttypes.PartsAnswer(parts, missing, answer.body, answer.work_ms))
     return WireAnswer('200 OK', [FRAME_TYPE, (ORDER_ID, request_id)], body)
 
 
