Let orders use what requests to replicas already had

An order kept its own copy of the accounting of an exchange and of what is learnt from an answer; the list of all that connections are kept to stood in two places, and so did that of the parts that are in. Each has one place now: begin_exchange, learn_latency, all_upstreams, replies.

--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -244,6 +244,10 @@
         by_name = {member.name: member for member in chosen}
         return [by_name[name] for name in rank_names(zone, by_name)[:MOST_ADDRESSES]]
 
+    def all_upstreams(self) -> list[ReplicaState]:
+        """Return all that this VM keeps connections to: replicas, and VMs that gather for it."""
+        return [*self.upstreams.by_id.values(), *self.aggregators.states.values()]
+
     def pump(self, service: str) -> None:
         """Ask for the tasks that wait for a connection to a service."""
         pump(service, self)
@@ -293,8 +297,7 @@
 def handle_pause(event: PauseNoticed, gateway: Gateway) -> None:
     """Trust no idle connection from before a pause."""
     gateway.act(WriteLine('paused', {'ms': round(event.pause_ms)}))
-    states = (*gateway.upstreams.by_id.values(), *gateway.aggregators.states.values())
-    for state in states:
+    for state in gateway.all_upstreams():
         for connection in state.idle:
             connection.usable_until_ms = 0.0
 
--- a/beechbridge/gateway/requests/answers.py
+++ b/beechbridge/gateway/requests/answers.py
@@ -41,7 +41,7 @@
     """Merge the parts that are in, if they are enough."""
     if not work.has_enough():
         return explain_failure(work, gateway)
-    replies = [task.reply for task in work.tasks if task.reply is not None]
+    replies = work.replies
     signatures = [reply.signature for reply in replies]
     body = merge_greatest(replies, work.route.top_records)
     return MergedAnswer(body, signatures, len(work.tasks) - len(signatures))
@@ -57,8 +57,7 @@
             signatures[task.service] = task.reply.signature
             continue
         run_counts[task.service] = task.run_count
-    replies = [task.reply for task in work.tasks if task.reply is not None]
-    body = merge_greatest(replies, work.route.top_records)
+    body = merge_greatest(work.replies, work.route.top_records)
     return PartsAnswer(signatures, run_counts, body, gateway.now_ms - work.arrived_ms)
 
 
--- a/beechbridge/gateway/requests/orders.py
+++ b/beechbridge/gateway/requests/orders.py
@@ -12,11 +12,11 @@
 
 from ..actions import SendOrder
 from ..models import LinkFailure, LinkFault, PartsOrder, PartsReply, Reply
-from ..replicas.upstreams import ELSEWHERE, Exchange, ReplicaState
+from ..replicas.upstreams import ELSEWHERE, Exchange, IdleConnection, ReplicaState
 from ..surface import GatewaySurface
 from .answers import RECORD_BYTES
-from .progress import close_task, go_on, suspect_replica, take_failure, take_result
-from .sending import drop_idle, end_exchange
+from .progress import close_task, go_on, learn_latency, suspect_replica, take_failure, take_result
+from .sending import begin_exchange, drop_idle, end_exchange
 from .works import GatherWork, Task
 
 LEAST_ORDERED = 2
@@ -131,7 +131,7 @@
         soft_ms,
         work.hard_at_ms - now_ms - way_ms,
     )
-    send_order(order, parts_order, state, idle.connection_id if idle else None, gateway)
+    send_order(order, parts_order, state, idle, gateway)
     return True
 
 
@@ -139,27 +139,13 @@
     order: Order,
     parts_order: PartsOrder,
     state: ReplicaState,
-    connection_id: int | None,
+    idle: IdleConnection | None,
     gateway: GatewaySurface,
 ) -> None:
     """Send an order over an idle connection or a new one."""
     work = order.work
-    is_new = connection_id is None
-    if is_new:
-        connection_id = gateway.upstreams.new_id()
-    exchange = Exchange(
-        gateway.upstreams.new_id(),
-        state,
-        order,
-        connection_id,
-        is_new,
-        gateway.now_ms,
-        work.soft_at_ms + STALL_SLACK_MS,
-    )
-    state.busy[connection_id] = exchange
-    gateway.upstreams.exchanges[exchange.exchange_id] = exchange
-    order.exchanges.append(exchange)
-    work.exchanges.append(exchange)
+    stalled_at_ms = work.soft_at_ms + STALL_SLACK_MS
+    exchange = begin_exchange(order, state, idle, stalled_at_ms, gateway)
     work.orders.append(order)
     for service, task in order.tasks.items():
         reserved_count = count_reserved(task, gateway)
@@ -168,7 +154,13 @@
         task.run_count += reserved_count
     gateway.counters.add('orders_sent')
     gateway.act(
-        SendOrder(exchange.exchange_id, connection_id, is_new, state.entry.host, parts_order)
+        SendOrder(
+            exchange.exchange_id,
+            exchange.connection_id,
+            exchange.is_new,
+            state.entry.host,
+            parts_order,
+        )
     )
 
 
@@ -208,7 +200,10 @@
         exchange.replica.note_rejection(True, now_ms)
         give_back(owner, exchange, LinkFault.MALFORMED, reply.answer is None, gateway)
         return
-    learn(owner, exchange, reply, latency_ms, gateway)
+    learn_latency(exchange, work.route.name, latency_ms, gateway)
+    if not exchange.is_new:
+        way_ms = max(0.0, latency_ms - reply.answer.work_ms)
+        gateway.aggregators.note_round_trip(owner.region, way_ms)
     if exchange.is_abandoned or work.is_finished:
         return
     answer = reply.answer
@@ -241,22 +236,6 @@
     return answer.signatures.keys() | answer.run_counts.keys() == order.tasks.keys()
 
 
-def learn(
-    order: Order, exchange: Exchange, reply: PartsReply, latency_ms: float, gateway: GatewaySurface
-) -> None:
-    """Learn how fast a VM is, and how far."""
-    state = exchange.replica
-    route_name = order.work.route.name
-    usual_ms = gateway.upstreams.usual_ms(route_name, state.distance)
-    state.note_latency(latency_ms, usual_ms, gateway.now_ms)
-    state.note_rejection(False, gateway.now_ms)
-    if exchange.is_new:
-        return
-    gateway.upstreams.note_usual(route_name, state.distance, latency_ms)
-    way_ms = max(0.0, latency_ms - reply.answer.work_ms)
-    gateway.aggregators.note_round_trip(order.region, way_ms)
-
-
 def give_back(
     order: Order, exchange: Exchange, fault: LinkFault, is_unsent: bool, gateway: GatewaySurface
 ) -> None:
--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -100,11 +100,7 @@
         state.note_rejection(True, now_ms)
         gateway.counters.add('rejections', str(reply.status))
     elif reply.is_success and is_match:
-        usual_ms = gateway.upstreams.usual_ms(work.route.name, state.distance)
-        state.note_latency(latency_ms, usual_ms, now_ms)
-        state.note_rejection(False, now_ms)
-        if not exchange.is_new:
-            gateway.upstreams.note_usual(work.route.name, state.distance, latency_ms)
+        learn_latency(exchange, work.route.name, latency_ms, gateway)
         gateway.latencies.add(latency_ms)
     elif not reply.is_success:
         state.note_rejection(True, now_ms)
@@ -127,6 +123,18 @@
     go_on(task, gateway, may_repeat=work.route.is_idempotent)
 
 
+def learn_latency(
+    exchange: Exchange, route_name: str, latency_ms: float, gateway: GatewaySurface
+) -> None:
+    """Learn from a success; what is usual does not include the opening of connections."""
+    state = exchange.replica
+    usual_ms = gateway.upstreams.usual_ms(route_name, state.distance)
+    state.note_latency(latency_ms, usual_ms, gateway.now_ms)
+    state.note_rejection(False, gateway.now_ms)
+    if not exchange.is_new:
+        gateway.upstreams.note_usual(route_name, state.distance, latency_ms)
+
+
 def go_on(task: Task, gateway: GatewaySurface, may_repeat: bool) -> None:
     """Ask elsewhere after a failure, or end the task if nothing else is under way."""
     if not task.is_open or task.work.is_finished:
@@ -260,8 +268,7 @@
 
 def handle_connection_ended(event: ConnectionEnded, gateway: GatewaySurface) -> None:
     """Forget an idle connection that is no longer open."""
-    states = (*gateway.upstreams.by_id.values(), *gateway.aggregators.states.values())
-    for state in states:
+    for state in gateway.all_upstreams():
         for connection in state.idle:
             if connection.connection_id == event.connection_id:
                 state.idle.remove(connection)
--- a/beechbridge/gateway/requests/sending.py
+++ b/beechbridge/gateway/requests/sending.py
@@ -8,6 +8,7 @@
     STALLED_FACTOR,
     UNREPEATABLE_IDLE_MS,
     Exchange,
+    IdleConnection,
     ReplicaState,
 )
 from ..surface import GatewaySurface
@@ -89,25 +90,10 @@
     idle = state.take_idle(now_ms, longest_idle_ms)
     if idle is None:
         make_room(state, task.service, gateway)
-        connection_id = gateway.upstreams.new_id()
         gateway.counters.add('connections_opened')
-    else:
-        connection_id = idle.connection_id
-    exchange_id = gateway.upstreams.new_id()
     usual_ms = gateway.upstreams.usual_ms(work.route.name, state.distance)
-    exchange = Exchange(
-        exchange_id,
-        state,
-        task,
-        connection_id,
-        idle is None,
-        now_ms,
-        now_ms + max(LEAST_STALL_MS, STALLED_FACTOR * usual_ms),
-    )
-    state.busy[connection_id] = exchange
-    gateway.upstreams.exchanges[exchange_id] = exchange
-    task.exchanges.append(exchange)
-    work.exchanges.append(exchange)
+    stalled_at_ms = now_ms + max(LEAST_STALL_MS, STALLED_FACTOR * usual_ms)
+    exchange = begin_exchange(task, state, idle, stalled_at_ms, gateway)
     if task.arrival_count:
         work.repeat_count += 1
         gateway.counters.add('repeats', 'hedge' if is_extra else 'retry')
@@ -118,9 +104,9 @@
     entry = state.entry
     gateway.act(
         SendRequest(
-            exchange_id,
-            connection_id,
-            idle is None,
+            exchange.exchange_id,
+            exchange.connection_id,
+            exchange.is_new,
             entry.host,
             entry.port,
             entry.replica_id,
@@ -130,6 +116,37 @@
     )
 
 
+def begin_exchange(
+    owner: object,
+    state: ReplicaState,
+    idle: IdleConnection | None,
+    stalled_at_ms: float,
+    gateway: GatewaySurface,
+) -> Exchange:
+    """
+    Account for an exchange that is sent now.
+
+    :param owner: task or order that it is for
+    :param idle: connection that it goes over, None for a new one
+    :param stalled_at_ms: when its replica counts as suspect for not having answered
+    """
+    connection_id = gateway.upstreams.new_id() if idle is None else idle.connection_id
+    exchange = Exchange(
+        gateway.upstreams.new_id(),
+        state,
+        owner,
+        connection_id,
+        idle is None,
+        gateway.now_ms,
+        stalled_at_ms,
+    )
+    state.busy[connection_id] = exchange
+    gateway.upstreams.exchanges[exchange.exchange_id] = exchange
+    owner.exchanges.append(exchange)
+    owner.work.exchanges.append(exchange)
+    return exchange
+
+
 def make_room(state: ReplicaState, service: str, gateway: GatewaySurface) -> None:
     """Close idle connections until one more fits into this VM's share."""
     close_surplus(state, gateway.connection_share(service) - 1, gateway)
--- a/beechbridge/gateway/requests/works.py
+++ b/beechbridge/gateway/requests/works.py
@@ -79,6 +79,11 @@
         """Return how many shards must be in for a success."""
         return max(1, math.ceil(self.route.least_share * len(self.tasks) - 1e-9))
 
+    @property
+    def replies(self) -> list[Reply]:
+        """Return the parts that are in."""
+        return [task.reply for task in self.tasks if task.reply is not None]
+
     def has_enough(self) -> bool:
         """Tell whether the parts that are in make a success."""
         return self.answered_count >= self.needed_count
--- a/beechbridge/gateway/surface.py
+++ b/beechbridge/gateway/surface.py
@@ -66,6 +66,9 @@
     def distance_to(self, zone: str) -> int:
         """Return 0 for the own data centre, 1 for the own region, 2 for elsewhere."""
 
+    def all_upstreams(self) -> 'list[ReplicaState]':
+        """Return all that this VM keeps connections to."""
+
     def pump(self, service: str) -> None:
         """Ask for the tasks that wait for a connection to a service."""
 
