Choose replicas and gathering VMs by one rule

Both choices had the same loop over expected answers with the same spread between equals. find_fastest serves both; each keeps its own filter.

--- a/beechbridge/gateway/fleet/aggregators.py
+++ b/beechbridge/gateway/fleet/aggregators.py
@@ -55,17 +55,12 @@
 
     def choose(self, region: str, route_name: str, gateway: GatewaySurface) -> ReplicaState | None:
         """Return the VM of a region that is expected to answer first, None if none is sound."""
-        now_ms = gateway.now_ms
-        usual_ms = gateway.upstreams.usual_ms(route_name, AGGREGATED)
-        best = None
-        best_ms = float('inf')
+        sound = []
         for state in self.states.values():
-            if gateway.fleet.regions.get(state.entry.zone) != region or state.is_suspect(now_ms):
-                continue
-            expected_ms = state.expect_ms(usual_ms, now_ms) * gateway.rng.uniform(0.95, 1.05)
-            if expected_ms < best_ms:
-                best, best_ms = state, expected_ms
-        return best
+            is_there = gateway.fleet.regions.get(state.entry.zone) == region
+            if is_there and not state.is_suspect(gateway.now_ms):
+                sound.append(state)
+        return gateway.upstreams.find_fastest(sound, route_name, gateway.now_ms, gateway.rng)
 
     def round_trip_ms(self, region: str) -> float:
         """Return the time on the way to a region and back."""
--- a/beechbridge/gateway/replicas/upstreams.py
+++ b/beechbridge/gateway/replicas/upstreams.py
@@ -323,11 +323,19 @@
         :param avoid: identities of the states that were tried
         :param share: exchanges that this VM may have under way at one replica
         """
+        able = []
+        for state in self.by_service.get(service, ()):
+            if state.is_usable and id(state) not in avoid and len(state.busy) < share:
+                able.append(state)
+        return self.find_fastest(able, route_name, now_ms, rng)
+
+    def find_fastest(
+        self, states: list[ReplicaState], route_name: str, now_ms: float, rng
+    ) -> ReplicaState | None:
+        """Return the one that is expected to answer first; equals share the work by chance."""
         best = None
         best_ms = math.inf
-        for state in self.by_service.get(service, ()):
-            if not state.is_usable or id(state) in avoid or len(state.busy) >= share:
-                continue
+        for state in states:
             expected_ms = state.expect_ms(self.usual_ms(route_name, state.distance), now_ms)
             expected_ms *= rng.uniform(0.95, 1.05)
             if expected_ms < best_ms:
