--- a/beechbridge/daemon/front.py
+++ b/beechbridge/daemon/front.py
@@ -22,7 +22,8 @@
 
 from ..failures import Failure, Reason, unknown
 from ..gateway.events import CallerLeft, CallerMalformed
-from ..gateway.models import Answer, CallerLimits
+from ..gateway.models import Answer
+from ..gateway.routes import CallerLimits
 from ..gateway.settings import Address
 from ..record import Record
 from ..wire.http import WireAnswer
--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable
 from functools import singledispatch
 
-import msgspec
 from waitress.server import MultiSocketServer
 
 from ..failures import Failure
@@ -40,16 +39,14 @@
 from ..gateway.node import Gateway
 from ..gateway.settings import Address, GatewaySettings
 from ..platform.callers import read_request, write_answer
-from ..platform.directory import Lookup, read_lookup, write_members
 from ..platform.items import decode_item
-from ..platform.names import DIRECTORY_PATH, READINESS_PATH, REPLICAS_PREFIX, TABLE_KEY
+from ..platform.names import REPLICAS_PREFIX, TABLE_KEY
 from ..platform.replicas import read_reply, write_request
 from ..platform.store import StoreClient
 from ..status import ExitStatus
 from ..wire.fleet import (
     decode_changes,
     decode_heartbeat,
-    encode_changes,
     encode_heartbeat,
     read_order,
     read_parts,
@@ -60,20 +57,14 @@
 from .exchanges import Codec, ExchangeClient
 from .front import Door, FrontApp, close_idle_channels, create_front, list_listeners
 from .log_lines import LineHandler, write_line
-from .metrics import render_gateway
+from .pages import CHANGES_PATH, GatewayPages
 from .store_reader import StoreReader
 
 STORE_TIMEOUT_S = 0.8
 """Time for an answer of the store, which takes milliseconds."""
 
 PULL_TIMEOUT_S = 0.8
-DIRECTORY_TTL_S = 1.0
-"""How long callers keep a directory answer; some keep it three times as long."""
-
 METRICS_PORT = 9464
-CHANGES_PATH = '/v1/changes'
-STATE_PATH = '/v1/state'
-METRICS_PATH = '/metrics'
 PAUSE_MS = 1_000.0
 """Lateness of the loop from which the process counts as having been paused."""
 
@@ -121,6 +112,7 @@
         }
         self.exchanges = ExchangeClient(self.loop, self.handle, codecs)
         self.front = FrontApp(self.post, lambda: self.core.stopping.is_leaving)
+        self.pages = GatewayPages(self.core, self.loop, settings)
         self.server = self.open_server()
         self.listeners = list_listeners(self.server)
         self.store_reader = StoreReader(
@@ -135,12 +127,13 @@
     def open_server(self) -> MultiSocketServer:
         """Listen on the addresses of the settings and of the metrics."""
         settings = self.settings
+        pages = self.pages
         handlers = (
-            (settings.callers, self.serve_unknown),
-            (settings.readiness, self.serve_readiness),
-            (settings.directory, self.serve_directory),
-            (settings.peers, self.serve_peers),
-            (Address(settings.host, METRICS_PORT), self.serve_peers),
+            (settings.callers, pages.serve_unknown),
+            (settings.readiness, pages.serve_readiness),
+            (settings.directory, pages.serve_directory),
+            (settings.peers, pages.serve_peers),
+            (Address(settings.host, METRICS_PORT), pages.serve_peers),
         )
         addresses = []
         for address, handler in handlers:
@@ -185,7 +178,7 @@
             return
         if settings == self.settings:
             return
-        self.settings = settings
+        self.settings = self.pages.settings = settings
         self.handle(SettingsRead(settings))
 
     def watch_settings(self) -> None:
@@ -233,68 +226,6 @@
             self.handle(PauseNoticed(late_ms))
         self.loop.call_later(PAUSE_CHECK_S, self.check_pause)
 
-    def serve_readiness(self, environ: dict, start_response) -> list[bytes]:
-        """Tell the platform whether callers should come here."""
-        is_ready = environ['PATH_INFO'] == READINESS_PATH and self.core.is_ready()
-        status = '200 OK' if is_ready else '503 Service Unavailable'
-        start_response(status, [('Content-Length', '0')])
-        return [b'']
-
-    def serve_directory(self, environ: dict, start_response) -> list[bytes]:
-        """Tell a caller which VMs to use."""
-        if environ['PATH_INFO'] != DIRECTORY_PATH:
-            return self.serve_unknown(environ, start_response)
-        lookup = read_lookup(environ['QUERY_STRING'])
-        members = asyncio.run_coroutine_threadsafe(self.list_members(lookup), self.loop).result()
-        if not members:
-            start_response('503 Service Unavailable', [('Content-Length', '0')])
-            return [b'']
-        ttl_s = min(DIRECTORY_TTL_S, self.settings.longest_ttl_s)
-        body = write_members(members, self.settings.callers.port, ttl_s)
-        start_response('200 OK', [('Content-Type', 'application/json')])
-        return [body]
-
-    def serve_peers(self, environ: dict, start_response) -> list[bytes]:
-        """Serve other VMs and operators."""
-        path = environ['PATH_INFO']
-        if path == CHANGES_PATH:
-            return self.serve_changes(environ, start_response)
-        if path == STATE_PATH:
-            state = asyncio.run_coroutine_threadsafe(self.describe(), self.loop).result()
-            start_response('200 OK', [('Content-Type', 'application/json')])
-            return [msgspec.json.encode(state)]
-        if path == METRICS_PATH:
-            content_type, body = render_gateway(self.core)
-            start_response('200 OK', [('Content-Type', content_type)])
-            return [body]
-        return self.serve_unknown(environ, start_response)
-
-    def serve_unknown(self, environ: dict, start_response) -> list[bytes]:
-        """Refuse a path that is not served."""
-        start_response('404 Not Found', [('Content-Type', 'text/plain')])
-        return [f'{environ["PATH_INFO"]} is not served here\n'.encode()]
-
-    def serve_changes(self, environ: dict, start_response) -> list[bytes]:
-        """Tell another VM what changed in the store after a revision."""
-        text = environ['QUERY_STRING'].removeprefix('after=')
-        revision = int(text) if text.isdecimal() else 0
-        changes = asyncio.run_coroutine_threadsafe(self.list_changes(revision), self.loop)
-        start_response('200 OK', [('Content-Type', 'application/octet-stream')])
-        return [changes.result()]
-
-    async def list_changes(self, revision: int) -> bytes:
-        """Return what changed after a revision; in the loop's thread."""
-        view = self.core.view
-        return encode_changes(view.changes_after(revision), view.revision)
-
-    async def list_members(self, lookup: Lookup) -> list[Member]:
-        """Return the VMs for a caller at a place; in the loop's thread."""
-        return self.core.best_members(lookup.zone, lookup.region, read_clock_ms())
-
-    async def describe(self) -> dict:
-        """Return the core's state; in the loop's thread."""
-        return self.core.describe()
-
     def pull(self, action: PullChanges) -> None:
         """Ask another VM for changes of the store; in a thread of its own."""
         if self.settings.peers is None:
--- /dev/null
+++ b/beechbridge/daemon/pages.py
@@ -0,0 +1,98 @@
+"""What the gateway process answers at once: readiness, the directory, other VMs, operators."""
+
+import asyncio
+
+import msgspec
+
+from ..gateway.models import Member
+from ..gateway.node import Gateway
+from ..gateway.settings import GatewaySettings
+from ..platform.directory import Lookup, read_lookup, write_members
+from ..platform.names import DIRECTORY_PATH, READINESS_PATH
+from ..wire.fleet import encode_changes
+from .clock import read_clock_ms
+from .metrics import render_gateway
+
+DIRECTORY_TTL_S = 1.0
+"""How long callers keep a directory answer; some keep it three times as long."""
+
+CHANGES_PATH = '/v1/changes'
+STATE_PATH = '/v1/state'
+METRICS_PATH = '/metrics'
+
+
+class GatewayPages:
+    """
+    WSGI applications of one process, one for each kind of address.
+
+    :param loop: loop in whose thread the core is read
+    """
+
+    __slots__ = ('core', 'loop', 'settings')
+
+    def __init__(self, core: Gateway, loop: asyncio.AbstractEventLoop, settings: GatewaySettings):
+        self.core = core
+        self.loop = loop
+        self.settings = settings
+
+    def serve_readiness(self, environ: dict, start_response) -> list[bytes]:
+        """Tell the platform whether callers should come here."""
+        is_ready = environ['PATH_INFO'] == READINESS_PATH and self.core.is_ready()
+        status = '200 OK' if is_ready else '503 Service Unavailable'
+        start_response(status, [('Content-Length', '0')])
+        return [b'']
+
+    def serve_directory(self, environ: dict, start_response) -> list[bytes]:
+        """Tell a caller which VMs to use."""
+        if environ['PATH_INFO'] != DIRECTORY_PATH:
+            return self.serve_unknown(environ, start_response)
+        lookup = read_lookup(environ['QUERY_STRING'])
+        members = asyncio.run_coroutine_threadsafe(self.list_members(lookup), self.loop).result()
+        if not members:
+            start_response('503 Service Unavailable', [('Content-Length', '0')])
+            return [b'']
+        ttl_s = min(DIRECTORY_TTL_S, self.settings.longest_ttl_s)
+        body = write_members(members, self.settings.callers.port, ttl_s)
+        start_response('200 OK', [('Content-Type', 'application/json')])
+        return [body]
+
+    def serve_peers(self, environ: dict, start_response) -> list[bytes]:
+        """Serve other VMs and operators."""
+        path = environ['PATH_INFO']
+        if path == CHANGES_PATH:
+            return self.serve_changes(environ, start_response)
+        if path == STATE_PATH:
+            state = asyncio.run_coroutine_threadsafe(self.describe(), self.loop).result()
+            start_response('200 OK', [('Content-Type', 'application/json')])
+            return [msgspec.json.encode(state)]
+        if path == METRICS_PATH:
+            content_type, body = render_gateway(self.core)
+            start_response('200 OK', [('Content-Type', content_type)])
+            return [body]
+        return self.serve_unknown(environ, start_response)
+
+    def serve_unknown(self, environ: dict, start_response) -> list[bytes]:
+        """Refuse a path that is not served."""
+        start_response('404 Not Found', [('Content-Type', 'text/plain')])
+        return [f'{environ["PATH_INFO"]} is not served here\n'.encode()]
+
+    def serve_changes(self, environ: dict, start_response) -> list[bytes]:
+        """Tell another VM what changed in the store after a revision."""
+        text = environ['QUERY_STRING'].removeprefix('after=')
+        revision = int(text) if text.isdecimal() else 0
+        changes = asyncio.run_coroutine_threadsafe(self.list_changes(revision), self.loop)
+        start_response('200 OK', [('Content-Type', 'application/octet-stream')])
+        return [changes.result()]
+
+    async def list_changes(self, revision: int) -> bytes:
+        """Return what changed after a revision; in the loop's thread."""
+        view = self.core.view
+        return encode_changes(view.changes_after(revision), view.revision)
+
+    async def list_members(self, lookup: Lookup) -> list[Member]:
+        """Return the VMs for a caller at a place; in the loop's thread."""
+        return self.core.best_members(lookup.zone, lookup.region, read_clock_ms())
+
+    async def describe(self) -> dict:
+        """Return the core's state; in the loop's thread."""
+        return self.core.describe()
--- a/beechbridge/gateway/actions.py
+++ b/beechbridge/gateway/actions.py
@@ -1,7 +1,8 @@
 """What the gateway asks its driver to do."""
 
 from ..record import Record
-from .models import Answer, CallerLimits, CallerRequest, Member, PartsOrder
+from .models import Answer, CallerRequest, Member, PartsOrder
+from .routes import CallerLimits
 
 
 class SendRequest(Record):
--- a/beechbridge/gateway/fleet/placement.py
+++ b/beechbridge/gateway/fleet/placement.py
@@ -1,8 +1,9 @@
 """Which VMs callers at a place should use: near to them and to what they fan out to."""
 
 from ...record import Record
-from ..models import Member, RoutingTable
+from ..models import Member
 from ..replicas.upstreams import Upstreams
+from ..routes import RoutingTable
 from .members import REMEMBERED_MS, Fleet
 
 NEAR_COST = 0.0
--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -31,7 +31,7 @@
 from .fleet.placement import Activity, Placement
 from .fleet.stopping import CloseTimer, EndTimer, Stopping, fire_close, fire_end, handle_stop
 from .latencies import Histogram, Patience
-from .models import Member, ReplicaEntry, RoutingTable
+from .models import Member, ReplicaEntry
 from .replicas.knowledge import (
     StoreContact,
     VanishTimer,
@@ -62,6 +62,7 @@
 from .requests.sending import keep_to_shares
 from .requests.splits import Splits
 from .requests.works import CheckTimer, DeadlineTimer, RetryTimer, Work
+from .routes import RoutingTable
 
 SWEEP_MS = 250.0
 MOST_ADDRESSES = 64
--- a/beechbridge/gateway/replicas/knowledge.py
+++ b/beechbridge/gateway/replicas/knowledge.py
@@ -5,7 +5,8 @@
 from ..actions import DropConnection, LimitCallers, WriteLine
 from ..events import ChangesRead, StoreFailed
 from ..fleet.gossip import note_caught_up, share_news
-from ..models import Item, ReplicaEntry, RoutingTable
+from ..models import Item, ReplicaEntry
+from ..routes import RoutingTable
 from ..surface import GatewaySurface
 from .upstreams import ReplicaState
 
--- a/beechbridge/gateway/requests/admission.py
+++ b/beechbridge/gateway/requests/admission.py
@@ -10,7 +10,7 @@
 from ...failures import Failure, Reason, not_run
 from ..actions import AnswerRequest, WriteLine
 from ..events import CallerAsked, CallerMalformed, PartsAsked
-from ..models import Route
+from ..routes import Route
 from ..surface import GatewaySurface
 from .answers import refuse_request
 from .orders import order_far_parts
--- a/beechbridge/gateway/requests/splits.py
+++ b/beechbridge/gateway/requests/splits.py
@@ -1,6 +1,6 @@
 """Choice of a service for routes that are split by weight."""
 
-from ..models import Route
+from ..routes import Route
 
 
 class Splits:
--- a/beechbridge/gateway/requests/works.py
+++ b/beechbridge/gateway/requests/works.py
@@ -3,8 +3,9 @@
 import math
 
 from ...record import Record
-from ..models import CallerRequest, LinkFault, Reply, Route
+from ..models import CallerRequest, LinkFault, Reply
 from ..replicas.upstreams import Exchange, ReplicaState
+from ..routes import Route
 
 
 class Work:
--- /dev/null
+++ b/beechbridge/gateway/routes.py
@@ -0,0 +1,117 @@
+"""The routing table: which services may run a request, and within which bounds."""
+
+from ..record import Record
+
+
+class Route(Record):
+    """
+    What requests under one prefix of a host may do.
+
+    :param services: services that may run a request; the shards, where it is a gather
+    :param weights: shares of the requests, one for each service; unused for a gather
+    :param attempts: replicas of one service that may run one request at most
+    :param timeout_ms: longest time a caller is kept waiting
+    :param goal_ms: time within which an answer has its full value
+    :param priority: rank, 0 is the most urgent
+    :param top_records: records in the answer of a gather
+    :param least_share: share of the shards without which a gather has failed
+    """
+
+    __slots__ = (
+        'attempts',
+        'goal_ms',
+        'host',
+        'is_gather',
+        'is_idempotent',
+        'least_share',
+        'name',
+        'prefix',
+        'priority',
+        'services',
+        'timeout_ms',
+        'top_records',
+        'weights',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        prefix: str,
+        services: tuple[str, ...],
+        weights: tuple[float, ...] = (1.0,),
+        is_gather: bool = False,
+        is_idempotent: bool = True,
+        attempts: int = 1,
+        timeout_ms: float = 1000.0,
+        goal_ms: float = 1000.0,
+        priority: int = 0,
+        top_records: int = 0,
+        least_share: float = 1.0,
+    ):
+        self.name = name
+        self.host = host
+        self.prefix = prefix
+        self.services = services
+        self.weights = weights
+        self.is_gather = is_gather
+        self.is_idempotent = is_idempotent
+        self.attempts = attempts
+        self.timeout_ms = timeout_ms
+        self.goal_ms = goal_ms
+        self.priority = priority
+        self.top_records = top_records
+        self.least_share = least_share
+
+
+class ServiceRules(Record):
+    """
+    What holds for all replicas of a service.
+
+    :param connection_limit: connections that one replica takes from all callers together
+    """
+
+    __slots__ = ('connection_limit', 'name')
+
+    def __init__(self, name: str, connection_limit: int):
+        self.name = name
+        self.connection_limit = connection_limit
+
+
+class CallerLimits(Record):
+    """Bounds on what a caller may send, in bytes, and how long it may take or idle."""
+
+    __slots__ = ('body_bytes', 'header_bytes', 'header_ms', 'idle_ms')
+
+    def __init__(self, header_bytes: int, body_bytes: int, header_ms: float, idle_ms: float):
+        self.header_bytes = header_bytes
+        self.body_bytes = body_bytes
+        self.header_ms = header_ms
+        self.idle_ms = idle_ms
+
+
+class RoutingTable(Record):
+    """One version of the configuration: routes by host, the longest prefix first."""
+
+    __slots__ = ('limits', 'routes_by_host', 'services', 'version')
+
+    def __init__(
+        self,
+        version: int,
+        routes: list[Route],
+        services: dict[str, ServiceRules],
+        limits: CallerLimits,
+    ):
+        self.version = version
+        self.services = services
+        self.limits = limits
+        self.routes_by_host: dict[str, list[Route]] = {}
+        for route in sorted(routes, key=lambda route: -len(route.prefix)):
+            self.routes_by_host.setdefault(route.host, []).append(route)
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins the path."""
+        for route in self.routes_by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
--- a/beechbridge/gateway/surface.py
+++ b/beechbridge/gateway/surface.py
@@ -15,13 +15,14 @@
     from .fleet.placement import Activity
     from .fleet.stopping import Stopping
     from .latencies import Histogram, Patience
-    from .models import ReplicaEntry, RoutingTable
+    from .models import ReplicaEntry
     from .replicas.knowledge import StoreContact
     from .replicas.store_view import StoreView
     from .replicas.upstreams import ReplicaState, Upstreams
     from .requests.budgets import BudgetShare, RepeatBudget
     from .requests.splits import Splits
     from .requests.works import Work
+    from .routes import RoutingTable
 
 
 class GatewaySurface(Protocol):
--- a/beechbridge/platform/items.py
+++ b/beechbridge/platform/items.py
@@ -3,7 +3,8 @@
 import msgspec
 
 from ..failures import Failure, InputFailure
-from ..gateway.models import CallerLimits, ReplicaEntry, Route, RoutingTable, ServiceRules
+from ..gateway.models import ReplicaEntry
+from ..gateway.routes import CallerLimits, Route, RoutingTable, ServiceRules
 from .names import REPLICAS_PREFIX, TABLE_KEY
 
 READY = 'ready'
--- a/measure/emulator.py
+++ b/measure/emulator.py
@@ -20,7 +20,6 @@
     TimePassed,
 )
 from beechbridge.gateway.models import (
-    CallerLimits,
     CallerRequest,
     Item,
     LinkFailure,
@@ -30,12 +29,10 @@
     PartsReply,
     ReplicaEntry,
     Reply,
-    Route,
-    RoutingTable,
-    ServiceRules,
 )
 from beechbridge.gateway.node import Gateway
 from beechbridge.gateway.requests.budgets import BudgetRules
+from beechbridge.gateway.routes import CallerLimits, Route, RoutingTable, ServiceRules
 
 from .emulated_actions import REGION_DELAY_MS, perform
 from .stand_ins import EmulatedVm, Job, PlacedOrder, ReplicaSpec, StandIn, region_of
--- a/measure/experiment.py
+++ b/measure/experiment.py
@@ -13,8 +13,9 @@
 
 from beechbridge.failures import Failure
 from beechbridge.fields import decode_toml
-from beechbridge.gateway.models import MergedAnswer, Route
+from beechbridge.gateway.models import MergedAnswer
 from beechbridge.gateway.requests.budgets import BudgetRules
+from beechbridge.gateway.routes import Route
 from beechbridge.status import ExitStatus
 
 from .emulator import HOST, Emulator
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -7,8 +7,9 @@
     RequestSent,
     TimePassed,
 )
-from beechbridge.gateway.models import CallerRequest, LinkFailure, LinkFault, Route
+from beechbridge.gateway.models import CallerRequest, LinkFailure, LinkFault
 from beechbridge.gateway.requests.budgets import BudgetRules
+from beechbridge.gateway.routes import Route
 from measure.emulator import HOST, Emulator
 from measure.stand_ins import ReplicaSpec
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -17,7 +17,8 @@
 )
 from beechbridge.failures import Reason, not_run
 from beechbridge.gateway.events import CallerAsked, CallerLeft, CallerMalformed
-from beechbridge.gateway.models import CallerLimits, MergedAnswer
+from beechbridge.gateway.models import MergedAnswer
+from beechbridge.gateway.routes import CallerLimits
 from beechbridge.gateway.settings import Address
 from beechbridge.platform.callers import read_request, write_answer
 
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -8,9 +8,10 @@
 from beechbridge.failures import InputFailure
 from beechbridge.gateway.actions import LimitCallers
 from beechbridge.gateway.events import ChangesRead, HeartbeatArrived, StoreFailed, TimePassed
-from beechbridge.gateway.models import CallerLimits, Item, Member, ReplicaEntry, RoutingTable
+from beechbridge.gateway.models import Item, Member, ReplicaEntry
 from beechbridge.gateway.node import Gateway
 from beechbridge.gateway.requests.budgets import BudgetRules
+from beechbridge.gateway.routes import CallerLimits, RoutingTable
 
 LIMITS = CallerLimits(16_384, 262_144, 3_000.0, 15_000.0)
 NARROW_LIMITS = CallerLimits(8_192, 65_536, 1_000.0, 15_000.0)
--- a/tests/test_single.py
+++ b/tests/test_single.py
@@ -8,14 +8,9 @@
 from beechbridge.gateway.events import (
     CallerLeft,
 )
-from beechbridge.gateway.models import (
-    LinkFailure,
-    LinkFault,
-    PassedAnswer,
-    Reply,
-    Route,
-)
+from beechbridge.gateway.models import LinkFailure, LinkFault, PassedAnswer, Reply
 from beechbridge.gateway.requests.budgets import BudgetRules
+from beechbridge.gateway.routes import Route
 from measure.emulator import HOST
 from measure.stand_ins import ReplicaSpec
 
