List a store anew that was restored from an older copy

Cause: after a restoration the store gives out revisions again, so that a follower waited for changes after a revision that meant something else, and took older entries and tables of the copy for news. Change: each answer's epoch is read; a new one causes a listing, orders the views of all VMs ahead of the revision, and travels in heartbeats and pulls.

--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -239,7 +239,7 @@
             action.host, self.settings.peers.port, timeout=PULL_TIMEOUT_S
         )
         try:
-            client.request('GET', f'{CHANGES_PATH}?after={action.revision}')
+            client.request('GET', f'{CHANGES_PATH}?after={action.revision}&epoch={action.epoch}')
             body = client.getresponse().read()
         except (OSError, http.client.HTTPException) as error:
             write_line('pull_failed', {'peer': action.host, 'cause': type(error).__name__})
@@ -333,7 +333,7 @@
 @perform.register
 def perform_follow_store(action: FollowStore, process: GatewayProcess) -> None:
     """Start or stop following the store."""
-    process.store_reader.follow(action.should_follow, action.revision)
+    process.store_reader.follow(action.should_follow, action.revision, action.epoch)
 
 
 @perform.register
--- a/beechbridge/daemon/pages.py
+++ b/beechbridge/daemon/pages.py
@@ -1,6 +1,7 @@
 """WSGI applications for readiness checks, the directory, peers and operators."""
 
 import asyncio
+from urllib.parse import parse_qsl
 
 import msgspec
 
@@ -78,16 +79,15 @@
 
     def serve_changes(self, environ: dict, start_response) -> list[bytes]:
         """Answer a peer with the changes of the store after a revision."""
-        text = environ['QUERY_STRING'].removeprefix('after=')
-        revision = int(text) if text.isdecimal() else 0
-        changes = asyncio.run_coroutine_threadsafe(self.list_changes(revision), self.loop)
+        query = dict(parse_qsl(environ['QUERY_STRING']))
+        after, epoch = (read_count(query.get(name, '')) for name in ('after', 'epoch'))
+        changes = asyncio.run_coroutine_threadsafe(self.list_changes(after, epoch), self.loop)
         start_response('200 OK', [('Content-Type', 'application/octet-stream')])
         return [changes.result()]
 
-    async def list_changes(self, revision: int) -> bytes:
+    async def list_changes(self, revision: int, epoch: int) -> bytes:
         """Return the encoded changes after a revision; runs in the loop's thread."""
-        view = self.core.view
-        return encode_changes(view.changes_after(revision), view.revision)
+        return encode_changes(self.core.view.forward_changes(revision, epoch))
 
     async def list_members(self, lookup: Lookup) -> list[Member]:
         """Return the VMs for a caller's zone and region; runs in the loop's thread."""
@@ -96,3 +96,8 @@
     async def describe(self) -> dict:
         """Return the state of the core; runs in the loop's thread."""
         return self.core.describe()
+
+
+def read_count(text: str) -> int:
+    """Return a non-negative number from a query string, 0 if it is none."""
+    return int(text) if text.isdecimal() else 0
--- a/beechbridge/daemon/store_reader.py
+++ b/beechbridge/daemon/store_reader.py
@@ -31,6 +31,7 @@
     __slots__ = (
         'backoff_s',
         'client',
+        'epoch',
         'following',
         'post',
         'prefixes',
@@ -51,6 +52,7 @@
         self.watched_prefix = watched_prefix
         self.post = post
         self.revision: int | None = None
+        self.epoch = 0
         self.backoff_s = INITIAL_BACKOFF_S
         self.stopped = threading.Event()
         self.following = threading.Event()
@@ -59,15 +61,17 @@
         """Start the thread."""
         threading.Thread(target=self.run, name=f'store-{self.watched_prefix}', daemon=True).start()
 
-    def follow(self, should_follow: bool, revision: int | None) -> None:
+    def follow(self, should_follow: bool, revision: int | None, epoch: int = 0) -> None:
         """
         Start or stop following the store; thread-safe.
 
         :param revision: revision up to which all changes are known, None to start with a listing
+        :param epoch: epoch of the store that the revision belongs to
         """
         if not should_follow:
             self.following.clear()
             return
+        self.epoch = epoch
         self.revision = revision
         self.following.set()
 
@@ -84,18 +88,22 @@
             self.backoff_s = min(MAX_BACKOFF_S, 2 * self.backoff_s)
 
     def list_all(self) -> PlatformFailure | None:
-        """List all prefixes and post their items."""
+        """List all prefixes and post their items; start over if the epoch changes meanwhile."""
         items: list[Item] = []
-        revision = None
+        revision = epoch = None
         for prefix in self.prefixes:
             listing = self.client.list(prefix)
             if isinstance(listing, PlatformFailure):
                 return listing
+            if isinstance(listing, HistoryLost) or epoch not in (None, listing.epoch):
+                return None
+            epoch = listing.epoch
             items.extend(listing.items)
             # Changes are known to be complete only up to the oldest listing.
             revision = listing.revision if revision is None else min(revision, listing.revision)
+        self.epoch = epoch
         self.revision = revision
-        self.post(ChangesReceived(items, revision, listed_prefixes=self.prefixes))
+        self.post(ChangesReceived(items, revision, self.prefixes, epoch=epoch))
         return None
 
     def watch_once(self) -> PlatformFailure | None:
@@ -104,14 +112,16 @@
         listing = self.client.watch(self.watched_prefix, revision, WATCH_TIMEOUT_MS)
         if isinstance(listing, PlatformFailure):
             return listing
-        if isinstance(listing, HistoryLost):
+        if isinstance(listing, HistoryLost) or listing.epoch != self.epoch:
+            # After a restoration the store counts its revisions anew, so that it may have this one
+            # again with other changes behind it.
             self.revision = None
             return None
         new_revision = max(revision, listing.revision)
         if self.revision == revision:
             # Otherwise `follow` has set another revision in the meantime.
             self.revision = new_revision
-        self.post(ChangesReceived(listing.items, new_revision))
+        self.post(ChangesReceived(listing.items, new_revision, epoch=listing.epoch))
         if listing.items:
             self.stopped.wait(BATCH_DELAY_S)
         return None
--- a/beechbridge/gateway/actions.py
+++ b/beechbridge/gateway/actions.py
@@ -127,7 +127,7 @@
     :param wants_members: whether to ask the receivers for their full member lists
     """
 
-    __slots__ = ('hosts', 'members', 'revision', 'table_version', 'wants_members')
+    __slots__ = ('epoch', 'hosts', 'members', 'revision', 'table_version', 'wants_members')
 
     def __init__(
         self,
@@ -136,12 +136,14 @@
         table_version: int,
         revision: int,
         wants_members: bool = False,
+        epoch: int = 0,
     ):
         self.hosts = hosts
         self.members = members
         self.table_version = table_version
         self.revision = revision
         self.wants_members = wants_members
+        self.epoch = epoch
 
 
 class FollowStore(Record):
@@ -149,23 +151,26 @@
     Start following the store, or stop and leave that to other VMs.
 
     :param revision: revision up to which all changes are known, None if none are
+    :param epoch: epoch of the store that the revision belongs to
     """
 
-    __slots__ = ('revision', 'should_follow')
+    __slots__ = ('epoch', 'revision', 'should_follow')
 
-    def __init__(self, should_follow: bool, revision: int | None):
+    def __init__(self, should_follow: bool, revision: int | None, epoch: int = 0):
         self.should_follow = should_follow
         self.revision = revision
+        self.epoch = epoch
 
 
 class PullChanges(Record):
-    """Pull the store changes after a revision from another VM."""
+    """Pull the store changes after a revision of an epoch from another VM."""
 
-    __slots__ = ('host', 'revision')
+    __slots__ = ('epoch', 'host', 'revision')
 
-    def __init__(self, host: str, revision: int):
+    def __init__(self, host: str, revision: int, epoch: int = 0):
         self.host = host
         self.revision = revision
+        self.epoch = epoch
 
 
 class ExitProcess(Record):
--- a/beechbridge/gateway/events.py
+++ b/beechbridge/gateway/events.py
@@ -90,9 +90,10 @@
 
     :param listed_prefixes: prefixes that are listed in full, empty for an incremental update
     :param is_from_store: False if another VM forwarded them
+    :param epoch: epoch of the store that the revision belongs to
     """
 
-    __slots__ = ('changes', 'is_from_store', 'listed_prefixes', 'revision')
+    __slots__ = ('changes', 'epoch', 'is_from_store', 'listed_prefixes', 'revision')
 
     def __init__(
         self,
@@ -100,11 +101,13 @@
         revision: int,
         listed_prefixes: tuple[str, ...] = (),
         is_from_store: bool = True,
+        epoch: int = 0,
     ):
         self.changes = changes
         self.revision = revision
         self.listed_prefixes = listed_prefixes
         self.is_from_store = is_from_store
+        self.epoch = epoch
 
 
 class StoreFailed(Record):
@@ -123,7 +126,7 @@
     :param wants_members: whether the sender asks for the full member list of this VM
     """
 
-    __slots__ = ('members', 'revision', 'table_version', 'wants_members')
+    __slots__ = ('epoch', 'members', 'revision', 'table_version', 'wants_members')
 
     def __init__(
         self,
@@ -131,11 +134,13 @@
         table_version: int,
         revision: int,
         wants_members: bool = False,
+        epoch: int = 0,
     ):
         self.members = members
         self.table_version = table_version
         self.revision = revision
         self.wants_members = wants_members
+        self.epoch = epoch
 
 
 class SettingsReloaded(Record):
--- a/beechbridge/gateway/fleet/gossip.py
+++ b/beechbridge/gateway/fleet/gossip.py
@@ -104,7 +104,8 @@
     gossip = gateway.gossip
     now_ms = gateway.now_ms
     version = gateway.table.version if gateway.table else 0
-    if event.revision <= gateway.view.revision and event.table_version <= version:
+    is_newer = (event.epoch, event.revision) > gateway.view.position
+    if not is_newer and event.table_version <= version:
         if sender.reaches_store:
             gateway.last_update_ms = now_ms
         return
@@ -117,7 +118,7 @@
         return
     if now_ms - gossip.last_pull_ms >= PULL_INTERVAL_MS:
         gossip.last_pull_ms = now_ms
-        gateway.act(PullChanges(sender.host, gateway.view.revision))
+        gateway.act(PullChanges(sender.host, gateway.view.revision, gateway.view.epoch))
 
 
 def mark_caught_up(gateway: GatewayInterface) -> None:
@@ -187,7 +188,7 @@
     """Start or stop following the store."""
     gateway.gossip.is_following = should_follow
     revision = gateway.view.revision if gateway.table else None
-    gateway.act(FollowStore(should_follow, revision))
+    gateway.act(FollowStore(should_follow, revision, gateway.view.epoch))
     gateway.act(WriteLine('store_follower', {'is_following': should_follow, 'revision': revision}))
     if not should_follow:
         gateway.store.reset()
@@ -211,7 +212,8 @@
     if not hosts:
         return
     version = gateway.table.version if gateway.table else 0
-    gateway.act(SendHeartbeat(hosts, members, version, gateway.view.revision, wants_members))
+    view = gateway.view
+    gateway.act(SendHeartbeat(hosts, members, version, view.revision, wants_members, view.epoch))
 
 
 def send_heartbeat(gateway: GatewayInterface) -> None:
--- a/beechbridge/gateway/interface.py
+++ b/beechbridge/gateway/interface.py
@@ -16,6 +16,7 @@
     from .fleet.stopping import Stopping
     from .latencies import CallerTimeouts, Histogram
     from .models import ReplicaEntry
+    from .replicas.restoration import RemovedReplicas
     from .replicas.store_updates import StoreStatus
     from .replicas.store_view import StoreView
     from .replicas.upstreams import ReplicaState, Upstreams
@@ -42,6 +43,7 @@
     store: 'StoreStatus'
     upstreams: 'Upstreams'
     replica_by_key: 'dict[str, ReplicaState]'
+    removed_replicas: 'RemovedReplicas'
     decode_item: 'Callable[[str, bytes], RoutingTable | ReplicaEntry | Failure | None]'
     fleet: 'Fleet'
     gossip: 'Gossip'
--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -39,10 +39,12 @@
 )
 from .latencies import CallerTimeouts, Histogram
 from .models import Member, ReplicaEntry
+from .replicas.restoration import ConfirmationTimer, RemovedReplicas
 from .replicas.store_updates import (
     RemovalTimer,
     StoreStatus,
     drop_replica,
+    fire_confirmation,
     fire_removal,
     handle_changes_received,
     handle_store_failed,
@@ -115,6 +117,7 @@
         'latencies',
         'now_ms',
         'placement',
+        'removed_replicas',
         'replica_by_key',
         'request_latencies',
         'rng',
@@ -162,6 +165,7 @@
         self.store = StoreStatus()
         self.upstreams = Upstreams()
         self.replica_by_key: dict[str, ReplicaState] = {}
+        self.removed_replicas = RemovedReplicas()
         self.budgets: dict[str, RetryBudget] = {}
         self.splits = Splits(rng)
         self.waiting: dict[str, list] = {}
@@ -273,6 +277,7 @@
             'vm': self.fleet.own.name,
             'ready': self.is_ready(),
             'table': self.table.version if self.table else None,
+            'epoch': self.view.epoch,
             'revision': self.view.revision,
             'store_reached': self.store.is_reached,
             'active_requests': len(self.works),
@@ -356,6 +361,7 @@
     DeadlineTimer: fire_deadline,
     RetryTimer: fire_retry,
     RemovalTimer: fire_removal,
+    ConfirmationTimer: fire_confirmation,
     CloseTimer: fire_close,
     ExitTimer: fire_exit,
 }
--- a/beechbridge/gateway/replicas/store_updates.py
+++ b/beechbridge/gateway/replicas/store_updates.py
@@ -8,6 +8,7 @@
 from ..interface import GatewayInterface
 from ..models import Item, ReplicaEntry
 from ..routes import RoutingTable
+from .restoration import ConfirmationTimer, start_epoch
 from .upstreams import ReplicaState
 
 STORE_UNSTABLE_MS = 3_000.0
@@ -63,14 +64,19 @@
 
 def handle_changes_received(event: ChangesReceived, gateway: GatewayInterface) -> None:
     """Apply store changes and act on those that are new to this VM."""
+    if event.epoch < gateway.view.epoch:
+        fields = {'epoch': event.epoch, 'current': gateway.view.epoch}
+        gateway.act(WriteLine('changes_outdated', fields))
+        return
     store = gateway.store
     now_ms = gateway.now_ms
     gateway.last_update_ms = now_ms
     if event.is_from_store and gateway.gossip.is_following and not store.is_reached:
         store.is_reached = True
         gateway.act(WriteLine('store_reached', {'revision': event.revision}))
-    changes = list(event.changes)
-    keys = {change.key for change in changes}
+    is_new_epoch = event.epoch > gateway.view.epoch
+    changes = list(start_epoch(event, gateway) if is_new_epoch else event.changes)
+    keys = {change.key for change in event.changes}
     for prefix in event.listed_prefixes:
         changes.extend(gateway.view.find_missing(prefix, keys, event.revision))
     applied = gateway.view.apply_changes(changes, event.revision)
@@ -178,9 +184,18 @@
     drop_replica(timer.key, state, 'entry did not come back', gateway)
 
 
+def fire_confirmation(timer: ConfirmationTimer, gateway: GatewayInterface) -> None:
+    """Use a restored entry of a removed replica that has neither expired nor changed since."""
+    if timer.epoch != gateway.view.epoch:
+        return
+    for item in gateway.view.apply_changes([timer.item], gateway.view.revision):
+        apply_item(item, gateway)
+
+
 def drop_replica(key: str, state: ReplicaState, cause: str, gateway: GatewayInterface) -> None:
     """Remove a replica and close its idle connections; exchanges in flight continue."""
     gateway.replica_by_key.pop(key, None)
+    gateway.removed_replicas.add(key, state.entry)
     for connection_id in gateway.upstreams.remove(state):
         gateway.act(DropConnection(connection_id))
     log_replica(state.entry, cause, gateway)
--- a/beechbridge/gateway/replicas/store_view.py
+++ b/beechbridge/gateway/replicas/store_view.py
@@ -1,25 +1,45 @@
 """Local copy of the platform's store, updated from the store itself or from other VMs."""
 
+from ..events import ChangesReceived
 from ..models import Item
 
 MAX_TOMBSTONES = 4_000
 """Deletions kept so that an older copy from another VM cannot restore a deleted item."""
 
 
+ALL_PREFIXES = ('',)
+"""Listed prefixes of a copy of all items."""
+
+
 class StoreView:
     """
     Items by key, each at its latest revision.
 
     :param revision: revision up to which all changes have been applied
+    :param epoch: epoch of the store that the revisions belong to
     """
 
-    __slots__ = ('items', 'revision', 'tombstones')
+    __slots__ = ('epoch', 'items', 'revision', 'tombstones')
 
     def __init__(self):
+        self.epoch = 0
         self.items: dict[str, Item] = {}
         self.tombstones: dict[str, int] = {}
         self.revision = 0
 
+    @property
+    def position(self) -> tuple[int, int]:
+        """Return epoch and revision, which order the views of all VMs."""
+        return self.epoch, self.revision
+
+    def start_epoch(self, epoch: int) -> None:
+        """Keep the items, but let any revision of the new epoch replace them."""
+        self.epoch = epoch
+        self.revision = 0
+        self.tombstones.clear()
+        for key, item in self.items.items():
+            self.items[key] = Item(key, item.value, 0)
+
     def apply_changes(self, changes: list[Item], revision: int) -> list[Item]:
         """Apply changes; return those that were new."""
         applied = []
@@ -55,3 +75,13 @@
             if deleted_revision > revision:
                 changes.append(Item(key, None, deleted_revision))
         return changes
+
+    def forward_changes(self, revision: int, epoch: int) -> ChangesReceived:
+        """Return what another VM lacks that has applied all changes up to a position."""
+        if epoch == self.epoch:
+            changes = self.changes_after(revision)
+            return ChangesReceived(changes, self.revision, is_from_store=False, epoch=epoch)
+        items = list(self.items.values())
+        return ChangesReceived(
+            items, self.revision, ALL_PREFIXES, is_from_store=False, epoch=self.epoch
+        )
--- a/beechbridge/platform/names.py
+++ b/beechbridge/platform/names.py
@@ -10,6 +10,9 @@
 PART_SIGNATURES = 'Beechbridge-Part-Stamps'
 MISSING_PARTS = 'Beechbridge-Missing-Parts'
 
+STORE_EPOCH = 'Store-Era'
+"""In every answer of the store: rises by one when the store was restored from an older copy."""
+
 READINESS_PATH = '/readyz'
 DIRECTORY_PATH = '/lookup'
 
--- a/beechbridge/platform/store.py
+++ b/beechbridge/platform/store.py
@@ -11,6 +11,7 @@
 from ..gateway.models import Item
 from ..gateway.settings import Address
 from ..record import Record
+from .names import STORE_EPOCH
 
 HISTORY_LOST_STATUS = 410
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
@@ -45,27 +46,35 @@
     current_rev: int = msgspec.field(name='currentRev', default=0)
 
 
-class KeyBody(msgspec.Struct):
-    """Wire format of one item and the revision of the store."""
+class StoreAnswer(Record):
+    """
+    One response of the store.
 
-    key: str
-    rev: int
-    value: str = ''
-    current_rev: int = msgspec.field(name='currentRev', default=0)
+    :param epoch: number of restorations of the store from an older copy; revisions of different
+        epochs cannot be compared
+    """
+
+    __slots__ = ('body', 'epoch', 'status')
+
+    def __init__(self, status: int, body: bytes, epoch: int):
+        self.status = status
+        self.body = body
+        self.epoch = epoch
 
 
 class Listing(Record):
-    """Items as of a revision, or the changes up to it."""
+    """Items as of a revision, or the changes up to it, in one epoch of the store."""
 
-    __slots__ = ('items', 'revision')
+    __slots__ = ('epoch', 'items', 'revision')
 
-    def __init__(self, items: list[Item], revision: int):
+    def __init__(self, items: list[Item], revision: int, epoch: int = 0):
         self.items = items
         self.revision = revision
+        self.epoch = epoch
 
 
 class HistoryLost(Record):
-    """The store no longer has the requested changes: the items must be listed again."""
+    """The store no longer has the requested changes or pages: the items must be listed again."""
 
     __slots__ = ()
 
@@ -84,37 +93,30 @@
         self.timeout_s = timeout_s
         self.connection: http.client.HTTPConnection | None = None
 
-    def get(self, key: str) -> Listing | PlatformFailure:
-        """Read one item; return an empty listing if it does not exist."""
-        answer = self.call('/kv-key', {'key': key}, 0.0)
-        if isinstance(answer, PlatformFailure):
-            return answer
-        status, body = answer
-        if status == http.client.NOT_FOUND:
-            return Listing([], 0)
-        found = decode_body(status, body, KeyBody)
-        if isinstance(found, PlatformFailure):
-            return found
-        item = to_item(ItemBody(found.key, found.rev, found.value))
-        return Listing([item], found.current_rev)
+    def list(self, prefix: str) -> Listing | HistoryLost | PlatformFailure:
+        """
+        Read all items under a prefix; the revision is that of the first page.
 
-    def list(self, prefix: str) -> Listing | PlatformFailure:
-        """Read all items under a prefix; the revision is that of the first page."""
+        Pages of two epochs do not belong together.
+        """
         items: list[Item] = []
-        revision = None
+        revision = epoch = None
         parameters = {'prefix': prefix}
         while True:
             answer = self.call('/kv-range', parameters, 0.0)
             if isinstance(answer, PlatformFailure):
                 return answer
-            page = decode_body(*answer, RangeBody)
+            page = decode_body(answer, RangeBody)
             if isinstance(page, PlatformFailure):
                 return page
+            if epoch is not None and answer.epoch != epoch:
+                return HistoryLost()
+            epoch = answer.epoch
             items.extend(to_item(item) for item in page.items)
             if revision is None:
                 revision = page.current_rev
             if not page.has_more or not page.items:
-                return Listing(items, revision)
+                return Listing(items, revision, epoch)
             parameters['after'] = page.items[-1].key
 
     def watch(
@@ -125,16 +127,15 @@
         answer = self.call('/kv-watch', parameters, wait_ms / 1000.0)
         if isinstance(answer, PlatformFailure):
             return answer
-        if answer[0] == HISTORY_LOST_STATUS:
+        if answer.status == HISTORY_LOST_STATUS:
             return HistoryLost()
-        found = decode_body(*answer, WatchBody)
+        found = decode_body(answer, WatchBody)
         if isinstance(found, PlatformFailure):
             return found
-        return Listing([to_item(event) for event in found.events], found.current_rev)
+        events = [to_item(event) for event in found.events]
+        return Listing(events, found.current_rev, answer.epoch)
 
-    def call(
-        self, path: str, parameters: dict, wait_s: float
-    ) -> tuple[int, bytes] | PlatformFailure:
+    def call(self, path: str, parameters: dict, wait_s: float) -> StoreAnswer | PlatformFailure:
         """Send one request; a connection that failed is closed and not reused."""
         if self.connection is None:
             self.connection = http.client.HTTPConnection(
@@ -153,7 +154,8 @@
             return PlatformFailure(Reason.PLATFORM_UNAVAILABLE, detail=type(error).__name__)
         if response.will_close:
             self.close()
-        return response.status, body
+        epoch = read_epoch(response.getheader(STORE_EPOCH))
+        return StoreAnswer(response.status, body, epoch)
 
     def close(self) -> None:
         """Close the connection; the next request opens a new one."""
@@ -162,13 +164,18 @@
             self.connection = None
 
 
-def decode_body(status: int, body: bytes, body_type: type) -> object | PlatformFailure:
+def read_epoch(text: str | None) -> int:
+    """Return the epoch in a response header, 0 if the store sends none."""
+    return int(text) if text is not None and text.isdecimal() else 0
+
+
+def decode_body(answer: StoreAnswer, body_type: type) -> object | PlatformFailure:
     """Decode the body of a successful response."""
-    if status != http.client.OK:
+    if answer.status != http.client.OK:
         # The detail is a metric label.
-        return PlatformFailure(Reason.PLATFORM_UNAVAILABLE, detail=f'status {status}')
+        return PlatformFailure(Reason.PLATFORM_UNAVAILABLE, detail=f'status {answer.status}')
     try:
-        return msgspec.json.decode(body, type=body_type)
+        return msgspec.json.decode(answer.body, type=body_type)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         return PlatformFailure(Reason.INVALID_DOCUMENT, detail=str(error))
 
--- a/beechbridge/wire/fleet.py
+++ b/beechbridge/wire/fleet.py
@@ -13,6 +13,7 @@
     PartsOrder,
     PartsReply,
 )
+from ..gateway.replicas.store_view import ALL_PREFIXES
 from .frames import DECODE_ERRORS, decode_struct, encode_struct
 from .http import HttpResponse
 from .peer import ttypes
@@ -55,7 +56,9 @@
                 round(member.rate_per_s),
             )
         )
-    frame = ttypes.Heartbeat(members, action.table_version, action.revision, action.wants_members)
+    frame = ttypes.Heartbeat(
+        members, action.table_version, action.revision, action.wants_members, action.epoch
+    )
     return encode_struct(frame)
 
 
@@ -74,13 +77,16 @@
         member.reaches_store = record.reaches_store
         member.rate_per_s = float(record.requests_per_s)
         members.append(member)
-    return HeartbeatReceived(members, frame.table_version, frame.revision, frame.wants_members)
+    return HeartbeatReceived(
+        members, frame.table_version, frame.revision, frame.wants_members, frame.epoch
+    )
 
 
-def encode_changes(changes: list[Item], revision: int) -> bytes:
+def encode_changes(event: ChangesReceived) -> bytes:
     """Encode store changes."""
-    items = [ttypes.StoreItem(item.key, item.value, item.revision) for item in changes]
-    return encode_struct(ttypes.StoreChanges(revision, items))
+    items = [ttypes.StoreItem(item.key, item.value, item.revision) for item in event.changes]
+    is_complete = bool(event.listed_prefixes)
+    return encode_struct(ttypes.StoreChanges(event.revision, items, event.epoch, is_complete))
 
 
 def decode_changes(data: bytes) -> ChangesReceived | Failure:
@@ -89,7 +95,10 @@
     if isinstance(frame, Failure):
         return frame
     changes = [Item(item.key, item.value, item.revision) for item in frame.items]
-    return ChangesReceived(changes, frame.revision, is_from_store=False)
+    listed_prefixes = ALL_PREFIXES if frame.is_complete else ()
+    return ChangesReceived(
+        changes, frame.revision, listed_prefixes, is_from_store=False, epoch=frame.epoch
+    )
 
 
 def write_order(action: SendOrder) -> bytes:
--- a/beechbridge/wire/peer.thrift
+++ b/beechbridge/wire/peer.thrift
@@ -117,6 +117,7 @@
   2: required i64 table_version
   3: required i64 revision
   4: required bool wants_members
+  5: required i64 epoch
 }
 
 // An item without a value has been deleted.
@@ -126,9 +127,12 @@
   3: required i64 revision
 }
 
+// `is_complete` says that there are no other items, because the receiver's epoch is an older one.
 struct StoreChanges {
   1: required i64 revision
   2: required list<StoreItem> items
+  3: required i64 epoch
+  4: required bool is_complete
 }
 
 struct Header {
--- a/beechbridge/wire/peer/ttypes.py
+++ b/beechbridge/wire/peer/ttypes.py
@@ -1756,6 +1756,7 @@
      - table_version
      - revision
      - wants_members
+     - epoch
 
     """
 
@@ -1764,14 +1765,16 @@
         'table_version',
         'revision',
         'wants_members',
+        'epoch',
     )
 
 
-    def __init__(self, members=None, table_version=None, revision=None, wants_members=None,):
+    def __init__(self, members=None, table_version=None, revision=None, wants_members=None, epoch=None,):
         self.members = members
         self.table_version = table_version
         self.revision = revision
         self.wants_members = wants_members
+        self.epoch = epoch
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1808,6 +1811,11 @@
                     self.wants_members = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1837,6 +1845,10 @@
             oprot.writeFieldBegin('wants_members', TType.BOOL, 4)
             oprot.writeBool(self.wants_members)
             oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 5)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1849,6 +1861,8 @@
             raise TProtocolException(message='Required field revision is unset!')
         if self.wants_members is None:
             raise TProtocolException(message='Required field wants_members is unset!')
+        if self.epoch is None:
+            raise TProtocolException(message='Required field epoch is unset!')
         return
 
     def __repr__(self):
@@ -1971,18 +1985,24 @@
     Attributes:
      - revision
      - items
+     - epoch
+     - is_complete
 
     """
 
     __slots__ = (
         'revision',
         'items',
+        'epoch',
+        'is_complete',
     )
 
 
-    def __init__(self, revision=None, items=None,):
+    def __init__(self, revision=None, items=None, epoch=None, is_complete=None,):
         self.revision = revision
         self.items = items
+        self.epoch = epoch
+        self.is_complete = is_complete
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2009,6 +2029,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.is_complete = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2030,6 +2060,14 @@
                 iter52.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 3)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.is_complete is not None:
+            oprot.writeFieldBegin('is_complete', TType.BOOL, 4)
+            oprot.writeBool(self.is_complete)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2038,6 +2076,10 @@
             raise TProtocolException(message='Required field revision is unset!')
         if self.items is None:
             raise TProtocolException(message='Required field items is unset!')
+        if self.epoch is None:
+            raise TProtocolException(message='Required field epoch is unset!')
+        if self.is_complete is None:
+            raise TProtocolException(message='Required field is_complete is unset!')
         return
 
     def __repr__(self):
@@ -2808,6 +2850,7 @@
     (2, TType.I64, 'table_version', None, None, ),  # 2
     (3, TType.I64, 'revision', None, None, ),  # 3
     (4, TType.BOOL, 'wants_members', None, None, ),  # 4
+    (5, TType.I64, 'epoch', None, None, ),  # 5
 )
 all_structs.append(StoreItem)
 StoreItem.thrift_spec = (
@@ -2821,6 +2864,8 @@
     None,  # 0
     (1, TType.I64, 'revision', None, None, ),  # 1
     (2, TType.LIST, 'items', (TType.STRUCT, [StoreItem, None], False), None, ),  # 2
+    (3, TType.I64, 'epoch', None, None, ),  # 3
+    (4, TType.BOOL, 'is_complete', None, None, ),  # 4
 )
 all_structs.append(Header)
 Header.thrift_spec = (
--- a/measure/emulated_actions.py
+++ b/measure/emulated_actions.py
@@ -19,7 +19,6 @@
 )
 from beechbridge.gateway.events import (
     CallerDisconnected,
-    ChangesReceived,
     HeartbeatReceived,
     RequestSent,
 )
@@ -113,7 +112,11 @@
             if other.gateway.fleet.own.host == host and other is not vm:
                 views = [copy.copy(member) for member in action.members]
                 event = HeartbeatReceived(
-                    views, action.table_version, action.revision, action.wants_members
+                    views,
+                    action.table_version,
+                    action.revision,
+                    action.wants_members,
+                    action.epoch,
                 )
                 emulator.schedule(
                     REGION_DELAY_MS, lambda o=other, e=event: emulator.deliver_event(o, e)
@@ -125,9 +128,7 @@
     """Answer with the changes that another VM has."""
     for other in emulator.vms:
         if other.is_up and other.gateway.fleet.own.host == action.host:
-            view = other.gateway.view
-            changes = view.changes_after(action.revision)
-            event = ChangesReceived(changes, view.revision, is_from_store=False)
+            event = other.gateway.view.forward_changes(action.revision, action.epoch)
             emulator.schedule(2 * REGION_DELAY_MS, lambda e=event: emulator.deliver_event(vm, e))
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,6 +1,8 @@
 """Fault injection: faults are drawn from the seed of a run and may overlap."""
 
 import asyncio
+import base64
+import json
 import signal
 import time
 
@@ -29,6 +31,14 @@
 )
 """Kinds of fault; each names a method of `Faults`."""
 
+DRILLS = ('restore_store',)
+"""Further kinds, drawn only if named, so that the faults of earlier seeds stay the same."""
+
+COPY_AGE_S = 2.0
+REWRITE_DELAY_S = 1.0
+LEASE_S = 3.6
+"""Time after which the entry of a replica expires that does not run."""
+
 
 class Faults:
     """
@@ -183,6 +193,22 @@
         """Compact the store, which discards its history."""
         self.soak.store.compact()
 
+    async def restore_store(self, duration_s: float) -> None:
+        """Restore the store from a copy; what that loses is written again, or expires again."""
+        store = self.soak.store
+        copied = store.copy_state()
+        await asyncio.sleep(COPY_AGE_S)
+        self.record_fault('all', LEASE_S + 2.0)
+        lost = {event['key']: event for event in store.restore(copied)}
+        await asyncio.sleep(REWRITE_DELAY_S)
+        for key, event in lost.items():
+            if not event.get('tombstone'):
+                store.put(key, json.loads(base64.b64decode(event['value'])))
+        await asyncio.sleep(LEASE_S - REWRITE_DELAY_S)
+        for key, event in lost.items():
+            if event.get('tombstone') and key in store.items:
+                store.remove(key)
+
     async def change_table(self, duration_s: float) -> None:
         """Add a route and send requests to it."""
         await self.soak.add_route(self.rng)
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,7 +11,7 @@
 from beechbridge.status import ExitStatus
 
 from .callers import HOST, Caller
-from .faults import KINDS, Faults
+from .faults import DRILLS, KINDS, Faults
 from .fleet import Vm, make_folder
 from .ledger import Ledger
 from .proxy import Proxy
@@ -273,6 +273,8 @@
     flags.DEFINE_float('seconds', 20.0, 'duration of fault injection in each run')
     flags.DEFINE_integer('vms', 4, 'number of VM processes')
     flags.DEFINE_integer('shards', 6, 'number of shards')
-    flags.DEFINE_multi_enum('faults', KINDS, KINDS, 'kind of fault to draw from; may be repeated')
+    flags.DEFINE_multi_enum(
+        'faults', KINDS, (*KINDS, *DRILLS), 'kind of fault to draw from; may be repeated'
+    )
     flags.DEFINE_boolean('timed', True, 'also check promises with a time limit')
     sys.exit(app.run(main))
--- a/soak/standins.py
+++ b/soak/standins.py
@@ -140,6 +140,7 @@
         self.compacted = 0
         self.delay_s = 0.0
         self.is_unavailable = False
+        self.epoch = 1
         self.changed = asyncio.Event()
 
     def put(self, key: str, value: object) -> float:
@@ -168,18 +169,36 @@
         self.compacted = self.revision
         self.events.clear()
 
+    def copy_state(self) -> tuple:
+        """Return a copy of items, history and revision."""
+        return dict(self.items), list(self.events), self.revision
+
+    def restore(self, copied: tuple) -> list[dict]:
+        """Restore a copy and reset all connections; return the events that are lost by that."""
+        lost = [event for event in self.events if event['rev'] > copied[2]]
+        self.items, self.events, self.revision = dict(copied[0]), list(copied[1]), copied[2]
+        self.compacted = min(self.compacted, self.revision)
+        self.epoch += 1
+        for writer in list(self.writers):
+            writer.transport.abort()
+        return lost
+
+    def respond(self, status: int, body: bytes = b'') -> bytes:
+        """Encode a response with the epoch."""
+        return respond(status, {'Store-Era': str(self.epoch)}, body)
+
     async def answer(self, message: Message, reader: asyncio.StreamReader) -> bytes | None:
         """Serve a read or a watch."""
         await asyncio.sleep(self.delay_s)
         if self.is_unavailable:
-            return respond(503, {})
+            return self.respond(503)
         url = urlsplit(message.first_line.split()[1])
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         if url.path == '/kv-range':
             return self.list_items(query)
         if url.path == '/kv-watch':
             return await self.watch(query)
-        return respond(404, {})
+        return self.respond(404)
 
     def list_items(self, query: dict[str, str]) -> bytes:
         """Return a page of items."""
@@ -190,13 +209,13 @@
             'hasMore': len(keys) > 20,
             'currentRev': self.revision,
         }
-        return respond(200, {}, json.dumps(body).encode())
+        return self.respond(200, json.dumps(body).encode())
 
     async def watch(self, query: dict[str, str]) -> bytes:
         """Return the events after a revision, waiting up to `waitMs` if there is none."""
         after = int(query['after'])
-        if after < self.compacted:
-            return respond(410, {})
+        if after < self.compacted or after > self.revision:
+            return self.respond(410)
         deadline_s = time.monotonic() + int(query['waitMs']) / 1000.0
         while self.revision <= after:
             left_s = deadline_s - time.monotonic()
@@ -206,4 +225,4 @@
                 await asyncio.wait_for(self.changed.wait(), left_s)
         events = [event for event in self.events if event['rev'] > after]
         body = {'events': events, 'currentRev': self.revision}
-        return respond(200, {}, json.dumps(body).encode())
+        return self.respond(200, json.dumps(body).encode())
--- a/tests/test_store_reader.py
+++ b/tests/test_store_reader.py
@@ -130,7 +130,7 @@
     def test_following_from_a_revision_skips_the_listing(self):
         revision = self.thread.store.revision
         self.thread.call(self.thread.store.put, 'servers/a', 1)
-        self.reader.follow(True, revision)
+        self.reader.follow(True, revision, self.thread.store.epoch)
         event = self.events.get(timeout=WAIT_S)
         self.assertEqual(event.listed_prefixes, ())
         self.assertEqual([item.key for item in event.changes], ['servers/a'])
@@ -142,6 +142,23 @@
         event = self.wait_for(lambda event: isinstance(event, ChangesReceived))
         self.assertTrue(event.listed_prefixes)
 
+    def test_restored_store_is_listed_although_it_has_the_revision_again(self):
+        store = self.thread.store
+        self.reader.follow(True, None)
+        copied = self.thread.call(store.copy_state)
+        self.thread.call(store.put, 'servers/a', 1)
+        self.wait_for(lambda event: isinstance(event, ChangesReceived) and event.changes)
+
+        def restore():
+            store.restore(copied)
+            for number in range(3):
+                store.put('servers/b', number)
+
+        self.thread.call(restore)
+        event = self.wait_for(lambda event: isinstance(event, ChangesReceived) and event.epoch > 1)
+        self.assertTrue(event.listed_prefixes)
+        self.assertEqual([item.key for item in event.changes], ['servers/b'])
+
     def test_failure_and_recovery_are_reported(self):
         self.thread.store.is_unavailable = True
         self.reader.follow(True, None)
