Prefer the nearest replica that is fast enough to the fastest

Hypothesis: a gather is as late as its latest part, so a part that is expected well within the objective gains nothing by being faster. Change: the nearest replica whose expected latency is within half of the time left to the soft deadline is taken, unless it rejects more than a tenth.

--- a/beechbridge/gateway/fleet/aggregators.py
+++ b/beechbridge/gateway/fleet/aggregators.py
@@ -72,7 +72,10 @@
             is_in_region = gateway.fleet.regions.get(state.entry.zone) == region
             if is_in_region and not state.is_suspect(gateway.now_ms):
                 healthy.append(state)
-        return gateway.upstreams.find_fastest(healthy, route_name, gateway.now_ms, gateway.rng)
+        fastest, _ = gateway.upstreams.find_fastest(
+            healthy, route_name, gateway.now_ms, gateway.rng
+        )
+        return fastest
 
     def round_trip_ms(self, region: str) -> float:
         """Return the median round-trip time to a region in milliseconds."""
--- a/beechbridge/gateway/replicas/upstreams.py
+++ b/beechbridge/gateway/replicas/upstreams.py
@@ -32,6 +32,9 @@
 
 COLD_FACTOR = 1.6
 REJECT_FACTOR = 4.0
+MAX_RELIABLE_REJECT_SHARE = 0.1
+"""Share of rejected requests up to which a replica is reliable; each needs another attempt."""
+
 SUSPECT_PENALTY_MS = 1_000.0
 """Penalty on a suspect replica's expected latency: chosen last, but not excluded."""
 
@@ -162,6 +165,11 @@
             return True
         return bool(self.busy) and now_ms >= next(iter(self.busy.values())).stalled_at_ms
 
+    def is_reliable(self, now_ms: float) -> bool:
+        """Return whether it has lately rejected hardly any requests."""
+        weight = 0.5 ** ((now_ms - self.sampled_ms) / RATIO_HALF_LIFE_MS)
+        return self.reject_share * weight <= MAX_RELIABLE_REJECT_SHARE
+
     def decay(self, now_ms: float) -> None:
         """Decay the latency ratio and the rejection share by the time since the last sample."""
         weight = 0.5 ** ((now_ms - self.sampled_ms) / RATIO_HALF_LIFE_MS)
@@ -321,24 +329,44 @@
         return [state for state in self.by_service.get(service, ()) if state.is_usable]
 
     def choose(
-        self, service: str, route_name: str, exclude: set[int], share: int, now_ms: float, rng
+        self,
+        service: str,
+        route_name: str,
+        exclude: set[int],
+        share: int,
+        limit_ms: float,
+        now_ms: float,
+        rng,
     ) -> ReplicaState | None:
         """
-        Return the replica with the lowest expected latency.
+        Return the nearest replica that is fast enough, or else the fastest.
 
         :param exclude: `id()` of the states not to choose, because they were already tried
         :param share: maximum number of exchanges in flight from this VM to one replica
+        :param limit_ms: expected latency in milliseconds up to which a replica is fast enough
         """
-        candidates = []
+        by_distance: dict[int, list[ReplicaState]] = {}
         for state in self.by_service.get(service, ()):
             if state.is_usable and id(state) not in exclude and len(state.busy) < share:
-                candidates.append(state)
-        return self.find_fastest(candidates, route_name, now_ms, rng)
+                by_distance.setdefault(state.distance, []).append(state)
+        fastest = None
+        fastest_ms = math.inf
+        for distance in sorted(by_distance):
+            state, expected_ms = self.find_fastest(by_distance[distance], route_name, now_ms, rng)
+            if expected_ms <= limit_ms and state.is_reliable(now_ms):
+                return state
+            if expected_ms < fastest_ms:
+                fastest, fastest_ms = state, expected_ms
+        return fastest
 
     def find_fastest(
         self, states: list[ReplicaState], route_name: str, now_ms: float, rng
-    ) -> ReplicaState | None:
-        """Return the state with the lowest expected latency, with jitter to spread the load."""
+    ) -> tuple[ReplicaState | None, float]:
+        """
+        Return the state with the lowest expected latency, and that latency in milliseconds.
+
+        The latencies have some jitter, which spreads the load.
+        """
         best = None
         best_ms = math.inf
         for state in states:
@@ -348,4 +376,4 @@
             expected_ms *= rng.uniform(0.95, 1.05)
             if expected_ms < best_ms:
                 best, best_ms = state, expected_ms
-        return best
+        return best, best_ms
--- a/beechbridge/gateway/requests/sending.py
+++ b/beechbridge/gateway/requests/sending.py
@@ -16,6 +16,12 @@
 
 FIRST_BACKOFF_MS = 10.0
 MAX_BACKOFF_MS = 160.0
+NEAR_FRACTION = 0.5
+"""
+Fraction of the time left until the soft deadline within which a nearer replica is expected to
+answer, to be preferred to a faster one farther away: links between data centres are expensive.
+"""
+
 MIN_TIME_LEFT_MS = 4.0
 """Minimum time before the deadline for a task to be worth sending."""
 
@@ -37,8 +43,15 @@
     if task.run_count >= task.work.route.attempts:
         return False
     share = gateway.connection_share(task.service)
+    limit_ms = NEAR_FRACTION * (task.work.soft_at_ms - now_ms)
     state = gateway.upstreams.choose(
-        task.service, task.work.route.name, task.excluded_replicas, share, now_ms, gateway.rng
+        task.service,
+        task.work.route.name,
+        task.excluded_replicas,
+        share,
+        limit_ms,
+        now_ms,
+        gateway.rng,
     )
     if state is not None:
         if task.delivery_count and not gateway.budget(task.service).acquire(
