Order parts between the data centres of a region

A shard has one replica in each region, half of them in the region's other data centre, and VMs asked for these one by one; callers went to either data centre. Change: orders of parts go to a VM of the data centre that has the replica, the nearest first, not only to other regions; each data centre has its two or more active VMs; callers prefer their own data centre, with a spare in the region. The cost of a fan-out counts an order as one message: the number of its shards said nothing, and moved callers between regions. The VM that takes an order counts its requests for the budget, as it makes the extra attempts.

--- a/beechbridge/gateway/fleet/aggregators.py
+++ b/beechbridge/gateway/fleet/aggregators.py
@@ -1,4 +1,4 @@
-"""Aggregators: VMs of other regions that gather the parts of nearby shards for this VM."""
+"""Aggregators: VMs of other data centres that gather the parts of nearby shards for this VM."""
 
 from ...core.latency import LatencyEstimate
 from ..actions import DropConnection
@@ -7,7 +7,6 @@
 from ..replicas.upstreams import (
     AGGREGATOR_DISTANCE,
     INITIAL_ROUND_TRIP_MS,
-    OTHER_REGION,
     ReplicaState,
 )
 
@@ -20,9 +19,9 @@
 
 class Aggregators:
     """
-    The VMs of other regions that accept orders, by name.
+    The VMs of other data centres that accept orders, by name.
 
-    :param round_trips: network round-trip time to the VMs of each region
+    :param round_trips: network round-trip time to the VMs of each data centre
     """
 
     __slots__ = ('refreshed_ms', 'round_trips', 'states')
@@ -63,40 +62,37 @@
         for connection_id in state.remove_all_idle():
             gateway.act(DropConnection(connection_id))
 
-    def choose(
-        self, region: str, route_name: str, gateway: GatewayInterface
-    ) -> ReplicaState | None:
-        """Return the healthy VM of a region with the lowest expected latency, if there is one."""
+    def choose(self, zone: str, route_name: str, gateway: GatewayInterface) -> ReplicaState | None:
+        """Return the healthy VM of a zone with the lowest expected latency, if there is one."""
         healthy = []
         for state in self.states.values():
-            is_in_region = gateway.fleet.regions.get(state.entry.zone) == region
-            if is_in_region and not state.is_suspect(gateway.now_ms):
+            if state.entry.zone == zone and not state.is_suspect(gateway.now_ms):
                 healthy.append(state)
         fastest, _ = gateway.upstreams.find_fastest(
             healthy, route_name, gateway.now_ms, gateway.rng
         )
         return fastest
 
-    def round_trip_ms(self, region: str) -> float:
-        """Return the median round-trip time to a region in milliseconds."""
-        estimate = self.round_trips.get(region)
-        return estimate.median_ms if estimate else INITIAL_ROUND_TRIP_MS[OTHER_REGION]
+    def round_trip_ms(self, zone: str, distance: int) -> float:
+        """Return the median round-trip time to a data centre in milliseconds."""
+        estimate = self.round_trips.get(zone)
+        return estimate.median_ms if estimate else INITIAL_ROUND_TRIP_MS[distance]
 
-    def record_round_trip(self, region: str, round_trip_ms: float) -> None:
-        """Record a measured round-trip time to a region."""
-        estimate = self.round_trips.get(region)
+    def record_round_trip(self, zone: str, round_trip_ms: float) -> None:
+        """Record a measured round-trip time to a data centre."""
+        estimate = self.round_trips.get(zone)
         if estimate is None:
-            estimate = self.round_trips[region] = LatencyEstimate(round_trip_ms)
+            estimate = self.round_trips[zone] = LatencyEstimate(round_trip_ms)
         estimate.add(round_trip_ms)
 
 
 def list_candidates(gateway: GatewayInterface) -> dict[str, Member]:
-    """Return the serving VMs of other regions, in a large fleet only the active ones."""
+    """Return the serving VMs of other data centres, in a large fleet only the active ones."""
     fleet = gateway.fleet
     gateway.activity.choose(fleet, gateway.now_ms)
     candidates = {}
     for member in fleet.serving(gateway.now_ms):
-        if member is fleet.own or fleet.is_in_region(member):
+        if member is fleet.own or fleet.is_in_zone(member):
             continue
         if fleet.is_mesh or member.name in gateway.activity.active_names:
             candidates[member.name] = member
--- a/beechbridge/gateway/fleet/placement.py
+++ b/beechbridge/gateway/fleet/placement.py
@@ -1,25 +1,36 @@
 """Placement of callers: VMs near to them and to the replicas that their requests fan out to."""
 
+from operator import itemgetter
+
 from ...record import Record
 from ..models import Member
 from ..replicas.upstreams import Upstreams
 from ..routes import RoutingTable
 from .members import MEMBER_RETENTION_MS, Fleet
 
-SAME_REGION_COST = 0.0
-"""Cost of a message within a region. The users pay a third of what one between regions costs, but
-a caller should be able to use all VMs of its region."""
+CROSS_ZONE_COST = 0.3
+"""Cost of a message between data centres of a region."""
 
 CROSS_REGION_COST = 1.0
 """Cost of a message between regions."""
 
+ORDER_FACTOR = 1.2
+"""
+Cost of an order of parts as a multiple of that of a caller's request: it names the shards, and a
+second VM works on it.
+"""
+
+MIN_CHOSEN = 2
+"""Minimum number of VMs that a caller should be able to use in its region."""
+
 REFRESH_INTERVAL_MS = 1_000.0
 """Interval between updates of the costs: replicas come and go, but rarely change region."""
 
-COST_TOLERANCE = 1e-6
+COST_DIGITS = 6
+"""Decimal places to which costs are compared."""
 
-MIN_ACTIVE = 3
-"""Minimum number of active VMs in a region: two may be lost at once."""
+MIN_ACTIVE = 2
+"""Minimum number of active VMs in a data centre: one may be lost."""
 
 RATE_PER_MILLICORE = 0.8
 """Planned requests to replicas per second and millicore: each takes about 0.3 ms of CPU time, and
@@ -49,9 +60,11 @@
 
     def cost_between(self, zone: str, other: str) -> float:
         """Return the cost of one message between two data centres."""
+        if zone == other:
+            return 0.0
         region = self.regions.get(zone)
-        is_near = zone == other or (region is not None and region == self.regions.get(other))
-        return SAME_REGION_COST if is_near else CROSS_REGION_COST
+        is_near = region is not None and region == self.regions.get(other)
+        return CROSS_ZONE_COST if is_near else CROSS_REGION_COST
 
     def refresh(self, table: RoutingTable | None, upstreams: Upstreams, now_ms: float) -> None:
         """Compute the costs again if they are older than the interval."""
@@ -69,31 +82,42 @@
     def mean_cost(
         self, zone: str, routes: list[tuple[str, ...]], zones_by_service: dict[str, set[str]]
     ) -> float:
-        """Return the mean cost of a request's sub-requests from a data centre."""
+        """
+        Return the mean cost of a request's sub-requests from a data centre.
+
+        All sub-requests to equally distant replicas count as one: they are ordered together.
+        """
         nearest: dict[str, float] = {}
         for service, zones in zones_by_service.items():
             nearest[service] = min(self.cost_between(zone, other) for other in zones)
         total = 0.0
         for services in routes:
-            for service in services:
-                total += nearest.get(service, CROSS_REGION_COST)
-        return total / max(1, len(routes))
+            total += sum({nearest.get(service, CROSS_REGION_COST) for service in services})
+        return ORDER_FACTOR * total / max(1, len(routes))
 
     def choose(self, members: list[Member], zone: str, region: str) -> list[Member]:
-        """Return the VMs at which a request of a caller at a zone and region costs least."""
-        best: list[Member] = []
-        best_cost = float('inf')
-        for member in members:
-            member_region = self.regions.get(member.zone)
-            is_near = member.zone == zone or member_region == region
-            caller_cost = SAME_REGION_COST if is_near else CROSS_REGION_COST
-            cost = caller_cost + self.fanout_costs.get(member.zone, 0.0)
-            if cost < best_cost - COST_TOLERANCE:
-                best, best_cost = [member], cost
+        """
+        Return the VMs at which a request of a caller at a zone and region costs least.
+
+        If that is a single one, the next ones of its region are added.
+        """
+        costs = [self.cost_of(member, zone, region) for member in members]
+        chosen: list[Member] = []
+        for cost, member in sorted(zip(costs, members, strict=True), key=itemgetter(0)):
+            if cost == min(costs):
+                chosen.append(member)
                 continue
-            if cost <= best_cost + COST_TOLERANCE:
-                best.append(member)
-        return best
+            is_same_region = self.cost_between(member.zone, chosen[0].zone) < CROSS_REGION_COST
+            if len(chosen) < MIN_CHOSEN and is_same_region:
+                chosen.append(member)
+        return chosen
+
+    def cost_of(self, member: Member, zone: str, region: str) -> float:
+        """Return the cost of a request of a caller at a zone and region at a VM."""
+        cost = self.cost_between(member.zone, zone)
+        if cost == CROSS_REGION_COST and self.regions.get(member.zone) == region:
+            cost = CROSS_ZONE_COST
+        return round(cost + self.fanout_costs.get(member.zone, 0.0), COST_DIGITS)
 
 
 class Activity:
@@ -144,15 +168,15 @@
         return self.rate_per_s
 
     def choose(self, fleet: Fleet, now_ms: float) -> None:
-        """Select the active VMs: in a large fleet, enough of them for the load of each region."""
+        """Select the active VMs: in a large fleet, enough of them for each data centre's load."""
         if now_ms - self.chosen_ms < SELECTION_INTERVAL_MS:
             return
         self.chosen_ms = now_ms
-        by_region: dict[str | None, list[Member]] = {}
+        by_zone: dict[str, list[Member]] = {}
         for member in fleet.serving(now_ms):
-            by_region.setdefault(fleet.regions.get(member.zone), []).append(member)
+            by_zone.setdefault(member.zone, []).append(member)
         self.active_names = set()
-        for members in by_region.values():
+        for members in by_zone.values():
             chosen = members if fleet.is_mesh else select_by_capacity(members)
             self.active_names.update(member.name for member in chosen)
         is_expired = now_ms - self.counted_ms > MEMBER_RETENTION_MS
@@ -166,7 +190,7 @@
 
 
 def select_by_capacity(members: list[Member]) -> list[Member]:
-    """Return the VMs with the most CPU capacity that together carry a region's load."""
+    """Return the VMs with the most CPU capacity that together carry a data centre's load."""
     ordered = sorted(members, key=lambda member: (-member.capacity_millicores, member.name))
     rate_per_s = sum(member.rate_per_s for member in members)
     capacity_per_s = 0.0
--- a/beechbridge/gateway/replicas/upstreams.py
+++ b/beechbridge/gateway/replicas/upstreams.py
@@ -5,11 +5,11 @@
 from ...core.latency import LatencyEstimate
 from ..models import ReplicaEntry
 
-OTHER_REGION = 2
-"""Distance to a replica in another region; 0 is the same data centre, 1 the same region."""
+OWN_ZONE = 0
+"""Distance to a replica in the same data centre; 1 is the same region, 2 another region."""
 
 AGGREGATOR_DISTANCE = 3
-"""Distance value that stands for an aggregator in another region."""
+"""Distance value that stands for an aggregator in another data centre."""
 
 INITIAL_ROUND_TRIP_MS = (0.5, 3.5, 17.0, 17.0)
 """Assumed round-trip time by distance until latencies have been measured."""
--- a/beechbridge/gateway/requests/admission.py
+++ b/beechbridge/gateway/requests/admission.py
@@ -5,6 +5,7 @@
 contacted at this point, so every rejection can safely be reported as `not_run`.
 """
 
+from collections.abc import Iterable
 from functools import singledispatch
 
 from ...failures import Failure, Reason, not_run
@@ -147,17 +148,22 @@
         reject_request(event, None, route, gateway)
         return
     work = make_work(event, route, gateway)
-    for task in work.tasks:
-        gateway.budget(task.service).record_request(gateway.now_ms)
     for work_filter in WORK_FILTERS:
         failure = work_filter(work, gateway)
         if failure is not None:
+            record_requests(work.tasks, gateway)
             reject_request(event, work, failure, gateway)
             return
     gateway.counters.add('requests', route.name)
     start_work(work, gateway)
 
 
+def record_requests(tasks: Iterable[Task], gateway: GatewayInterface) -> None:
+    """Count the requests to the services of tasks, which permit extra attempts at them."""
+    for task in tasks:
+        gateway.budget(task.service).record_request(gateway.now_ms)
+
+
 ORDER_FILTERS = (check_readiness, check_capacity)
 
 
@@ -177,7 +183,7 @@
 
 
 def make_ordered_work(event: OrderReceived, gateway: GatewayInterface) -> OrderedWork:
-    """Return the `Work` for an order of another VM, which has counted the request already."""
+    """Return the `Work` for an order of another VM."""
     order = event.order
     route = Route(
         order.route_name,
@@ -217,6 +223,8 @@
     gateway.works[work.key] = work
     gateway.timers.arm(work.hard_at_ms, DeadlineTimer(work.key))
     ordered = order_parts(work, gateway)
+    # The VM that takes an order counts its requests, since it makes the extra attempts.
+    record_requests((task for task in work.tasks if task not in ordered), gateway)
     for task in work.tasks:
         if work.is_finished:
             return
--- a/beechbridge/gateway/requests/orders.py
+++ b/beechbridge/gateway/requests/orders.py
@@ -1,11 +1,11 @@
 """
-Orders: another VM gathers the parts of shards that only have replicas in its region.
+Orders: another VM gathers the parts of shards that only have replicas in its data centre.
 
 That VM queries the shards' replicas, merges the parts and returns only the largest records, so
-that the parts themselves do not cross between regions. It may use all attempts at a shard. If a
-shard has more replicas than attempts, the VM that sent the order therefore keeps none for itself,
-unless the order never arrived or its answer reports how many were used. If a shard has no more
-replicas than attempts, the limit cannot be exceeded, and a late order is hedged like a late
+that the parts themselves do not cross between data centres. It may use all attempts at a shard. If
+a shard has more replicas than attempts, the VM that sent the order therefore keeps none for
+itself, unless the order never arrived or its answer reports how many were used. If a shard has no
+more replicas than attempts, the limit cannot be exceeded, and a late order is hedged like a late
 replica.
 """
 
@@ -14,7 +14,7 @@
 from ..actions import SendOrder
 from ..interface import GatewayInterface
 from ..models import LinkFailure, LinkFault, PartsOrder, PartsReply, Reply
-from ..replicas.upstreams import OTHER_REGION, Exchange, IdleConnection, ReplicaState
+from ..replicas.upstreams import OWN_ZONE, Exchange, IdleConnection, ReplicaState
 from .answers import RECORD_BYTES
 from .progress import (
     close_task,
@@ -50,12 +50,12 @@
     :param reserved_counts: attempts reserved for that VM, by service
     """
 
-    __slots__ = ('exchanges', 'is_hedged', 'region', 'reserved_counts', 'tasks', 'work')
+    __slots__ = ('exchanges', 'is_hedged', 'reserved_counts', 'tasks', 'work', 'zone')
 
-    def __init__(self, work: GatherWork, tasks: list[Task], region: str):
+    def __init__(self, work: GatherWork, tasks: list[Task], zone: str):
         self.work = work
         self.tasks = {task.service: task for task in tasks}
-        self.region = region
+        self.zone = zone
         self.reserved_counts: dict[str, int] = {}
         self.exchanges: list[Exchange] = []
         self.is_hedged = False
@@ -67,67 +67,62 @@
 
 
 def order_remote_parts(work: GatherWork, gateway: GatewayInterface) -> set[Task]:
-    """Order the parts of shards that only have replicas in other regions; return their tasks."""
+    """Order the parts of shards without a replica in this data centre; return their tasks."""
     ordered: set[Task] = set()
     gateway.aggregators.refresh(gateway)
     if not gateway.aggregators.states:
         return ordered
-    regions_by_task: dict[Task, set[str]] = {}
+    zones_by_task: dict[Task, set[str]] = {}
     for task in work.tasks:
-        regions = remote_regions(task, gateway)
-        if regions:
-            regions_by_task[task] = regions
+        zones = remote_zones(task, gateway)
+        if zones:
+            zones_by_task[task] = zones
     tried: set[str] = set()
     while True:
         counts = Counter()
-        for regions in regions_by_task.values():
-            counts.update(regions - tried)
+        for zones in zones_by_task.values():
+            counts.update(zones - tried)
         if not counts:
             return ordered
         largest_count = max(counts.values())
         if largest_count < MIN_ORDERED_SHARDS:
             return ordered
-        region = gateway.rng.choice(
-            sorted(name for name in counts if counts[name] == largest_count)
-        )
-        tried.add(region)
-        tasks = [task for task, regions in regions_by_task.items() if region in regions]
-        if place_order(Order(work, tasks, region), gateway):
+        zone = gateway.rng.choice(sorted(name for name in counts if counts[name] == largest_count))
+        tried.add(zone)
+        tasks = [task for task, zones in zones_by_task.items() if zone in zones]
+        if place_order(Order(work, tasks, zone), gateway):
             ordered.update(tasks)
             for task in tasks:
-                del regions_by_task[task]
+                del zones_by_task[task]
 
 
-def remote_regions(task: Task, gateway: GatewayInterface) -> set[str]:
+def remote_zones(task: Task, gateway: GatewayInterface) -> set[str]:
     """
-    Return the other regions with a healthy replica for a task.
+    Return the nearest other data centres with a healthy replica for a task.
 
-    The set is empty if there is a usable replica in this VM's own region.
+    The set is empty if there is a usable replica in this VM's own data centre.
     """
-    regions = set()
+    zones_by_distance: dict[int, set[str]] = {}
     for state in gateway.upstreams.usable(task.service):
-        if state.distance < OTHER_REGION:
+        if state.distance == OWN_ZONE:
             # Even if this replica is suspect: direct requests tell this VM when it recovers, and
             # which other replicas it can hedge with.
             return set()
-        if state.is_suspect(gateway.now_ms):
-            continue
-        region = gateway.fleet.regions.get(state.entry.zone)
-        if region is not None:
-            regions.add(region)
-    return regions
+        if not state.is_suspect(gateway.now_ms):
+            zones_by_distance.setdefault(state.distance, set()).add(state.entry.zone)
+    return zones_by_distance[min(zones_by_distance)] if zones_by_distance else set()
 
 
 def place_order(order: Order, gateway: GatewayInterface) -> bool:
-    """Send an order to a VM in its region; return False if there is no VM or too little time."""
+    """Send an order to a VM in its zone; return False if there is no VM or too little time."""
     now_ms = gateway.now_ms
     work = order.work
     route = work.route
-    state = gateway.aggregators.choose(order.region, route.name, gateway)
+    state = gateway.aggregators.choose(order.zone, route.name, gateway)
     if state is None:
         return False
     idle = state.acquire_idle(now_ms, float('inf'))
-    round_trip_ms = gateway.aggregators.round_trip_ms(order.region)
+    round_trip_ms = gateway.aggregators.round_trip_ms(order.zone, gateway.distance_to(order.zone))
     overhead_ms = round_trip_ms + ANSWER_MARGIN_MS
     if idle is None:
         overhead_ms += round_trip_ms
@@ -218,7 +213,7 @@
     record_latency(exchange, work.route.name, latency_ms, gateway)
     if not exchange.is_new:
         round_trip_ms = max(0.0, latency_ms - reply.answer.work_ms)
-        gateway.aggregators.record_round_trip(owner.region, round_trip_ms)
+        gateway.aggregators.record_round_trip(owner.zone, round_trip_ms)
     if exchange.is_abandoned or work.is_finished:
         return
     answer = reply.answer
