Send fewer and smaller heartbeats between data centres

The platform's test requests made all 75 VMs count as loaded, so that each sent its heartbeats to its whole region; and every start asked three seeds six times for the full list. Change: a VM says whether callers are directed to it, and only then covers its region; lists are asked of all seeds once, then of one at a time; Thrift's compact protocol takes the place of the binary one.

--- a/beechbridge/gateway/fleet/gossip.py
+++ b/beechbridge/gateway/fleet/gossip.py
@@ -28,7 +28,10 @@
 """VMs of a data centre that relay its members to the other data centres."""
 
 BOOTSTRAP_BEATS = (1, 4, 8, 12, 18, 26)
-"""Heartbeats after a start at which a VM requests the full member list from the seeds."""
+"""
+Heartbeats after a start at which a VM requests the full member list: first from all seeds, then
+from one after the other.
+"""
 
 SEED_EVERY_BEATS = 10
 """Interval, in heartbeats, at which unknown seeds get one, so that a partitioned fleet rejoins."""
@@ -201,6 +204,7 @@
     own.last_heartbeat_ms = gateway.now_ms
     own.is_serving = gateway.is_ready()
     own.rate_per_s = gateway.activity.measure(gateway.now_ms)
+    own.is_active = gateway.activity.active_since_ms is not None
     own.reaches_store = gateway.gossip.is_following and gateway.store.is_reached
     return [own]
 
@@ -227,7 +231,7 @@
     direct_hosts = []
     far: list[Member] = []
     for member in members:
-        is_active_in_region = fleet.own.rate_per_s > 0 and fleet.is_in_region(member)
+        is_active_in_region = fleet.own.is_active and fleet.is_in_region(member)
         if fleet.is_mesh or fleet.is_in_zone(member) or is_active_in_region:
             direct_hosts.append(member.host)
         else:
@@ -257,10 +261,12 @@
 
 
 def ask_seeds(gateway: GatewayInterface, beat: int) -> None:
-    """Request the member list from all seeds after a start, later from seeds not known alive."""
+    """Request the member list from seeds after a start, later from those not known alive."""
     fleet = gateway.fleet
     if beat in BOOTSTRAP_BEATS:
         hosts = [host for host in fleet.seeds if host != fleet.own.host]
+        if beat > 1 and hosts:
+            hosts = [hosts[BOOTSTRAP_BEATS.index(beat) % len(hosts)]]
         send(gateway, hosts, [fleet.own], wants_members=True)
         return
     if beat % SEED_EVERY_BEATS:
--- a/beechbridge/gateway/fleet/members.py
+++ b/beechbridge/gateway/fleet/members.py
@@ -56,7 +56,7 @@
         """Return whether a VM sends its heartbeats here itself: active ones cover their region."""
         if self.is_mesh or self.is_in_zone(member):
             return True
-        return member.rate_per_s > 0 and self.is_in_region(member)
+        return member.is_active and self.is_in_region(member)
 
     def is_alive(self, member: Member, now_ms: float) -> bool:
         """Return whether a VM was heard from within its timeout."""
--- a/beechbridge/gateway/models.py
+++ b/beechbridge/gateway/models.py
@@ -290,10 +290,11 @@
 
     :param incarnation: increases with every start of its process
     :param heartbeat: counter that increases while the process runs
-    :param is_serving: whether callers may be directed to it
+    :param is_serving: whether it takes requests of callers
     :param capacity_millicores: available CPU in thousandths of a core
     :param reaches_store: whether it can reach the store
     :param rate_per_s: requests per second that it sends to replicas
+    :param is_active: whether callers are directed to it
     :param last_heartbeat_ms: time in milliseconds when its heartbeat last increased
     """
 
@@ -302,6 +303,7 @@
         'heartbeat',
         'host',
         'incarnation',
+        'is_active',
         'is_serving',
         'last_heartbeat_ms',
         'name',
@@ -326,6 +328,7 @@
         self.heartbeat = heartbeat
         self.capacity_millicores = capacity_millicores
         self.is_serving = False
+        self.is_active = False
         self.reaches_store = False
         self.rate_per_s = 0.0
         self.last_heartbeat_ms = 0.0
--- a/beechbridge/wire/fleet.py
+++ b/beechbridge/wire/fleet.py
@@ -54,6 +54,7 @@
                 member.capacity_millicores,
                 member.reaches_store,
                 round(member.rate_per_s),
+                member.is_active,
             )
         )
     frame = ttypes.Heartbeat(
@@ -74,6 +75,7 @@
         )
         member.is_serving = record.serving
         member.capacity_millicores = record.capacity_millicores
+        member.is_active = record.active
         member.reaches_store = record.reaches_store
         member.rate_per_s = float(record.requests_per_s)
         members.append(member)
--- a/beechbridge/wire/frames.py
+++ b/beechbridge/wire/frames.py
@@ -2,7 +2,7 @@
 
 import struct
 
-from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
+from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.Thrift import TException
 from thrift.transport.TTransport import TMemoryBuffer
 
@@ -22,7 +22,7 @@
 def encode_struct(frame: object) -> bytes:
     """Encode a Thrift struct."""
     buffer = TMemoryBuffer()
-    frame.write(TBinaryProtocolAccelerated(buffer))
+    frame.write(TCompactProtocolAccelerated(buffer))
     return buffer.getvalue()
 
 
@@ -34,6 +34,6 @@
     """
     frame = struct_type()
     limits = {'string_length_limit': len(data), 'container_length_limit': len(data)}
-    frame.read(TBinaryProtocolAccelerated(TMemoryBuffer(data), **limits))
+    frame.read(TCompactProtocolAccelerated(TMemoryBuffer(data), **limits))
     frame.validate()
     return frame
--- a/beechbridge/wire/peer.thrift
+++ b/beechbridge/wire/peer.thrift
@@ -109,6 +109,7 @@
   7: required i32 capacity_millicores
   8: required bool reaches_store
   9: required i32 requests_per_s
+  10: required bool active
 }
 
 // The first member is the sender. `wants_members` requests all members that the receiver knows.
--- a/beechbridge/wire/peer/ttypes.py
+++ b/beechbridge/wire/peer/ttypes.py
@@ -1579,6 +1579,7 @@
      - capacity_millicores
      - reaches_store
      - requests_per_s
+     - active
 
     """
 
@@ -1592,10 +1593,11 @@
         'capacity_millicores',
         'reaches_store',
         'requests_per_s',
+        'active',
     )
 
 
-    def __init__(self, name=None, host=None, zone=None, incarnation=None, heartbeat=None, serving=None, capacity_millicores=None, reaches_store=None, requests_per_s=None,):
+    def __init__(self, name=None, host=None, zone=None, incarnation=None, heartbeat=None, serving=None, capacity_millicores=None, reaches_store=None, requests_per_s=None, active=None,):
         self.name = name
         self.host = host
         self.zone = zone
@@ -1605,6 +1607,7 @@
         self.capacity_millicores = capacity_millicores
         self.reaches_store = reaches_store
         self.requests_per_s = requests_per_s
+        self.active = active
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1660,6 +1663,11 @@
                     self.requests_per_s = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.BOOL:
+                    self.active = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1706,6 +1714,10 @@
             oprot.writeFieldBegin('requests_per_s', TType.I32, 9)
             oprot.writeI32(self.requests_per_s)
             oprot.writeFieldEnd()
+        if self.active is not None:
+            oprot.writeFieldBegin('active', TType.BOOL, 10)
+            oprot.writeBool(self.active)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1728,6 +1740,8 @@
             raise TProtocolException(message='Required field reaches_store is unset!')
         if self.requests_per_s is None:
             raise TProtocolException(message='Required field requests_per_s is unset!')
+        if self.active is None:
+            raise TProtocolException(message='Required field active is unset!')
         return
 
     def __repr__(self):
@@ -2842,6 +2856,7 @@
     (7, TType.I32, 'capacity_millicores', None, None, ),  # 7
     (8, TType.BOOL, 'reaches_store', None, None, ),  # 8
     (9, TType.I32, 'requests_per_s', None, None, ),  # 9
+    (10, TType.BOOL, 'active', None, None, ),  # 10
 )
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
