Leave connections to VMs that start at the same moment

The first VM to start knew only itself and took half of each replica's 25 connections; with those that replicas still counted from before, the others were reset. Change: for the 2 s in which VMs learn of each other a VM divides by at least 12, the largest fleet in which all hear each other.

--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -27,7 +27,7 @@
 )
 from .fleet.aggregators import Aggregators
 from .fleet.gossip import Gossip, HeartbeatTimer, fire_heartbeat, handle_heartbeat_received
-from .fleet.members import Fleet
+from .fleet.members import MAX_MESH_SIZE, Fleet
 from .fleet.placement import Activity, Placement
 from .fleet.stopping import (
     CloseTimer,
@@ -56,7 +56,12 @@
     handle_request_malformed,
     handle_request_received,
 )
-from .requests.budgets import BudgetRules, BudgetShare, RetryBudget
+from .requests.budgets import (
+    MEMBER_PROPAGATION_MS,
+    BudgetRules,
+    BudgetShare,
+    RetryBudget,
+)
 from .requests.hedges import fire_check
 from .requests.progress import (
     dispatch_waiting,
@@ -234,6 +239,9 @@
         count = self.sharing_count
         if not self.fleet.is_mesh and self.activity.active_since_ms is None:
             return 1
+        if self.now_ms - self.started_ms < MEMBER_PROPAGATION_MS:
+            # Other VMs may be starting too, as after a power failure, and not be known yet.
+            count = max(count, MAX_MESH_SIZE)
         return max(1, rules.connection_limit // (count + CONNECTION_MARGIN))
 
     def distance_to(self, zone: str) -> int:
