Ask callers to retry after an outage instead of within it

Callers, who retry once, were told to come back in 0.25 or 0.3 s and were rejected again: 37 to 48 of 100 in the worst two seconds. Change: while the store fails at a start, or too few replicas are known, Retry-After is a third of the time that the caller still waits; at an ordinary start it stays 0.3 s.

Test: test_restart_load.

--- a/beechbridge/gateway/replicas/store_updates.py
+++ b/beechbridge/gateway/replicas/store_updates.py
@@ -33,12 +33,14 @@
     Availability of the store as seen by this VM.
 
     :param last_failure_ms: time of the latest failed call in milliseconds
+    :param is_failing: whether the latest call failed
     """
 
-    __slots__ = ('is_reached', 'last_failure_ms')
+    __slots__ = ('is_failing', 'is_reached', 'last_failure_ms')
 
     def __init__(self):
         self.is_reached = False
+        self.is_failing = False
         self.last_failure_ms = -STORE_UNSTABLE_MS
 
     def reset(self) -> None:
@@ -56,6 +58,7 @@
         return
     store = gateway.store
     store.last_failure_ms = gateway.now_ms
+    store.is_failing = True
     gateway.counters.add('store_failures', event.detail)
     if store.is_reached:
         store.is_reached = False
@@ -71,6 +74,8 @@
     store = gateway.store
     now_ms = gateway.now_ms
     gateway.last_update_ms = now_ms
+    if event.is_from_store:
+        store.is_failing = False
     if event.is_from_store and gateway.gossip.is_following and not store.is_reached:
         store.is_reached = True
         gateway.act(WriteLine('store_reached', {'revision': event.revision}))
--- a/beechbridge/gateway/requests/admission.py
+++ b/beechbridge/gateway/requests/admission.py
@@ -12,6 +12,7 @@
 from ..actions import AnswerRequest, WriteLine
 from ..events import OrderReceived, RequestMalformed, RequestReceived
 from ..interface import GatewayInterface
+from ..models import CallerRequest
 from ..routes import Route
 from .answers import reject_request
 from .orders import order_remote_parts
@@ -31,6 +32,13 @@
 """Time reserved for sending the answer back to the caller."""
 
 NOT_READY_RETRY_MS = 300
+TABLE_DELAY_MS = 500.0
+"""Time after a start within which a routing table arrives if there is anyone to get it from."""
+
+RETRY_TIME_FRACTION = 1 / 3
+"""Fraction of a caller's remaining time after which it should retry during an outage: what is left
+is enough for the retry, and an earlier one would probably be rejected too."""
+
 NO_REPLICA_RETRY_MS = 250
 BUSY_RETRY_MS = 200
 MAX_ACTIVE_REQUESTS = 500
@@ -46,12 +54,23 @@
 def check_readiness(event: RequestReceived, gateway: GatewayInterface) -> Failure | None:
     """Reject requests while there is no routing table, and at the end of a shutdown."""
     if gateway.table is None:
-        return not_run(Reason.NOT_READY, 'no routing table yet', NOT_READY_RETRY_MS)
+        is_starting = gateway.now_ms - gateway.started_ms < TABLE_DELAY_MS
+        retry_after_ms = NOT_READY_RETRY_MS
+        if gateway.store.is_failing or not is_starting:
+            retry_after_ms = defer_retry_ms(event.request, NOT_READY_RETRY_MS)
+        return not_run(Reason.NOT_READY, 'no routing table yet', retry_after_ms)
     if gateway.stopping.is_closed:
         return not_run(Reason.STOPPING, 'this VM is stopping', NOT_READY_RETRY_MS)
     return None
 
 
+def defer_retry_ms(request: CallerRequest, min_ms: int) -> int:
+    """Return when a caller should retry in an outage of unknown length, in milliseconds."""
+    if request.timeout_ms is None:
+        return min_ms
+    return max(min_ms, round(RETRY_TIME_FRACTION * request.timeout_ms))
+
+
 def check_timeout(event: RequestReceived, gateway: GatewayInterface) -> Failure | None:
     """Reject requests whose caller has already timed out."""
     timeout_ms = event.request.timeout_ms
@@ -101,7 +120,8 @@
     if available_count >= needed_count:
         return None
     detail = f'{available_count} of {len(work.tasks)} services have a usable replica'
-    return not_run(Reason.NO_REPLICA, detail, NO_REPLICA_RETRY_MS)
+    retry_after_ms = defer_retry_ms(work.request, NO_REPLICA_RETRY_MS)
+    return not_run(Reason.NO_REPLICA, detail, retry_after_ms)
 
 
 WORK_FILTERS = (check_replicas,)
--- a/tests/test_restart_load.py
+++ b/tests/test_restart_load.py
@@ -2,9 +2,16 @@
 
 import unittest
 
+from nose2.tools import params
+
+from beechbridge.failures import Executed, Failure
+from beechbridge.gateway.actions import AnswerRequest
+from beechbridge.gateway.events import ChangesReceived, RequestReceived, StoreFailed
+from beechbridge.gateway.models import CallerRequest
 from beechbridge.gateway.requests.budgets import MEMBER_PROPAGATION_MS
 from beechbridge.gateway.routes import RoutingTable, ServiceRules
 
+from .gateways import HOST, single_route, start_register
 from .test_store_updates import LIMITS, Reader
 
 CONNECTION_LIMIT = 25
@@ -12,6 +19,24 @@
 """Largest small fleet of the users."""
 
 
+def ask(gateway, now_ms, path, timeout_ms):
+    """Send a request to a gateway; return its answer."""
+    request = CallerRequest('q', 'GET', path, HOST, path, [], b'', timeout_ms)
+    for action in gateway.handle(RequestReceived(1, request), now_ms):
+        if isinstance(action, AnswerRequest):
+            return action.answer
+    return None
+
+
+class StartingReader(Reader):
+    """A gateway that has just started and has no routing table."""
+
+    def __init__(self):
+        super().__init__()
+        self.gateway.table = None
+        self.gateway.started_ms = self.now_ms
+
+
 class ConnectionsTest(unittest.TestCase):
     """Each VM at first knows only itself, and must leave connections to those it does not know."""
 
@@ -30,3 +55,35 @@
 
     def test_share_grows_once_other_vms_would_be_known(self):
         self.assertEqual(self.share_after(MEMBER_PROPAGATION_MS), CONNECTION_LIMIT // 2)
+
+
+class RetryTest(unittest.TestCase):
+    """The retry of a caller that was rejected in an outage must not come back within it."""
+
+    @params((3_000.0, 700), (1_500.0, 350), (10_000.0, 2_300))
+    def test_store_outage_at_a_start(self, timeout_ms, least_ms):
+        reader = StartingReader()
+        reader.deliver(StoreFailed('status 503'))
+        answer = ask(reader.gateway, reader.now_ms, '/sweep/x', timeout_ms)
+        self.assertIs(answer.executed, Executed.NOT_RUN)
+        self.assertGreaterEqual(answer.retry_after_ms, least_ms)
+        self.assertLess(answer.retry_after_ms, timeout_ms / 2)
+
+    @params((True, True), (False, False))
+    def test_early_retry_is_asked_for_only_while_the_store_answers(self, is_answered, is_early):
+        reader = StartingReader()
+        reader.deliver(StoreFailed('status 503'))
+        if is_answered:
+            reader.deliver(ChangesReceived([], reader.revision))
+        answer = ask(reader.gateway, reader.now_ms, '/sweep/x', 10_000.0)
+        self.assertEqual(answer.retry_after_ms <= 400, is_early)
+
+    def test_replicas_that_have_yet_to_register_again(self):
+        emulator = start_register(single_route('lookup'))
+        for number in range(2):
+            emulator.remove_entry(f'r-{number}')
+        emulator.run(100.0)
+        answer = ask(emulator.vms[0].gateway, emulator.now_ms, '/lookup/x', 4_000.0)
+        self.assertIsInstance(answer, Failure)
+        self.assertIs(answer.executed, Executed.NOT_RUN)
+        self.assertGreaterEqual(answer.retry_after_ms, 900)
