Charge the budget for attempts that followed a rejection at an order's VM

The answer to an order gave a rejected shard a run count of 0, which the VM that had sent the order took for 'never sent': its own attempt was then not an extra one, though the replica had counted the rejected one. Change: the answer names the missing shards that were tried, rejected or not.

Test: test_attempt_after_a_rejection_in_the_other_region fails without it.

--- a/beechbridge/gateway/models.py
+++ b/beechbridge/gateway/models.py
@@ -248,9 +248,11 @@
         parts that have not arrived
     :param body: the largest records of all parts, merged
     :param work_ms: milliseconds from the order to the answer, measured at that VM
+    :param tried: services of missing parts whose replicas the request may have reached, also if
+        they rejected it
     """
 
-    __slots__ = ('body', 'run_counts', 'signatures', 'work_ms')
+    __slots__ = ('body', 'run_counts', 'signatures', 'tried', 'work_ms')
 
     def __init__(
         self,
@@ -258,8 +260,10 @@
         run_counts: dict[str, int],
         body: bytes,
         work_ms: float,
+        tried: frozenset[str] = frozenset(),
     ):
         self.signatures = signatures
+        self.tried = tried
         self.run_counts = run_counts
         self.body = body
         self.work_ms = work_ms
--- a/beechbridge/gateway/requests/answers.py
+++ b/beechbridge/gateway/requests/answers.py
@@ -52,13 +52,17 @@
     """Return the merged parts, and run counts that show what may be retried at missing shards."""
     signatures = {}
     run_counts = {}
+    tried = set()
     for task in work.tasks:
         if task.reply is not None:
             signatures[task.service] = task.reply.signature
             continue
         run_counts[task.service] = task.run_count
+        if task.delivery_count:
+            tried.add(task.service)
     body = merge_largest_records(work.replies, work.route.top_records)
-    return PartsAnswer(signatures, run_counts, body, gateway.now_ms - work.arrived_ms)
+    work_ms = gateway.now_ms - work.arrived_ms
+    return PartsAnswer(signatures, run_counts, body, work_ms, frozenset(tried))
 
 
 def merge_largest_records(replies: list[Reply], count: int) -> bytes:
--- a/beechbridge/gateway/requests/orders.py
+++ b/beechbridge/gateway/requests/orders.py
@@ -226,7 +226,7 @@
     for service, run_count in answer.run_counts.items():
         task = owner.tasks[service]
         task.run_count += min(run_count, work.route.attempts) - owner.reserved_counts[service]
-        task.delivery_count -= run_count == 0
+        task.delivery_count -= service not in answer.tried
         task.fault = LinkFault.TIMED_OUT
     for task in owner.open_tasks:
         if task.reply is not None:
--- a/beechbridge/wire/fleet.py
+++ b/beechbridge/wire/fleet.py
@@ -162,7 +162,9 @@
 def write_parts_answer(answer: PartsAnswer, request_id: str) -> HttpResponse:
     """Return the parts that have arrived and, for the others, how many replicas may have run."""
     parts = [ttypes.Part(name, signature) for name, signature in answer.signatures.items()]
-    missing = [ttypes.MissingPart(name, count) for name, count in answer.run_counts.items()]
+    missing = []
+    for name, count in answer.run_counts.items():
+        missing.append(ttypes.MissingPart(name, count, name in answer.tried))
     body = encode_struct(ttypes.PartsAnswer(parts, missing, answer.body, answer.work_ms))
     return HttpResponse('200 OK', [CONTENT_TYPE_HEADER, (ORDER_ID_HEADER, request_id)], body)
 
@@ -189,6 +191,9 @@
         return PartsReply(PartsAnswer({}, {}, b'', 0.0), request_id, closes)
     signatures = {part.service_name: part.signature for part in frame.parts}
     run_counts = {part.service_name: part.run_count for part in frame.missing}
+    tried = frozenset(part.service_name for part in frame.missing if part.was_tried)
     return PartsReply(
-        PartsAnswer(signatures, run_counts, frame.body, frame.work_ms), request_id, closes
+        PartsAnswer(signatures, run_counts, frame.body, frame.work_ms, tried),
+        request_id,
+        closes,
     )
--- a/beechbridge/wire/peer.thrift
+++ b/beechbridge/wire/peer.thrift
@@ -165,6 +165,7 @@
 struct MissingPart {
   1: required string service_name
   2: required i32 run_count
+  3: required bool was_tried
 }
 
 // The body holds the merged records of all parts.
--- a/beechbridge/wire/peer/ttypes.py
+++ b/beechbridge/wire/peer/ttypes.py
@@ -2529,18 +2529,21 @@
     Attributes:
      - service_name
      - run_count
+     - was_tried
 
     """
 
     __slots__ = (
         'service_name',
         'run_count',
+        'was_tried',
     )
 
 
-    def __init__(self, service_name=None, run_count=None,):
+    def __init__(self, service_name=None, run_count=None, was_tried=None,):
         self.service_name = service_name
         self.run_count = run_count
+        self.was_tried = was_tried
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2561,6 +2564,11 @@
                     self.run_count = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.was_tried = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2579,6 +2587,10 @@
             oprot.writeFieldBegin('run_count', TType.I32, 2)
             oprot.writeI32(self.run_count)
             oprot.writeFieldEnd()
+        if self.was_tried is not None:
+            oprot.writeFieldBegin('was_tried', TType.BOOL, 3)
+            oprot.writeBool(self.was_tried)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2587,6 +2599,8 @@
             raise TProtocolException(message='Required field service_name is unset!')
         if self.run_count is None:
             raise TProtocolException(message='Required field run_count is unset!')
+        if self.was_tried is None:
+            raise TProtocolException(message='Required field was_tried is unset!')
         return
 
     def __repr__(self):
@@ -2915,6 +2929,7 @@
     None,  # 0
     (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
     (2, TType.I32, 'run_count', None, None, ),  # 2
+    (3, TType.BOOL, 'was_tried', None, None, ),  # 3
 )
 all_structs.append(PartsAnswer)
 PartsAnswer.thrift_spec = (
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -230,6 +230,18 @@
         self.assertEqual((answer.missing_count, len(answer.signatures)), (1, SHARDS - 1))
         self.assertEqual(len(answer.body), 10 * 16)
 
+    @params((True, 1), (False, 0))
+    def test_attempt_after_a_rejection_in_the_other_region_is_an_extra_one(self, was_tried, count):
+        service = min(self.far)
+        signatures = {name: f's-{name}' for name in self.far - {service}}
+        tried = frozenset({service} if was_tried else ())
+        answer = PartsAnswer(signatures, {service: 0}, b'', 20.0, tried)
+        budget = self.request.gateway.budget(service)
+        before = budget.extra_count
+        self.end(PartsReply(answer, 'q1', False))
+        self.assertEqual(self.services_asked_since(), {service})
+        self.assertEqual(budget.extra_count - before, count)
+
     def test_late_parts_are_ignored_after_a_disconnect(self):
         self.request.deliver(CallerDisconnected(self.request.key))
         self.end(PartsReply(PartsAnswer(dict.fromkeys(self.far, 's'), {}, b'', 1.0), 'q1', False))
@@ -286,7 +298,7 @@
         self.assertEqual(order.request_id, 'q1')
 
     def test_answer_survives_a_round_trip(self):
-        answer = PartsAnswer({'a': 's'}, {'b': 2}, RECORD, 12.5)
+        answer = PartsAnswer({'a': 's'}, {'b': 2, 'c': 0}, RECORD, 12.5, frozenset({'b'}))
         wire = write_parts(answer, 'q1')
         reply = read_parts(200, wire.headers, wire.body, False)
         self.assertEqual(reply, PartsReply(answer, 'q1', False))
