Read the change as a newcomer would

Docstrings say what a restoration keeps and holds back, the choice of a spare VM stops once it has one, and an overdue table has a name. No change of behaviour; the tests of the fleet, restorations, restarts and orders pass.

--- a/beechbridge/gateway/fleet/aggregators.py
+++ b/beechbridge/gateway/fleet/aggregators.py
@@ -63,7 +63,7 @@
             gateway.act(DropConnection(connection_id))
 
     def choose(self, zone: str, route_name: str, gateway: GatewayInterface) -> ReplicaState | None:
-        """Return the healthy VM of a zone with the lowest expected latency, if there is one."""
+        """Return the healthy VM of a data centre that is expected to be fastest, if any is."""
         healthy = []
         for state in self.states.values():
             if state.entry.zone == zone and not state.is_suspect(gateway.now_ms):
--- a/beechbridge/gateway/fleet/placement.py
+++ b/beechbridge/gateway/fleet/placement.py
@@ -99,16 +99,18 @@
         """
         Return the VMs at which a request of a caller at a zone and region costs least.
 
-        If that is a single one, the next ones of its region are added.
+        If that is a single one, the next cheapest of its region is added as a spare.
         """
         costs = [self.cost_of(member, zone, region) for member in members]
         chosen: list[Member] = []
         for cost, member in sorted(zip(costs, members, strict=True), key=itemgetter(0)):
-            if cost == min(costs):
-                chosen.append(member)
-                continue
-            is_same_region = self.cost_between(member.zone, chosen[0].zone) < CROSS_REGION_COST
-            if len(chosen) < MIN_CHOSEN and is_same_region:
+            is_cheapest = cost == min(costs)
+            if not is_cheapest and len(chosen) >= MIN_CHOSEN:
+                break
+            is_near = not chosen or self.cost_between(member.zone, chosen[0].zone) < (
+                CROSS_REGION_COST
+            )
+            if is_cheapest or is_near:
                 chosen.append(member)
         return chosen
 
@@ -116,6 +118,7 @@
         """Return the cost of a request of a caller at a zone and region at a VM."""
         cost = self.cost_between(member.zone, zone)
         if cost == CROSS_REGION_COST and self.regions.get(member.zone) == region:
+            # The settings do not list the caller's data centre.
             cost = CROSS_ZONE_COST
         return round(cost + self.fanout_costs.get(member.zone, 0.0), COST_DIGITS)
 
--- a/beechbridge/gateway/replicas/restoration.py
+++ b/beechbridge/gateway/replicas/restoration.py
@@ -25,8 +25,8 @@
 that does not run expires earlier, after three heartbeats.
 """
 
-
 MAX_KEYS_LOGGED = 8
+"""Limit on the kept and on the held keys named in a log line."""
 
 
 class ConfirmationTimer(Record):
@@ -60,7 +60,12 @@
 
 
 def start_epoch(event: ChangesReceived, gateway: GatewayInterface) -> list[Item]:
-    """Start the epoch of a complete listing; return what is to be applied of its items."""
+    """
+    Start the epoch of a complete listing; return the items that are to be applied.
+
+    Outdated items are replaced by the known ones, at the listed revision, so that VMs which get
+    them from here do not go back either. Entries of removed replicas are held back.
+    """
     view = gateway.view
     had_items = bool(view.items)
     before = view.position
--- a/beechbridge/gateway/replicas/store_view.py
+++ b/beechbridge/gateway/replicas/store_view.py
@@ -6,7 +6,6 @@
 MAX_TOMBSTONES = 4_000
 """Deletions kept so that an older copy from another VM cannot restore a deleted item."""
 
-
 ALL_PREFIXES = ('',)
 """Listed prefixes of a copy of all items."""
 
--- a/beechbridge/gateway/requests/admission.py
+++ b/beechbridge/gateway/requests/admission.py
@@ -54,9 +54,9 @@
 def check_readiness(event: RequestReceived, gateway: GatewayInterface) -> Failure | None:
     """Reject requests while there is no routing table, and at the end of a shutdown."""
     if gateway.table is None:
-        is_starting = gateway.now_ms - gateway.started_ms < TABLE_DELAY_MS
         retry_after_ms = NOT_READY_RETRY_MS
-        if gateway.store.is_failing or not is_starting:
+        is_overdue = gateway.now_ms - gateway.started_ms >= TABLE_DELAY_MS
+        if is_overdue or gateway.store.is_failing:
             retry_after_ms = defer_retry_ms(event.request, NOT_READY_RETRY_MS)
         return not_run(Reason.NOT_READY, 'no routing table yet', retry_after_ms)
     if gateway.stopping.is_closed:
--- a/beechbridge/gateway/requests/orders.py
+++ b/beechbridge/gateway/requests/orders.py
@@ -67,7 +67,7 @@
 
 
 def order_remote_parts(work: GatherWork, gateway: GatewayInterface) -> set[Task]:
-    """Order the parts of shards without a replica in this data centre; return their tasks."""
+    """Order the parts of shards without a replica in this VM's data centre; return their tasks."""
     ordered: set[Task] = set()
     gateway.aggregators.refresh(gateway)
     if not gateway.aggregators.states:
@@ -114,7 +114,7 @@
 
 
 def place_order(order: Order, gateway: GatewayInterface) -> bool:
-    """Send an order to a VM in its zone; return False if there is no VM or too little time."""
+    """Send an order to a VM in its zone; return False if there is none or too little time."""
     now_ms = gateway.now_ms
     work = order.work
     route = work.route
