Log what a pull of store changes brought, cost and took

The driver now reports the end of each pull to the core, which logs and counts it: size, duration, position asked for, other pulls under way. The VM that answers logs what it sent. Counters pulls, pulled_bytes, changes_served and changes_served_bytes, and the histogram pull_latency_ms are on the metrics address.

No change of what is pulled or when.

--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -1,7 +1,6 @@
 """The gateway process: runs the core in an event loop and connects it to its adapters."""
 
 import asyncio
-import http.client
 import random
 import secrets
 import signal
@@ -45,7 +44,6 @@
 from ..platform.store import StoreClient
 from ..status import ExitStatus
 from ..wire.fleet import (
-    decode_changes,
     decode_heartbeat,
     encode_heartbeat,
     read_order,
@@ -57,7 +55,8 @@
 from .exchanges import Codec, ExchangeClient
 from .front import Endpoint, FrontApp, close_idle_channels, create_front, list_listeners
 from .log_lines import LineHandler, write_line
-from .pages import CHANGES_PATH, GatewayPages
+from .pages import GatewayPages
+from .pulls import pull_changes
 from .store_reader import StoreReader
 
 STORE_TIMEOUT_S = 0.8
@@ -232,25 +231,7 @@
 
     def pull_changes(self, action: PullChanges) -> None:
         """Pull store changes from another VM; blocks, so call it in its own thread."""
-        if self.settings.peers is None:
-            write_line('pull_failed', {'peer': action.host, 'cause': 'no peer address configured'})
-            return
-        client = http.client.HTTPConnection(
-            action.host, self.settings.peers.port, timeout=PULL_TIMEOUT_S
-        )
-        try:
-            client.request('GET', f'{CHANGES_PATH}?after={action.revision}&epoch={action.epoch}')
-            body = client.getresponse().read()
-        except (OSError, http.client.HTTPException) as error:
-            write_line('pull_failed', {'peer': action.host, 'cause': type(error).__name__})
-            return
-        finally:
-            client.close()
-        changes = decode_changes(body)
-        if isinstance(changes, Failure):
-            write_line('pull_failed', {'peer': action.host, 'cause': changes.detail})
-            return
-        self.post(changes)
+        self.post(pull_changes(action, self.settings.peers, PULL_TIMEOUT_S))
 
     def stop_loop(self) -> None:
         """Stop the loop after a delay in which the last answers are sent."""
--- a/beechbridge/daemon/metrics.py
+++ b/beechbridge/daemon/metrics.py
@@ -55,6 +55,7 @@
     for name, histogram in (
         ('exchange_latency_ms', core.latencies),
         ('request_latency_ms', core.request_latencies),
+        ('pull_latency_ms', core.pull_latencies),
     ):
         add_histogram(name, histogram, registry)
     body, headers = render(registry, ACCEPTED_TYPES)
--- a/beechbridge/daemon/pages.py
+++ b/beechbridge/daemon/pages.py
@@ -12,6 +12,7 @@
 from ..platform.names import DIRECTORY_PATH, READINESS_PATH
 from ..wire.fleet import encode_changes
 from .clock import read_clock_ms
+from .log_lines import write_line
 from .metrics import render_gateway
 
 DIRECTORY_TTL_S = 1.0
@@ -81,13 +82,23 @@
         """Answer a peer with the changes of the store after a revision."""
         query = dict(parse_qsl(environ['QUERY_STRING']))
         after, epoch = (read_count(query.get(name, '')) for name in ('after', 'epoch'))
-        changes = asyncio.run_coroutine_threadsafe(self.list_changes(after, epoch), self.loop)
+        peer = environ['REMOTE_ADDR']
+        changes = asyncio.run_coroutine_threadsafe(
+            self.list_changes(after, epoch, peer), self.loop
+        )
         start_response('200 OK', [('Content-Type', 'application/octet-stream')])
         return [changes.result()]
 
-    async def list_changes(self, revision: int, epoch: int) -> bytes:
+    async def list_changes(self, revision: int, epoch: int, peer: str) -> bytes:
         """Return the encoded changes after a revision; runs in the loop's thread."""
-        return encode_changes(self.core.view.forward_changes(revision, epoch))
+        changes = self.core.view.forward_changes(revision, epoch)
+        body = encode_changes(changes)
+        self.core.counters.add('changes_served')
+        self.core.counters.add('changes_served_bytes', amount=len(body))
+        fields = {'peer': peer, 'after': revision, 'epoch': epoch, 'revision': changes.revision}
+        figures = {'changes': len(changes.changes), 'bytes': len(body)}
+        write_line('changes_served', {**fields, **figures})
+        return body
 
     async def list_members(self, lookup: Lookup) -> list[Member]:
         """Return the VMs for a caller's zone and region; runs in the loop's thread."""
--- /dev/null
+++ b/beechbridge/daemon/pulls.py
@@ -0,0 +1,41 @@
+"""Client for the store changes that another VM has."""
+
+import http.client
+import time
+
+from ..failures import Failure, Reason
+from ..gateway.actions import PullChanges
+from ..gateway.events import PullEnded
+from ..gateway.settings import Address
+from ..wire.fleet import decode_changes
+from .pages import CHANGES_PATH
+
+READ_BYTES = 65_536
+
+
+def pull_changes(pull: PullChanges, peers: Address | None, timeout_s: float) -> PullEnded:
+    """
+    Pull store changes from another VM; blocks.
+
+    :param peers: address on which VMs serve each other; its port is the same on all of them
+    :param timeout_s: longest time in seconds without any progress
+    """
+    if peers is None:
+        return PullEnded(pull, Failure(Reason.CONNECT_FAILED, detail='no peer address configured'))
+    started_s = time.monotonic()
+    client = http.client.HTTPConnection(pull.host, peers.port, timeout=timeout_s)
+    body = bytearray()
+    try:
+        client.request('GET', f'{CHANGES_PATH}?after={pull.revision}&epoch={pull.epoch}')
+        response = client.getresponse()
+        while chunk := response.read1(READ_BYTES):
+            body += chunk
+        if response.length:
+            raise http.client.IncompleteRead(bytes(body), response.length)
+        result = decode_changes(bytes(body))
+    except (OSError, http.client.HTTPException) as error:
+        result = Failure(Reason.CONNECTION_LOST, detail=type(error).__name__)
+    finally:
+        client.close()
+    elapsed_ms = (time.monotonic() - started_s) * 1000.0
+    return PullEnded(pull, result, len(body), elapsed_ms)
--- a/beechbridge/gateway/events.py
+++ b/beechbridge/gateway/events.py
@@ -1,6 +1,8 @@
 """Events that the driver reports to the gateway."""
 
+from ..failures import Failure
 from ..record import Record
+from .actions import PullChanges
 from .models import CallerRequest, Item, LinkFailure, Member, PartsOrder, PartsReply, Reply
 from .settings import GatewaySettings
 
@@ -110,6 +112,30 @@
         self.epoch = epoch
 
 
+class PullEnded(Record):
+    """
+    A pull of changes from another VM ended.
+
+    :param result: the changes, or why there are none
+    :param byte_count: bytes of the answer that arrived
+    :param elapsed_ms: duration of the pull in milliseconds
+    """
+
+    __slots__ = ('byte_count', 'elapsed_ms', 'pull', 'result')
+
+    def __init__(
+        self,
+        pull: PullChanges,
+        result: ChangesReceived | Failure,
+        byte_count: int = 0,
+        elapsed_ms: float = 0.0,
+    ):
+        self.pull = pull
+        self.result = result
+        self.byte_count = byte_count
+        self.elapsed_ms = elapsed_ms
+
+
 class StoreFailed(Record):
     """A call to the store failed."""
 
--- a/beechbridge/gateway/fleet/gossip.py
+++ b/beechbridge/gateway/fleet/gossip.py
@@ -9,10 +9,11 @@
 
 from ...core.hashing import rank_score
 from ...record import Record
-from ..actions import FollowStore, PullChanges, SendHeartbeat, WriteLine
+from ..actions import FollowStore, SendHeartbeat, WriteLine
 from ..events import HeartbeatReceived
 from ..interface import GatewayInterface
 from ..models import Member
+from .pulls import pull_if_behind
 
 HEARTBEAT_MS = 400.0
 INITIAL_HEARTBEAT_MS = 50.0
@@ -39,11 +40,6 @@
 MAX_MEMBERS_PER_MESSAGE = 100
 """Members listed in one heartbeat: it must fit into a datagram."""
 
-PULL_DELAY_MS = 500.0
-"""Time for which a newer revision of another VM is left to arrive from the store or the follower
-before it is pulled."""
-
-PULL_INTERVAL_MS = 250.0
 INITIAL_FOLLOW_DELAY_MS = 50.0
 """Time after a start in which changes may come from another VM before the store is read."""
 
@@ -65,26 +61,16 @@
     Gossip state of one VM.
 
     :param beat_count: number of periodic heartbeats sent
-    :param behind_since_ms: time in milliseconds since which another VM has a newer revision, None
-        if none has
     :param is_following: whether this VM follows the store
     :param no_follower_since_ms: time in milliseconds since which no higher-ranked VM reaches the
         store, None while one does
     """
 
-    __slots__ = (
-        'beat_count',
-        'behind_since_ms',
-        'is_following',
-        'last_pull_ms',
-        'no_follower_since_ms',
-    )
+    __slots__ = ('beat_count', 'is_following', 'no_follower_since_ms')
 
     def __init__(self):
         self.beat_count = 0
         self.no_follower_since_ms: float | None = None
-        self.behind_since_ms: float | None = None
-        self.last_pull_ms = -PULL_INTERVAL_MS
         self.is_following = False
 
 
@@ -102,33 +88,6 @@
     pull_if_behind(event, sender, gateway)
 
 
-def pull_if_behind(event: HeartbeatReceived, sender: Member, gateway: GatewayInterface) -> None:
-    """Pull changes from a VM that has had a newer revision for long enough."""
-    gossip = gateway.gossip
-    now_ms = gateway.now_ms
-    version = gateway.table.version if gateway.table else 0
-    is_newer = (event.epoch, event.revision) > gateway.view.position
-    if not is_newer and event.table_version <= version:
-        if sender.reaches_store:
-            gateway.last_update_ms = now_ms
-        return
-    if gossip.behind_since_ms is None:
-        gossip.behind_since_ms = now_ms
-    is_follower_update = not gossip.is_following and gateway.fleet.is_in_zone(sender)
-    is_cut_off = gossip.is_following and not gateway.store.is_reached
-    is_urgent = gateway.table is None or is_cut_off or is_follower_update
-    if not is_urgent and now_ms - gossip.behind_since_ms < PULL_DELAY_MS:
-        return
-    if now_ms - gossip.last_pull_ms >= PULL_INTERVAL_MS:
-        gossip.last_pull_ms = now_ms
-        gateway.act(PullChanges(sender.host, gateway.view.revision, gateway.view.epoch))
-
-
-def mark_caught_up(gateway: GatewayInterface) -> None:
-    """Record that this VM is no longer behind: changes have just been applied."""
-    gateway.gossip.behind_since_ms = None
-
-
 def announce_revision(gateway: GatewayInterface) -> None:
     """Send the new revision to the VMs of this data centre without waiting for the heartbeat."""
     send(
--- /dev/null
+++ b/beechbridge/gateway/fleet/pulls.py
@@ -0,0 +1,82 @@
+"""Pulls of store changes from other VMs: when to pull, from whom, and what came of it."""
+
+from ...failures import Failure
+from ..actions import PullChanges, WriteLine
+from ..events import HeartbeatReceived, PullEnded
+from ..interface import GatewayInterface
+from ..models import Member
+
+PULL_DELAY_MS = 500.0
+"""Time for which a newer revision of another VM is left to arrive from the store or the follower
+before it is pulled."""
+
+PULL_INTERVAL_MS = 250.0
+
+
+class Pulls:
+    """
+    Pulls of one VM.
+
+    :param behind_since_ms: time in milliseconds since which another VM has a newer revision, None
+        if none has
+    :param open_count: number of pulls that have not ended
+    """
+
+    __slots__ = ('behind_since_ms', 'last_pull_ms', 'open_count')
+
+    def __init__(self):
+        self.behind_since_ms: float | None = None
+        self.last_pull_ms = -PULL_INTERVAL_MS
+        self.open_count = 0
+
+
+def pull_if_behind(event: HeartbeatReceived, sender: Member, gateway: GatewayInterface) -> None:
+    """Pull changes from a VM that has had a newer revision for long enough."""
+    pulls = gateway.pulls
+    now_ms = gateway.now_ms
+    version = gateway.table.version if gateway.table else 0
+    is_newer = (event.epoch, event.revision) > gateway.view.position
+    if not is_newer and event.table_version <= version:
+        if sender.reaches_store:
+            gateway.last_update_ms = now_ms
+        return
+    if pulls.behind_since_ms is None:
+        pulls.behind_since_ms = now_ms
+    is_following = gateway.gossip.is_following
+    is_follower_update = not is_following and gateway.fleet.is_in_zone(sender)
+    is_cut_off = is_following and not gateway.store.is_reached
+    is_urgent = gateway.table is None or is_cut_off or is_follower_update
+    if not is_urgent and now_ms - pulls.behind_since_ms < PULL_DELAY_MS:
+        return
+    if now_ms - pulls.last_pull_ms >= PULL_INTERVAL_MS:
+        pulls.last_pull_ms = now_ms
+        pulls.open_count += 1
+        gateway.act(PullChanges(sender.host, gateway.view.revision, gateway.view.epoch))
+
+
+def mark_caught_up(gateway: GatewayInterface) -> None:
+    """Record that this VM is no longer behind: changes have just been applied."""
+    gateway.pulls.behind_since_ms = None
+
+
+def record_pull(event: PullEnded, gateway: GatewayInterface) -> None:
+    """Count a pull that ended, and log what it brought."""
+    pulls = gateway.pulls
+    pulls.open_count -= 1
+    pull = event.pull
+    fields = {'peer': pull.host, 'after': pull.revision, 'epoch': pull.epoch}
+    figures = {
+        'bytes': event.byte_count,
+        'ms': round(event.elapsed_ms, 1),
+        'open': pulls.open_count,
+    }
+    gateway.counters.add('pulled_bytes', amount=event.byte_count)
+    gateway.pull_latencies.add(event.elapsed_ms)
+    result = event.result
+    if isinstance(result, Failure):
+        gateway.counters.add('pulls', 'failed')
+        gateway.act(WriteLine('pull_failed', {**fields, **figures, 'cause': result.detail}))
+        return
+    gateway.counters.add('pulls', 'ok')
+    received = {'revision': result.revision, 'changes': len(result.changes)}
+    gateway.act(WriteLine('changes_pulled', {**fields, **received, **figures}))
--- a/beechbridge/gateway/interface.py
+++ b/beechbridge/gateway/interface.py
@@ -13,6 +13,7 @@
     from .fleet.gossip import Gossip
     from .fleet.members import Fleet
     from .fleet.placement import Activity
+    from .fleet.pulls import Pulls
     from .fleet.stopping import Stopping
     from .latencies import CallerTimeouts, Histogram
     from .models import ReplicaEntry
@@ -37,6 +38,7 @@
     counters: 'Counters'
     latencies: 'Histogram'
     request_latencies: 'Histogram'
+    pull_latencies: 'Histogram'
     caller_timeouts: 'CallerTimeouts'
     table: 'RoutingTable | None'
     view: 'StoreView'
@@ -47,6 +49,7 @@
     decode_item: 'Callable[[str, bytes], RoutingTable | ReplicaEntry | Failure | None]'
     fleet: 'Fleet'
     gossip: 'Gossip'
+    pulls: 'Pulls'
     activity: 'Activity'
     aggregators: 'Aggregators'
     splits: 'Splits'
--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -17,6 +17,7 @@
     HeartbeatReceived,
     OrderReceived,
     PauseDetected,
+    PullEnded,
     RequestMalformed,
     RequestReceived,
     RequestSent,
@@ -29,6 +30,7 @@
 from .fleet.gossip import Gossip, HeartbeatTimer, fire_heartbeat, handle_heartbeat_received
 from .fleet.members import MAX_MESH_SIZE, Fleet
 from .fleet.placement import Activity, Placement
+from .fleet.pulls import Pulls
 from .fleet.stopping import (
     CloseTimer,
     ExitTimer,
@@ -47,6 +49,7 @@
     fire_confirmation,
     fire_removal,
     handle_changes_received,
+    handle_pull_ended,
     handle_store_failed,
 )
 from .replicas.store_view import StoreView
@@ -122,6 +125,8 @@
         'latencies',
         'now_ms',
         'placement',
+        'pull_latencies',
+        'pulls',
         'removed_replicas',
         'replica_by_key',
         'request_latencies',
@@ -150,6 +155,7 @@
     ):
         self.fleet = Fleet(own, seeds, regions)
         self.gossip = Gossip()
+        self.pulls = Pulls()
         self.decode_item = decode_item
         self.budget_rules = budget_rules
         self.rng = rng
@@ -161,6 +167,7 @@
         self.counters = Counters()
         self.latencies = Histogram()
         self.request_latencies = Histogram()
+        self.pull_latencies = Histogram()
         self.caller_timeouts = CallerTimeouts()
         self.placement = Placement(regions)
         self.activity = Activity()
@@ -354,6 +361,7 @@
     ExchangeEnded: handle_exchange_ended,
     ConnectionEnded: handle_connection_ended,
     ChangesReceived: handle_changes_received,
+    PullEnded: handle_pull_ended,
     StoreFailed: handle_store_failed,
     HeartbeatReceived: handle_heartbeat_received,
     StopRequested: handle_stop_requested,
--- a/beechbridge/gateway/replicas/store_updates.py
+++ b/beechbridge/gateway/replicas/store_updates.py
@@ -3,8 +3,9 @@
 from ...failures import Failure
 from ...record import Record
 from ..actions import DropConnection, SetCallerLimits, WriteLine
-from ..events import ChangesReceived, StoreFailed
-from ..fleet.gossip import announce_revision, mark_caught_up
+from ..events import ChangesReceived, PullEnded, StoreFailed
+from ..fleet.gossip import announce_revision
+from ..fleet.pulls import mark_caught_up, record_pull
 from ..interface import GatewayInterface
 from ..models import Item, ReplicaEntry
 from ..routes import RoutingTable
@@ -65,6 +66,13 @@
         gateway.act(WriteLine('store_lost', {'cause': event.detail}))
 
 
+def handle_pull_ended(event: PullEnded, gateway: GatewayInterface) -> None:
+    """Apply the changes that another VM sent, if it sent any."""
+    record_pull(event, gateway)
+    if not isinstance(event.result, Failure):
+        handle_changes_received(event.result, gateway)
+
+
 def handle_changes_received(event: ChangesReceived, gateway: GatewayInterface) -> None:
     """Apply store changes and act on those that are new to this VM."""
     if event.epoch < gateway.view.epoch:
--- a/measure/emulated_actions.py
+++ b/measure/emulated_actions.py
@@ -20,6 +20,7 @@
 from beechbridge.gateway.events import (
     CallerDisconnected,
     HeartbeatReceived,
+    PullEnded,
     RequestSent,
 )
 
@@ -128,7 +129,8 @@
     """Answer with the changes that another VM has."""
     for other in emulator.vms:
         if other.is_up and other.gateway.fleet.own.host == action.host:
-            event = other.gateway.view.forward_changes(action.revision, action.epoch)
+            changes = other.gateway.view.forward_changes(action.revision, action.epoch)
+            event = PullEnded(action, changes)
             emulator.schedule(2 * REGION_DELAY_MS, lambda e=event: emulator.deliver_event(vm, e))
 
 
--- /dev/null
+++ b/tests/test_pulls.py
@@ -0,0 +1,123 @@
+"""Pulls of store changes between VMs: when, from whom, and what is logged of them."""
+
+import http.server
+import threading
+import unittest
+
+from nose2.tools import params
+
+from beechbridge.daemon.pulls import pull_changes
+from beechbridge.failures import Failure, Reason
+from beechbridge.gateway.actions import PullChanges, WriteLine
+from beechbridge.gateway.events import ChangesReceived, HeartbeatReceived, PullEnded
+from beechbridge.gateway.models import Item, Member
+from beechbridge.gateway.settings import Address
+from beechbridge.wire.fleet import encode_changes
+
+from .test_store_updates import Reader
+
+HOST = '127.0.0.1'
+TIMEOUT_S = 5.0
+FOLLOWER = 'vm-4'
+"""A VM that goes before `vm-0` as the follower of the store."""
+
+CHANGES = ChangesReceived([Item('other', b'bytes', 9)], 9, is_from_store=False)
+LOST = Failure(Reason.CONNECTION_LOST, detail='TimeoutError')
+
+
+class PulledReader(Reader):
+    """A gateway in whose data centre another VM follows the store."""
+
+    def __init__(self):
+        super().__init__()
+        self.decoded[CHANGES.changes[0].value] = None
+        self.heartbeat = 0
+        for _ in range(4):
+            self.hear(FOLLOWER, 0)
+            self.wait(400.0)
+
+    def hear(self, name, revision_ahead, zone='brum-a', reaches_store=True):
+        """Receive a heartbeat; return the pulls that it causes."""
+        self.heartbeat += 1
+        member = Member(name, name, zone, 1, self.heartbeat)
+        member.reaches_store = reaches_store
+        revision = self.gateway.view.revision + revision_ahead
+        actions = self.deliver(HeartbeatReceived([member], 1, revision))
+        return [action for action in actions if isinstance(action, PullChanges)]
+
+    def end(self, pull, result):
+        return self.deliver(PullEnded(pull, result, byte_count=5_000, elapsed_ms=12.0))
+
+
+class LinesTest(unittest.TestCase):
+    @params((CHANGES, 'changes_pulled', 'ok'), (LOST, 'pull_failed', 'failed'))
+    def test_pull_is_logged_and_counted_with_its_size_and_duration(self, result, subject, label):
+        reader = PulledReader()
+        (pull,) = reader.hear(FOLLOWER, 5)
+        lines = [a for a in reader.end(pull, result) if isinstance(a, WriteLine)]
+        line = next(line for line in lines if line.subject == subject)
+        expected = {
+            'peer': FOLLOWER,
+            'after': pull.revision,
+            'bytes': 5_000,
+            'ms': 12.0,
+            'open': 0,
+        }
+        self.assertEqual({name: line.fields[name] for name in expected}, expected)
+        counters = reader.gateway.counters
+        self.assertEqual(counters.get('pulls', label), 1)
+        self.assertEqual(counters.get('pulled_bytes'), 5_000)
+
+    def test_pulled_changes_are_applied(self):
+        reader = PulledReader()
+        (pull,) = reader.hear(FOLLOWER, 5)
+        reader.end(pull, CHANGES)
+        self.assertEqual(reader.gateway.view.revision, CHANGES.revision)
+
+
+class PeerHandler(http.server.BaseHTTPRequestHandler):
+    """Sends the server's body, `missing` bytes less than announced."""
+
+    def do_GET(self):
+        body = self.server.body
+        self.send_response(200)
+        self.send_header('Content-Length', str(len(body) + self.server.missing))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *arguments):
+        """Print nothing."""
+
+
+class ClientTest(unittest.TestCase):
+    def setUp(self):
+        self.server = http.server.HTTPServer((HOST, 0), PeerHandler)
+        self.server.body, self.server.missing = encode_changes(CHANGES), 0
+        thread = threading.Thread(target=self.server.serve_forever, daemon=True)
+        thread.start()
+        self.addCleanup(thread.join)
+        self.addCleanup(self.server.server_close)
+        self.addCleanup(self.server.shutdown)
+
+    def pull(self):
+        peers = Address(HOST, self.server.server_port)
+        return pull_changes(PullChanges(HOST, 1), peers, TIMEOUT_S)
+
+    def test_changes_of_a_peer_are_decoded(self):
+        ended = self.pull()
+        self.assertEqual(ended.result, CHANGES)
+        self.assertEqual(ended.byte_count, len(self.server.body))
+
+    def test_truncated_answer_is_a_failure_with_the_bytes_that_arrived(self):
+        self.server.missing = 10
+        ended = self.pull()
+        self.assertIsInstance(ended.result, Failure)
+        self.assertEqual(ended.byte_count, len(self.server.body))
+
+    def test_body_that_is_no_frame_is_a_failure(self):
+        self.server.body = b'not a frame'
+        self.assertIsInstance(self.pull().result, Failure)
+
+    def test_vm_without_a_peer_address_pulls_nothing(self):
+        ended = pull_changes(PullChanges(HOST, 1), None, TIMEOUT_S)
+        self.assertIsInstance(ended.result, Failure)
