--- a/measure/emulated_actions.py
+++ b/measure/emulated_actions.py
@@ -4,6 +4,7 @@
 from functools import singledispatch
 from typing import TYPE_CHECKING
 
+from beechbridge.failures import Failure, Reason
 from beechbridge.gateway.actions import (
     AnswerRequest,
     CloseIdleCallers,
@@ -23,6 +24,7 @@
     PullEnded,
     RequestSent,
 )
+from beechbridge.wire.fleet import encode_changes, encode_heartbeat
 
 from .stand_ins import EmulatedOrder, EmulatedVm, Job
 
@@ -30,6 +32,7 @@
     from .emulator import Emulator
 
 HANDSHAKE_MS = 6.0
+PULL_TIMEOUT_MS = 800.0
 STORE_LATENCY_MS = 8.0
 REGION_DELAY_MS = 8.0
 
@@ -108,6 +111,7 @@
 @perform.register(SendHeartbeat)
 def perform_heartbeat(action: SendHeartbeat, vm: EmulatedVm, emulator: 'Emulator') -> None:
     """Deliver a heartbeat to the VMs that are up."""
+    byte_count = len(encode_heartbeat(action))
     for host in action.hosts:
         for other in emulator.vms:
             if other.gateway.fleet.own.host == host and other is not vm:
@@ -119,19 +123,42 @@
                     action.wants_members,
                     action.epoch,
                 )
-                emulator.schedule(
-                    REGION_DELAY_MS, lambda o=other, e=event: emulator.deliver_event(o, e)
+                emulator.send_over_link(
+                    vm,
+                    byte_count,
+                    REGION_DELAY_MS,
+                    lambda o=other, e=event: emulator.deliver_event(o, e),
                 )
 
 
 @perform.register(PullChanges)
 def perform_pull(action: PullChanges, vm: EmulatedVm, emulator: 'Emulator') -> None:
-    """Answer with the changes that another VM has."""
+    """Ask another VM for the changes that it has."""
     for other in emulator.vms:
         if other.is_up and other.gateway.fleet.own.host == action.host:
-            changes = other.gateway.view.forward_changes(action.revision, action.epoch)
-            event = PullEnded(action, changes)
-            emulator.schedule(2 * REGION_DELAY_MS, lambda e=event: emulator.deliver_event(vm, e))
+            emulator.schedule(
+                REGION_DELAY_MS, lambda o=other: answer_pull(action, vm, o, emulator)
+            )
+
+
+def answer_pull(
+    action: PullChanges, vm: EmulatedVm, other: EmulatedVm, emulator: 'Emulator'
+) -> None:
+    """Send changes to the VM that asked for them; it gives up if it has to wait too long."""
+    changes = other.gateway.view.forward_changes(action.revision, action.epoch)
+    byte_count = len(encode_changes(changes))
+    ended = PullEnded(action, changes, byte_count)
+    wait_ms = max(0.0, other.link_free_ms - emulator.now_ms)
+    if wait_ms > PULL_TIMEOUT_MS:
+        failure = Failure(Reason.CONNECTION_LOST, detail='TimeoutError')
+        emulator.schedule(
+            PULL_TIMEOUT_MS, lambda: emulator.deliver_event(vm, PullEnded(action, failure))
+        )
+        emulator.send_over_link(other, byte_count, REGION_DELAY_MS, lambda: None)
+        return
+    emulator.send_over_link(
+        other, byte_count, REGION_DELAY_MS, lambda: emulator.deliver_event(vm, ended)
+    )
 
 
 @perform.register(FollowStore)
--- a/measure/emulator.py
+++ b/measure/emulator.py
@@ -43,6 +43,8 @@
 TABLE_KEY = 'table'
 ENTRY_PREFIX = 'replica/'
 HOST = 'search.example'
+BASE64_FACTOR = 4 / 3
+UNLIMITED = float('inf')
 
 
 class Emulator:
@@ -64,7 +66,7 @@
         'revision',
         'rng',
         'sequence',
-        'table',
+        'tables',
         'vms',
         'work_ms',
     )
@@ -84,7 +86,7 @@
         self.next_key = 0
         self.revision = 0
         self.items: dict[str, Item] = {}
-        self.table: RoutingTable | None = None
+        self.tables: dict[bytes, RoutingTable] = {}
         self.replicas: dict[str, EmulatedReplica] = {}
         self.entries: dict[str, ReplicaEntry] = {}
         self.vms: list[EmulatedVm] = []
@@ -109,19 +111,30 @@
     def decode_item(self, key: str, value: bytes) -> RoutingTable | ReplicaEntry | Failure | None:
         """Return the object that an item refers to: items carry names, not contents."""
         if key == TABLE_KEY:
-            return self.table
+            return self.tables[value]
         return self.entries.get(value.decode())
 
-    def put_table(self, routes: list[Route], connection_limit: int = 26, version: int = 1) -> None:
-        """Publish a routing table."""
+    def put_table(
+        self,
+        routes: list[Route],
+        connection_limit: int = 26,
+        version: int = 1,
+        document: bytes = b'',
+    ) -> None:
+        """
+        Publish a routing table.
+
+        :param document: bytes that the table takes in the store; links of limited speed carry them
+        """
         services = {}
         for route in routes:
             for service in route.services:
                 services[service] = ServiceRules(service, connection_limit)
-        self.table = RoutingTable(
+        value = b'table %d %b' % (version, document)
+        self.tables[value] = RoutingTable(
             version, routes, services, CallerLimits(16_384, 262_144, 3_000.0, 15_000.0)
         )
-        self.publish([Item(TABLE_KEY, b'table', self.next_revision())])
+        self.publish([Item(TABLE_KEY, value, self.next_revision())])
 
     def put_replica(
         self, replica_id: str, service: str, zone: str, spec: ReplicaSpec | None = None
@@ -157,17 +170,31 @@
         return self.revision
 
     def publish(self, changes: list[Item]) -> None:
-        """Deliver changes immediately to every VM that follows the store."""
+        """Deliver changes to every VM that follows the store, as fast as its link carries them."""
         for item in changes:
             self.items[item.key] = item
         for vm in self.vms:
             if vm.is_following:
-                self.deliver_event(vm, ChangesReceived(changes, self.revision))
+                self.deliver_from_store(vm, ChangesReceived(changes, self.revision))
 
     def list_items(self, vm: EmulatedVm) -> None:
         """Deliver a full listing of the store to a VM."""
         if vm.is_following:
-            self.deliver_event(vm, ChangesReceived(list(self.items.values()), self.revision))
+            self.deliver_from_store(vm, ChangesReceived(list(self.items.values()), self.revision))
+
+    def deliver_from_store(self, vm: EmulatedVm, event: ChangesReceived) -> None:
+        """Deliver items of the store, which sends their values in Base64."""
+        byte_count = sum(len(item.value or b'') for item in event.changes) * BASE64_FACTOR
+        if vm.link_bytes_per_ms == UNLIMITED:
+            self.deliver_event(vm, event)
+            return
+        self.schedule(byte_count / vm.link_bytes_per_ms, lambda: self.deliver_event(vm, event))
+
+    def send_over_link(self, vm: EmulatedVm, byte_count: int, delay_ms: float, callback) -> None:
+        """Send bytes after all that a VM has sent before; call back when they have arrived."""
+        wait_ms = max(0.0, vm.link_free_ms - self.now_ms)
+        vm.link_free_ms = self.now_ms + wait_ms + byte_count / vm.link_bytes_per_ms
+        self.schedule(vm.link_free_ms - self.now_ms + delay_ms, callback)
 
     def send_request(
         self, vm_number: int, path: str, timeout_ms: float, method: str = 'GET'
--- a/measure/stand_ins.py
+++ b/measure/stand_ins.py
@@ -103,6 +103,8 @@
     """
     One gateway with its orders, answers and log lines.
 
+    :param link_bytes_per_ms: speed of its link in each direction, for store changes and heartbeats
+    :param link_free_ms: time in milliseconds at which all that it has sent is on its way
     :param sent_orders: orders to other VMs, by connection id
     :param received_orders: orders from other VMs, by key
     """
@@ -114,6 +116,8 @@
         'is_up',
         'jobs',
         'lines',
+        'link_bytes_per_ms',
+        'link_free_ms',
         'received_orders',
         'sent_orders',
         'timer_ms',
@@ -129,6 +133,8 @@
         self.timer_ms = float('inf')
         self.is_up = True
         self.is_following = False
+        self.link_bytes_per_ms = float('inf')
+        self.link_free_ms = 0.0
 
 
 def region_of(zone: str) -> str:
