Pull store changes from one VM at a time

Cause: a VM pulled again with each heartbeat of any VM that was ahead, 250 ms after the last pull, whether or not that one had ended. The links between VMs carry 0.87 MB a second, so pulls slowed each other down until none arrived in time.

Change: a VM has one pull under way; one that failed, or took 3 s, is followed by a pull from another VM. OverlapTest failed before (3 of 3 cases).

--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -62,7 +62,6 @@
 STORE_TIMEOUT_S = 0.8
 """Response timeout of the store, which normally answers within milliseconds."""
 
-PULL_TIMEOUT_S = 0.8
 METRICS_PORT = 9464
 PAUSE_THRESHOLD_MS = 1_000.0
 """Delay of the event loop above which the process is considered to have been paused."""
@@ -231,7 +230,7 @@
 
     def pull_changes(self, action: PullChanges) -> None:
         """Pull store changes from another VM; blocks, so call it in its own thread."""
-        self.post(pull_changes(action, self.settings.peers, PULL_TIMEOUT_S))
+        self.post(pull_changes(action, self.settings.peers))
 
     def stop_loop(self) -> None:
         """Stop the loop after a delay in which the last answers are sent."""
--- a/beechbridge/daemon/pulls.py
+++ b/beechbridge/daemon/pulls.py
@@ -11,25 +11,34 @@
 from .pages import CHANGES_PATH
 
 READ_BYTES = 65_536
+PROGRESS_TIMEOUT_S = 0.8
+"""Longest time in which nothing of an answer arrives."""
 
+PULL_TIMEOUT_S = 3.0
+"""Longest duration of a pull: another VM may answer sooner."""
 
-def pull_changes(pull: PullChanges, peers: Address | None, timeout_s: float) -> PullEnded:
+
+def pull_changes(
+    pull: PullChanges, peers: Address | None, timeout_s: float = PULL_TIMEOUT_S
+) -> PullEnded:
     """
     Pull store changes from another VM; blocks.
 
     :param peers: address on which VMs serve each other; its port is the same on all of them
-    :param timeout_s: longest time in seconds without any progress
+    :param timeout_s: longest duration in seconds
     """
     if peers is None:
         return PullEnded(pull, Failure(Reason.CONNECT_FAILED, detail='no peer address configured'))
     started_s = time.monotonic()
-    client = http.client.HTTPConnection(pull.host, peers.port, timeout=timeout_s)
+    client = http.client.HTTPConnection(pull.host, peers.port, timeout=PROGRESS_TIMEOUT_S)
     body = bytearray()
     try:
         client.request('GET', f'{CHANGES_PATH}?after={pull.revision}&epoch={pull.epoch}')
         response = client.getresponse()
         while chunk := response.read1(READ_BYTES):
             body += chunk
+            if time.monotonic() - started_s > timeout_s:
+                raise TimeoutError
         if response.length:
             raise http.client.IncompleteRead(bytes(body), response.length)
         result = decode_changes(bytes(body))
--- a/beechbridge/gateway/fleet/pulls.py
+++ b/beechbridge/gateway/fleet/pulls.py
@@ -11,23 +11,36 @@
 before it is pulled."""
 
 PULL_INTERVAL_MS = 250.0
+"""Minimum time between the starts of two pulls."""
+
+FAILED_PEER_DELAY_MS = 1_000.0
+"""Time for which a VM whose changes did not arrive is not asked again."""
 
 
 class Pulls:
     """
-    Pulls of one VM.
+    Pulls of one VM, one at a time: a second one would only compete with the first for the link.
 
     :param behind_since_ms: time in milliseconds since which another VM has a newer revision, None
         if none has
-    :param open_count: number of pulls that have not ended
+    :param pending: pull that has not ended, None if there is none
+    :param failed_ms: time in milliseconds of the last failed pull, by host
     """
 
-    __slots__ = ('behind_since_ms', 'last_pull_ms', 'open_count')
+    __slots__ = ('behind_since_ms', 'failed_ms', 'last_pull_ms', 'pending')
 
     def __init__(self):
         self.behind_since_ms: float | None = None
         self.last_pull_ms = -PULL_INTERVAL_MS
-        self.open_count = 0
+        self.pending: PullChanges | None = None
+        self.failed_ms: dict[str, float] = {}
+
+    def can_ask(self, host: str, now_ms: float) -> bool:
+        """Return whether to pull from a VM now."""
+        if self.pending is not None or now_ms - self.last_pull_ms < PULL_INTERVAL_MS:
+            return False
+        failed_ms = self.failed_ms.get(host)
+        return failed_ms is None or now_ms - failed_ms >= FAILED_PEER_DELAY_MS
 
 
 def pull_if_behind(event: HeartbeatReceived, sender: Member, gateway: GatewayInterface) -> None:
@@ -48,10 +61,10 @@
     is_urgent = gateway.table is None or is_cut_off or is_follower_update
     if not is_urgent and now_ms - pulls.behind_since_ms < PULL_DELAY_MS:
         return
-    if now_ms - pulls.last_pull_ms >= PULL_INTERVAL_MS:
+    if pulls.can_ask(sender.host, now_ms):
         pulls.last_pull_ms = now_ms
-        pulls.open_count += 1
-        gateway.act(PullChanges(sender.host, gateway.view.revision, gateway.view.epoch))
+        pulls.pending = PullChanges(sender.host, gateway.view.revision, gateway.view.epoch)
+        gateway.act(pulls.pending)
 
 
 def mark_caught_up(gateway: GatewayInterface) -> None:
@@ -62,21 +75,19 @@
 def record_pull(event: PullEnded, gateway: GatewayInterface) -> None:
     """Count a pull that ended, and log what it brought."""
     pulls = gateway.pulls
-    pulls.open_count -= 1
+    pulls.pending = None
     pull = event.pull
     fields = {'peer': pull.host, 'after': pull.revision, 'epoch': pull.epoch}
-    figures = {
-        'bytes': event.byte_count,
-        'ms': round(event.elapsed_ms, 1),
-        'open': pulls.open_count,
-    }
+    figures = {'bytes': event.byte_count, 'ms': round(event.elapsed_ms, 1)}
     gateway.counters.add('pulled_bytes', amount=event.byte_count)
     gateway.pull_latencies.add(event.elapsed_ms)
     result = event.result
     if isinstance(result, Failure):
+        pulls.failed_ms[pull.host] = gateway.now_ms
         gateway.counters.add('pulls', 'failed')
         gateway.act(WriteLine('pull_failed', {**fields, **figures, 'cause': result.detail}))
         return
+    pulls.failed_ms.pop(pull.host, None)
     gateway.counters.add('pulls', 'ok')
     received = {'revision': result.revision, 'changes': len(result.changes)}
     gateway.act(WriteLine('changes_pulled', {**fields, **received, **figures}))
--- a/tests/test_pulls.py
+++ b/tests/test_pulls.py
@@ -61,7 +61,6 @@
             'after': pull.revision,
             'bytes': 5_000,
             'ms': 12.0,
-            'open': 0,
         }
         self.assertEqual({name: line.fields[name] for name in expected}, expected)
         counters = reader.gateway.counters
@@ -75,6 +74,32 @@
         self.assertEqual(reader.gateway.view.revision, CHANGES.revision)
 
 
+class OverlapTest(unittest.TestCase):
+    # Guards against pulls that are repeated while the first is on its way: they slow it down.
+    def test_vm_does_not_pull_while_a_pull_is_under_way(self):
+        reader = PulledReader()
+        (pull,) = reader.hear(FOLLOWER, 5)
+        repeated = []
+        for _ in range(8):
+            reader.wait(400.0)
+            for name in (FOLLOWER, 'vm-8', 'vm-9'):
+                repeated += reader.hear(name, 5)
+        self.assertEqual(repeated, [])
+        reader.end(pull, LOST)
+        self.assertEqual(len(reader.hear('vm-8', 5)), 1)
+
+    # Guards against a VM that asks the same slow peer time and again while others could answer.
+    @params((FOLLOWER, 0), ('vm-8', 1))
+    def test_vm_whose_changes_did_not_arrive_is_not_asked_again_at_once(self, name, expected):
+        reader = PulledReader()
+        (pull,) = reader.hear(FOLLOWER, 5)
+        reader.wait(800.0)
+        reader.end(pull, LOST)
+        self.assertEqual(len(reader.hear(name, 5)), expected)
+        reader.wait(1_000.0)
+        self.assertEqual(len(reader.hear(FOLLOWER, 5)), 1 - expected)
+
+
 class PeerHandler(http.server.BaseHTTPRequestHandler):
     """Sends the server's body, `missing` bytes less than announced."""
 
