Ask peers for a newer document once while it is on its way

A document of up to 1 MB over a slow link was sent several times, each copy slowing down the others. Found by reading; no deployment has shown it.

Now a request holds for 2 s, or until a document arrives, so that one answer at a time is on its way; what is newer then is asked for afterwards.

--- a/beechbridge/core/fleet/configuration.py
+++ b/beechbridge/core/fleet/configuration.py
@@ -23,11 +23,12 @@
 FALLBACK_READ_INTERVAL_MS = 10_000.0
 """Interval at which a VM that is not a reader reads the service itself."""
 
+NEVER_MS = float('-inf')
 HISTORY_LENGTH = 8
 """Number of recent documents kept, including the newest, to send deltas to peers."""
 
-REQUEST_INTERVAL_MS = 200.0
-"""Minimum time between two requests to peers for the same generation."""
+REQUEST_TIMEOUT_MS = 2_000.0
+"""Time after which the answer to a request to a peer counts as lost."""
 
 
 class ReadTimer(Record):
@@ -45,6 +46,7 @@
 
     :param current: validated configuration, or None before the first one
     :param history: accepted documents, newest first
+    :param requested_ms: time in milliseconds of the request to a peer that is not yet answered
     :param service_answered: whether the service has responded since the start
     """
 
@@ -56,7 +58,6 @@
         'is_reading',
         'read_failures',
         'rejected_digests',
-        'requested_generation',
         'requested_ms',
         'sequence',
         'service_answered',
@@ -70,8 +71,7 @@
         self.is_reading = False
         self.read_failures = 0
         self.sequence = 0
-        self.requested_generation = 0
-        self.requested_ms = float('-inf')
+        self.requested_ms = NEVER_MS
         self.accepted_ms = 0.0
         self.rejected_digests: set[str] = set()
         self.conflict = False
@@ -163,12 +163,15 @@
             return
         if generation <= self.generation or sender is None or digest in self.rejected_digests:
             return
-        recent = core.now_ms - self.requested_ms < REQUEST_INTERVAL_MS
-        if recent and self.requested_generation >= generation:
+        if core.now_ms - self.requested_ms < REQUEST_TIMEOUT_MS:
+            # An answer may be on its way; it brings the newest document of that peer.
             return
-        self.requested_generation = generation
+        self.request(sender, self.generation, self.digest, core)
+
+    def request(self, vm: Vm, generation: int, digest: str, core: CoreInterface) -> None:
+        """Request from a peer what is newer than a document."""
         self.requested_ms = core.now_ms
-        core.act(SendPeer(sender, ConfigurationWanted(self.generation, self.digest)))
+        core.act(SendPeer(vm, ConfigurationWanted(generation, digest)))
 
     def handle_configuration_wanted(
         self, vm: Vm, message: ConfigurationWanted, core: CoreInterface
@@ -190,6 +193,7 @@
         self, vm: Vm | None, content: Document | Delta, core: CoreInterface
     ) -> None:
         """Handle a document or a delta sent by a peer."""
+        self.requested_ms = NEVER_MS
         if isinstance(content, Document):
             self.try_activate(content, 'peer', core)
             return
@@ -201,7 +205,7 @@
             return
         core.counters.add('documents_refused', Reason.DIGEST_MISMATCH.value)
         if vm is not None:
-            core.act(SendPeer(vm, ConfigurationWanted(0, '')))
+            self.request(vm, 0, '', core)
 
     def refresh(self, core: CoreInterface) -> None:
         """Read the service ahead of schedule, as when an upstream has a newer shard map."""
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -4,10 +4,10 @@
 
 from nose2.tools import params
 
-from beechbridge.actions import LogChange
+from beechbridge.actions import LogChange, SendPeer
 from beechbridge.document import Document
 from beechbridge.events import ConfigurationReceived, PeerMessageReceived
-from beechbridge.messages import ConfigurationOffered
+from beechbridge.messages import ConfigurationOffered, ConfigurationWanted
 
 from .utils import Simulation, make_document, make_entries
 
@@ -145,6 +145,29 @@
         self.assertTrue(changed)
         self.assertEqual({tuple(content.changed) for content in changed}, {('class/c',)})
 
+    # Guards against a large document that is asked for again and again while it is on its way.
+    @params((1, 1_900.0, 1), (3, 1_900.0, 1), (1, 4_500.0, 3))
+    def test_document_is_asked_for_once_while_it_is_on_its_way(self, peers, wait_ms, expected):
+        sim = start_fleet()
+        sim.partition({'v1'}, set(NAMES[1:]))
+        log_start = len(sim.log)
+        until_ms = sim.now_ms + wait_ms
+        while sim.now_ms < until_ms:
+            for name in NAMES[1 : 1 + peers]:
+                core = sim.cores[name]
+                gossip = core.membership.build_gossip(core)
+                gossip.generation, gossip.digest = 9, 'digest'
+                sim.handle('v1', PeerMessageReceived(core.identity, gossip))
+            sim.run(100.0)
+        asked = [
+            action
+            for name, action in sim.log[log_start:]
+            if name == 'v1'
+            and isinstance(action, SendPeer)
+            and isinstance(action.message, ConfigurationWanted)
+        ]
+        self.assertEqual(len(asked), expected)
+
     def test_newest_document_spreads_after_a_partition(self):
         sim = start_fleet()
         left, right = set(NAMES[:4]), set(NAMES[4:])
