Go on with a listing of the store after a lost response

A VM that lists the store reads 16 pages and more on a large deployment, and began again at the first page after any failure; with a third of the responses lost it never ended. Found by reading; no deployment has shown it, since neighbours usually have the items.

Now the reader keeps the pages that it has. Changes are followed from the revision of the oldest page, as before, so none is missed; pages of another epoch start a new listing. The test failed before: no listing within 5 s with one in three responses lost.

--- a/beechbridge/daemon/store_reader.py
+++ b/beechbridge/daemon/store_reader.py
@@ -6,7 +6,8 @@
 from ..failures import PlatformFailure
 from ..gateway.events import ChangesReceived, StoreFailed
 from ..gateway.models import Item
-from ..platform.store import HistoryLost, StoreClient
+from ..platform.store import HistoryLost, Page, StoreClient
+from ..record import Record
 
 WATCH_TIMEOUT_MS = 2_500
 """Long-poll timeout of one watch; a dead connection is detected only after this time."""
@@ -18,6 +19,46 @@
 MAX_BACKOFF_S = 1.0
 
 
+class PartialListing(Record):
+    """
+    The items under some prefixes as far as they have been read; a failed call loses none of them.
+
+    :param prefixes: prefixes that are not yet listed in full
+    :param after: last key read under the first of them
+    :param revision: revision of the oldest page: later changes may be missing
+    """
+
+    __slots__ = ('after', 'epoch', 'items', 'prefixes', 'revision')
+
+    def __init__(self, prefixes: tuple[str, ...]):
+        self.prefixes = list(prefixes)
+        self.after = ''
+        self.items: list[Item] = []
+        self.revision: int | None = None
+        self.epoch: int | None = None
+
+    @property
+    def prefix(self) -> str:
+        """Return the prefix to read next."""
+        return self.prefixes[0]
+
+    @property
+    def is_complete(self) -> bool:
+        """Return whether all prefixes are listed."""
+        return not self.prefixes
+
+    def add(self, page: Page) -> None:
+        """Add the next page."""
+        self.epoch = page.epoch
+        self.revision = min(page.revision, self.revision or page.revision)
+        self.items.extend(page.items)
+        if page.has_more and page.items:
+            self.after = page.items[-1].key
+            return
+        self.prefixes.pop(0)
+        self.after = ''
+
+
 class StoreReader:
     """
     Follows the items under some prefixes of the store.
@@ -33,6 +74,7 @@
         'client',
         'epoch',
         'following',
+        'listing',
         'post',
         'prefixes',
         'revision',
@@ -52,6 +94,7 @@
         self.watched_prefix = watched_prefix
         self.post = post
         self.revision: int | None = None
+        self.listing = PartialListing(prefixes)
         self.epoch = 0
         self.backoff_s = INITIAL_BACKOFF_S
         self.stopped = threading.Event()
@@ -72,6 +115,7 @@
             self.following.clear()
             return
         self.epoch = epoch
+        self.listing = PartialListing(self.prefixes)
         self.revision = revision
         self.following.set()
 
@@ -79,7 +123,7 @@
         """Read the store until stopped."""
         while not self.stopped.is_set():
             self.following.wait()
-            failure = self.list_all() if self.revision is None else self.watch_once()
+            failure = self.list_next_page() if self.revision is None else self.watch_once()
             if failure is None:
                 self.backoff_s = INITIAL_BACKOFF_S
                 continue
@@ -87,42 +131,47 @@
             self.stopped.wait(self.backoff_s)
             self.backoff_s = min(MAX_BACKOFF_S, 2 * self.backoff_s)
 
-    def list_all(self) -> PlatformFailure | None:
-        """List all prefixes and post their items; start over if the epoch changes meanwhile."""
-        items: list[Item] = []
-        revision = epoch = None
-        for prefix in self.prefixes:
-            listing = self.client.list(prefix)
-            if isinstance(listing, PlatformFailure):
-                return listing
-            if isinstance(listing, HistoryLost) or epoch not in (None, listing.epoch):
-                return None
-            epoch = listing.epoch
-            items.extend(listing.items)
-            # Changes are known to be complete only up to the oldest listing.
-            revision = listing.revision if revision is None else min(revision, listing.revision)
-        self.epoch = epoch
-        self.revision = revision
-        self.post(ChangesReceived(items, revision, self.prefixes, epoch=epoch))
+    def list_next_page(self) -> PlatformFailure | None:
+        """Read the next page of the listing; post the items after the last one."""
+        listing = self.listing
+        page = self.client.list_page(listing.prefix, listing.after)
+        if isinstance(page, PlatformFailure):
+            return page
+        if self.listing is not listing:
+            # `follow` has begun another listing in the meantime.
+            return None
+        if listing.epoch not in (None, page.epoch):
+            # Pages of two epochs do not belong together.
+            self.listing = PartialListing(self.prefixes)
+            return None
+        listing.add(page)
+        if not listing.is_complete:
+            return None
+        self.listing = PartialListing(self.prefixes)
+        self.epoch = listing.epoch
+        self.revision = listing.revision
+        self.post(
+            ChangesReceived(listing.items, listing.revision, self.prefixes, epoch=listing.epoch)
+        )
         return None
 
     def watch_once(self) -> PlatformFailure | None:
         """Wait for changes and post them."""
         revision = self.revision
-        listing = self.client.watch(self.watched_prefix, revision, WATCH_TIMEOUT_MS)
-        if isinstance(listing, PlatformFailure):
-            return listing
-        if isinstance(listing, HistoryLost) or listing.epoch != self.epoch:
+        changes = self.client.watch(self.watched_prefix, revision, WATCH_TIMEOUT_MS)
+        if isinstance(changes, PlatformFailure):
+            return changes
+        if isinstance(changes, HistoryLost) or changes.epoch != self.epoch:
             # After a restoration the store counts its revisions anew, so that it may have this one
             # again with other changes behind it.
             self.revision = None
             return None
-        new_revision = max(revision, listing.revision)
+        new_revision = max(revision, changes.revision)
         if self.revision == revision:
             # Otherwise `follow` has set another revision in the meantime.
             self.revision = new_revision
-        self.post(ChangesReceived(listing.items, new_revision, epoch=listing.epoch))
-        if listing.items:
+        self.post(ChangesReceived(changes.items, new_revision, epoch=changes.epoch))
+        if changes.items:
             self.stopped.wait(BATCH_DELAY_S)
         return None
 
--- a/beechbridge/platform/store.py
+++ b/beechbridge/platform/store.py
@@ -62,8 +62,25 @@
         self.epoch = epoch
 
 
-class Listing(Record):
-    """Items as of a revision, or the changes up to it, in one epoch of the store."""
+class Page(Record):
+    """
+    Some of the items under a prefix.
+
+    :param revision: revision of the store when it sent them
+    :param has_more: whether further items follow
+    """
+
+    __slots__ = ('epoch', 'has_more', 'items', 'revision')
+
+    def __init__(self, items: list[Item], revision: int, epoch: int, has_more: bool):
+        self.items = items
+        self.revision = revision
+        self.epoch = epoch
+        self.has_more = has_more
+
+
+class Changes(Record):
+    """Changes up to a revision, in one epoch of the store."""
 
     __slots__ = ('epoch', 'items', 'revision')
 
@@ -74,7 +91,7 @@
 
 
 class HistoryLost(Record):
-    """The store no longer has the requested changes or pages: the items must be listed again."""
+    """The store no longer has the requested changes: the items must be listed again."""
 
     __slots__ = ()
 
@@ -93,35 +110,23 @@
         self.timeout_s = timeout_s
         self.connection: http.client.HTTPConnection | None = None
 
-    def list(self, prefix: str) -> Listing | HistoryLost | PlatformFailure:
-        """
-        Read all items under a prefix; the revision is that of the first page.
-
-        Pages of two epochs do not belong together.
-        """
-        items: list[Item] = []
-        revision = epoch = None
+    def list_page(self, prefix: str, after: str) -> Page | PlatformFailure:
+        """Read the items under a prefix that follow a key, as many as the store sends at once."""
         parameters = {'prefix': prefix}
-        while True:
-            answer = self.call('/kv-range', parameters, 0.0)
-            if isinstance(answer, PlatformFailure):
-                return answer
-            page = decode_body(answer, RangeBody)
-            if isinstance(page, PlatformFailure):
-                return page
-            if epoch is not None and answer.epoch != epoch:
-                return HistoryLost()
-            epoch = answer.epoch
-            items.extend(to_item(item) for item in page.items)
-            if revision is None:
-                revision = page.current_rev
-            if not page.has_more or not page.items:
-                return Listing(items, revision, epoch)
-            parameters['after'] = page.items[-1].key
+        if after:
+            parameters['after'] = after
+        answer = self.call('/kv-range', parameters, 0.0)
+        if isinstance(answer, PlatformFailure):
+            return answer
+        body = decode_body(answer, RangeBody)
+        if isinstance(body, PlatformFailure):
+            return body
+        items = [to_item(item) for item in body.items]
+        return Page(items, body.current_rev, answer.epoch, body.has_more)
 
     def watch(
         self, prefix: str, revision: int, wait_ms: int
-    ) -> Listing | HistoryLost | PlatformFailure:
+    ) -> Changes | HistoryLost | PlatformFailure:
         """Long-poll for changes under a prefix after a revision."""
         parameters = {'prefix': prefix, 'after': revision, 'waitMs': wait_ms}
         answer = self.call('/kv-watch', parameters, wait_ms / 1000.0)
@@ -133,7 +138,7 @@
         if isinstance(found, PlatformFailure):
             return found
         events = [to_item(event) for event in found.events]
-        return Listing(events, found.current_rev, answer.epoch)
+        return Changes(events, found.current_rev, answer.epoch)
 
     def call(self, path: str, parameters: dict, wait_s: float) -> StoreAnswer | PlatformFailure:
         """Send one request; a connection that failed is closed and not reused."""
--- a/soak/standins.py
+++ b/soak/standins.py
@@ -130,6 +130,7 @@
 
     :param delay_s: response delay in seconds
     :param is_unavailable: whether it responds with 503
+    :param lose_every: one in so many responses is lost, none if 0
     """
 
     def __init__(self, host: str):
@@ -140,6 +141,8 @@
         self.compacted = 0
         self.delay_s = 0.0
         self.is_unavailable = False
+        self.lose_every = 0
+        self.call_count = 0
         self.epoch = 1
         self.changed = asyncio.Event()
 
@@ -190,6 +193,9 @@
     async def answer(self, message: Message, reader: asyncio.StreamReader) -> bytes | None:
         """Serve a read or a watch."""
         await asyncio.sleep(self.delay_s)
+        self.call_count += 1
+        if self.lose_every and self.call_count % self.lose_every == 0:
+            return None
         if self.is_unavailable:
             return self.respond(503)
         url = urlsplit(message.first_line.split()[1])
--- a/tests/test_restoration.py
+++ b/tests/test_restoration.py
@@ -10,7 +10,7 @@
 from beechbridge.gateway.replicas.restoration import CONFIRMATION_DELAY_MS
 from beechbridge.gateway.routes import RoutingTable
 from beechbridge.gateway.settings import Address
-from beechbridge.platform.store import HistoryLost, Listing, StoreClient
+from beechbridge.platform.store import Changes, HistoryLost, StoreClient
 from beechbridge.wire.fleet import decode_changes, encode_changes
 
 from .test_store_reader import TIMEOUT_S, StoreThread
@@ -178,9 +178,9 @@
         self.thread.call(store.put, 'servers/a', 1)
         self.thread.call(store.restore, copied)
         self.client.close()
-        listing = self.client.list('')
+        listing = self.client.list_page('', '')
         self.assertEqual((listing.epoch, listing.items), (2, []))
         self.assertIsInstance(self.client.watch('', 2, 10), HistoryLost)
         watched = self.client.watch('', 1, 10)
-        self.assertIsInstance(watched, Listing)
+        self.assertIsInstance(watched, Changes)
         self.assertEqual(watched.epoch, 2)
--- a/tests/test_store_reader.py
+++ b/tests/test_store_reader.py
@@ -3,11 +3,12 @@
 import asyncio
 import queue
 import threading
+import time
 import unittest
 
 from nose2.tools import params
 
-from beechbridge.daemon.store_reader import StoreReader
+from beechbridge.daemon.store_reader import PartialListing, StoreReader
 from beechbridge.failures import PlatformFailure
 from beechbridge.gateway.events import ChangesReceived, StoreFailed
 from beechbridge.gateway.settings import Address
@@ -64,7 +65,9 @@
         for number in range(count):
             self.thread.call(self.thread.store.put, f'servers/i-{number:03}', number)
         self.thread.call(self.thread.store.put, 'op/config', {})
-        listing = self.client.list('servers/')
+        listing = PartialListing(('servers/',))
+        while not listing.is_complete:
+            listing.add(self.client.list_page(listing.prefix, listing.after))
         self.assertEqual(len(listing.items), count)
         self.assertEqual(listing.revision, self.thread.store.revision)
 
@@ -86,15 +89,15 @@
 
     def test_unavailable_store_is_a_failure(self):
         self.thread.store.is_unavailable = True
-        self.assertIsInstance(self.client.list(''), PlatformFailure)
+        self.assertIsInstance(self.client.list_page('', ''), PlatformFailure)
 
     def test_timeout_is_a_failure_and_closes_the_connection(self):
-        self.client.list('')
+        self.client.list_page('', '')
         self.thread.store.delay_s = 3 * TIMEOUT_S
-        self.assertIsInstance(self.client.list(''), PlatformFailure)
+        self.assertIsInstance(self.client.list_page('', ''), PlatformFailure)
         self.assertIsNone(self.client.connection)
         self.thread.store.delay_s = 0.0
-        self.assertNotIsInstance(self.client.list(''), PlatformFailure)
+        self.assertNotIsInstance(self.client.list_page('', ''), PlatformFailure)
 
 
 class ReaderTest(unittest.TestCase):
@@ -108,10 +111,12 @@
         self.addCleanup(self.reader.stop)
 
     def wait_for(self, matches):
-        while True:
+        deadline_s = time.monotonic() + WAIT_S
+        while time.monotonic() < deadline_s:
             event = self.events.get(timeout=WAIT_S)
             if matches(event):
                 return event
+        raise AssertionError(f'no such event within {WAIT_S} s')
 
     def test_reader_is_idle_until_told_to_follow(self):
         with self.assertRaises(queue.Empty):
@@ -127,6 +132,48 @@
         event = self.wait_for(lambda event: event.changes)
         self.assertEqual([item.key for item in event.changes], ['op/config'])
 
+    # Guards against a listing that starts over at each lost response, and so never ends.
+    def test_listing_goes_on_at_the_page_whose_response_was_lost(self):
+        store = self.thread.store
+        for number in range(100):
+            self.thread.call(store.put, f'servers/i-{number:03}', number)
+        store.lose_every = 3
+        self.reader.follow(True, None)
+        event = self.wait_for(lambda event: isinstance(event, ChangesReceived))
+        self.assertEqual(len(event.changes), 100)
+        self.assertEqual(event.revision, store.revision)
+
+    def test_listing_that_went_on_misses_no_change(self):
+        store = self.thread.store
+        for number in range(60):
+            self.thread.call(store.put, f'servers/i-{number:03}', number)
+        store.lose_every = 2
+        self.reader.follow(True, None)
+        self.wait_for(lambda event: isinstance(event, StoreFailed))
+        self.thread.call(store.put, 'servers/i-000', 'changed')
+        self.thread.call(store.remove, 'servers/i-001')
+        store.lose_every = 0
+        items = {}
+        while items.get('servers/i-001', b'') is not None or items['servers/i-000'] == b'0':
+            event = self.wait_for(lambda event: isinstance(event, ChangesReceived))
+            items.update((item.key, item.value) for item in event.changes)
+        self.assertEqual(items['servers/i-000'], b'"changed"')
+
+    def test_listing_starts_over_if_the_store_is_restored_meanwhile(self):
+        store = self.thread.store
+        for number in range(60):
+            self.thread.call(store.put, f'servers/i-{number:03}', number)
+        copied = self.thread.call(store.copy_state)
+        self.thread.call(store.put, 'servers/a', 1)
+        store.lose_every = 2
+        self.reader.follow(True, None)
+        self.wait_for(lambda event: isinstance(event, StoreFailed))
+        self.thread.call(store.restore, copied)
+        store.lose_every = 0
+        event = self.wait_for(lambda event: isinstance(event, ChangesReceived))
+        self.assertEqual(event.epoch, store.epoch)
+        self.assertNotIn('servers/a', {item.key for item in event.changes})
+
     def test_following_from_a_revision_skips_the_listing(self):
         revision = self.thread.store.revision
         self.thread.call(self.thread.store.put, 'servers/a', 1)
