Give up a pull whose end is never reported

Found by reading the change: with one pull at a time, a VM whose driver loses a pull (a thread that dies, say) would never pull again. After 5 s another one may start; a late end is still counted and its changes are applied. The test failed before.

Cached responses to pulls are limited to 16 between two updates.

--- a/beechbridge/daemon/pages.py
+++ b/beechbridge/daemon/pages.py
@@ -25,6 +25,9 @@
 DIRECTORY_TTL_S = 1.0
 """Time for which callers cache a directory answer; some cache it three times as long."""
 
+MAX_CACHED_RESPONSES = 16
+"""Responses to pulls that are kept until the next update of the store's copy."""
+
 STATE_PATH = '/v1/state'
 METRICS_PATH = '/metrics'
 
@@ -104,7 +107,8 @@
     async def list_changes(self, request: ChangesRequest, peer: str) -> HttpResponse:
         """Return the response with the changes after a revision; runs in the loop's thread."""
         view = self.core.view
-        if self.cached_update_count != view.update_count:
+        is_outdated = self.cached_update_count != view.update_count
+        if is_outdated or len(self.cached_changes) >= MAX_CACHED_RESPONSES:
             self.cached_update_count = view.update_count
             self.cached_changes.clear()
         response = self.cached_changes.get(request.key)
--- a/beechbridge/gateway/fleet/pulls.py
+++ b/beechbridge/gateway/fleet/pulls.py
@@ -13,6 +13,9 @@
 PULL_INTERVAL_MS = 250.0
 """Minimum time between the starts of two pulls."""
 
+PENDING_TIMEOUT_MS = 5_000.0
+"""Time after which a pull whose end was not reported no longer holds up the next one."""
+
 FAILED_PEER_DELAY_MS = 1_000.0
 """Time for which a VM whose changes did not arrive is not asked again."""
 
@@ -37,7 +40,8 @@
 
     def can_ask(self, host: str, now_ms: float) -> bool:
         """Return whether to pull from a VM now."""
-        if self.pending is not None or now_ms - self.last_pull_ms < PULL_INTERVAL_MS:
+        interval_ms = PULL_INTERVAL_MS if self.pending is None else PENDING_TIMEOUT_MS
+        if now_ms - self.last_pull_ms < interval_ms:
             return False
         failed_ms = self.failed_ms.get(host)
         return failed_ms is None or now_ms - failed_ms >= FAILED_PEER_DELAY_MS
@@ -78,8 +82,9 @@
 def record_pull(event: PullEnded, gateway: GatewayInterface) -> None:
     """Count a pull that ended, and log what it brought."""
     pulls = gateway.pulls
-    pulls.pending = None
     pull = event.pull
+    if pull is pulls.pending:
+        pulls.pending = None
     fields = {'peer': pull.host, 'after': pull.revision, 'epoch': pull.epoch}
     figures = {'bytes': event.byte_count, 'ms': round(event.elapsed_ms, 1)}
     gateway.counters.add('pulled_bytes', amount=event.byte_count)
--- a/tests/test_pulls.py
+++ b/tests/test_pulls.py
@@ -14,6 +14,7 @@
 from beechbridge.failures import Failure, Reason
 from beechbridge.gateway.actions import PullChanges, WriteLine
 from beechbridge.gateway.events import ChangesReceived, HeartbeatReceived, PullEnded
+from beechbridge.gateway.fleet.pulls import PENDING_TIMEOUT_MS
 from beechbridge.gateway.models import Item, Member
 from beechbridge.gateway.replicas.dictionaries import Dictionary
 from beechbridge.gateway.replicas.store_view import StoreView
@@ -98,6 +99,18 @@
         reader.end(pull, LOST)
         self.assertEqual(len(reader.hear('vm-8', 5)), 1)
 
+    # Guards against a VM that never pulls again because its driver lost a pull.
+    def test_pull_that_never_ends_is_given_up(self):
+        reader = PulledReader()
+        (lost,) = reader.hear(FOLLOWER, 5)
+        reader.wait(PENDING_TIMEOUT_MS)
+        (pull,) = reader.hear('vm-8', 5)
+        reader.end(lost, LOST)
+        reader.wait(400.0)
+        self.assertEqual(reader.hear('vm-9', 5), [])
+        reader.end(pull, CHANGES)
+        self.assertEqual(reader.gateway.view.revision, CHANGES.revision)
+
     # Guards against a VM that asks the same slow peer time and again while others could answer.
     @params((FOLLOWER, 0), ('vm-8', 1))
     def test_vm_whose_changes_did_not_arrive_is_not_asked_again_at_once(self, name, expected):
