Hold back older entries also after a second restoration of the store

Cause: what a VM knows was judged by the items that it holds, not by its replicas. Now an entry that is older than a known replica's is held back as that of a removed one is, and only a VM with neither items nor a table is fresh. All three cases of the test failed before; with either cause mended alone, three and two of them still fail.

--- a/beechbridge/gateway/replicas/restoration.py
+++ b/beechbridge/gateway/replicas/restoration.py
@@ -67,10 +67,10 @@
     them from here do not go back either. Entries of removed replicas are held back.
     """
     view = gateway.view
-    had_items = bool(view.items)
+    is_fresh = not view.items and gateway.table is None
     before = view.position
     view.start_epoch(event.epoch)
-    if not had_items:
+    if is_fresh:
         return event.changes
     # Entries may be missing only because their replicas have yet to write them again.
     gateway.store.last_failure_ms = gateway.now_ms
@@ -101,10 +101,14 @@
 
 
 def is_removed(decoded: object, key: str, gateway: GatewayInterface) -> bool:
-    """Return whether an item is the entry of a replica that is no longer known."""
-    if not isinstance(decoded, ReplicaEntry) or key in gateway.replica_by_key:
+    """Return whether an item is the entry of a replica that has left, or is about to."""
+    if not isinstance(decoded, ReplicaEntry):
         return False
-    return gateway.removed_replicas.includes(key, decoded)
+    state = gateway.replica_by_key.get(key)
+    if state is None:
+        return gateway.removed_replicas.includes(key, decoded)
+    # An earlier restoration lacked the entry, and the replica has yet to write it again.
+    return is_older(decoded, state.entry)
 
 
 @singledispatch
@@ -126,7 +130,11 @@
     state = gateway.replica_by_key.get(key)
     if state is None or key not in gateway.view.items:
         return False
-    known = state.entry
-    if known.started_ms != decoded.started_ms:
-        return known.started_ms > decoded.started_ms
-    return known.is_draining and not decoded.is_draining
+    return is_older(decoded, state.entry)
+
+
+def is_older(entry: ReplicaEntry, known: ReplicaEntry) -> bool:
+    """Return whether a replica wrote an entry before the known one."""
+    if known.started_ms != entry.started_ms:
+        return known.started_ms > entry.started_ms
+    return known.is_draining and not entry.is_draining
--- a/tests/test_restoration.py
+++ b/tests/test_restoration.py
@@ -96,6 +96,25 @@
         reader.wait(DRAIN_MS - GRACE_MS)
         self.assertEqual(reader.usable_count, expected)
 
+    # Guards against a replica that takes work again after its drain, because the store was
+    # restored once without its entry and once more with an entry from before the drain.
+    @params(
+        ({'is_draining': True, 'started_ms': 5}, {}),
+        ({'started_ms': 6}, {}),
+        ({'started_ms': 6}, {'table': RoutingTable(1, [], {}, LIMITS)}),
+    )
+    def test_older_entry_does_not_come_back_in_a_second_restoration(self, fields, first_copy):
+        reader = RestoredReader()
+        reader.write(KEY, entry(**fields))
+        reader.restore(first_copy)
+        reader.restore({KEY: entry(started_ms=5)})
+        known = reader.gateway.replica_by_key[KEY].entry
+        self.assertEqual(known, entry(**fields))
+        reader.wait(DRAIN_MS)
+        self.assertEqual(reader.usable_count, 0)
+        reader.write(KEY, entry(**fields))
+        self.assertEqual(reader.gateway.replica_by_key[KEY].entry, entry(**fields))
+
 
 class RemovedReplicasTest(unittest.TestCase):
     def remove(self, reader):
