--- a/model/mutants.py
+++ b/model/mutants.py
@@ -45,6 +45,9 @@
 HEALTH = 'beechbridge/core/upstreams/health.py'
 EXCHANGES = 'beechbridge/core/upstreams/exchanges.py'
 CONFIGURATION = 'beechbridge/core/fleet/configuration.py'
+STORE_UPDATES = 'beechbridge/gateway/replicas/store_updates.py'
+RESTORATION = 'beechbridge/gateway/replicas/restoration.py'
+STORE_VIEW = 'beechbridge/gateway/replicas/store_view.py'
 
 MUTANTS = (
     Mutant(
@@ -238,6 +241,48 @@
         'self.serve_until_ms = core.now_ms',
         ('test_stop',),
     ),
+    Mutant(
+        'an older routing table comes into force',
+        STORE_UPDATES,
+        'if current is not None and table.version <= current.version:',
+        'if False:',
+        ('test_store_updates', 'test_epochs'),
+    ),
+    Mutant(
+        'changes of an earlier epoch are applied',
+        STORE_UPDATES,
+        'if event.epoch < gateway.view.epoch:',
+        'if False:',
+        ('test_restoration', 'test_epochs'),
+    ),
+    Mutant(
+        'an older revision replaces a newer one',
+        STORE_VIEW,
+        'if change.revision <= known_revision:',
+        'if False:',
+        ('test_store_updates', 'test_epochs'),
+    ),
+    Mutant(
+        'a draining replica is ready after a restoration',
+        RESTORATION,
+        'return known.is_draining and not entry.is_draining',
+        'return False',
+        ('test_epochs',),
+    ),
+    Mutant(
+        'a removed replica is back after a restoration',
+        RESTORATION,
+        'if is_removed(decoded, item.key, gateway):',
+        'if False:',
+        ('test_epochs',),
+    ),
+    Mutant(
+        'revisions of two epochs are compared',
+        STORE_VIEW,
+        'self.items[key] = Item(key, item.value, 0)',
+        'self.items[key] = item',
+        ('test_epochs',),
+    ),
 )
 
 
--- a/tests/test_store_updates.py
+++ b/tests/test_store_updates.py
@@ -28,11 +28,11 @@
     return ReplicaEntry(**{**known, **fields})
 
 
-class Reader:
-    """One gateway that follows the store; the test supplies the store's events."""
+class EmptyReader:
+    """One gateway that follows the store and has read nothing; the test supplies its events."""
 
-    def __init__(self):
-        self.decoded = {}
+    def __init__(self, decoded=None):
+        self.decoded = {} if decoded is None else decoded
         own = Member('vm-0', 'vm-0', 'brum-a', 1)
         self.gateway = Gateway(
             own, (), {'brum-a': 'brum'}, self.decode, BudgetRules(), 6_000.0, random.Random(1)
@@ -41,8 +41,6 @@
         self.revision = 0
         self.gateway.start(0.0)
         self.wait(500.0)
-        self.put('table', RoutingTable(1, [], {}, LIMITS))
-        self.wait(5_000.0)
 
     def decode(self, key, value):
         return self.decoded[value]
@@ -57,6 +55,19 @@
             self.deliver(TimerDue())
         self.now_ms = until_ms
 
+    @property
+    def usable_count(self):
+        return len(self.gateway.upstreams.usable('s'))
+
+
+class Reader(EmptyReader):
+    """One gateway with a table."""
+
+    def __init__(self):
+        super().__init__()
+        self.put('table', RoutingTable(1, [], {}, LIMITS))
+        self.wait(5_000.0)
+
     def item(self, key, decoded):
         self.revision += 1
         if decoded is None:
@@ -72,10 +83,6 @@
         self.revision += 1
         self.deliver(ChangesReceived(items, self.revision, listed_prefixes=('replica/',)))
 
-    @property
-    def usable_count(self):
-        return len(self.gateway.upstreams.usable('s'))
-
 
 class TableTest(unittest.TestCase):
     @params((5, 7, 7), (7, 5, 7), (7, 7, 7))
