Refuse to start a soak on addresses that are in use

Trace: both ran on the same loopback addresses, one with three and one with four VMs. A caller of the first was sent to the fourth VM, which it does not know, and the requests of both, with the same ids, reached the replicas of both ledgers.

Now a run checks that nobody listens on its addresses and names the one that is in use.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -42,6 +43,29 @@
 ZONES = ('brum-a', 'notts-a', 'wolves-a')
 
 
+class AddressInUseError(Exception):
+    """An address of a VM is in use."""
+
+
+def check_addresses(hosts: list[str]) -> None:
+    """
+    Check that nothing else listens on the VMs' addresses: its fleet would mix with this one.
+
+    :raises AddressInUseError: if an address is in use
+    """
+    for host in hosts:
+        for port in PORTS.values():
+            with socket.socket() as probe:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    probe.bind((host, port))
+                except OSError as error:
+                    raise AddressInUseError(
+                        f'cannot listen on {host}:{port} ({error.strerror}): '
+                        'wait for the other run of the soak to end'
+                    ) from error
+
+
 class Vm:
     """A process of the fleet with its own loopback address."""
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -12,7 +12,7 @@
 
 from .callers import HOST, Caller
 from .faults import DRILLS, KINDS, Faults
-from .fleet import Vm, make_folder
+from .fleet import Vm, check_addresses, make_folder
 from .ledger import Ledger
 from .proxy import Proxy
 from .standins import Replica, Store
@@ -67,6 +67,7 @@
         self.publish()
         proxy = await self.start_proxy(self.store.port)
         hosts = [f'127.9.1.{number + 1}' for number in range(self.vm_count)]
+        check_addresses(hosts)
         for number in range(self.vm_count):
             vm = Vm(number, hosts, f'{STAND_IN_HOST}:{proxy.port}', self.folder)
             self.vms.append(vm)
