Limit the size and the time of what blocking clients read

Cause: the timeouts of http.client start anew with each byte, its interim responses have no number, and read() reserves the length that a response announces: one trickling or lying store, VM or upstream occupied a thread for ever or took all memory. Change: one connection class with a deadline and a size for each response, used for the store, pulls, the configuration service and upstreams; bodies are read as they arrive; compressed changes of unknown size are rejected. Test: test_endless_responses, eight kinds of response at four clients. With read() three of them ended with MemoryError, the trickles did not end before.

--- a/beechbridge/daemon/platform.py
+++ b/beechbridge/daemon/platform.py
@@ -11,10 +11,12 @@
 from ..failures import Failure, PlatformFailure, Reason
 from ..fields import decode_json
 from ..models import VmList
+from ..wire.bounded_http import LimitedConnection, OversizedResponseError, read_body
 
 CALL_TIMEOUT_S = 2.0
 MAX_DOCUMENT_BYTES = 1024 * 1024
 MAX_VM_LIST_BYTES = 16 * 1024 * 1024
+MAX_HEAD_BYTES = 65_536
 NOT_MODIFIED = 304
 
 
@@ -83,11 +85,17 @@
     host: str, port: int, path: str, timeout_s: float, max_bytes: int
 ) -> bytes | PlatformFailure | None:
     """Send one GET request; return None if the service answers 304 Not Modified."""
-    client = http.client.HTTPConnection(host, port, timeout=timeout_s)
+    client = LimitedConnection(host, port, timeout_s, MAX_HEAD_BYTES + max_bytes)
+    client.limit_time(timeout_s)
     try:
         client.request('GET', path)
         response = client.getresponse()
-        body = response.read(max_bytes + 1)
+        body = read_body(response)
+    except OversizedResponseError:
+        return PlatformFailure(
+            Reason.TOO_LARGE,
+            detail=f'GET {path} from {host}:{port} returned more than {max_bytes} bytes',
+        )
     except (OSError, http.client.HTTPException) as error:
         return PlatformFailure(
             Reason.PLATFORM_UNAVAILABLE,
@@ -102,11 +110,6 @@
             Reason.PLATFORM_UNAVAILABLE,
             detail=f'GET {path} from {host}:{port} returned HTTP status {response.status}',
         )
-    if len(body) > max_bytes:
-        return PlatformFailure(
-            Reason.TOO_LARGE,
-            detail=f'GET {path} from {host}:{port} returned more than {max_bytes} bytes',
-        )
     return body
 
 
--- a/beechbridge/daemon/pulls.py
+++ b/beechbridge/daemon/pulls.py
@@ -7,10 +7,10 @@
 from ..gateway.actions import PullChanges
 from ..gateway.events import PullEnded
 from ..gateway.settings import Address
+from ..wire.bounded_http import LimitedConnection, read_chunks
 from ..wire.changes import ENCODING_HEADER, read_changes, write_pull
-from ..wire.compression import IDENTITY
+from ..wire.compression import IDENTITY, MAX_MESSAGE_BYTES
 
-READ_BYTES = 65_536
 PROGRESS_TIMEOUT_S = 0.8
 """Longest time in which nothing of an answer arrives."""
 
@@ -30,18 +30,15 @@
     if peers is None:
         return PullEnded(pull, Failure(Reason.CONNECT_FAILED, detail='no peer address configured'))
     started_s = time.monotonic()
-    client = http.client.HTTPConnection(pull.host, peers.port, timeout=PROGRESS_TIMEOUT_S)
+    client = LimitedConnection(pull.host, peers.port, PROGRESS_TIMEOUT_S, MAX_MESSAGE_BYTES)
+    client.limit_time(timeout_s)
     body = bytearray()
     try:
         target, headers = write_pull(pull)
         client.request('GET', target, headers=headers)
         response = client.getresponse()
-        while chunk := response.read1(READ_BYTES):
+        for chunk in read_chunks(response):
             body += chunk
-            if time.monotonic() - started_s > timeout_s:
-                raise TimeoutError
-        if response.length:
-            raise http.client.IncompleteRead(bytes(body), response.length)
         encoding = response.getheader(ENCODING_HEADER, IDENTITY)
         result = read_changes(bytes(body), encoding, pull.dictionary)
     except (OSError, http.client.HTTPException) as error:
--- a/beechbridge/daemon/upstream_client.py
+++ b/beechbridge/daemon/upstream_client.py
@@ -13,6 +13,7 @@
 from ..failures import AttemptFailure, Executed, Reason
 from ..messages import CancelOrder, LoadProbe, Reply, ShardQuery, ShardRequest
 from ..models import Replica
+from ..wire.bounded_http import LimitedConnection, OversizedResponseError, read_body
 
 CONNECT_TIMEOUT_S = 1.0
 MIN_TIMEOUT_S = 0.05
@@ -88,7 +89,9 @@
     __slots__ = ('http', 'is_closed')
 
     def __init__(self, replica: Replica):
-        self.http = http.client.HTTPConnection(replica.host, replica.port)
+        self.http = LimitedConnection(
+            replica.host, replica.port, CONNECT_TIMEOUT_S, MAX_REPLY_BYTES
+        )
         self.is_closed = False
 
 
@@ -168,18 +171,17 @@
             )
     request.headers['X-Attempt-Id'] = action.attempt_id
     try:
-        client.sock.settimeout(timeout_s + TIMEOUT_MARGIN_S)
+        client.timeout = timeout_s + TIMEOUT_MARGIN_S
+        client.limit_time(client.timeout)
         client.request(request.method, request.path, request.body, request.headers)
         response = client.getresponse()
         if response.length is None and not response.chunked:
             return AttemptFailure(
                 Reason.TRUNCATED, Executed.UNKNOWN, 'length of the reply body is unknown'
             )
-        body = response.read(MAX_REPLY_BYTES)
-        if not response.isclosed():
-            return AttemptFailure(
-                Reason.TOO_LARGE, Executed.UNKNOWN, f'reply is larger than {MAX_REPLY_BYTES} bytes'
-            )
+        body = read_body(response)
+    except OversizedResponseError as error:
+        return AttemptFailure(Reason.TOO_LARGE, Executed.UNKNOWN, str(error))
     except http.client.IncompleteRead:
         return AttemptFailure(Reason.TRUNCATED, Executed.UNKNOWN, 'reply body ended early')
     except TimeoutError:
--- a/beechbridge/platform/store.py
+++ b/beechbridge/platform/store.py
@@ -11,10 +11,15 @@
 from ..gateway.models import Item
 from ..gateway.settings import Address
 from ..record import Record
+from ..wire.bounded_http import LimitedConnection, read_body
 from .names import STORE_EPOCH
 
 HISTORY_LOST_STATUS = 410
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
+"""Largest response: a page has about 1 MB, the changes of a burst several."""
+
+ANSWER_TIME_FACTOR = 5.0
+"""Multiple of the timeout within which a response that has begun must end."""
 
 
 class ItemBody(msgspec.Struct):
@@ -108,7 +113,7 @@
     def __init__(self, address: Address, timeout_s: float):
         self.address = address
         self.timeout_s = timeout_s
-        self.connection: http.client.HTTPConnection | None = None
+        self.connection: LimitedConnection | None = None
 
     def list_page(self, prefix: str, after: str) -> Page | PlatformFailure:
         """Read the items under a prefix that follow a key, as many as the store sends at once."""
@@ -143,17 +148,18 @@
     def call(self, path: str, parameters: dict, wait_s: float) -> StoreAnswer | PlatformFailure:
         """Send one request; a connection that failed is closed and not reused."""
         if self.connection is None:
-            self.connection = http.client.HTTPConnection(
-                self.address.host, self.address.port, timeout=self.timeout_s
+            self.connection = LimitedConnection(
+                self.address.host, self.address.port, self.timeout_s, MAX_ANSWER_BYTES
             )
         connection = self.connection
         try:
             if connection.sock is None:
                 connection.connect()
-            connection.sock.settimeout(self.timeout_s + wait_s)
+            connection.timeout = self.timeout_s + wait_s
+            connection.limit_time(ANSWER_TIME_FACTOR * self.timeout_s + wait_s)
             connection.request('GET', f'{path}?{urlencode(parameters)}')
             response = connection.getresponse()
-            body = response.read(MAX_ANSWER_BYTES)
+            body = read_body(response)
         except (OSError, http.client.HTTPException) as error:
             self.close()
             return PlatformFailure(Reason.PLATFORM_UNAVAILABLE, detail=type(error).__name__)
--- a/beechbridge/wire/compression.py
+++ b/beechbridge/wire/compression.py
@@ -25,7 +25,8 @@
 WINDOW_LOG = 23
 """Binary logarithm of the window, which must span the dictionary and the message."""
 
-MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+MAX_MESSAGE_BYTES = 32 * 1024 * 1024
+"""Largest message, compressed or not: the store's items of a hundred thousand replicas."""
 
 
 def write_digest(digest: bytes) -> str:
@@ -79,8 +80,8 @@
     elif encoding != ZSTD:
         return reject(encoding, 'of an unknown encoding')
     try:
-        if zstandard.frame_content_size(data) > MAX_MESSAGE_BYTES:
-            return reject(encoding, f'larger than {MAX_MESSAGE_BYTES} bytes')
+        if not 0 <= zstandard.frame_content_size(data) <= MAX_MESSAGE_BYTES:
+            return reject(encoding, f'larger than {MAX_MESSAGE_BYTES} bytes, or of unknown size')
         decompressor = zstandard.ZstdDecompressor(dict_data=raw_dictionary)
         return decompressor.decompress(data, max_output_size=MAX_MESSAGE_BYTES)
     except zstandard.ZstdError as error:
