Answer requests that wait unread when a stop closes the listeners

Cause: at the end of a planned stop the listener's queue and idle connections were closed without a look at what had arrived there; both were reset. A body of which one byte came now and then held its connection for ever. Change: the queue is accepted and connections with unread data stay open until they are answered; a body has 30 s. Test: test_closing_answers_a_request_that (both cases got no event before) and test_trickled_body_times_out_with_408.

--- a/beechbridge/daemon/front.py
+++ b/beechbridge/daemon/front.py
@@ -9,6 +9,7 @@
 import itertools
 import logging
 import math
+import socket
 import time
 from collections.abc import Callable
 
@@ -42,13 +43,16 @@
 """Multiple of the body limit up to which a body is read, so that its sender sees the error."""
 
 HEADER_TIMEOUT_S = 10.0
+BODY_TIMEOUT_S = 30.0
+"""Time within which the whole body of a request must arrive, however steadily it does."""
+
 CONNECTION_LIMIT = 2_000
 BACKLOG = 512
 CHANNEL_KEY = 'beechbridge.channel'
 
 
-class HeaderTimeoutError(Error):
-    """The headers of a request were not received in time; the request has not been executed."""
+class LateRequestError(Error):
+    """A request was not received in time; it has not been executed."""
 
     code = 408
     reason = 'Request Timeout'
@@ -69,41 +73,48 @@
     A caller's connection; notifies the application when it is closed.
 
     :cvar app: application that serves the connection
-    :param timed_request: latest request whose headers did not arrive in one piece
-    :param header_deadline_s: deadline for the current headers, in seconds of the monotonic clock
+    :param timed_part: request, and whether its headers are complete, whose rest has a deadline
+    :param deadline_s: deadline for the current headers or body, in seconds of the monotonic clock
     """
 
     task_class = CallerTask
     app: 'FrontApp'
-    timed_request: HTTPRequestParser | None = None
-    header_deadline_s = math.inf
+    timed_part: tuple[HTTPRequestParser, bool] | None = None
+    deadline_s = math.inf
 
     def received(self, data: bytes) -> bool:
-        """Process received data and set a deadline for incomplete headers."""
+        """Process received data; set a deadline for incomplete headers or an incomplete body."""
         is_open = super().received(data)
         request = self.request
-        if request is None or request.headers_finished:
-            self.header_deadline_s = math.inf
-        elif request is not self.timed_request:
-            self.timed_request = request
-            self.header_deadline_s = time.monotonic() + self.app.header_timeout_s
+        if request is None:
+            self.deadline_s = math.inf
+            return is_open
+        part = (request, request.headers_finished)
+        if part != self.timed_part:
+            self.timed_part = part
+            self.deadline_s = time.monotonic() + self.part_timeout_s(request)
         return is_open
 
+    def part_timeout_s(self, request: HTTPRequestParser) -> float:
+        """Return how long the headers or the body of a request may take."""
+        return self.app.body_timeout_s if request.headers_finished else self.app.header_timeout_s
+
     def readable(self) -> bool:
         """Return whether to read more data; called in each iteration of the server's loop."""
-        if time.monotonic() > self.header_deadline_s:
-            self.reject_late_headers()
+        if time.monotonic() > self.deadline_s:
+            self.reject_late_request()
         return super().readable()
 
-    def reject_late_headers(self) -> None:
-        """Answer a request whose headers are late with an error; do not read the rest of it."""
-        self.header_deadline_s = math.inf
+    def reject_late_request(self) -> None:
+        """Answer a request that is late with an error; do not read the rest of it."""
+        self.deadline_s = math.inf
         with self.requests_lock:
             request, self.request = self.request, None
-            request.parse_header(b'GET / HTTP/1.0\r\n')
-            request.error = HeaderTimeoutError(
-                f'headers incomplete after {self.app.header_timeout_s} s'
-            )
+            part = 'body' if request.headers_finished else 'headers'
+            timeout_s = self.part_timeout_s(request)
+            if not request.headers_finished:
+                request.parse_header(b'GET / HTTP/1.0\r\n')
+            request.error = LateRequestError(f'{part} incomplete after {timeout_s} s')
             request.completed = True
             self.requests.append(request)
             is_first = len(self.requests) == 1
@@ -179,11 +190,13 @@
     :param callers_port: port for callers
     :param callers_adjustments: server limits on that port
     :param header_timeout_s: timeout in seconds for receiving the headers of a request
+    :param body_timeout_s: timeout in seconds for receiving the body of a request
     :param dispatch: passes a connection to a worker thread
     """
 
     __slots__ = (
         'answers',
+        'body_timeout_s',
         'callers_adjustments',
         'callers_port',
         'dispatch',
@@ -205,6 +218,7 @@
         self.callers_port: int | None = None
         self.callers_adjustments: Adjustments | None = None
         self.header_timeout_s = HEADER_TIMEOUT_S
+        self.body_timeout_s = BODY_TIMEOUT_S
         self.dispatch: Callable[[CallerChannel], None] | None = None
         self.keys = itertools.count(1)
         self.waiting: dict[int, WaitingCaller] = {}
@@ -311,12 +325,36 @@
     return [entry for entry in server.map.values() if isinstance(entry, BaseWSGIServer)]
 
 
+def accept_backlog(listener: BaseWSGIServer) -> None:
+    """Accept the connections that wait in the listener's queue: closing it would reset them."""
+    for _ in range(BACKLOG):
+        known_count = len(listener.active_channels)
+        listener.handle_accept()
+        if len(listener.active_channels) == known_count:
+            return
+
+
+def has_unread_data(channel: CallerChannel) -> bool:
+    """Return whether data of a caller has arrived that was not read yet."""
+    try:
+        return bool(channel.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except OSError:
+        # Nothing has arrived, or the connection is broken.
+        return False
+
+
 def close_idle_channels(listeners: list[BaseWSGIServer]) -> None:
-    """Stop accepting connections and close idle ones; call in the server's thread."""
+    """
+    Stop accepting connections and close idle ones; call in the server's thread.
+
+    Requests that have arrived and were not read yet are answered first.
+    """
     for listener in listeners:
+        accept_backlog(listener)
         for channel in list(listener.active_channels.values()):
-            if not channel.requests and channel.request is None:
-                channel.will_close = True
+            if channel.requests or channel.request is not None or has_unread_data(channel):
+                continue
+            channel.will_close = True
         listener.accepting = False
         listener.socket.close()
         listener.del_channel()
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -156,6 +156,44 @@
         idle.close()
         busy.close()
 
+    # A planned stop must not cut off a request that has arrived but was not read yet.
+    @params(('waits to be accepted',), ('was not read yet',))
+    def test_closing_answers_a_request_that(self, state):
+        clients = []
+        if state == 'was not read yet':
+            clients.append(self.front.connect())
+            clients[0].sendall((HEAD + '\r\n').encode())
+            self.front.app.deliver(self.front.next_event().key, ANSWER)
+            read_response(clients[0])
+
+        def close():
+            # In the server's thread, so that it can neither accept nor read before it closes.
+            if not clients:
+                clients.append(self.front.connect())
+            clients[0].sendall((HEAD + '\r\n').encode())
+            close_idle_channels(self.front.listeners)
+
+        self.front.listeners[0].trigger.pull_trigger(close)
+        self.front.app.deliver(self.front.next_event().key, ANSWER)
+        self.assertEqual(read_response(clients[0])[0].status, 200)
+        clients[0].close()
+
+    # A body of which one byte arrives now and then must not hold its connection for ever.
+    def test_trickled_body_times_out_with_408(self):
+        self.front.app.body_timeout_s = 0.1
+        with self.front.connect() as sock:
+            sock.sendall((HEAD.replace('GET', 'POST') + 'Content-Length: 999\r\n\r\n').encode())
+            sock.settimeout(0.02)
+            received = b''
+            while not received:
+                sock.sendall(b'x')
+                try:
+                    received = sock.recv(65_536)
+                except TimeoutError:
+                    continue
+        self.assertEqual(STATUS_LINE.findall(received), [b'408'])
+        self.assertEqual(type(self.front.next_event()), RequestMalformed)
+
     @params(
         ('GET /a/x HTTP/1.1\r\nHost: h\r\n\r\n', 400),
         (HEAD + 'Beechbridge-Deadline-Ms: soon\r\n\r\n', 400),
