Limit the replies of replicas in size, time and memory

Cause: the client for replicas kept whatever came. One such replica ends every VM that calls it. Change: limits on head, fields, body by kind, all bytes of an exchange, and the bodies of all replies together (a quarter of the process's memory). Beyond them the connection is closed with the fault 'oversized': the replica is suspect, the work goes on elsewhere, what must not run twice counts as run. An abandoned reply is read on only while less than 64 KiB are left. Parts keep only the records that can be in the answer. BEECHBRIDGE_MAX_REPLY_BYTES sets the limit of single replies. With it, found on the way and mended: - A late copy of a rejection could pass for the answer to a retry over the same connection, or, without an identifier, to another request, which then counted as not run. A retry at the same replica takes another connection; a rejection without the request's identifier is no proof.

--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -11,8 +11,9 @@
 
 from waitress.server import MultiSocketServer
 
-from ..failures import Failure
+from ..failures import Failure, Reason
 from ..gateway.actions import (
+    AbandonExchange,
     AnswerRequest,
     CloseIdleCallers,
     DropConnection,
@@ -29,6 +30,7 @@
     ExchangeEnded,
     OrderReceived,
     PauseDetected,
+    PullEnded,
     RequestReceived,
     SettingsReloaded,
     StopRequested,
@@ -54,7 +56,7 @@
 from .clock import read_clock_ms
 from .exchanges import Codec, ExchangeClient
 from .front import Endpoint, FrontApp, close_idle_channels, create_front, list_listeners
-from .log_lines import LineHandler, write_line
+from .log_lines import LineHandler, describe_defect, write_line
 from .pages import GatewayPages
 from .pulls import pull_changes
 from .store_reader import StoreReader
@@ -100,15 +102,19 @@
             settings.budget,
             settings.grace_ms,
             random.Random(secrets.randbits(64)),
+            settings.max_reply_bytes,
         )
         self.loop = asyncio.new_event_loop()
+        self.loop.set_exception_handler(log_loop_error)
         self.timer: asyncio.TimerHandle | None = None
         self.timer_due_ms = float('inf')
         codecs = {
             SendRequest: Codec(write_request, read_reply),
             SendOrder: Codec(write_order, read_parts),
         }
-        self.exchanges = ExchangeClient(self.loop, self.handle, codecs)
+        self.exchanges = ExchangeClient(
+            self.loop, self.handle, codecs, settings.reply_memory_bytes
+        )
         self.front = FrontApp(self.post, lambda: self.core.stopping.is_leaving)
         self.pages = GatewayPages(self.core, self.loop, settings)
         self.server = self.open_server()
@@ -197,13 +203,25 @@
             return
 
     def handle(self, event: object) -> None:
-        """Pass an event to the core and perform its actions; call in the loop's thread."""
-        self.perform_all(self.core.handle(event, read_clock_ms()))
+        """
+        Pass an event to the core and perform its actions; call in the loop's thread.
+
+        A defect in a handler costs the event, not the process.
+        """
+        try:
+            actions = self.core.handle(event, read_clock_ms())
+        except Exception as error:
+            actions = self.core.recover(event, describe_defect(error))
+        self.perform_all(actions)
 
     def perform_all(self, actions: list) -> None:
         """Perform actions, then schedule the loop's timer for the earliest due time."""
         for action in actions:
-            perform(action, self)
+            try:
+                perform(action, self)
+            except Exception as error:
+                fields = {'action': type(action).__name__, **describe_defect(error)}
+                write_line('action_failed', fields)
         due_ms = self.core.timers.next_due_ms()
         if due_ms is None or due_ms >= self.timer_due_ms:
             return
@@ -230,13 +248,26 @@
 
     def pull_changes(self, action: PullChanges) -> None:
         """Pull store changes from another VM; blocks, so call it in its own thread."""
-        self.post(pull_changes(action, self.settings.peers))
+        try:
+            ended = pull_changes(action, self.settings.peers)
+        except Exception as error:
+            fields = describe_defect(error)
+            write_line('thread_failed', {'thread': 'pull', **fields})
+            ended = PullEnded(action, Failure(Reason.INTERNAL, detail=fields['error']))
+        self.post(ended)
 
     def stop_loop(self) -> None:
         """Stop the loop after a delay in which the last answers are sent."""
         self.loop.call_later(EXIT_DELAY_S, self.loop.stop)
 
 
+def log_loop_error(loop: asyncio.AbstractEventLoop, context: dict) -> None:
+    """Log an exception in a callback of the event loop, which goes on."""
+    error = context.get('exception')
+    fields = describe_defect(error) if error is not None else {}
+    write_line('callback_failed', {'detail': context.get('message', ''), **fields})
+
+
 class HeartbeatProtocol(asyncio.DatagramProtocol):
     """Receives heartbeats of other VMs."""
 
@@ -284,6 +315,12 @@
     process.exchanges.drop(action)
 
 
+@perform.register
+def perform_abandon_exchange(action: AbandonExchange, process: GatewayProcess) -> None:
+    """Close the connection of an unneeded reply, unless little of it is left."""
+    process.exchanges.abandon(action)
+
+
 @perform.register
 def perform_answer_request(action: AnswerRequest, process: GatewayProcess) -> None:
     """Deliver the answer to a caller."""
--- a/beechbridge/daemon/store_reader.py
+++ b/beechbridge/daemon/store_reader.py
@@ -3,11 +3,12 @@
 import threading
 from collections.abc import Callable
 
-from ..failures import PlatformFailure
+from ..failures import PlatformFailure, Reason
 from ..gateway.events import ChangesReceived, StoreFailed
 from ..gateway.models import Item
 from ..platform.store import HistoryLost, Page, StoreClient
 from ..record import Record
+from .log_lines import describe_defect, write_line
 
 WATCH_TIMEOUT_MS = 2_500
 """Long-poll timeout of one watch; a dead connection is detected only after this time."""
@@ -123,7 +124,7 @@
         """Read the store until stopped."""
         while not self.stopped.is_set():
             self.following.wait()
-            failure = self.list_next_page() if self.revision is None else self.watch_once()
+            failure = self.read_next()
             if failure is None:
                 self.backoff_s = INITIAL_BACKOFF_S
                 continue
@@ -131,6 +132,16 @@
             self.stopped.wait(self.backoff_s)
             self.backoff_s = min(MAX_BACKOFF_S, 2 * self.backoff_s)
 
+    def read_next(self) -> PlatformFailure | None:
+        """Read the next page or wait for changes; a defect counts as a failed call."""
+        try:
+            return self.list_next_page() if self.revision is None else self.watch_once()
+        except Exception as error:
+            fields = describe_defect(error)
+            write_line('thread_failed', {'thread': 'store', **fields})
+            self.client.close()
+            return PlatformFailure(Reason.INTERNAL, detail=fields['error'])
+
     def list_next_page(self) -> PlatformFailure | None:
         """Read the next page of the listing; post the items after the last one."""
         listing = self.listing
--- a/beechbridge/gateway/actions.py
+++ b/beechbridge/gateway/actions.py
@@ -5,6 +5,12 @@
 from .replicas.dictionaries import Dictionary
 from .routes import CallerLimits
 
+MAX_PART_BYTES = 1024 * 1024
+"""Largest part of a gather: 65,536 records; also the largest answer to an order of parts."""
+
+MAX_REPLY_BYTES = 8 * 1024 * 1024
+"""Largest reply that is forwarded to a caller, unless the settings say otherwise."""
+
 
 class SendRequest(Record):
     """
@@ -13,6 +19,7 @@
     :param is_new: whether the connection must be opened first
     :param instance_id: ID of the replica that is expected at the address
     :param timeout_ms: time in milliseconds that the replica has to answer
+    :param max_reply_bytes: largest body that the reply may have
     """
 
     __slots__ = (
@@ -21,6 +28,7 @@
         'host',
         'instance_id',
         'is_new',
+        'max_reply_bytes',
         'port',
         'request',
         'timeout_ms',
@@ -36,6 +44,7 @@
         instance_id: str,
         request: CallerRequest,
         timeout_ms: float,
+        max_reply_bytes: int = MAX_REPLY_BYTES,
     ):
         self.exchange_id = exchange_id
         self.connection_id = connection_id
@@ -45,6 +54,7 @@
         self.instance_id = instance_id
         self.request = request
         self.timeout_ms = timeout_ms
+        self.max_reply_bytes = max_reply_bytes
 
     @property
     def request_id(self) -> str:
@@ -57,10 +67,13 @@
     Send an order to another VM; the driver reports the result with one event.
 
     :param is_new: whether the connection must be opened first
+    :cvar max_reply_bytes: largest body that the reply may have
     """
 
     __slots__ = ('connection_id', 'exchange_id', 'host', 'is_new', 'order')
 
+    max_reply_bytes = MAX_PART_BYTES
+
     def __init__(
         self, exchange_id: int, connection_id: int, is_new: bool, host: str, order: PartsOrder
     ):
@@ -85,6 +98,15 @@
         self.connection_id = connection_id
 
 
+class AbandonExchange(Record):
+    """Close the connection of an exchange, unless little of its reply is left to read."""
+
+    __slots__ = ('connection_id',)
+
+    def __init__(self, connection_id: int):
+        self.connection_id = connection_id
+
+
 class AnswerRequest(Record):
     """Send a caller its final answer."""
 
@@ -198,6 +220,7 @@
     SendRequest
     | SendOrder
     | DropConnection
+    | AbandonExchange
     | AnswerRequest
     | SetCallerLimits
     | WriteLine
--- a/beechbridge/gateway/interface.py
+++ b/beechbridge/gateway/interface.py
@@ -34,6 +34,7 @@
     started_ms: float
     last_update_ms: float
     rng: random.Random
+    max_reply_bytes: int
     timers: 'Timers'
     counters: 'Counters'
     latencies: 'Histogram'
--- a/beechbridge/gateway/models.py
+++ b/beechbridge/gateway/models.py
@@ -152,6 +152,11 @@
     LOST = 'connection_lost'
     MALFORMED = 'malformed'
     TIMED_OUT = 'timed_out'
+    OVERSIZED = 'oversized'
+    """The reply exceeded a limit on its head, its body or the memory of all replies."""
+
+    ABANDONED = 'abandoned'
+    """Nobody needed the reply any more, and more of it came than is cheaper to read."""
 
 
 class LinkFailure(Record):
--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -7,8 +7,8 @@
 from ..core.counters import Counters
 from ..core.hashing import rank_names
 from ..core.timers import Timers
-from ..failures import Failure
-from .actions import GatewayAction, WriteLine
+from ..failures import Failure, Reason, unknown
+from .actions import MAX_REPLY_BYTES, AnswerRequest, GatewayAction, WriteLine
 from .events import (
     CallerDisconnected,
     ChangesReceived,
@@ -106,6 +106,7 @@
     :param budget_rules: limits on extra attempts of sub-requests
     :param grace_ms: milliseconds between a stop request and the kill
     :param rng: source of all randomness
+    :param max_reply_bytes: largest reply of a replica that is forwarded to a caller
     :param last_sharing_count: number of VMs sharing the connections at the last sweep
     """
 
@@ -123,6 +124,7 @@
         'last_sharing_count',
         'last_update_ms',
         'latencies',
+        'max_reply_bytes',
         'now_ms',
         'placement',
         'pull_latencies',
@@ -152,7 +154,9 @@
         budget_rules: BudgetRules,
         grace_ms: float,
         rng: random.Random,
+        max_reply_bytes: int = MAX_REPLY_BYTES,
     ):
+        self.max_reply_bytes = max_reply_bytes
         self.fleet = Fleet(own, seeds, regions)
         self.gossip = Gossip()
         self.pulls = Pulls()
@@ -203,6 +207,24 @@
         handle_event(event, self)
         return self.pop_actions()
 
+    def recover(self, event: object, defect: dict) -> list[GatewayAction]:
+        """
+        Return the actions after the handler of an event has raised an exception.
+
+        A request is answered: it may have run.
+
+        :param defect: log fields that describe the exception
+        """
+        self.counters.add('defects', defect['error'])
+        self.act(WriteLine('event_failed', {'event': type(event).__name__, **defect}))
+        if isinstance(event, RequestReceived | OrderReceived):
+            work = self.works.pop(event.key, None)
+            if work is not None:
+                work.is_finished = True
+            detail = 'an internal error; the log line event_failed describes it'
+            self.act(AnswerRequest(event.key, unknown(Reason.INTERNAL, detail)))
+        return self.pop_actions()
+
     def act(self, action: GatewayAction) -> None:
         """Queue an action for the driver."""
         self.actions.append(action)
@@ -334,6 +356,7 @@
     """Apply reloaded settings; names and addresses cannot change in a running process."""
     settings = event.settings
     gateway.budget_rules = settings.budget
+    gateway.max_reply_bytes = settings.max_reply_bytes
     for budget in gateway.budgets.values():
         budget.rules = settings.budget
     gateway.stopping.grace_ms = settings.grace_ms
--- a/beechbridge/gateway/replicas/upstreams.py
+++ b/beechbridge/gateway/replicas/upstreams.py
@@ -103,12 +103,23 @@
 
 
 class IdleConnection:
-    """A pooled connection without a request in flight."""
+    """
+    A pooled connection without a request in flight.
+
+    :param request_id: ID of the request that it carried last
+    """
 
-    __slots__ = ('connection_id', 'last_used_ms', 'usable_until_ms')
+    __slots__ = ('connection_id', 'last_used_ms', 'request_id', 'usable_until_ms')
 
-    def __init__(self, connection_id: int, last_used_ms: float, usable_until_ms: float):
+    def __init__(
+        self,
+        connection_id: int,
+        last_used_ms: float,
+        usable_until_ms: float,
+        request_id: str = '',
+    ):
         self.connection_id = connection_id
+        self.request_id = request_id
         self.last_used_ms = last_used_ms
         self.usable_until_ms = usable_until_ms
 
@@ -218,11 +229,19 @@
         self.suspect_until_ms = now_ms + self.suspicion_ms
         return is_new
 
-    def acquire_idle(self, now_ms: float, longest_idle_ms: float) -> IdleConnection | None:
-        """Return the most recently used idle connection if it may still be reused."""
+    def acquire_idle(
+        self, now_ms: float, longest_idle_ms: float, request_id: str
+    ) -> IdleConnection | None:
+        """
+        Return the most recently used idle connection if it may still be reused.
+
+        A late second copy of the reply to the same request could not be told from the next one.
+        """
         if not self.idle:
             return None
         latest = self.idle[-1]
+        if latest.request_id == request_id:
+            return None
         if now_ms >= latest.usable_until_ms or now_ms - latest.last_used_ms > longest_idle_ms:
             return None
         return self.idle.pop()
@@ -254,7 +273,10 @@
             return False
         idle_ms = DEFAULT_KEEP_ALIVE_MS if keep_alive_ms is None else keep_alive_ms
         usable_ms = idle_ms - min(IDLE_MARGIN_MS, idle_ms / 2)
-        self.idle.append(IdleConnection(exchange.connection_id, now_ms, now_ms + usable_ms))
+        request_id = exchange.owner.work.request.request_id
+        self.idle.append(
+            IdleConnection(exchange.connection_id, now_ms, now_ms + usable_ms, request_id)
+        )
         return True
 
     def describe(self, now_ms: float) -> dict:
--- a/beechbridge/gateway/requests/answers.py
+++ b/beechbridge/gateway/requests/answers.py
@@ -27,6 +27,8 @@
     LinkFault.LOST: Reason.CONNECTION_LOST,
     LinkFault.MALFORMED: Reason.MISMATCHED,
     LinkFault.TIMED_OUT: Reason.NO_PROGRESS,
+    LinkFault.OVERSIZED: Reason.TOO_LARGE,
+    LinkFault.ABANDONED: Reason.CONNECTION_LOST,
 }
 
 
@@ -80,6 +82,12 @@
     return b''.join(heapq.nlargest(count, records))
 
 
+def trim_part(reply: Reply, count: int) -> None:
+    """Keep only the records of a part that can be in the answer, which frees its memory."""
+    if len(reply.body) > count * RECORD_BYTES:
+        reply.body = merge_largest_records([reply], count)
+
+
 @build_answer.register
 def forward_reply(work: SingleWork, gateway: GatewayInterface) -> Answer:
     """Forward the replica's reply to the caller, even if it reports a failure."""
--- a/beechbridge/gateway/requests/orders.py
+++ b/beechbridge/gateway/requests/orders.py
@@ -20,6 +20,7 @@
     close_task,
     handle_failure,
     handle_result,
+    is_suspicious,
     record_latency,
     resume_task,
     suspect_replica,
@@ -121,7 +122,7 @@
     state = gateway.aggregators.choose(order.zone, route.name, gateway)
     if state is None:
         return False
-    idle = state.acquire_idle(now_ms, float('inf'))
+    idle = state.acquire_idle(now_ms, float('inf'), work.request.request_id)
     round_trip_ms = gateway.aggregators.round_trip_ms(order.zone, gateway.distance_to(order.zone))
     overhead_ms = round_trip_ms + ANSWER_MARGIN_MS
     if idle is None:
@@ -187,7 +188,7 @@
     """Handle an order that ended without a reply; retry the shards that have attempts left."""
     gateway.counters.add('orders_failed', failure.fault.value)
     state = exchange.replica
-    if exchange.is_new or failure.fault is LinkFault.TIMED_OUT:
+    if is_suspicious(exchange, failure.fault):
         suspect_replica(state, failure.fault.value, gateway)
     if failure.fault is LinkFault.TIMED_OUT:
         # Whatever silenced this connection may also have silenced the idle ones.
--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -8,8 +8,8 @@
 from ..interface import GatewayInterface
 from ..models import LinkFailure, LinkFault, PartsReply, Reply
 from ..replicas.upstreams import Exchange, ReplicaState
-from .answers import build_answer, record_end
-from .sending import abort_exchange, dispatch_task, end_exchange
+from .answers import build_answer, record_end, trim_part
+from .sending import abandon_exchange, abort_exchange, dispatch_task, end_exchange
 from .works import DeadlineTimer, GatherWork, RetryTimer, SingleWork, Task, Work
 
 SUSPECT_WAIT_FACTOR = 2.0
@@ -64,7 +64,7 @@
     if not failure.was_sent:
         task.delivery_count -= 1
         task.run_count -= 1
-    if exchange.is_new or failure.fault is LinkFault.TIMED_OUT:
+    if is_suspicious(exchange, failure.fault):
         suspect_replica(state, failure.fault.value, gateway)
     task.exclude_replica(state)
     task.fault = failure.fault
@@ -73,6 +73,17 @@
         resume_task(task, gateway, may_retry=not failure.was_sent or task.work.route.is_idempotent)
 
 
+def is_suspicious(exchange: Exchange, fault: LinkFault) -> bool:
+    """
+    Return whether a failure tells something about the replica.
+
+    A kept connection may have been closed while it was idle.
+    """
+    if fault is LinkFault.ABANDONED:
+        return False
+    return exchange.is_new or fault in (LinkFault.TIMED_OUT, LinkFault.OVERSIZED)
+
+
 def suspect_replica(state: ReplicaState, cause: str, gateway: GatewayInterface) -> None:
     """Mark a replica as suspect, so that it is avoided for a while."""
     if not state.mark_suspect(gateway.now_ms):
@@ -97,8 +108,11 @@
     is_reusable = not reply.is_closing and is_match
     if reply.is_other_instance:
         gateway.forget_replica(state, 'its address now belongs to another replica')
-    if reply.is_rejected:
+    # One without the request's ID may be a late copy of the answer to an earlier request.
+    is_not_run = reply.is_rejected and is_match
+    if is_not_run:
         task.run_count -= 1
+    if reply.is_rejected:
         state.record_rejection(True, now_ms)
         gateway.counters.add('rejections', str(reply.status))
     elif reply.is_success and is_match:
@@ -112,10 +126,12 @@
         return
     if reply.is_success and is_match:
         task.reply = reply
+        if work.route.is_gather:
+            trim_part(reply, work.route.top_records)
         close_task(task, gateway)
         return
     task.exclude_replica(state)
-    if reply.is_rejected:
+    if is_not_run:
         resume_task(task, gateway, may_retry=True)
         return
     if not is_match or reply.is_encoded or 200 <= reply.status < 300:
@@ -180,7 +196,7 @@
     if task.reply is not None:
         work.answered_count += 1
     for exchange in task.exchanges:
-        exchange.is_abandoned = True
+        abandon_exchange(exchange, gateway)
     on_task_closed(work, gateway)
 
 
@@ -234,7 +250,7 @@
     gateway.works.pop(work.key, None)
     answer = build_answer(work, gateway)
     for exchange in work.exchanges:
-        exchange.is_abandoned = True
+        abandon_exchange(exchange, gateway)
     gateway.act(AnswerRequest(work.key, answer))
     record_end(work, answer, gateway)
 
@@ -255,7 +271,7 @@
     gateway.counters.add('callers_left')
     stopped_count = 0
     for exchange in work.exchanges:
-        exchange.is_abandoned = True
+        abandon_exchange(exchange, gateway)
         if work.route.is_idempotent and exchange.exchange_id in gateway.upstreams.exchanges:
             abort_exchange(exchange, gateway)
             stopped_count += 1
--- a/beechbridge/gateway/requests/sending.py
+++ b/beechbridge/gateway/requests/sending.py
@@ -2,7 +2,7 @@
 
 import heapq
 
-from ..actions import DropConnection, SendRequest
+from ..actions import MAX_PART_BYTES, AbandonExchange, DropConnection, SendRequest
 from ..interface import GatewayInterface
 from ..replicas.upstreams import (
     MIN_STALL_TIMEOUT_MS,
@@ -104,7 +104,7 @@
     for connection_id in state.remove_expired(now_ms):
         gateway.act(DropConnection(connection_id))
     longest_idle_ms = FOREVER_MS if work.route.is_idempotent else NON_IDEMPOTENT_IDLE_MS
-    idle = state.acquire_idle(now_ms, longest_idle_ms)
+    idle = state.acquire_idle(now_ms, longest_idle_ms, work.request.request_id)
     if idle is None:
         evict_idle(state, task.service, gateway)
         gateway.counters.add('connections_opened')
@@ -129,6 +129,7 @@
             entry.replica_id,
             work.request,
             work.hard_at_ms - now_ms,
+            MAX_PART_BYTES if work.route.is_gather else gateway.max_reply_bytes,
         )
     )
 
@@ -206,6 +207,15 @@
     gateway.dispatch_waiting(state.entry.service)
 
 
+def abandon_exchange(exchange: Exchange, gateway: GatewayInterface) -> None:
+    """Ignore the reply to come; its replica works on, and its connection may be used again."""
+    if exchange.is_abandoned:
+        return
+    exchange.is_abandoned = True
+    if exchange.exchange_id in gateway.upstreams.exchanges:
+        gateway.act(AbandonExchange(exchange.connection_id))
+
+
 def abort_exchange(exchange: Exchange, gateway: GatewayInterface) -> None:
     """Abort an exchange by closing its connection, so that the replica stops working on it."""
     end_exchange(exchange, gateway, is_reusable=False)
--- a/beechbridge/gateway/settings.py
+++ b/beechbridge/gateway/settings.py
@@ -1,8 +1,11 @@
 """Settings of one gateway process."""
 
 from ..record import Record
+from .actions import MAX_REPLY_BYTES
 from .requests.budgets import BudgetRules
 
+DEFAULT_REPLY_MEMORY_BYTES = 64 * 1024 * 1024
+
 
 class Address(Record):
     """A host and a TCP port."""
@@ -28,6 +31,8 @@
     :param grace_ms: milliseconds between a stop request and the kill
     :param capacity_millicores: available CPU in thousandths of a core
     :param max_ttl_s: maximum lifetime of a directory answer in seconds
+    :param max_reply_bytes: largest reply of a replica that is forwarded to a caller
+    :param reply_memory_bytes: memory for the replies that are being received
     """
 
     __slots__ = (
@@ -37,12 +42,14 @@
         'directory',
         'grace_ms',
         'host',
+        'max_reply_bytes',
         'max_ttl_s',
         'name',
         'peer_port',
         'peers',
         'readiness',
         'regions',
+        'reply_memory_bytes',
         'seeds',
         'store',
         'zone',
@@ -65,6 +72,8 @@
         grace_ms: float,
         max_ttl_s: float,
         capacity_millicores: int = 1000,
+        max_reply_bytes: int = MAX_REPLY_BYTES,
+        reply_memory_bytes: int = DEFAULT_REPLY_MEMORY_BYTES,
     ):
         self.name = name
         self.host = host
@@ -81,3 +90,5 @@
         self.grace_ms = grace_ms
         self.max_ttl_s = max_ttl_s
         self.capacity_millicores = capacity_millicores
+        self.max_reply_bytes = max_reply_bytes
+        self.reply_memory_bytes = reply_memory_bytes
--- a/beechbridge/platform/settings.py
+++ b/beechbridge/platform/settings.py
@@ -9,6 +9,7 @@
 
 from ..failures import Failure, InputFailure
 from ..fields import decode_toml, describe_read_error
+from ..gateway.actions import MAX_REPLY_BYTES
 from ..gateway.requests.budgets import BudgetRules
 from ..gateway.settings import Address, GatewaySettings
 from .names import SETTINGS_VARIABLE
@@ -16,6 +17,12 @@
 AddressText = Annotated[str, Meta(pattern=r'^[^:\s]+:[0-9]{1,5}$')]
 MS_PER_SECOND = 1000.0
 MILLICORES_PER_CORE = 1000
+BYTES_PER_MB = 1024 * 1024
+REPLY_MEMORY_FRACTION = 0.25
+"""Fraction of the process's memory for replies that are being received: the rest is for the
+interpreter, the store's items, callers and what is copied on the way."""
+
+MAX_REPLY_VARIABLE = 'BEECHBRIDGE_MAX_REPLY_BYTES'
 
 
 class Listen(msgspec.Struct):
@@ -40,7 +47,7 @@
 
 
 class Limits(msgspec.Struct):
-    """CPU resources of this process."""
+    """CPU and memory of this process."""
 
     cpu_share: float = msgspec.field(name='cpuShare', default=1.0)
     """Fraction of a core that the process may use."""
@@ -48,6 +55,8 @@
     cores: float = 1.0
     """Speed factor of that core, not a number of cores."""
 
+    memory_mb: float = msgspec.field(name='memoryMb', default=256.0)
+
 
 class Platform(msgspec.Struct):
     """Address of the platform's store."""
@@ -79,7 +88,9 @@
     return Address(host, int(port))
 
 
-def parse_settings(text: str, source: str) -> GatewaySettings | InputFailure:
+def parse_settings(
+    text: str, source: str, max_reply_bytes: int = MAX_REPLY_BYTES
+) -> GatewaySettings | InputFailure:
     """Decode a settings file."""
     file = decode_toml(text, SettingsFile, source)
     if isinstance(file, InputFailure):
@@ -106,6 +117,8 @@
         grace_ms=bounds.grace_s * MS_PER_SECOND,
         max_ttl_s=bounds.directory_ttl_s,
         capacity_millicores=int(file.limits.cpu_share * file.limits.cores * MILLICORES_PER_CORE),
+        max_reply_bytes=max_reply_bytes,
+        reply_memory_bytes=int(REPLY_MEMORY_FRACTION * file.limits.memory_mb * BYTES_PER_MB),
     )
 
 
@@ -117,4 +130,17 @@
     except (OSError, UnicodeDecodeError) as error:
         advice = f'set {SETTINGS_VARIABLE} to the path of a readable UTF-8 file'
         return describe_read_error(error, f'settings file {path!r}', advice)
-    return parse_settings(text, path)
+    max_reply_bytes = read_max_reply_bytes(os.environ.get(MAX_REPLY_VARIABLE))
+    if isinstance(max_reply_bytes, Failure):
+        return max_reply_bytes
+    return parse_settings(text, path, max_reply_bytes)
+
+
+def read_max_reply_bytes(text: str | None) -> int | InputFailure:
+    """Return the limit on forwarded replies that the environment sets."""
+    if text is None:
+        return MAX_REPLY_BYTES
+    if not text.isdecimal() or not int(text):
+        allowed = 'a positive number of bytes, or unset for the default'
+        return InputFailure('environment', MAX_REPLY_VARIABLE, text, allowed)
+    return int(text)
--- a/beechbridge/wire/fleet.py
+++ b/beechbridge/wire/fleet.py
@@ -2,7 +2,7 @@
 
 from functools import singledispatch
 
-from ..failures import Failure, InputFailure, Reason, not_run
+from ..failures import Executed, Failure, InputFailure, Reason, not_run
 from ..gateway.actions import SendHeartbeat, SendOrder
 from ..gateway.events import ChangesReceived, HeartbeatReceived
 from ..gateway.models import (
@@ -24,6 +24,8 @@
 """Header in the answer to an order: ID of the request that the order belongs to."""
 
 OK_STATUS = 200
+NOT_RUN_STATUS = 503
+"""Status with which another VM states that no part of an order has run; any other is no proof."""
 
 
 def decode(data: bytes, struct_type: type) -> object | Failure:
@@ -171,8 +173,10 @@
 
 @write_parts.register
 def write_rejection(answer: Failure, request_id: str) -> HttpResponse:
-    """Return a response which states that no part of the order has run."""
-    return HttpResponse('503 Service Unavailable', [(ORDER_ID_HEADER, request_id)], b'')
+    """Return a response without parts, which states that none has run only if that is so."""
+    is_not_run = answer.executed is Executed.NOT_RUN
+    status = '503 Service Unavailable' if is_not_run else '502 Bad Gateway'
+    return HttpResponse(status, [(ORDER_ID_HEADER, request_id)], b'')
 
 
 def read_parts(
@@ -183,10 +187,10 @@
     for name, value in headers:
         if name.lower() == ORDER_ID_HEADER.lower():
             request_id = value
-    if status != OK_STATUS:
+    if status == NOT_RUN_STATUS:
         return PartsReply(None, request_id, closes)
     frame = decode(body, ttypes.PartsAnswer)
-    if isinstance(frame, Failure):
+    if status != OK_STATUS or isinstance(frame, Failure):
         # An answer without parts matches no order, so the gateway rejects it as malformed.
         return PartsReply(PartsAnswer({}, {}, b'', 0.0), request_id, closes)
     signatures = {part.service_name: part.signature for part in frame.parts}
--- a/measure/emulated_actions.py
+++ b/measure/emulated_actions.py
@@ -6,6 +6,7 @@
 
 from beechbridge.failures import Failure, Reason
 from beechbridge.gateway.actions import (
+    AbandonExchange,
     AnswerRequest,
     CloseIdleCallers,
     DropConnection,
@@ -173,8 +174,9 @@
         emulator.schedule(STORE_LATENCY_MS, lambda: emulator.list_items(vm))
 
 
+@perform.register(AbandonExchange)
 @perform.register(CloseIdleCallers)
 @perform.register(ExitProcess)
 @perform.register(SetCallerLimits)
 def ignore(action: object, vm: EmulatedVm, emulator: 'Emulator') -> None:
-    """Ignore the action: emulated VMs have no process and no listener."""
+    """Ignore the action: emulated VMs have no process, no listener and no endless replies."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,6 +7,7 @@
 import time
 
 from .fleet import GRACE_S, Vm
+from .standins import ENDLESS_REPLIES
 
 FAULT_GAP_S = (0.3, 2.0)
 KINDS = (
@@ -31,7 +32,7 @@
 )
 """Kinds of fault; each names a method of `Faults`."""
 
-DRILLS = ('restore_store',)
+DRILLS = ('restore_store', 'endless_replica')
 """Further kinds, drawn only if named, so that the faults of earlier seeds stay the same."""
 
 COPY_AGE_S = 2.0
@@ -159,6 +160,13 @@
         await asyncio.sleep(duration_s)
         setattr(replica, attribute, 0.0)
 
+    async def endless_replica(self, duration_s: float) -> None:
+        """Make a replica send replies without an end."""
+        replica = self.rng.choice(self.soak.replicas)
+        replica.endless_kind = self.rng.choice(sorted(ENDLESS_REPLIES))
+        await asyncio.sleep(duration_s)
+        replica.endless_kind = ''
+
     async def drain_replica(self, duration_s: float) -> None:
         """Mark a replica as draining after its replacement has started."""
         await self.soak.replace_replica(self.rng, with_drain=True)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import re
 import signal
 import socket
 import subprocess
@@ -14,6 +15,9 @@
 GRACE_S = 6.0
 PORTS = {'front': 18104, 'ready': 18108, 'control': 18106, 'directory': 18100}
 PEER_PORT = 18180
+MEMORY_MB = 200
+"""Memory that the settings grant a VM; exceeding it would end its process on the platform."""
+
 
 SETTINGS = """
 nodeName = "{name}"
@@ -32,6 +36,8 @@
 ready = "{host}:{ready}"
 control = "{host}:{control}"
 directory = "{host}:{directory}"
+[limits]
+memoryMb = {memory_mb}
 [bounds]
 graceS = {grace}
 budgetRatio = 0.2
@@ -86,6 +92,7 @@
             peer_port=PEER_PORT,
             seeds=seeds,
             grace=int(GRACE_S),
+            memory_mb=MEMORY_MB,
             store=store,
             **PORTS,
         )
@@ -119,6 +126,13 @@
             await asyncio.sleep(0.05)
         return False
 
+    def peak_memory_bytes(self) -> int:
+        """Return the peak memory of the running process, 0 if it has ended."""
+        if self.process is None or self.process.poll() is not None:
+            return 0
+        status = Path(f'/proc/{self.process.pid}/status').read_text()
+        return 1024 * int(re.search(r'VmHWM:\s+(\d+) kB', status)[1])
+
     def kill(self) -> None:
         """Kill the process and reap it."""
         if self.process is None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -12,7 +12,7 @@
 
 from .callers import HOST, Caller
 from .faults import DRILLS, KINDS, Faults
-from .fleet import Vm, check_addresses, make_folder
+from .fleet import MEMORY_MB, Vm, check_addresses, make_folder
 from .ledger import Ledger
 from .proxy import Proxy
 from .standins import Replica, Store
@@ -224,6 +224,9 @@
         for vm in self.vms:
             if vm.process.poll() not in (None, 0):
                 self.violations.append(f'{vm.name} exited with status {vm.process.poll()}')
+            peak_mb = vm.peak_memory_bytes() / 1024**2
+            if peak_mb > MEMORY_MB:
+                self.violations.append(f'{vm.name} took {peak_mb:.0f} MB of {MEMORY_MB} MB')
         self.applied_faults = faults.applied
 
     def stop(self) -> None:
--- a/soak/standins.py
+++ b/soak/standins.py
@@ -3,8 +3,11 @@
 import asyncio
 import base64
 import contextlib
+import functools
+import itertools
 import json
 import time
+from collections.abc import Awaitable, Callable
 from urllib.parse import parse_qs, urlsplit
 
 from .http11 import Message, read_message, write_message
@@ -12,6 +15,19 @@
 
 SERVICE_TIME_S = 0.006
 KEEP_ALIVE_S = 10
+FILLER = b'0123456789abcdef' * 512
+ENDLESS_REPLIES = {
+    'body': (b'HTTP/1.1 200 OK\r\n\r\n', FILLER, 0.0),
+    'chunks': (
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+        b'2000\r\n' + FILLER + b'\r\n',
+        0.0,
+    ),
+    'header': (b'HTTP/1.1 200 OK\r\nX-Filler: ', FILLER, 0.0),
+    'trickle': (b'HTTP/1.1 200 OK\r\nX-Filler: ', b'x', 0.05),
+}
+"""Replies without an end: how each begins, what follows for ever, and the pause in seconds."""
+
 REASONS = {200: 'OK', 404: 'Not Found', 410: 'Gone', 421: 'Misdirected', 503: 'Unavailable'}
 
 
@@ -47,13 +63,18 @@
                 answer = await self.answer(message, reader)
                 if answer is None:
                     break
+                if callable(answer):
+                    await answer(writer)
+                    break
                 writer.write(answer)
                 await writer.drain()
         self.writers.discard(writer)
         writer.close()
 
-    async def answer(self, message: Message, reader: asyncio.StreamReader) -> bytes | None:
-        """Return the response to a request, or None to close the connection."""
+    async def answer(
+        self, message: Message, reader: asyncio.StreamReader
+    ) -> bytes | Callable[[asyncio.StreamWriter], Awaitable[None]] | None:
+        """Return the response to a request or what writes it; None closes the connection."""
         raise NotImplementedError
 
 
@@ -62,6 +83,15 @@
     return write_message(f'HTTP/1.1 {status} {REASONS[status]}', headers, body)
 
 
+async def send_without_end(kind: str, writer: asyncio.StreamWriter) -> None:
+    """Send an endless reply until the other side closes the connection."""
+    start, piece, pause_s = ENDLESS_REPLIES[kind]
+    for data in itertools.chain([start], itertools.repeat(piece)):
+        writer.write(data)
+        await writer.drain()
+        await asyncio.sleep(pause_s)
+
+
 class Replica(Server):
     """
     A replica of a service.
@@ -70,6 +100,7 @@
     :param lose_share: share of the requests that run but get no response
     :param reject_share: share of the requests that are rejected
     :param late_share: share of the responses that are sent a second time, ahead of the next one
+    :param endless_kind: kind of endless reply that it sends to every request, none if empty
     """
 
     def __init__(self, host: str, replica_id: str, service: str, ledger: Ledger, rng):
@@ -82,6 +113,7 @@
         self.lose_share = 0.0
         self.reject_share = 0.0
         self.late_share = 0.0
+        self.endless_kind = ''
         self.run_count = 0
         self.late = b''
 
@@ -97,13 +129,16 @@
                 time.monotonic(), request_id, self.replica_id, self.service, vm, not is_rejected
             )
         )
+        echo = {'Beechbridge-Request-Id': request_id}
         if is_misdirected:
-            return respond(421, {'Beechbridge-Instance-Id': self.replica_id})
+            return respond(421, {'Beechbridge-Instance-Id': self.replica_id, **echo})
         if is_rejected:
-            return respond(503, {'Beechbridge-Not-Run': '1'})
+            return respond(503, {'Beechbridge-Not-Run': '1', **echo})
         self.run_count += 1
         signature = f'{self.replica_id}.{self.run_count}'
         await asyncio.sleep(SERVICE_TIME_S * self.slowdown * self.rng.uniform(0.5, 2.0))
+        if self.endless_kind:
+            return functools.partial(send_without_end, self.endless_kind)
         if self.rng.random() < self.lose_share:
             return None
         body = self.rng.randbytes(16 * self.rng.randrange(0, 8) + self.rng.randrange(0, 3))
--- a/tests/test_single.py
+++ b/tests/test_single.py
@@ -38,7 +38,10 @@
 
 
 REJECTED = Reply(503, [], b'', request_id=REQUEST_ID, is_rejected=True)
-OTHER_INSTANCE = Reply(421, [], b'', is_rejected=True, is_other_instance=True)
+OTHER_INSTANCE = Reply(
+    421, [], b'', request_id=REQUEST_ID, is_rejected=True, is_other_instance=True
+)
+REJECTED_WITHOUT_ID = Reply(503, [], b'', is_rejected=True)
 REPLICA_ERROR = Reply(500, [], b'broken', 'signature', REQUEST_ID)
 DONE = Reply(200, [], b'done', 'signature', REQUEST_ID)
 UNSIGNED = Reply(200, [], b'done', '', REQUEST_ID)
@@ -52,6 +55,7 @@
         (LinkFailure(LinkFault.TIMED_OUT, True),),
         (UNSIGNED,),
         (OTHER_REQUEST,),
+        (REJECTED_WITHOUT_ID,),
     )
     def test_request_that_may_have_run_is_not_retried_and_not_reported_as_not_run(self, result):
         filing = Filing()
