Reject messages between VMs whose nested structs lack fields

Cause: only the outer struct of a Thrift message was validated. A datagram that names a member without an incarnation was applied, and each later heartbeat of that VM raised. Found by test_fuzz_gateway, which is new: random and damaged input for every decoder of the gateway, seeded and short in make test, long by make fuzz. Test: test_heartbeats failed with three distinct exceptions before; 50 s of make fuzz pass.

--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,14 @@
 test: $(READY) ## Run the tests
 	@$(BIN)/nose2 -s tests -t .
 
+FUZZ_SECONDS ?= 60
+
+.PHONY: fuzz
+fuzz: $(READY) ## Feed random bytes to all decoders; FUZZ_SECONDS sets how long
+	@end=$$(($$(date +%s) + $(FUZZ_SECONDS))); while [ $$(date +%s) -lt $$end ]; do \
+		FUZZ_EXAMPLES=2000 $(BIN)/nose2 -s tests -t . tests.test_fuzz tests.test_fuzz_gateway \
+		|| exit 1; done
+
 .PHONY: measure
 measure: $(READY) ## Run the scenarios with the current and the naive policy
 	@$(BIN)/pip install --quiet --editable ".[dev,measure]"
--- a/beechbridge/wire/frames.py
+++ b/beechbridge/wire/frames.py
@@ -35,5 +35,22 @@
     frame = struct_type()
     limits = {'string_length_limit': len(data), 'container_length_limit': len(data)}
     frame.read(TCompactProtocolAccelerated(TMemoryBuffer(data), **limits))
-    frame.validate()
+    validate_struct(frame)
     return frame
+
+
+def validate_struct(frame: object) -> None:
+    """
+    Check that a struct and those in it have all required fields.
+
+    :raises TException: if one is missing
+    """
+    frame.validate()
+    for name in frame.__slots__:
+        value = getattr(frame, name)
+        if hasattr(value, 'validate'):
+            validate_struct(value)
+        if not isinstance(value, list) or not value or not hasattr(value[0], 'validate'):
+            continue
+        for item in value:
+            validate_struct(item)
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -3,7 +3,7 @@
 import unittest
 
 import msgspec
-from hypothesis import given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 
 from beechbridge.daemon.bodies import (
@@ -38,10 +38,9 @@
 from beechbridge.rules import Rules, parse_rules
 from beechbridge.wire.codec import Envelope, decode_frame, encode_frame
 
-from .utils import make_entries
+from .utils import FUZZ, make_entries
 
 encode = msgspec.json.encode
-FUZZ = settings(derandomize=True, deadline=None, max_examples=300)
 NAMES = st.text(max_size=8)
 NUMBERS = st.integers(0, 2**53)
 JSON = st.recursive(
--- /dev/null
+++ b/tests/test_fuzz_gateway.py
@@ -0,0 +1,193 @@
+"""Decoders of the gateway return a value or a failure for any bytes, and keep few of them."""
+
+import io
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from beechbridge.daemon.exchanges import (
+    FRAMING_FACTOR,
+    MAX_HEAD_BYTES,
+    ClientConnection,
+    ReplyMemory,
+)
+from beechbridge.failures import Failure
+from beechbridge.gateway.actions import SendHeartbeat
+from beechbridge.gateway.events import ChangesReceived, ExchangeEnded, HeartbeatReceived
+from beechbridge.gateway.models import (
+    Item,
+    Member,
+    PartsAnswer,
+    PartsOrder,
+    PartsReply,
+    Reply,
+)
+from beechbridge.gateway.replicas.dictionaries import Dictionary
+from beechbridge.gateway.settings import GatewaySettings
+from beechbridge.platform.items import decode_item
+from beechbridge.platform.names import REPLICAS_PREFIX, TABLE_KEY
+from beechbridge.platform.replicas import read_reply
+from beechbridge.platform.settings import parse_settings
+from beechbridge.platform.store import RangeBody, StoreAnswer, WatchBody, decode_body
+from beechbridge.wire.changes import read_changes, read_pull
+from beechbridge.wire.compression import DICTIONARY_ZSTD, IDENTITY, ZSTD, compress
+from beechbridge.wire.fleet import (
+    decode_changes,
+    decode_heartbeat,
+    encode_changes,
+    encode_heartbeat,
+    read_order,
+    read_parts,
+    write_parts,
+)
+
+from .gateways import single_route, start_register
+from .utils import FUZZ
+
+BODY_LIMIT_BYTES = 256
+MEMBERS = [Member(f'v{number}', '127.0.0.1', 'brum-a', 5, 7) for number in range(3)]
+HEARTBEAT = encode_heartbeat(SendHeartbeat([], MEMBERS, 3, 44, True, 1))
+CHANGES = encode_changes(
+    ChangesReceived([Item('servers/a', b'{}', 4), Item('servers/b', None, 5)], 5, epoch=1)
+)
+DICTIONARY = Dictionary(CHANGES * 40)
+PARTS = write_parts(PartsAnswer({'a': 's'}, {'b': 1}, b'0' * 16, 1.0, frozenset('b')), 'q1').body
+RESPONSE = (
+    b'HTTP/1.1 200 OK\r\nBeechbridge-Server-Stamp: s\r\nBeechbridge-Request-Id: q1\r\n'
+    b'Transfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n'
+)
+
+
+def mutations(data):
+    """Return a strategy for damaged copies of a valid message, and for any bytes."""
+    cut = st.integers(0, len(data)).map(lambda size: data[:size])
+    replaced = st.tuples(st.integers(0, len(data) - 1), st.binary(max_size=6)).map(
+        lambda change: data[: change[0]] + change[1] + data[change[0] + len(change[1]) :]
+    )
+    return st.one_of(st.binary(max_size=200), cut, replaced)
+
+
+class FakeTransport:
+    """Transport that only remembers whether it was closed."""
+
+    def __init__(self):
+        self.is_aborted = False
+
+    def abort(self):
+        self.is_aborted = True
+
+
+class DecoderFuzzTest(unittest.TestCase):
+    def setUp(self):
+        self.gateway = start_register(single_route('lookup')).vms[0].gateway
+
+    # A datagram may come from anywhere; whatever it decodes to must not raise in the core.
+    @FUZZ
+    @given(mutations(HEARTBEAT))
+    def test_heartbeats(self, data):
+        heartbeat = decode_heartbeat(data)
+        self.assertIsInstance(heartbeat, HeartbeatReceived | Failure)
+        if isinstance(heartbeat, HeartbeatReceived):
+            gateway = self.gateway
+            gateway.handle(heartbeat, gateway.now_ms)
+            gateway.handle(heartbeat, gateway.timers.next_due_ms())
+
+    @FUZZ
+    @given(mutations(CHANGES))
+    def test_changes(self, data):
+        self.assertIsInstance(decode_changes(data), ChangesReceived | Failure)
+
+    @FUZZ
+    @given(st.data(), st.sampled_from([IDENTITY, ZSTD, DICTIONARY_ZSTD, 'br']))
+    def test_compressed_changes(self, data, encoding):
+        dictionary = DICTIONARY if encoding == DICTIONARY_ZSTD else None
+        compressed, _ = compress(DICTIONARY.value, dictionary)
+        body = data.draw(mutations(compressed))
+        self.assertIsInstance(read_changes(body, encoding, dictionary), ChangesReceived | Failure)
+
+    @FUZZ
+    @given(mutations(PARTS), st.sampled_from([200, 404, 500, 502, 503]))
+    def test_answers_to_orders(self, data, status):
+        self.assertIsInstance(read_parts(status, [], data, False), PartsReply)
+
+    @FUZZ
+    @given(st.binary(max_size=200))
+    def test_orders(self, data):
+        environ = {'PATH_INFO': '/v1/parts', 'wsgi.input': io.BytesIO(data)}
+        self.assertIsInstance(read_order(environ), PartsOrder | Failure)
+
+    @FUZZ
+    @given(st.text(max_size=60), st.text(max_size=20), st.text(max_size=60))
+    def test_requests_for_changes(self, query, accepted, dictionary):
+        headers = {'Accept-Encoding': accepted, 'Available-Dictionary': dictionary}
+        self.assertGreaterEqual(read_pull(query, headers).revision, 0)
+
+    @FUZZ
+    @given(
+        st.sampled_from([TABLE_KEY, REPLICAS_PREFIX + 'r-1', 'other/key']),
+        mutations(b'{"service":"a","addr":"127.0.0.1:80","zone":"z","state":"ready","born":5}'),
+    )
+    def test_items_of_the_store(self, key, value):
+        decode_item(key, value)
+
+    @FUZZ
+    @given(
+        mutations(b'{"items":[{"key":"a","rev":3,"value":"e30="}],"currentRev":4}'),
+        st.sampled_from([RangeBody, WatchBody]),
+    )
+    def test_answers_of_the_store(self, data, body_type):
+        self.assertIsInstance(
+            decode_body(StoreAnswer(200, data, 0), body_type), body_type | Failure
+        )
+
+    @FUZZ
+    @given(st.text(max_size=200))
+    def test_settings(self, text):
+        self.assertIsInstance(parse_settings(text, 'settings.toml'), GatewaySettings | Failure)
+
+
+class ReplyFuzzTest(unittest.TestCase):
+    # Whatever a replica sends, in whatever pieces, ends an exchange at most once, and never with
+    # a reply that is not complete.
+    @FUZZ
+    @given(mutations(RESPONSE * 2), st.lists(st.integers(1, 60), max_size=12))
+    def test_replies(self, data, sizes):
+        events = []
+        memory = ReplyMemory(1 << 20, lambda: None)
+        connection = ClientConnection(1, events.append, read_reply, memory)
+        connection.transport = FakeTransport()
+        connection.transport.write = lambda data: None
+        connection.send(1, 'q1', b'GET / HTTP/1.1\r\n\r\n', BODY_LIMIT_BYTES)
+        start = 0
+        for size in [*sizes, len(data)]:
+            connection.data_received(data[start : start + size])
+            start += size
+        connection.connection_lost(None)
+        ended = [event for event in events if isinstance(event, ExchangeEnded)]
+        self.assertLessEqual(len(ended), 1)
+        self.assertEqual(memory.held_bytes, 0)
+        self.assertLessEqual(
+            connection.received_bytes,
+            MAX_HEAD_BYTES + FRAMING_FACTOR * BODY_LIMIT_BYTES + len(data),
+        )
+        for event in ended:
+            if isinstance(event.result, Reply):
+                self.assertLessEqual(len(event.result.body), BODY_LIMIT_BYTES)
+
+    # A reply that ends early, at whichever byte, must not pass for a complete one.
+    def test_reply_cut_at_any_byte_is_not_complete(self):
+        framed = RESPONSE[: RESPONSE.index(b'Transfer')] + b'Content-Length: 4\r\n\r\nabcd'
+        for whole in (RESPONSE, framed):
+            for size in range(len(whole)):
+                with self.subTest(size=size):
+                    events = []
+                    memory = ReplyMemory(1 << 20, lambda: None)
+                    connection = ClientConnection(1, events.append, read_reply, memory)
+                    connection.transport = FakeTransport()
+                    connection.transport.write = lambda data: None
+                    connection.send(1, 'q1', b'', BODY_LIMIT_BYTES)
+                    connection.data_received(whole[:size])
+                    connection.eof_received()
+                    connection.connection_lost(None)
+                    self.assertNotIsInstance(events[0].result, Reply)
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -1,9 +1,11 @@
 """A simulated fleet on virtual time, with fakes for the upstreams and the platform."""
 
 import heapq
+import os
 import random
 
 import msgspec
+from hypothesis import settings
 
 from beechbridge.actions import (
     AnswerCaller,
@@ -47,6 +49,12 @@
     VmList,
 )
 
+FUZZ_EXAMPLES = os.environ.get('FUZZ_EXAMPLES')
+"""Number of random examples for each fuzz test; by default few, and the same ones each time."""
+
+FUZZ = settings(
+    derandomize=FUZZ_EXAMPLES is None, deadline=None, max_examples=int(FUZZ_EXAMPLES or 300)
+)
 LATENCY_MS = 5.0
 PEER_DELAY_MS = 1.0
 LOST = AttemptFailure(Reason.CONNECTION_LOST, Executed.UNKNOWN, 'reset')
