Keep callers in their region where its shards are ordered

Cause: the directory compares messages. A caller's request across regions cost 1.0, a gather by orders 1.2; once more than five of six routes are gathers (each added route is one more), callers of a region without shards were sent to another one, where each new connection takes two round trips of 16 ms. Change: a caller's request across regions costs 1.5, more than any share of orders.

--- a/beechbridge/gateway/fleet/placement.py
+++ b/beechbridge/gateway/fleet/placement.py
@@ -14,6 +14,12 @@
 CROSS_REGION_COST = 1.0
 """Cost of a message between regions."""
 
+CALLER_REGION_COST = 1.5
+"""
+Cost of a caller's request that crosses between regions: more than any number of routes with orders
+costs, since each new connection of the caller takes another round trip and an order takes none.
+"""
+
 ORDER_FACTOR = 1.2
 """
 Cost of an order of parts as a multiple of that of a caller's request: it names the shards, and a
@@ -117,9 +123,10 @@
     def cost_of(self, member: Member, zone: str, region: str) -> float:
         """Return the cost of a request of a caller at a zone and region at a VM."""
         cost = self.cost_between(member.zone, zone)
-        if cost == CROSS_REGION_COST and self.regions.get(member.zone) == region:
-            # The settings do not list the caller's data centre.
-            cost = CROSS_ZONE_COST
+        if cost == CROSS_REGION_COST:
+            # The settings may not list the caller's data centre.
+            is_near = self.regions.get(member.zone) == region
+            cost = CROSS_ZONE_COST if is_near else CALLER_REGION_COST
         return round(cost + self.fanout_costs.get(member.zone, 0.0), COST_DIGITS)
 
 
