Forward relayed members to neighbours, and keep a follower that follows

Cause: a message listed at most the first 100 of a dictionary's 195 members. Of another data centre's members one random VM heard each two seconds, and told its neighbours every 3.2 s, of those 100. A VM that became active counted as heard directly at once, one that was no longer active still did. So with nothing disturbed a VM was called silent hundreds of times, and orders, the directory and shares rest on that. A VM without a table read the store after 50 ms unless a VM of a higher rank already did, and took over from any of a lower rank: 62 of 195 read it in the first second, and each start of a VM of a higher rank moved the job again. Change: a delegate's list is forwarded by the VM that gets it to its neighbours at once; longer lists take several messages; a VM counts as heard directly only if it was; one that stops being active says so once. The full lists that each VM sent all neighbours are gone from large fleets. VMs that start wait for their turn by rank within 150 ms, 300 ms if they have heard of nobody, ask all seeds until one answers, and take one that has begun to follow for a follower. A follower is not replaced because a VM of a higher rank turns up.

--- a/beechbridge/gateway/fleet/gossip.py
+++ b/beechbridge/gateway/fleet/gossip.py
@@ -3,11 +3,12 @@
 
 Traffic within a data centre is free; traffic between regions is expensive. A large fleet therefore
 sends heartbeats in a full mesh only within each data centre, and a few delegates per data centre
-relay its live members to the others. One VM of each data centre follows the store and the others
-pull changes from it. A VM that knows of no higher-ranked follower follows the store itself.
+relay its live members to one VM of each other one, which forwards them to its neighbours. One VM
+of each data centre follows the store and the others pull changes from it. A VM that knows of no
+follower follows the store itself.
 """
 
-from ...core.hashing import rank_score
+from ...core.hashing import MAX_RANK_SCORE, rank_score
 from ...record import Record
 from ..actions import FollowStore, SendHeartbeat, WriteLine
 from ..events import HeartbeatReceived
@@ -20,7 +21,8 @@
 """Heartbeat interval until there is a routing table."""
 
 FULL_LIST_EVERY_BEATS = 8
-"""Interval, in heartbeats, at which one also lists the other members that the sender knows."""
+"""Interval, in heartbeats, at which the members that the sender knows are listed: in a large fleet
+to one neighbour, so that VMs learn of each other even if a start went unheard."""
 
 RELAY_EVERY_BEATS = 5
 """Interval, in heartbeats, at which delegates of a large fleet relay to other data centres."""
@@ -30,8 +32,8 @@
 
 BOOTSTRAP_BEATS = (1, 4, 8, 12, 18, 26)
 """
-Heartbeats after a start at which a VM requests the full member list: first from all seeds, then
-from one after the other.
+Heartbeats after a start at which a VM requests the full member list: from all seeds until it has
+heard of a VM, then from one after the other.
 """
 
 SEED_EVERY_BEATS = 10
@@ -43,6 +45,16 @@
 INITIAL_FOLLOW_DELAY_MS = 50.0
 """Time after a start in which changes may come from another VM before the store is read."""
 
+FOLLOW_SPREAD_MS = 150.0
+"""Time over which the VMs of a data centre that start together begin to read the store, in the
+order of their rank: the first one tells the others, and then has changes for them."""
+
+LONE_FOLLOW_DELAY_MS = 300.0
+"""The same delay for a VM that has not heard of any other: its seeds may be starting too."""
+
+FIRST_ANSWER_MS = 300.0
+"""Time for which a VM that has begun to follow the store is taken to reach it."""
+
 FAILOVER_DELAY_MS = 800.0
 """Time that each higher-ranked VM has to follow the store before this one does: two heartbeats."""
 
@@ -64,12 +76,22 @@
     :param is_following: whether this VM follows the store
     :param no_follower_since_ms: time in milliseconds since which no higher-ranked VM reaches the
         store, None while one does
+    :param following_since_ms: time in milliseconds when this VM began to follow the store
+    :param was_active: whether the last heartbeat went to the whole region
     """
 
-    __slots__ = ('beat_count', 'is_following', 'no_follower_since_ms')
+    __slots__ = (
+        'beat_count',
+        'following_since_ms',
+        'is_following',
+        'no_follower_since_ms',
+        'was_active',
+    )
 
     def __init__(self):
         self.beat_count = 0
+        self.following_since_ms = 0.0
+        self.was_active = False
         self.no_follower_since_ms: float | None = None
         self.is_following = False
 
@@ -83,8 +105,8 @@
     for member in event.members:
         fleet.apply_member(member, gateway.now_ms, is_sender=member is sender)
     if event.wants_members:
-        members = [fleet.own, *fleet.alive(gateway.now_ms)][:MAX_MEMBERS_PER_MESSAGE]
-        send(gateway, [sender.host], members)
+        send_list(gateway, [sender.host], fleet.alive(gateway.now_ms))
+    forward_relay(event.members, gateway)
     pull_if_behind(event, sender, gateway)
 
 
@@ -118,19 +140,24 @@
 
 
 def elect_follower(gateway: GatewayInterface) -> None:
-    """Follow the store unless a higher-ranked VM of this data centre does or may still do so."""
+    """
+    Follow the store unless another VM of this data centre does, or may still do so.
+
+    A follower keeps the job, whatever its rank: only of two that follow does the lower one stop.
+    """
     gossip = gateway.gossip
     fleet = gateway.fleet
     now_ms = gateway.now_ms
-    if gateway.table is None and now_ms - gateway.started_ms < INITIAL_FOLLOW_DELAY_MS:
+    if gateway.table is None and now_ms - gateway.started_ms < first_follow_delay_ms(gateway):
         return
     own_score = rank_score(FOLLOW_ROLE, fleet.own.name)
     higher_ranked_count = 0
     has_follower = False
     for member in fleet.zone_peers(now_ms):
-        if rank_score(FOLLOW_ROLE, member.name) > own_score:
-            higher_ranked_count += 1
-            has_follower = has_follower or member.reaches_store
+        is_higher_ranked = rank_score(FOLLOW_ROLE, member.name) > own_score
+        higher_ranked_count += is_higher_ranked
+        if member.reaches_store and (is_higher_ranked or not gossip.is_following):
+            has_follower = True
     if not has_follower and not gateway.store.is_reached:
         gateway.store.last_failure_ms = now_ms
     if has_follower:
@@ -146,14 +173,26 @@
     follow_store(should_follow, gateway)
 
 
+def first_follow_delay_ms(gateway: GatewayInterface) -> float:
+    """Return how long after its start a VM without a table waits before it reads the store."""
+    fleet = gateway.fleet
+    if not fleet.members:
+        return LONE_FOLLOW_DELAY_MS
+    rank_fraction = 1.0 - rank_score(FOLLOW_ROLE, fleet.own.name) / MAX_RANK_SCORE
+    return INITIAL_FOLLOW_DELAY_MS + rank_fraction * FOLLOW_SPREAD_MS
+
+
 def follow_store(should_follow: bool, gateway: GatewayInterface) -> None:
     """Start or stop following the store."""
     gateway.gossip.is_following = should_follow
+    gateway.gossip.following_since_ms = gateway.now_ms
     revision = gateway.view.revision if gateway.table else None
     gateway.act(FollowStore(should_follow, revision, gateway.view.epoch))
     gateway.act(WriteLine('store_follower', {'is_following': should_follow, 'revision': revision}))
     if not should_follow:
         gateway.store.reset()
+        return
+    announce_revision(gateway)
 
 
 def refresh_own_member(gateway: GatewayInterface) -> list[Member]:
@@ -164,7 +203,9 @@
     own.is_serving = gateway.is_ready()
     own.rate_per_s = gateway.activity.measure(gateway.now_ms)
     own.is_active = gateway.activity.active_since_ms is not None
-    own.reaches_store = gateway.gossip.is_following and gateway.store.is_reached
+    gossip = gateway.gossip
+    is_first_answer_due = gateway.now_ms - gossip.following_since_ms < FIRST_ANSWER_MS
+    own.reaches_store = gossip.is_following and (gateway.store.is_reached or is_first_answer_due)
     return [own]
 
 
@@ -189,8 +230,11 @@
     members = list(fleet.members.values())
     direct_hosts = []
     far: list[Member] = []
+    # Once more after it was active, or its region would still wait for its heartbeats.
+    covers_region = fleet.own.is_active or gateway.gossip.was_active
+    gateway.gossip.was_active = fleet.own.is_active
     for member in members:
-        is_active_in_region = fleet.own.is_active and fleet.is_in_region(member)
+        is_active_in_region = covers_region and fleet.is_in_region(member)
         if fleet.is_mesh or fleet.is_in_zone(member) or is_active_in_region:
             direct_hosts.append(member.host)
         else:
@@ -198,7 +242,9 @@
     send(gateway, direct_hosts, own_members)
     if beat % FULL_LIST_EVERY_BEATS == 0:
         hosts = [member.host for member in members if fleet.is_mesh or fleet.is_in_zone(member)]
-        send(gateway, hosts, [*own_members, *fleet.alive(now_ms)][:MAX_MEMBERS_PER_MESSAGE])
+        if not fleet.is_mesh and hosts:
+            hosts = [gateway.rng.choice(hosts)]
+        send_list(gateway, hosts, fleet.alive(now_ms))
     if (
         far
         and beat % RELAY_EVERY_BEATS == 0
@@ -216,15 +262,33 @@
         if fleet.is_alive(member, gateway.now_ms):
             hosts_by_zone.setdefault(member.zone, []).append(member.host)
     hosts = [gateway.rng.choice(hosts) for _, hosts in sorted(hosts_by_zone.items())]
-    send(gateway, hosts, [fleet.own, *fleet.zone_peers(gateway.now_ms)][:MAX_MEMBERS_PER_MESSAGE])
+    send_list(gateway, hosts, fleet.zone_peers(gateway.now_ms))
+
+
+def forward_relay(members: list[Member], gateway: GatewayInterface) -> None:
+    """Forward the members of another data centre, which its delegate sent, to the neighbours."""
+    fleet = gateway.fleet
+    zones = {member.zone for member in members}
+    if fleet.is_mesh or len(members) == 1 or len(zones) > 1 or fleet.is_in_zone(members[0]):
+        return
+    hosts = [member.host for member in fleet.zone_peers(gateway.now_ms)]
+    send_list(gateway, hosts, members)
+
+
+def send_list(gateway: GatewayInterface, hosts: list[str], members: list[Member]) -> None:
+    """Send a list of other members, in as many messages as it takes."""
+    size = MAX_MEMBERS_PER_MESSAGE - 1
+    for start in range(0, max(1, len(members)), size):
+        send(gateway, hosts, [gateway.fleet.own, *members[start : start + size]])
 
 
 def ask_seeds(gateway: GatewayInterface, beat: int) -> None:
     """Request the member list from seeds after a start, later from those not known alive."""
     fleet = gateway.fleet
-    if beat in BOOTSTRAP_BEATS:
+    is_alone = not fleet.members and beat <= BOOTSTRAP_BEATS[-1]
+    if is_alone or beat in BOOTSTRAP_BEATS:
         hosts = [host for host in fleet.seeds if host != fleet.own.host]
-        if beat > 1 and hosts:
+        if hosts and not is_alone:
             hosts = [hosts[BOOTSTRAP_BEATS.index(beat) % len(hosts)]]
         send(gateway, hosts, [fleet.own], wants_members=True)
         return
--- a/beechbridge/gateway/fleet/members.py
+++ b/beechbridge/gateway/fleet/members.py
@@ -56,7 +56,7 @@
         """Return whether a VM sends its heartbeats here itself: active ones cover their region."""
         if self.is_mesh or self.is_in_zone(member):
             return True
-        return member.is_active and self.is_in_region(member)
+        return member.is_active and member.is_heard and self.is_in_region(member)
 
     def is_alive(self, member: Member, now_ms: float) -> bool:
         """Return whether a VM was heard from within its timeout."""
@@ -105,6 +105,8 @@
             )
             if version <= (known.incarnation, known.heartbeat) and not is_restarted:
                 return
+        is_same_process = known is not None and known.incarnation == received.incarnation
+        received.is_heard = is_sender or (is_same_process and known.is_heard)
         received.last_heartbeat_ms = now_ms
         self.members[received.name] = received
 
--- a/beechbridge/gateway/models.py
+++ b/beechbridge/gateway/models.py
@@ -305,6 +305,7 @@
     :param rate_per_s: requests per second that it sends to replicas
     :param is_active: whether callers are directed to it
     :param last_heartbeat_ms: time in milliseconds when its heartbeat last increased
+    :param is_heard: whether it has sent a heartbeat to this VM itself
     """
 
     __slots__ = (
@@ -313,6 +314,7 @@
         'host',
         'incarnation',
         'is_active',
+        'is_heard',
         'is_serving',
         'last_heartbeat_ms',
         'name',
@@ -338,6 +340,7 @@
         self.capacity_millicores = capacity_millicores
         self.is_serving = False
         self.is_active = False
+        self.is_heard = False
         self.reaches_store = False
         self.rate_per_s = 0.0
         self.last_heartbeat_ms = 0.0
