Find the owner of a connection and log a listing in constant work

Cause: the end of an idle connection walked over all replicas (6,026 steps at 3,000 replicas, 91 at 30), and each of 195 VMs logged each of hundreds of replicas in the first seconds: 36,000 lines replica_changed, of which the limit on lines drops most, with others. Change: open connections know their replica or VM. New replicas of a change of over 40 items are logged together, in a line replicas_listed.

--- a/beechbridge/gateway/fleet/aggregators.py
+++ b/beechbridge/gateway/fleet/aggregators.py
@@ -1,7 +1,6 @@
 """Aggregators: VMs of other data centres that gather the parts of nearby shards for this VM."""
 
 from ...core.latency import LatencyEstimate
-from ..actions import DropConnection
 from ..interface import GatewayInterface
 from ..models import Member, ReplicaEntry
 from ..replicas.upstreams import (
@@ -60,7 +59,7 @@
         state = self.states.pop(name)
         state.is_gone = True
         for connection_id in state.remove_all_idle():
-            gateway.act(DropConnection(connection_id))
+            gateway.drop_connection(connection_id)
 
     def choose(self, zone: str, route_name: str, gateway: GatewayInterface) -> ReplicaState | None:
         """Return the healthy VM of a data centre that is expected to be fastest, if any is."""
--- a/beechbridge/gateway/interface.py
+++ b/beechbridge/gateway/interface.py
@@ -76,6 +76,9 @@
     def all_upstreams(self) -> 'list[ReplicaState]':
         """Return all connection targets: replicas, and the aggregators that get orders."""
 
+    def drop_connection(self, connection_id: int) -> None:
+        """Close a connection to a replica or another VM."""
+
     def dispatch_waiting(self, service: str) -> None:
         """Dispatch the tasks that are queued for a connection to a service."""
 
--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -8,7 +8,7 @@
 from ..core.hashing import rank_names
 from ..core.timers import Timers
 from ..failures import Failure, Reason, unknown
-from .actions import MAX_REPLY_BYTES, AnswerRequest, GatewayAction, WriteLine
+from .actions import MAX_REPLY_BYTES, AnswerRequest, DropConnection, GatewayAction, WriteLine
 from .events import (
     CallerDisconnected,
     ChangesReceived,
@@ -297,6 +297,11 @@
         """Return all connection targets: replicas, and the aggregators that get orders."""
         return [*self.upstreams.by_id.values(), *self.aggregators.states.values()]
 
+    def drop_connection(self, connection_id: int) -> None:
+        """Close a connection to a replica or another VM."""
+        self.upstreams.owners.pop(connection_id, None)
+        self.act(DropConnection(connection_id))
+
     def dispatch_waiting(self, service: str) -> None:
         """Dispatch the tasks that are queued for a connection to a service."""
         dispatch_waiting(service, self)
--- a/beechbridge/gateway/replicas/store_updates.py
+++ b/beechbridge/gateway/replicas/store_updates.py
@@ -2,7 +2,7 @@
 
 from ...failures import Failure
 from ...record import Record
-from ..actions import DropConnection, SetCallerLimits, WriteLine
+from ..actions import SetCallerLimits, WriteLine
 from ..events import ChangesReceived, PullEnded, StoreFailed
 from ..fleet.gossip import announce_revision
 from ..fleet.pulls import mark_caught_up, record_pull
@@ -15,6 +15,9 @@
 STORE_UNSTABLE_MS = 3_000.0
 """Time after a failed store call in which a missing entry may merely have expired."""
 
+MAX_SINGLE_LINES = 40
+"""Items that change at once up to which each new replica is logged in a line of its own."""
+
 REREGISTRATION_GRACE_MS = 2_300.0
 """Time in which a live replica registers again once the store has recovered."""
 
@@ -94,14 +97,28 @@
         changes.extend(gateway.view.find_missing(prefix, keys, event.revision))
     applied = gateway.view.apply_changes(changes, event.revision)
     mark_caught_up(gateway)
+    known_count = len(gateway.upstreams.by_id)
+    is_listing = len(applied) > MAX_SINGLE_LINES
     for item in applied:
-        apply_item(item, gateway)
+        apply_item(item, gateway, is_listing)
+    if is_listing:
+        log_listing(len(applied), len(gateway.upstreams.by_id) - known_count, gateway)
     if applied and event.is_from_store:
         announce_revision(gateway)
 
 
-def apply_item(item: Item, gateway: GatewayInterface) -> None:
-    """Apply one changed store item to the routing table or a replica."""
+def log_listing(item_count: int, added_count: int, gateway: GatewayInterface) -> None:
+    """Log in one line that many entries were read, such as those that exist at a start."""
+    fields = {'items': item_count, 'added': added_count, 'replicas': len(gateway.upstreams.by_id)}
+    gateway.act(WriteLine('replicas_listed', {**fields, 'revision': gateway.view.revision}))
+
+
+def apply_item(item: Item, gateway: GatewayInterface, is_listing: bool = False) -> None:
+    """
+    Apply one changed store item to the routing table or a replica.
+
+    :param is_listing: whether a new replica is one of many, which are logged together
+    """
     if item.value is None:
         state = gateway.replica_by_key.get(item.key)
         if state is not None:
@@ -120,7 +137,7 @@
         if state is not None:
             drop_replica(item.key, state, 'entry unreadable', gateway)
         return
-    apply_entry(item.key, decoded, state, gateway)
+    apply_entry(item.key, decoded, state, gateway, is_listing)
 
 
 def apply_table(table: RoutingTable, gateway: GatewayInterface) -> None:
@@ -145,9 +162,14 @@
 
 
 def apply_entry(
-    key: str, entry: ReplicaEntry, state: ReplicaState | None, gateway: GatewayInterface
+    key: str,
+    entry: ReplicaEntry,
+    state: ReplicaState | None,
+    gateway: GatewayInterface,
+    is_listing: bool,
 ) -> None:
     """Add a replica, or update it from its entry."""
+    is_new = state is None
     if state is not None:
         known = state.entry
         is_same = (known.host, known.port, known.service, known.started_ms) == (
@@ -169,7 +191,8 @@
     state = ReplicaState(entry, distance, gateway.now_ms)
     gateway.upstreams.add(state)
     gateway.replica_by_key[key] = state
-    log_replica(entry, 'draining' if entry.is_draining else 'ready', gateway)
+    if entry.is_draining or not (is_listing and is_new):
+        log_replica(entry, 'draining' if entry.is_draining else 'ready', gateway)
     gateway.dispatch_waiting(entry.service)
 
 
@@ -210,5 +233,5 @@
     gateway.replica_by_key.pop(key, None)
     gateway.removed_replicas.add(key, state.entry)
     for connection_id in gateway.upstreams.remove(state):
-        gateway.act(DropConnection(connection_id))
+        gateway.drop_connection(connection_id)
     log_replica(state.entry, cause, gateway)
--- a/beechbridge/gateway/replicas/upstreams.py
+++ b/beechbridge/gateway/replicas/upstreams.py
@@ -296,14 +296,19 @@
 
 
 class Upstreams:
-    """All registered replicas, by service."""
+    """
+    All registered replicas, by service.
+
+    :param owners: replica or aggregator of each open connection, by the connection's ID
+    """
 
-    __slots__ = ('by_id', 'by_service', 'exchanges', 'next_id', 'route_latencies')
+    __slots__ = ('by_id', 'by_service', 'exchanges', 'next_id', 'owners', 'route_latencies')
 
     def __init__(self):
         self.by_id: dict[str, ReplicaState] = {}
         self.by_service: dict[str, list[ReplicaState]] = {}
         self.exchanges: dict[int, Exchange] = {}
+        self.owners: dict[int, ReplicaState] = {}
         self.route_latencies: dict[tuple[str, int], LatencyEstimate] = {}
         self.next_id = 0
 
--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -3,7 +3,7 @@
 import heapq
 from functools import singledispatch
 
-from ..actions import AnswerRequest, DropConnection, WriteLine
+from ..actions import AnswerRequest, WriteLine
 from ..events import CallerDisconnected, ConnectionEnded, ExchangeEnded, RequestSent
 from ..interface import GatewayInterface
 from ..models import LinkFailure, LinkFault, PartsReply, Reply
@@ -286,12 +286,14 @@
 
 def handle_connection_ended(event: ConnectionEnded, gateway: GatewayInterface) -> None:
     """Remove an idle connection that has been closed."""
-    for state in gateway.all_upstreams():
-        for connection in state.idle:
-            if connection.connection_id == event.connection_id:
-                state.idle.remove(connection)
-                gateway.act(DropConnection(event.connection_id))
-                return
+    state = gateway.upstreams.owners.get(event.connection_id)
+    if state is None:
+        return
+    for connection in state.idle:
+        if connection.connection_id == event.connection_id:
+            state.idle.remove(connection)
+            gateway.drop_connection(event.connection_id)
+            return
 
 
 def sweep_exchanges(gateway: GatewayInterface) -> None:
--- a/beechbridge/gateway/requests/sending.py
+++ b/beechbridge/gateway/requests/sending.py
@@ -2,7 +2,7 @@
 
 import heapq
 
-from ..actions import MAX_PART_BYTES, AbandonExchange, DropConnection, SendRequest
+from ..actions import MAX_PART_BYTES, AbandonExchange, SendRequest
 from ..interface import GatewayInterface
 from ..replicas.upstreams import (
     MIN_STALL_TIMEOUT_MS,
@@ -102,7 +102,7 @@
     now_ms = gateway.now_ms
     work = task.work
     for connection_id in state.remove_expired(now_ms):
-        gateway.act(DropConnection(connection_id))
+        gateway.drop_connection(connection_id)
     longest_idle_ms = FOREVER_MS if work.route.is_idempotent else NON_IDEMPOTENT_IDLE_MS
     idle = state.acquire_idle(now_ms, longest_idle_ms, work.request.request_id)
     if idle is None:
@@ -150,6 +150,7 @@
         answered
     """
     connection_id = gateway.upstreams.new_id() if idle is None else idle.connection_id
+    gateway.upstreams.owners[connection_id] = state
     exchange = Exchange(
         gateway.upstreams.new_id(),
         state,
@@ -174,7 +175,7 @@
 def close_excess_idle(state: ReplicaState, limit: int, gateway: GatewayInterface) -> None:
     """Close idle connections until a replica has at most `limit`, or none idle."""
     while state.idle and len(state.idle) + len(state.busy) > limit:
-        gateway.act(DropConnection(state.idle.pop(0).connection_id))
+        gateway.drop_connection(state.idle.pop(0).connection_id)
 
 
 def enforce_connection_shares(gateway: GatewayInterface) -> None:
@@ -188,7 +189,7 @@
 def drop_idle(state: ReplicaState, gateway: GatewayInterface) -> None:
     """Close all idle connections to a replica."""
     for connection_id in state.remove_all_idle():
-        gateway.act(DropConnection(connection_id))
+        gateway.drop_connection(connection_id)
 
 
 def end_exchange(
@@ -201,7 +202,7 @@
     gateway.upstreams.exchanges.pop(exchange.exchange_id, None)
     state = exchange.replica
     if not state.release(exchange, keep_alive_ms, gateway.now_ms, is_reusable):
-        gateway.act(DropConnection(exchange.connection_id))
+        gateway.drop_connection(exchange.connection_id)
     if exchange in exchange.owner.exchanges:
         exchange.owner.exchanges.remove(exchange)
     gateway.dispatch_waiting(state.entry.service)
--- a/tests/test_hundreds_of_vms.py
+++ b/tests/test_hundreds_of_vms.py
@@ -62,6 +62,20 @@
             self.assertIsNotNone(vm.gateway.table)
 
 
+class LinesTest(unittest.TestCase):
+    # Hundreds of VMs that each log hundreds of replicas at a start drown everything else.
+    def test_replicas_of_a_listing_take_one_line(self):
+        emulator = Emulator(ZONES[:1], WORK_MS)
+        for number in range(300):
+            emulator.put_replica(f'r-{number}', f'shard-{number}', 'brum-a')
+        emulator.put_table([sweep_route(300)])
+        emulator.run(START_MS)
+        self.assertEqual(count_lines(emulator, 'replica_changed'), 0)
+        self.assertEqual(count_lines(emulator, 'replicas_listed', items=301, added=300), 1)
+        emulator.put_replica('r-300', 'shard-300', 'brum-a')
+        self.assertEqual(count_lines(emulator, 'replica_changed', state='ready'), 1)
+
+
 class MembershipAtRestTest(unittest.TestCase):
     # With nothing disturbed no VM may count as silent: directory, orders and shares rest on it.
     def test_no_vm_is_called_silent(self):
