--- a/beechbridge/gateway/replicas/upstreams.py
+++ b/beechbridge/gateway/replicas/upstreams.py
@@ -132,8 +132,6 @@
     :param latency_ratio: its latency as a multiple of the typical one for the route and distance
     :param reject_share: share of its requests that it rejected or answered with an error, decaying
         with time
-    :param loss_share: the same for answers that were lost; unlike a rejection, a loss is no reason
-        to prefer a replica of another region, where links are dear
     :param missing_since_ms: time in milliseconds when its entry went missing while the store was
         unstable, None if it is present
     """
@@ -146,7 +144,6 @@
         'idle',
         'is_gone',
         'latency_ratio',
-        'loss_share',
         'missing_since_ms',
         'reject_share',
         'sampled_ms',
@@ -162,7 +159,6 @@
         self.busy: dict[int, Exchange] = {}
         self.latency_ratio = 1.0
         self.reject_share = 0.0
-        self.loss_share = 0.0
         self.sampled_ms = now_ms
         self.suspect_until_ms = 0.0
         self.suspicion_ms = 0.0
@@ -186,13 +182,10 @@
         return self.reject_share * weight <= MAX_RELIABLE_REJECT_SHARE
 
     def decay(self, now_ms: float) -> None:
-        """Decay the ratio and the shares by the time since the last sample."""
-        if now_ms == self.sampled_ms:
-            return
+        """Decay the latency ratio and the rejection share by the time since the last sample."""
         weight = 0.5 ** ((now_ms - self.sampled_ms) / RATIO_HALF_LIFE_MS)
         self.latency_ratio = math.exp(math.log(self.latency_ratio) * weight)
         self.reject_share *= weight
-        self.loss_share *= weight
         self.sampled_ms = now_ms
 
     def estimate_latency_ms(self, typical_ms: float, now_ms: float) -> float:
@@ -200,7 +193,7 @@
         weight = 0.5 ** ((now_ms - self.sampled_ms) / RATIO_HALF_LIFE_MS)
         expected_ms = typical_ms * math.exp(math.log(self.latency_ratio) * weight)
         expected_ms *= 1.0 + QUEUE_FACTOR * len(self.busy)
-        expected_ms *= 1.0 + REJECT_FACTOR * (self.reject_share + self.loss_share) * weight
+        expected_ms *= 1.0 + REJECT_FACTOR * self.reject_share * weight
         if now_ms < self.cold_until_ms:
             expected_ms *= COLD_FACTOR
         if self.busy:
@@ -227,11 +220,6 @@
         self.decay(now_ms)
         self.reject_share += SAMPLE_WEIGHT * (float(was_rejected) - self.reject_share)
 
-    def record_loss(self, was_lost: bool, now_ms: float) -> None:
-        """Record whether an answer of the replica was lost."""
-        self.decay(now_ms)
-        self.loss_share += SAMPLE_WEIGHT * (float(was_lost) - self.loss_share)
-
     def mark_suspect(self, now_ms: float) -> bool:
         """Mark it as suspect, with exponential backoff; return whether it was not before."""
         is_new = not self.is_suspect(now_ms)
--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -7,7 +7,7 @@
 from ..events import CallerDisconnected, ConnectionEnded, ExchangeEnded, RequestSent
 from ..interface import GatewayInterface
 from ..models import LinkFailure, LinkFault, PartsReply, Reply
-from ..replicas.upstreams import INITIAL_ROUND_TRIP_MS, Exchange, ReplicaState
+from ..replicas.upstreams import Exchange, ReplicaState
 from .answers import build_answer, record_end, trim_part
 from .sending import abandon_exchange, abort_exchange, dispatch_task, end_exchange
 from .works import DeadlineTimer, GatherWork, RetryTimer, SingleWork, Task, Work
@@ -15,11 +15,6 @@
 SUSPECT_WAIT_FACTOR = 2.0
 """Multiple of the typical latency to wait for a shard whose replicas are all suspect."""
 
-IDLE_CLOSE_FACTOR = 1.5
-IDLE_CLOSE_SLACK_MS = 2.0
-"""Multiple of the round-trip time, and time on top of it, within which an exchange over a kept
-connection fails that had been closed while it was idle."""
-
 EXCHANGE_SLACK_MS = 300.0
 """Time past its request's hard deadline after which an exchange is ended as timed out."""
 
@@ -71,9 +66,6 @@
         task.run_count -= 1
     if is_suspicious(exchange, failure.fault):
         suspect_replica(state, failure.fault.value, gateway)
-    if has_lost_answer(exchange, failure, gateway):
-        state.record_loss(True, gateway.now_ms)
-        gateway.counters.add('answers_lost')
     task.exclude_replica(state)
     task.fault = failure.fault
     end_exchange(exchange, gateway, is_reusable=False)
@@ -92,19 +84,6 @@
     return exchange.is_new or fault in (LinkFault.TIMED_OUT, LinkFault.OVERSIZED)
 
 
-def has_lost_answer(exchange: Exchange, failure: LinkFailure, gateway: GatewayInterface) -> bool:
-    """
-    Return whether a replica got a request and lost its answer.
-
-    A kept connection that was closed while idle fails within a round trip.
-    """
-    if not failure.was_sent or failure.fault not in (LinkFault.LOST, LinkFault.MALFORMED):
-        return False
-    round_trip_ms = INITIAL_ROUND_TRIP_MS[exchange.replica.distance]
-    age_ms = gateway.now_ms - exchange.sent_ms
-    return age_ms > IDLE_CLOSE_FACTOR * round_trip_ms + IDLE_CLOSE_SLACK_MS
-
-
 def suspect_replica(state: ReplicaState, cause: str, gateway: GatewayInterface) -> None:
     """Mark a replica as suspect, so that it is avoided for a while."""
     if not state.mark_suspect(gateway.now_ms):
@@ -170,7 +149,6 @@
     typical_ms = gateway.upstreams.typical_ms(route_name, state.distance)
     state.record_latency(latency_ms, typical_ms, gateway.now_ms)
     state.record_rejection(False, gateway.now_ms)
-    state.record_loss(False, gateway.now_ms)
     if not exchange.is_new:
         gateway.upstreams.record_route_latency(route_name, state.distance, latency_ms)
 
