--- a/Makefile
+++ b/Makefile
@@ -49,6 +49,10 @@
 capacity: $(READY) ## Measure slopes and regenerate the tables of docs/CAPACITY.md
 	@$(BIN)/python -m measure.capacity
 
+.PHONY: capacity-gateway
+capacity-gateway: $(READY) ## Regenerate the gateway's table of docs/CAPACITY.md from SWEEP, a journal entry, beside OLDER
+	@$(BIN)/python -m measure.sweep_tables $(SWEEP) $(OLDER)
+
 .PHONY: cost
 cost: $(READY) ## Measure processor time and memory against a bare loop
 	@$(BIN)/python -m measure.cost
