Relay the last VM of a data centre, and the neighbours of active delegates

A delegate's list of one member was taken for a heartbeat and not forwarded: of a data centre with one VM left, the others of another region heard nothing after 7 s, but for one. And a delegate that is active left the VMs of its own region out of what it relays, since they hear it directly, but not its neighbours. Change: single records from another region are forwarded; a delegate relays to every other data centre. The function that sends heartbeats is split by what it sends. Test: two in test_hundreds_of_vms, both failed first.

--- a/beechbridge/gateway/fleet/gossip.py
+++ b/beechbridge/gateway/fleet/gossip.py
@@ -106,7 +106,7 @@
         fleet.apply_member(member, gateway.now_ms, is_sender=member is sender)
     if event.wants_members:
         send_list(gateway, [sender.host], fleet.alive(gateway.now_ms))
-    forward_relay(event.members, gateway)
+    forward_relay(event, gateway)
     pull_if_behind(event, sender, gateway)
 
 
@@ -222,54 +222,67 @@
 
 def send_heartbeat(gateway: GatewayInterface) -> None:
     """Send the periodic heartbeat, at intervals with the members that this VM knows."""
-    fleet = gateway.fleet
-    now_ms = gateway.now_ms
     own_members = refresh_own_member(gateway)
     gateway.gossip.beat_count += 1
     beat = gateway.gossip.beat_count
-    members = list(fleet.members.values())
-    direct_hosts = []
-    far: list[Member] = []
+    send(gateway, direct_hosts(gateway), own_members)
+    if beat % FULL_LIST_EVERY_BEATS == 0:
+        share_list(gateway)
+    if beat % RELAY_EVERY_BEATS == 0:
+        relay(gateway)
+    ask_seeds(gateway, beat)
+
+
+def direct_hosts(gateway: GatewayInterface) -> list[str]:
+    """Return the hosts of the VMs that get every heartbeat of this one."""
+    fleet = gateway.fleet
     # Once more after it was active, or its region would still wait for its heartbeats.
     covers_region = fleet.own.is_active or gateway.gossip.was_active
     gateway.gossip.was_active = fleet.own.is_active
-    for member in members:
-        is_active_in_region = covers_region and fleet.is_in_region(member)
-        if fleet.is_mesh or fleet.is_in_zone(member) or is_active_in_region:
-            direct_hosts.append(member.host)
-        else:
-            far.append(member)
-    send(gateway, direct_hosts, own_members)
-    if beat % FULL_LIST_EVERY_BEATS == 0:
-        hosts = [member.host for member in members if fleet.is_mesh or fleet.is_in_zone(member)]
-        if not fleet.is_mesh and hosts:
-            hosts = [gateway.rng.choice(hosts)]
-        send_list(gateway, hosts, fleet.alive(now_ms))
-    if (
-        far
-        and beat % RELAY_EVERY_BEATS == 0
-        and fleet.rank(DELEGATE_ROLE, now_ms) < DELEGATE_COUNT
-    ):
-        relay(gateway, far)
-    ask_seeds(gateway, beat)
+    hosts = []
+    for member in fleet.members.values():
+        is_covered = covers_region and fleet.is_in_region(member)
+        if fleet.is_mesh or fleet.is_in_zone(member) or is_covered:
+            hosts.append(member.host)
+    return hosts
+
+
+def share_list(gateway: GatewayInterface) -> None:
+    """Send all live members to the others of a small fleet, or to one neighbour."""
+    fleet = gateway.fleet
+    hosts = []
+    for member in fleet.members.values():
+        if fleet.is_mesh or fleet.is_in_zone(member):
+            hosts.append(member.host)
+    if hosts and not fleet.is_mesh:
+        hosts = [gateway.rng.choice(hosts)]
+    send_list(gateway, hosts, fleet.alive(gateway.now_ms))
 
 
-def relay(gateway: GatewayInterface, far: list[Member]) -> None:
-    """Send the live members of this data centre to one VM of each other data centre."""
+def relay(gateway: GatewayInterface) -> None:
+    """As a delegate, send the live members of this data centre to one VM of each other one."""
     fleet = gateway.fleet
+    now_ms = gateway.now_ms
+    if fleet.is_mesh or fleet.rank(DELEGATE_ROLE, now_ms) >= DELEGATE_COUNT:
+        return
     hosts_by_zone: dict[str, list[str]] = {}
-    for member in far:
-        if fleet.is_alive(member, gateway.now_ms):
+    for member in fleet.alive(now_ms):
+        if not fleet.is_in_zone(member):
             hosts_by_zone.setdefault(member.zone, []).append(member.host)
     hosts = [gateway.rng.choice(hosts) for _, hosts in sorted(hosts_by_zone.items())]
-    send_list(gateway, hosts, fleet.zone_peers(gateway.now_ms))
+    send_list(gateway, hosts, fleet.zone_peers(now_ms))
 
 
-def forward_relay(members: list[Member], gateway: GatewayInterface) -> None:
+def forward_relay(event: HeartbeatReceived, gateway: GatewayInterface) -> None:
     """Forward the members of another data centre, which its delegate sent, to the neighbours."""
     fleet = gateway.fleet
-    zones = {member.zone for member in members}
-    if fleet.is_mesh or len(members) == 1 or len(zones) > 1 or fleet.is_in_zone(members[0]):
+    members = event.members
+    if fleet.is_mesh or event.wants_members or fleet.is_in_zone(members[0]):
+        return
+    # An active VM sends its own record to its whole region itself.
+    if len(members) == 1 and fleet.is_in_region(members[0]):
+        return
+    if len({member.zone for member in members}) > 1:
         return
     hosts = [member.host for member in fleet.zone_peers(gateway.now_ms)]
     send_list(gateway, hosts, members)
--- a/tests/test_hundreds_of_vms.py
+++ b/tests/test_hundreds_of_vms.py
@@ -3,7 +3,9 @@
 import functools
 import unittest
 
+from beechbridge.core.hashing import rank_names
 from beechbridge.core.timers import Timers
+from beechbridge.gateway.fleet.gossip import DELEGATE_COUNT, DELEGATE_ROLE
 from measure.emulator import Emulator
 
 from .gateways import WORK_MS, ZONES, sweep_route
@@ -86,6 +88,33 @@
         emulator.run(REST_MS)
         self.assertEqual(count_lines(emulator, 'member_changed', state='silent'), 0)
 
+    # Delegates that are active send their own record to their region; the others' records must
+    # get to its other data centre as well.
+    def test_active_delegates_relay_their_data_centre_within_the_region(self):
+        emulator = start_fleet()
+        for zone in ZONES:
+            vms = [vm for vm in emulator.vms if vm.gateway.fleet.own.zone == zone]
+            names = rank_names(DELEGATE_ROLE, [vm.gateway.fleet.own.name for vm in vms])
+            for vm in vms:
+                own = vm.gateway.fleet.own
+                own.capacity_millicores = 2000 if own.name in names[:DELEGATE_COUNT] else 500
+        emulator.run(START_MS + REST_MS)
+        self.assertEqual(count_lines(emulator, 'member_changed', state='silent'), 0)
+
+    # The list of a data centre of which one VM is left has one member; it must spread as well.
+    def test_last_vm_of_a_data_centre_is_known_everywhere(self):
+        emulator = start_fleet()
+        emulator.run(START_MS)
+        for vm in emulator.vms[11::6]:
+            vm.is_up = False
+        emulator.run(REST_MS)
+        for vm in emulator.vms:
+            if not vm.is_up or vm is emulator.vms[5]:
+                continue
+            self.assertTrue(
+                vm.gateway.fleet.is_alive(vm.gateway.fleet.members['vm-5'], emulator.now_ms)
+            )
+
     # A VM that callers no longer use stops sending to its region; it must not count as silent.
     def test_vm_that_is_no_longer_active_is_not_called_silent(self):
         emulator = start_fleet()
