--- a/tests/test_fuzz_gateway.py
+++ b/tests/test_fuzz_gateway.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from beechbridge.daemon.exchanges import (
+from beechbridge.daemon.client_connection import (
     FRAMING_FACTOR,
     MAX_HEAD_BYTES,
     ClientConnection,
--- a/tests/test_reply_limits.py
+++ b/tests/test_reply_limits.py
@@ -6,12 +6,8 @@
 
 from nose2.tools import params
 
-from beechbridge.daemon.exchanges import (
-    MAX_ABANDONED_BYTES,
-    MAX_HEAD_BYTES,
-    Codec,
-    ExchangeClient,
-)
+from beechbridge.daemon.client_connection import MAX_ABANDONED_BYTES, MAX_HEAD_BYTES
+from beechbridge.daemon.exchanges import Codec, ExchangeClient
 from beechbridge.failures import Executed, Failure, Reason
 from beechbridge.gateway.actions import (
     MAX_PART_BYTES,
