Take a VM for a follower before the store's first answer only at a start

A VM that began to follow was taken to reach the store for 300 ms. When a follower is lost and the next ones by rank are turned away by the store, each of them started the others' wait anew: with two such, the third followed 6.0 s after the loss instead of within 4.0 s (silence of 1.6 s and turns of 0.8 s). Change: only VMs without a table say so. Test: test_follower_fails_over_past_vms_that_the_store_turns_away failed with 6,004 ms.

--- a/beechbridge/gateway/fleet/gossip.py
+++ b/beechbridge/gateway/fleet/gossip.py
@@ -53,7 +53,7 @@
 """The same delay for a VM that has not heard of any other: its seeds may be starting too."""
 
 FIRST_ANSWER_MS = 300.0
-"""Time for which a VM that has begun to follow the store is taken to reach it."""
+"""Time for which a VM that starts and has begun to follow the store is taken to reach it."""
 
 FAILOVER_DELAY_MS = 800.0
 """Time that each higher-ranked VM has to follow the store before this one does: two heartbeats."""
@@ -204,7 +204,10 @@
     own.rate_per_s = gateway.activity.measure(gateway.now_ms)
     own.is_active = gateway.activity.active_since_ms is not None
     gossip = gateway.gossip
-    is_first_answer_due = gateway.now_ms - gossip.following_since_ms < FIRST_ANSWER_MS
+    # Only at a start: later, VMs that wait for their turn would wait for the answer too.
+    is_first_answer_due = (
+        gateway.table is None and gateway.now_ms - gossip.following_since_ms < FIRST_ANSWER_MS
+    )
     own.reaches_store = gossip.is_following and (gateway.store.is_reached or is_first_answer_due)
     return [own]
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,8 +5,12 @@
 
 from nose2.tools import params
 
+from beechbridge.core.hashing import rank_names
 from beechbridge.gateway.actions import CloseIdleCallers, ExitProcess
 from beechbridge.gateway.events import HeartbeatReceived, StopRequested, TimerDue
+from beechbridge.gateway.fleet.gossip import FAILOVER_DELAY_MS, FOLLOW_ROLE
+from beechbridge.gateway.fleet.members import ALIVE_TIMEOUT_MS
+from measure.emulated_actions import STORE_LATENCY_MS
 from measure.emulator import Emulator
 from measure.stand_ins import ReplicaSpec
 
@@ -122,6 +126,24 @@
             if vm.is_up and vm.gateway.fleet.own.zone == zone:
                 self.assertEqual(vm.gateway.table.version, 5)
 
+    # VMs that the store turns away must not hold up the others by having begun to follow it.
+    def test_follower_fails_over_past_vms_that_the_store_turns_away(self):
+        emulator = start_fleet(6)
+        zone = 'brum-a'
+        vms = {vm.gateway.fleet.own.name: vm for vm in emulator.vms}
+        names = [name for name, vm in vms.items() if vm.gateway.fleet.own.zone == zone]
+        follower = next(name for name in names if vms[name].is_following)
+        turned_away = rank_names(FOLLOW_ROLE, [name for name in names if name != follower])[:2]
+        vms[follower].is_up = vms[follower].is_following = False
+        while emulator.now_ms < 2 * SPREAD_MS:
+            # Shorter than the store takes: they ask and never get an answer.
+            emulator.run(STORE_LATENCY_MS / 2)
+            for name in turned_away:
+                vms[name].is_following = False
+            if any(vms[name].is_following for name in names):
+                break
+        self.assertLess(emulator.now_ms - SPREAD_MS, ALIVE_TIMEOUT_MS + 3 * FAILOVER_DELAY_MS)
+
 
 class PlacementTest(unittest.TestCase):
     def test_callers_of_a_region_use_its_vms(self):
