--- a/tests/test_fuzz_gateway.py
+++ b/tests/test_fuzz_gateway.py
@@ -16,6 +16,7 @@
 from beechbridge.gateway.actions import SendHeartbeat
 from beechbridge.gateway.events import ChangesReceived, ExchangeEnded, HeartbeatReceived
 from beechbridge.gateway.models import (
+    CallerRequest,
     Item,
     Member,
     PartsAnswer,
@@ -25,6 +26,7 @@
 )
 from beechbridge.gateway.replicas.dictionaries import Dictionary
 from beechbridge.gateway.settings import GatewaySettings
+from beechbridge.platform.callers import read_request
 from beechbridge.platform.items import decode_item
 from beechbridge.platform.names import REPLICAS_PREFIX, TABLE_KEY
 from beechbridge.platform.replicas import read_reply
@@ -117,6 +119,22 @@
         environ = {'PATH_INFO': '/v1/parts', 'wsgi.input': io.BytesIO(data)}
         self.assertIsInstance(read_order(environ), PartsOrder | Failure)
 
+    @FUZZ
+    @given(
+        st.text(max_size=8),
+        st.text(max_size=8),
+        st.text(max_size=20),
+        st.dictionaries(st.text(max_size=8), st.text(max_size=20), max_size=4),
+    )
+    def test_requests_of_callers(self, request_id, timeout, target, headers):
+        environ = {f'HTTP_{name}': value for name, value in headers.items()}
+        environ['HTTP_BEECHBRIDGE_REQUEST_ID'] = request_id
+        environ['HTTP_BEECHBRIDGE_DEADLINE_MS'] = timeout
+        environ['REQUEST_URI'] = target
+        environ['REQUEST_METHOD'] = 'GET'
+        environ['wsgi.input'] = io.BytesIO(b'body')
+        self.assertIsInstance(read_request(environ), CallerRequest | Failure)
+
     @FUZZ
     @given(st.text(max_size=60), st.text(max_size=20), st.text(max_size=60))
     def test_requests_for_changes(self, query, accepted, dictionary):
