--- a/beechbridge/gateway/fleet/members.py
+++ b/beechbridge/gateway/fleet/members.py
@@ -23,15 +23,17 @@
     :param own: member record of this process
     :param seeds: hosts that are asked for the members of the fleet
     :param regions: region by data centre
+    :param neighbours: the members of the same data centre, by name
     """
 
-    __slots__ = ('alive_names', 'members', 'own', 'regions', 'seeds')
+    __slots__ = ('alive_names', 'members', 'neighbours', 'own', 'regions', 'seeds')
 
     def __init__(self, own: Member, seeds: tuple[str, ...], regions: dict[str, str]):
         self.own = own
         self.seeds = seeds
         self.regions = regions
         self.members: dict[str, Member] = {}
+        self.neighbours: dict[str, Member] = {}
         self.alive_names: set[str] = set()
 
     @property
@@ -69,7 +71,7 @@
 
     def zone_peers(self, now_ms: float) -> list[Member]:
         """Return the other live VMs of the same data centre."""
-        return [member for member in self.alive(now_ms) if self.is_in_zone(member)]
+        return [member for member in self.neighbours.values() if self.is_alive(member, now_ms)]
 
     def serving(self, now_ms: float) -> list[Member]:
         """Return the VMs that serve callers, this one first if it does."""
@@ -109,12 +111,17 @@
         received.is_heard = is_sender or (is_same_process and known.is_heard)
         received.last_heartbeat_ms = now_ms
         self.members[received.name] = received
+        if self.is_in_zone(received):
+            self.neighbours[received.name] = received
+        else:
+            self.neighbours.pop(received.name, None)
 
     def evict_silent(self, now_ms: float) -> None:
         """Evict the VMs that have been silent for longer than the retention time."""
         for member in list(self.members.values()):
             if now_ms - member.last_heartbeat_ms > MEMBER_RETENTION_MS:
                 del self.members[member.name]
+                self.neighbours.pop(member.name, None)
 
     def describe(self, now_ms: float) -> list[dict]:
         """Return the members for the state dump."""
