Limit a configuration document to the byte again

Cause: found by reading the whole change. The limit on the time and size of a response counts its head too, so a document could be up to 64 KiB larger than its limit; the check of the body had gone with the old way of reading. Change: the body is checked again. Test: test_document_is_limited_to_the_byte failed for one byte too many.

--- a/beechbridge/daemon/platform.py
+++ b/beechbridge/daemon/platform.py
@@ -91,6 +91,8 @@
         client.request('GET', path)
         response = client.getresponse()
         body = read_body(response)
+        if len(body) > max_bytes:
+            raise OversizedResponseError
     except OversizedResponseError:
         return PlatformFailure(
             Reason.TOO_LARGE,
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -10,7 +10,8 @@
 
 from beechbridge.actions import Send
 from beechbridge.daemon import platform, pulls, upstream_client
-from beechbridge.failures import Failure
+from beechbridge.daemon.platform import MAX_DOCUMENT_BYTES
+from beechbridge.failures import Failure, PlatformFailure, Reason
 from beechbridge.gateway.actions import PullChanges
 from beechbridge.gateway.settings import Address
 from beechbridge.messages import LoadProbe
@@ -125,6 +126,21 @@
         self.assertFalse(responder.gave_up)
 
 
+class DocumentSizeTest(unittest.TestCase):
+    # The limit on a document holds for its body, whatever its head leaves free.
+    @params((0, bytes), (1, PlatformFailure))
+    def test_document_is_limited_to_the_byte(self, excess_bytes, expected):
+        body = b'x' * (MAX_DOCUMENT_BYTES + excess_bytes)
+        responder = Responder(lambda: [OK + b'Content-Length: %d\r\n\r\n' % len(body) + body])
+        try:
+            result = platform.get('127.0.0.1', responder.port, '/', 5.0, MAX_DOCUMENT_BYTES)
+        finally:
+            responder.listener.close()
+        self.assertIs(type(result), expected)
+        if excess_bytes:
+            self.assertIs(result.reason, Reason.TOO_LARGE)
+
+
 class LimitedConnectionTest(unittest.TestCase):
     def test_connection_is_used_for_one_response_after_another(self):
         reply = OK + b'Content-Length: 4\r\n\r\ndone'
