Derive what was kept twice: neighbours, an abandoned exchange, a test's connection

Cause: found by reading the whole change. The list to a neighbour walked all members for those that the fleet keeps apart; a function named after what it returns also changed state; the exchanges of a caller that left were abandoned and then closed; two fuzz tests set up the same connection; a comment told the old rule of followers. Change: each once, in its place. Behaviour and assertions are the same.

--- a/beechbridge/gateway/fleet/gossip.py
+++ b/beechbridge/gateway/fleet/gossip.py
@@ -74,8 +74,8 @@
 
     :param beat_count: number of periodic heartbeats sent
     :param is_following: whether this VM follows the store
-    :param no_follower_since_ms: time in milliseconds since which no higher-ranked VM reaches the
-        store, None while one does
+    :param no_follower_since_ms: time in milliseconds since which no VM of this data centre that
+        would follow instead of this one reaches the store, None while one does
     :param following_since_ms: time in milliseconds when this VM began to follow the store
     :param was_active: whether the last heartbeat went to the whole region
     """
@@ -229,6 +229,7 @@
     gateway.gossip.beat_count += 1
     beat = gateway.gossip.beat_count
     send(gateway, direct_hosts(gateway), own_members)
+    gateway.gossip.was_active = gateway.fleet.own.is_active
     if beat % FULL_LIST_EVERY_BEATS == 0:
         share_list(gateway)
     if beat % RELAY_EVERY_BEATS == 0:
@@ -241,7 +242,6 @@
     fleet = gateway.fleet
     # Once more after it was active, or its region would still wait for its heartbeats.
     covers_region = fleet.own.is_active or gateway.gossip.was_active
-    gateway.gossip.was_active = fleet.own.is_active
     hosts = []
     for member in fleet.members.values():
         is_covered = covers_region and fleet.is_in_region(member)
@@ -253,10 +253,8 @@
 def share_list(gateway: GatewayInterface) -> None:
     """Send all live members to the others of a small fleet, or to one neighbour."""
     fleet = gateway.fleet
-    hosts = []
-    for member in fleet.members.values():
-        if fleet.is_mesh or fleet.is_in_zone(member):
-            hosts.append(member.host)
+    members = fleet.members if fleet.is_mesh else fleet.neighbours
+    hosts = [member.host for member in members.values()]
     if hosts and not fleet.is_mesh:
         hosts = [gateway.rng.choice(hosts)]
     send_list(gateway, hosts, fleet.alive(gateway.now_ms))
--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -271,10 +271,11 @@
     gateway.counters.add('callers_left')
     stopped_count = 0
     for exchange in work.exchanges:
-        abandon_exchange(exchange, gateway)
         if work.route.is_idempotent and exchange.exchange_id in gateway.upstreams.exchanges:
             abort_exchange(exchange, gateway)
             stopped_count += 1
+            continue
+        abandon_exchange(exchange, gateway)
     fields = {
         'request': work.request.request_id,
         'route': work.route.name,
--- a/tests/test_fuzz_gateway.py
+++ b/tests/test_fuzz_gateway.py
@@ -71,13 +71,22 @@
 
 
 class FakeTransport:
-    """Transport that only remembers whether it was closed."""
+    """Transport that drops what is written."""
 
-    def __init__(self):
-        self.is_aborted = False
+    def write(self, data):
+        pass
 
     def abort(self):
-        self.is_aborted = True
+        pass
+
+
+def start_exchange(events):
+    """Return a connection that waits for the reply to request q1, and its memory."""
+    memory = ReplyMemory(1 << 20, lambda: None)
+    connection = ClientConnection(1, events.append, read_reply, memory)
+    connection.transport = FakeTransport()
+    connection.send(1, 'q1', b'GET / HTTP/1.1\r\n\r\n', BODY_LIMIT_BYTES)
+    return connection, memory
 
 
 class DecoderFuzzTest(unittest.TestCase):
@@ -172,11 +181,7 @@
     @given(mutations(RESPONSE * 2), st.lists(st.integers(1, 60), max_size=12))
     def test_replies(self, data, sizes):
         events = []
-        memory = ReplyMemory(1 << 20, lambda: None)
-        connection = ClientConnection(1, events.append, read_reply, memory)
-        connection.transport = FakeTransport()
-        connection.transport.write = lambda data: None
-        connection.send(1, 'q1', b'GET / HTTP/1.1\r\n\r\n', BODY_LIMIT_BYTES)
+        connection, memory = start_exchange(events)
         start = 0
         for size in [*sizes, len(data)]:
             connection.data_received(data[start : start + size])
@@ -200,11 +205,7 @@
             for size in range(len(whole)):
                 with self.subTest(size=size):
                     events = []
-                    memory = ReplyMemory(1 << 20, lambda: None)
-                    connection = ClientConnection(1, events.append, read_reply, memory)
-                    connection.transport = FakeTransport()
-                    connection.transport.write = lambda data: None
-                    connection.send(1, 'q1', b'', BODY_LIMIT_BYTES)
+                    connection, _ = start_exchange(events)
                     connection.data_received(whole[:size])
                     connection.eof_received()
                     connection.connection_lost(None)
