Decode and log what replicas state about themselves

Nobody could tell from the lines which of the three hypotheses on limits holds: which replica a sub-request went to, and what a reply said of its replica. Replies now carry a notice (limit, leaving, Retry-After); a line replica_notice tells when what is known changes, and counts the sub-requests sent since by kind; the state dump has it with its age. No decision uses it.

--- a/beechbridge/gateway/interface.py
+++ b/beechbridge/gateway/interface.py
@@ -17,6 +17,7 @@
     from .fleet.stopping import Stopping
     from .latencies import CallerTimeouts, Histogram
     from .models import ReplicaEntry
+    from .replicas.notices import NoticeBook
     from .replicas.restoration import RemovedReplicas
     from .replicas.store_updates import StoreStatus
     from .replicas.store_view import StoreView
@@ -47,6 +48,7 @@
     upstreams: 'Upstreams'
     replica_by_key: 'dict[str, ReplicaState]'
     removed_replicas: 'RemovedReplicas'
+    notices: 'NoticeBook'
     decode_item: 'Callable[[str, bytes], RoutingTable | ReplicaEntry | Failure | None]'
     fleet: 'Fleet'
     gossip: 'Gossip'
--- a/beechbridge/gateway/models.py
+++ b/beechbridge/gateway/models.py
@@ -89,6 +89,33 @@
         self.timeout_ms = timeout_ms
 
 
+class Notice(Record):
+    """
+    What a replica states about itself in one reply.
+
+    :param limit_per_s: requests per second that it accepts from all VMs together, None if it
+        names no limit
+    :param is_limit_unreadable: it names a limit that is no number, so the earlier one stays
+    :param is_leaving: it is about to stop and wants no new requests
+    :param retry_after_ms: milliseconds for which it wants no requests of this VM, None if it has
+        not said so
+    """
+
+    __slots__ = ('is_leaving', 'is_limit_unreadable', 'limit_per_s', 'retry_after_ms')
+
+    def __init__(
+        self,
+        limit_per_s: float | None = None,
+        is_limit_unreadable: bool = False,
+        is_leaving: bool = False,
+        retry_after_ms: float | None = None,
+    ):
+        self.limit_per_s = limit_per_s
+        self.is_limit_unreadable = is_limit_unreadable
+        self.is_leaving = is_leaving
+        self.retry_after_ms = retry_after_ms
+
+
 class Reply(Record):
     """
     A complete reply of a replica.
@@ -100,6 +127,7 @@
     :param is_encoded: the body has a content encoding and is not the replica's original bytes
     :param keep_alive_ms: keep-alive timeout of the connection in milliseconds, None if unknown
     :param is_closing: the connection closes after this reply
+    :param notice: what the replica states about itself, None if nothing
     """
 
     __slots__ = (
@@ -110,6 +138,7 @@
         'is_other_instance',
         'is_rejected',
         'keep_alive_ms',
+        'notice',
         'request_id',
         'signature',
         'status',
@@ -127,6 +156,7 @@
         is_encoded: bool = False,
         keep_alive_ms: float | None = None,
         is_closing: bool = False,
+        notice: Notice | None = None,
     ):
         self.status = status
         self.headers = headers
@@ -138,6 +168,7 @@
         self.is_encoded = is_encoded
         self.keep_alive_ms = keep_alive_ms
         self.is_closing = is_closing
+        self.notice = notice
 
     @property
     def is_success(self) -> bool:
--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -41,6 +41,7 @@
 )
 from .latencies import CallerTimeouts, Histogram
 from .models import Member, ReplicaEntry
+from .replicas.notices import NoticeBook, log_notices
 from .replicas.restoration import ConfirmationTimer, RemovedReplicas
 from .replicas.store_updates import (
     RemovalTimer,
@@ -125,6 +126,7 @@
         'last_update_ms',
         'latencies',
         'max_reply_bytes',
+        'notices',
         'now_ms',
         'placement',
         'pull_latencies',
@@ -182,6 +184,7 @@
         self.upstreams = Upstreams()
         self.replica_by_key: dict[str, ReplicaState] = {}
         self.removed_replicas = RemovedReplicas()
+        self.notices = NoticeBook()
         self.budgets: dict[str, RetryBudget] = {}
         self.splits = Splits(rng)
         self.waiting: dict[str, list] = {}
@@ -375,6 +378,7 @@
     """End overdue exchanges; close surplus connections if more VMs share the limits."""
     gateway.timers.arm(gateway.now_ms + SWEEP_INTERVAL_MS, timer)
     sweep_exchanges(gateway)
+    log_notices(gateway)
     if gateway.sharing_count > gateway.last_sharing_count:
         enforce_connection_shares(gateway)
     gateway.last_sharing_count = gateway.sharing_count
--- a/beechbridge/gateway/replicas/store_updates.py
+++ b/beechbridge/gateway/replicas/store_updates.py
@@ -188,7 +188,7 @@
             return
         drop_replica(key, state, 'replaced', gateway)
     distance = gateway.distance_to(entry.zone)
-    state = ReplicaState(entry, distance, gateway.now_ms)
+    state = ReplicaState(entry, distance, gateway.now_ms, gateway.notices.find(entry))
     gateway.upstreams.add(state)
     gateway.replica_by_key[key] = state
     if entry.is_draining or not (is_listing and is_new):
--- a/beechbridge/gateway/replicas/upstreams.py
+++ b/beechbridge/gateway/replicas/upstreams.py
@@ -4,6 +4,7 @@
 
 from ...core.latency import LatencyEstimate
 from ..models import ReplicaEntry
+from .notices import ReplicaNotices
 
 OWN_ZONE = 0
 """Distance to a replica in the same data centre; 1 is the same region, 2 another region."""
@@ -132,6 +133,7 @@
     :param latency_ratio: its latency as a multiple of the typical one for the route and distance
     :param reject_share: share of its requests that it rejected or answered with an error, decaying
         with time
+    :param notices: what it has stated about itself
     :param missing_since_ms: time in milliseconds when its entry went missing while the store was
         unstable, None if it is present
     """
@@ -145,15 +147,23 @@
         'is_gone',
         'latency_ratio',
         'missing_since_ms',
+        'notices',
         'reject_share',
         'sampled_ms',
         'suspect_until_ms',
         'suspicion_ms',
     )
 
-    def __init__(self, entry: ReplicaEntry, distance: int, now_ms: float):
+    def __init__(
+        self,
+        entry: ReplicaEntry,
+        distance: int,
+        now_ms: float,
+        notices: ReplicaNotices | None = None,
+    ):
         self.entry = entry
         self.distance = distance
+        self.notices = notices or ReplicaNotices()
         self.cold_until_ms = now_ms + entry.cold_left_ms
         self.idle: list[IdleConnection] = []
         self.busy: dict[int, Exchange] = {}
@@ -292,6 +302,7 @@
             'idle': len(self.idle),
             'ratio': round(self.latency_ratio, 2),
             'rejects': round(self.reject_share, 2),
+            **self.notices.describe(now_ms),
         }
 
 
--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -7,6 +7,7 @@
 from ..events import CallerDisconnected, ConnectionEnded, ExchangeEnded, RequestSent
 from ..interface import GatewayInterface
 from ..models import LinkFailure, LinkFault, PartsReply, Reply
+from ..replicas.notices import apply_notice
 from ..replicas.upstreams import Exchange, ReplicaState
 from .answers import build_answer, record_end, trim_part
 from .sending import abandon_exchange, abort_exchange, dispatch_task, end_exchange
@@ -106,6 +107,7 @@
     latency_ms = now_ms - exchange.sent_ms
     is_match = reply.request_id == work.request.request_id
     is_reusable = not reply.is_closing and is_match
+    apply_notice(exchange, reply, gateway)
     if reply.is_other_instance:
         gateway.forget_replica(state, 'its address now belongs to another replica')
     # One without the request's ID may be a late copy of the answer to an earlier request.
--- a/beechbridge/gateway/requests/sending.py
+++ b/beechbridge/gateway/requests/sending.py
@@ -4,6 +4,7 @@
 
 from ..actions import MAX_PART_BYTES, AbandonExchange, SendRequest
 from ..interface import GatewayInterface
+from ..replicas.notices import SendKind
 from ..replicas.upstreams import (
     MIN_STALL_TIMEOUT_MS,
     NON_IDEMPOTENT_IDLE_MS,
@@ -12,7 +13,7 @@
     IdleConnection,
     ReplicaState,
 )
-from .works import RetryTimer, Task
+from .works import OrderedWork, RetryTimer, Task
 
 FIRST_BACKOFF_MS = 10.0
 MAX_BACKOFF_MS = 160.0
@@ -111,9 +112,11 @@
     typical_ms = gateway.upstreams.typical_ms(work.route.name, state.distance)
     stalled_at_ms = now_ms + max(MIN_STALL_TIMEOUT_MS, STALL_TIMEOUT_FACTOR * typical_ms)
     exchange = begin_exchange(task, state, idle, stalled_at_ms, gateway)
+    kind = find_kind(task, is_hedge)
+    state.notices.record_send(kind)
     if task.delivery_count:
         work.extra_count += 1
-        gateway.counters.add('repeats', 'hedge' if is_hedge else 'retry')
+        gateway.counters.add('repeats', kind)
     task.delivery_count += 1
     task.run_count += 1
     gateway.activity.sent_count += 1
@@ -134,6 +137,13 @@
     )
 
 
+def find_kind(task: Task, is_hedge: bool) -> str:
+    """Return why a task is about to be sent."""
+    if task.delivery_count:
+        return SendKind.HEDGE if is_hedge else SendKind.RETRY
+    return SendKind.ORDERED if isinstance(task.work, OrderedWork) else SendKind.FIRST
+
+
 def begin_exchange(
     owner: object,
     state: ReplicaState,
--- a/beechbridge/platform/names.py
+++ b/beechbridge/platform/names.py
@@ -10,6 +10,15 @@
 PART_SIGNATURES = 'Beechbridge-Part-Stamps'
 MISSING_PARTS = 'Beechbridge-Missing-Parts'
 
+REPLICA_LIMIT = 'Server-Limit'
+"""Requests per second that a replica accepts from all VMs together, for as long as it says so."""
+
+REPLICA_LEAVING = 'Server-Leaving'
+"""`1` in every answer of a replica that is about to stop."""
+
+RETRY_AFTER = 'Retry-After'
+"""Seconds, which may include fractions; from a replica it concerns only the VM that it answers."""
+
 STORE_EPOCH = 'Store-Era'
 """In every answer of the store: rises by one when the store was restored from an older copy."""
 
--- a/beechbridge/platform/replicas.py
+++ b/beechbridge/platform/replicas.py
@@ -1,11 +1,27 @@
 """Conversion of replica requests and replies to and from the platform's HTTP headers."""
 
+import re
+
 from ..gateway.actions import SendRequest
-from ..gateway.models import Reply
-from .names import EXPECTED_REPLICA, REJECTED, REQUEST_ID, SIGNATURE, TIMEOUT
+from ..gateway.models import Notice, Reply
+from .names import (
+    EXPECTED_REPLICA,
+    REJECTED,
+    REPLICA_LEAVING,
+    REPLICA_LIMIT,
+    REQUEST_ID,
+    RETRY_AFTER,
+    SIGNATURE,
+    TIMEOUT,
+)
 
 MISDIRECTED_STATUS = 421
+BUSY_STATUSES = (429, 503)
+"""Statuses of rejections, with which a replica may say when it wants requests again."""
+
 MS_PER_SECOND = 1000.0
+LEAVING_VALUE = '1'
+DECIMAL = re.compile(r'[0-9]{1,9}(\.[0-9]{0,30})?|\.[0-9]{1,30}')
 
 HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -49,7 +65,9 @@
     reply = Reply(status, [], body, is_closing=closes)
     for name, value in headers:
         lower_name = name.lower()
-        read_header(reply, lower_name, value)
+        reader = HEADER_READERS.get(lower_name)
+        if reader is not None:
+            reader(reply, value)
         if lower_name not in HOP_BY_HOP_HEADERS:
             reply.headers.append((name, value))
     if status == MISDIRECTED_STATUS:
@@ -57,20 +75,29 @@
     return reply
 
 
-def read_header(reply: Reply, lower_name: str, value: str) -> None:
-    """Apply one response header to a reply."""
-    if lower_name == SIGNATURE.lower():
-        reply.signature = value
-    elif lower_name == REQUEST_ID.lower():
-        reply.request_id = value
-    elif lower_name == REJECTED.lower():
-        reply.is_rejected = True
-    elif lower_name == 'connection':
-        reply.is_closing = reply.is_closing or 'close' in value.lower()
-    elif lower_name == 'keep-alive':
-        reply.keep_alive_ms = read_keep_alive_ms(value)
-    elif lower_name == 'content-encoding':
-        reply.is_encoded = value.lower() != 'identity'
+def read_signature(reply: Reply, value: str) -> None:
+    """Apply the header with the replica's signature."""
+    reply.signature = value
+
+
+def read_request_id(reply: Reply, value: str) -> None:
+    """Apply the header with the ID of the answered request."""
+    reply.request_id = value
+
+
+def read_rejection(reply: Reply, value: str) -> None:
+    """Apply the header that states that the request has not run."""
+    reply.is_rejected = True
+
+
+def read_connection(reply: Reply, value: str) -> None:
+    """Apply the `Connection` header."""
+    reply.is_closing = reply.is_closing or 'close' in value.lower()
+
+
+def read_keep_alive(reply: Reply, value: str) -> None:
+    """Apply the `Keep-Alive` header."""
+    reply.keep_alive_ms = read_keep_alive_ms(value)
 
 
 def read_keep_alive_ms(value: str) -> float | None:
@@ -80,3 +107,66 @@
         if name.lower() == 'timeout' and text.strip().isdecimal():
             return int(text) * MS_PER_SECOND
     return None
+
+
+def read_encoding(reply: Reply, value: str) -> None:
+    """Apply the `Content-Encoding` header."""
+    reply.is_encoded = value.lower() != 'identity'
+
+
+def read_limit(reply: Reply, value: str) -> None:
+    """Apply the header with a replica's limit; the lowest counts if it names several."""
+    notice = ensure_notice(reply)
+    for text in value.split(','):
+        limit_per_s = read_decimal(text)
+        if limit_per_s is None:
+            notice.is_limit_unreadable = True
+        elif notice.limit_per_s is None or limit_per_s < notice.limit_per_s:
+            notice.limit_per_s = limit_per_s
+
+
+def read_leaving(reply: Reply, value: str) -> None:
+    """Apply the header that states that the replica is about to stop."""
+    if value.strip() == LEAVING_VALUE:
+        ensure_notice(reply).is_leaving = True
+
+
+def read_retry_after(reply: Reply, value: str) -> None:
+    """Apply the `Retry-After` header of a rejection; the longest counts if there are several."""
+    if reply.status not in BUSY_STATUSES:
+        return
+    for text in value.split(','):
+        retry_after_s = read_decimal(text)
+        if retry_after_s is None:
+            # An HTTP date, among others: the clocks of replicas and VMs differ by seconds.
+            continue
+        notice = ensure_notice(reply)
+        retry_after_ms = retry_after_s * MS_PER_SECOND
+        notice.retry_after_ms = max(notice.retry_after_ms or 0.0, retry_after_ms)
+
+
+def ensure_notice(reply: Reply) -> Notice:
+    """Return the reply's notice, a new one if it has none."""
+    if reply.notice is None:
+        reply.notice = Notice()
+    return reply.notice
+
+
+def read_decimal(text: str) -> float | None:
+    """Return a plain decimal number, None if the text is anything else or far too long."""
+    match = DECIMAL.fullmatch(text.strip())
+    return float(match[0]) if match else None
+
+
+HEADER_READERS = {
+    SIGNATURE.lower(): read_signature,
+    REQUEST_ID.lower(): read_request_id,
+    REJECTED.lower(): read_rejection,
+    REPLICA_LIMIT.lower(): read_limit,
+    REPLICA_LEAVING.lower(): read_leaving,
+    RETRY_AFTER.lower(): read_retry_after,
+    'connection': read_connection,
+    'keep-alive': read_keep_alive,
+    'content-encoding': read_encoding,
+}
+"""Function that applies a header to a reply, by the header's lower-case name."""
