--- a/measure/stand_ins.py
+++ b/measure/stand_ins.py
@@ -1,9 +1,11 @@
 """Simulated replicas and VMs of the emulator, and the messages between them."""
 
 from beechbridge.gateway.actions import SendOrder, SendRequest, WriteLine
-from beechbridge.gateway.models import ReplicaEntry
+from beechbridge.gateway.models import Notice, ReplicaEntry
 from beechbridge.gateway.node import Gateway
 
+from .limit_log import LimitLog
+
 NO_PAUSE_MS = float('inf')
 
 
@@ -17,14 +19,20 @@
     :param slow_factor: factor on the processing time
     :param reject_share: share of requests that it rejects without running them
     :param is_dark: whether it never replies
+    :param limit_per_s: limit that it names in its replies, None for none
+    :param is_leaving: whether it states that it is about to stop
+    :param retry_after_ms: what it adds to its rejections, None for nothing
     """
 
     __slots__ = (
         'is_dark',
+        'is_leaving',
+        'limit_per_s',
         'pause_every_ms',
         'pause_ms',
         'queue_limit',
         'reject_share',
+        'retry_after_ms',
         'slots',
         'slow_factor',
     )
@@ -38,6 +46,9 @@
         slow_factor: float = 1.0,
         reject_share: float = 0.0,
         is_dark: bool = False,
+        limit_per_s: float | None = None,
+        is_leaving: bool = False,
+        retry_after_ms: float | None = None,
     ):
         self.slots = slots
         self.queue_limit = queue_limit
@@ -46,12 +57,35 @@
         self.slow_factor = slow_factor
         self.reject_share = reject_share
         self.is_dark = is_dark
+        self.limit_per_s = limit_per_s
+        self.is_leaving = is_leaving
+        self.retry_after_ms = retry_after_ms
+
+    def make_notice(self, is_rejection: bool) -> Notice | None:
+        """Return what the replica states about itself in a reply."""
+        retry_after_ms = self.retry_after_ms if is_rejection else None
+        if self.limit_per_s is None and not self.is_leaving and retry_after_ms is None:
+            return None
+        return Notice(self.limit_per_s, is_leaving=self.is_leaving, retry_after_ms=retry_after_ms)
 
 
 class EmulatedReplica:
-    """One simulated replica with its queue, its running requests and its connections."""
+    """
+    One simulated replica with its queue, its running requests and its connections.
+
+    :param limit_log: what reaches it while it names a limit, None while it names none
+    """
 
-    __slots__ = ('arrivals', 'entry', 'open_connections', 'phase_ms', 'queue', 'running', 'spec')
+    __slots__ = (
+        'arrivals',
+        'entry',
+        'limit_log',
+        'open_connections',
+        'phase_ms',
+        'queue',
+        'running',
+        'spec',
+    )
 
     def __init__(self, entry: ReplicaEntry, spec: ReplicaSpec, phase_ms: float):
         self.entry = entry
@@ -61,6 +95,12 @@
         self.running: list[Job] = []
         self.arrivals: list[tuple[float, str]] = []
         self.open_connections: set[tuple[str, int]] = set()
+        self.limit_log: LimitLog | None = None
+
+    def name_limit(self, limit_per_s: float | None, now_ms: float) -> None:
+        """Name a limit from now on, or none."""
+        self.spec.limit_per_s = limit_per_s
+        self.limit_log = None if limit_per_s is None else LimitLog(limit_per_s, now_ms)
 
     def remaining_pause_ms(self, now_ms: float) -> float:
         """Return the remaining time of the current pause, 0 outside of one."""
