Keep the limits that replicas name, divided among the VMs that send

Callers saw nothing; a replica that asked for 10.2 requests a second got 87 in 4 s (66 allowed).

Each VM now keeps a token bucket for its part of a replica's limit. The parts follow from what the heartbeats say of all VMs: a few holders, chosen by weighted rendezvous hashing, share it by demand; the others use other copies, order from a holder, or probe now and then. A bucket starts empty, and the bursts of all holders add up to what the rule leaves, so it holds whatever they do at once.

--- a/beechbridge/gateway/replicas/notices.py
+++ b/beechbridge/gateway/replicas/notices.py
@@ -8,6 +8,7 @@
 from ..models import Notice, ReplicaEntry, Reply
 
 if TYPE_CHECKING:
+    from .limits import LimitBucket
     from .upstreams import Exchange
 
 MAX_KNOWN_REPLICAS = 4_000
@@ -41,10 +42,12 @@
         names no limit
     :param limited_since_ms: time in milliseconds when it first named a limit
     :param limited_ms: time in milliseconds of the latest reply that named a limit
+    :param bucket: this VM's part of the limit, None until it is needed
     :param sent_counts: sub-requests sent since it named a limit, by kind
     """
 
     __slots__ = (
+        'bucket',
         'is_leaving',
         'limit_per_s',
         'limited_ms',
@@ -59,6 +62,7 @@
         self.limit_per_s: float | None = None
         self.limited_since_ms = 0.0
         self.limited_ms = 0.0
+        self.bucket: LimitBucket | None = None
         self.sent_counts: dict[str, int] = {}
 
     def record_send(self, kind: str) -> None:
@@ -77,6 +81,8 @@
             fields['limit_per_s'] = self.limit_per_s
             fields['limit_age_ms'] = round(now_ms - self.limited_ms)
             fields['sent'] = dict(self.sent_counts)
+        if self.bucket is not None:
+            fields.update(self.bucket.describe())
         return fields
 
 
@@ -184,6 +190,7 @@
         'sent': dict(notices.sent_counts),
     }
     notices.limit_per_s = None
+    notices.bucket = None
     record_change('unlimited', exchange, fields, gateway)
 
 
--- a/beechbridge/gateway/replicas/upstreams.py
+++ b/beechbridge/gateway/replicas/upstreams.py
@@ -1,6 +1,7 @@
 """Replicas of each service: selection, connection pool, and latency and failure statistics."""
 
 import math
+from collections.abc import Callable
 
 from ...core.latency import LatencyEstimate
 from ..models import ReplicaEntry
@@ -375,6 +376,7 @@
         limit_ms: float,
         now_ms: float,
         rng,
+        can_send: Callable[[ReplicaState], bool],
     ) -> ReplicaState | None:
         """
         Return the nearest replica that is fast enough, or else the fastest.
@@ -382,10 +384,13 @@
         :param exclude: `id()` of the states not to choose, because they were already tried
         :param share: maximum number of exchanges in flight from this VM to one replica
         :param limit_ms: expected latency in milliseconds up to which a replica is fast enough
+        :param can_send: whether a replica accepts a request now
         """
         by_distance: dict[int, list[ReplicaState]] = {}
         for state in self.by_service.get(service, ()):
-            if state.is_usable and id(state) not in exclude and len(state.busy) < share:
+            if not state.is_usable or id(state) in exclude or len(state.busy) >= share:
+                continue
+            if can_send(state):
                 by_distance.setdefault(state.distance, []).append(state)
         fastest = None
         fastest_ms = math.inf
--- a/beechbridge/gateway/requests/hedges.py
+++ b/beechbridge/gateway/requests/hedges.py
@@ -1,6 +1,7 @@
 """Hedging: sends a task to a second replica if the first is late and the budget allows it."""
 
 from ..interface import GatewayInterface
+from ..replicas.limits import is_open
 from ..replicas.upstreams import Exchange
 from .budgets import BudgetShare
 from .progress import check_gather
@@ -25,7 +26,9 @@
 def has_healthy_replica(task: Task, gateway: GatewayInterface) -> bool:
     """Return whether a replica that is not excluded for the task is healthy."""
     for state in gateway.upstreams.usable(task.service):
-        if id(state) not in task.excluded_replicas and not state.is_suspect(gateway.now_ms):
+        if id(state) in task.excluded_replicas or state.is_suspect(gateway.now_ms):
+            continue
+        if is_open(state, gateway):
             return True
     return False
 
--- a/beechbridge/gateway/requests/orders.py
+++ b/beechbridge/gateway/requests/orders.py
@@ -14,6 +14,7 @@
 from ..actions import SendOrder
 from ..interface import GatewayInterface
 from ..models import LinkFailure, LinkFault, PartsOrder, PartsReply, Reply
+from ..replicas.limits import is_open
 from ..replicas.upstreams import OWN_ZONE, Exchange, IdleConnection, ReplicaState
 from .answers import RECORD_BYTES
 from .progress import (
@@ -105,11 +106,11 @@
     """
     zones_by_distance: dict[int, set[str]] = {}
     for state in gateway.upstreams.usable(task.service):
-        if state.distance == OWN_ZONE:
+        if state.distance == OWN_ZONE and is_open(state, gateway):
             # Even if this replica is suspect: direct requests tell this VM when it recovers, and
             # which other replicas it can hedge with.
             return set()
-        if not state.is_suspect(gateway.now_ms):
+        if state.distance != OWN_ZONE and not state.is_suspect(gateway.now_ms):
             zones_by_distance.setdefault(state.distance, set()).add(state.entry.zone)
     return zones_by_distance[min(zones_by_distance)] if zones_by_distance else set()
 
--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -7,6 +7,7 @@
 from ..events import CallerDisconnected, ConnectionEnded, ExchangeEnded, RequestSent
 from ..interface import GatewayInterface
 from ..models import LinkFailure, LinkFault, PartsReply, Reply
+from ..replicas.limits import is_open
 from ..replicas.notices import apply_notice
 from ..replicas.upstreams import Exchange, ReplicaState
 from .answers import build_answer, record_end, trim_part
@@ -229,7 +230,7 @@
         if not task.is_open:
             continue
         for state in gateway.upstreams.usable(task.service):
-            if not state.is_suspect(now_ms):
+            if not state.is_suspect(now_ms) and is_open(state, gateway):
                 return True
         for exchange in task.exchanges:
             typical_ms = gateway.upstreams.typical_ms(work.route.name, exchange.replica.distance)
--- a/beechbridge/gateway/requests/sending.py
+++ b/beechbridge/gateway/requests/sending.py
@@ -4,6 +4,7 @@
 
 from ..actions import MAX_PART_BYTES, AbandonExchange, SendRequest
 from ..interface import GatewayInterface
+from ..replicas.limits import is_open, record_send
 from ..replicas.notices import SendKind
 from ..replicas.upstreams import (
     MIN_STALL_TIMEOUT_MS,
@@ -53,6 +54,7 @@
         limit_ms,
         now_ms,
         gateway.rng,
+        lambda state: is_open(state, gateway),
     )
     if state is not None:
         if task.delivery_count and not gateway.budget(task.service).acquire(
@@ -64,7 +66,7 @@
         return True
     if task.exchanges:
         return False
-    usable = gateway.upstreams.usable(task.service)
+    usable = [s for s in gateway.upstreams.usable(task.service) if is_open(s, gateway)]
     if not usable:
         return False
     if any(id(state) not in task.excluded_replicas for state in usable):
@@ -113,7 +115,7 @@
     stalled_at_ms = now_ms + max(MIN_STALL_TIMEOUT_MS, STALL_TIMEOUT_FACTOR * typical_ms)
     exchange = begin_exchange(task, state, idle, stalled_at_ms, gateway)
     kind = find_kind(task, is_hedge)
-    state.notices.record_send(kind)
+    record_send(state, kind, gateway)
     if task.delivery_count:
         work.extra_count += 1
         gateway.counters.add('repeats', kind)
