Send nothing more to a replica that says it leaves

Cause: as for limits, Server-Leaving had no reader; a replica counted as leaving only once the store said so, and the store may be silent for many seconds. What a replica states holds for its incarnation: its entry may vanish and come back meanwhile, a restart under the same ID begins anew.

--- a/beechbridge/gateway/replicas/upstreams.py
+++ b/beechbridge/gateway/replicas/upstreams.py
@@ -179,7 +179,8 @@
     @property
     def is_usable(self) -> bool:
         """Return whether it may be sent new requests."""
-        return not self.is_gone and not self.entry.is_draining
+        is_leaving = self.entry.is_draining or self.notices.is_leaving
+        return not self.is_gone and not is_leaving
 
     def is_suspect(self, now_ms: float) -> bool:
         """Return whether an exchange failed recently or has stalled."""
--- a/measure/emulator.py
+++ b/measure/emulator.py
@@ -254,8 +254,8 @@
         if job.is_cancelled or replica.spec.is_dark:
             return
         replica.arrivals.append((self.now_ms, job.action.request.request_id))
-        if replica.limit_log is not None:
-            replica.limit_log.arrivals.append((self.now_ms, job.vm.gateway.fleet.own.name))
+        if replica.notice_log is not None:
+            replica.notice_log.arrivals.append((self.now_ms, job.vm.gateway.fleet.own.name))
         is_full = len(replica.running) >= replica.spec.slots
         if self.rng.random() < replica.spec.reject_share or (
             is_full and len(replica.queue) >= replica.spec.queue_limit
@@ -305,8 +305,8 @@
         """Send a reply to the VM."""
         reply.request_id = job.action.request.request_id
         reply.notice = job.replica.spec.make_notice(reply.is_rejected)
-        if job.replica.limit_log is not None:
-            told_ms = job.replica.limit_log.told_ms
+        if job.replica.notice_log is not None:
+            told_ms = job.replica.notice_log.told_ms
             told_ms.setdefault(job.vm.gateway.fleet.own.name, self.now_ms)
         delay_ms = self.delay_ms(job.vm, job.replica.entry.zone)
         self.schedule(delay_ms, lambda: self.deliver_reply(job, reply))
--- a/measure/limit_policies.py
+++ b/measure/limit_policies.py
@@ -18,7 +18,7 @@
 )
 from beechbridge.record import Record
 
-from .limit_log import LimitLog
+from .notice_log import NoticeLog
 
 DURATION_MS = 60_000.0
 STABLE_MS = 4_000.0
@@ -122,7 +122,7 @@
     rates = dict.fromkeys(names, 0.0)
     counts = dict.fromkeys(names, 0)
     buckets = {name: LimitBucket(0.0) for name in names}
-    log = LimitLog(limit_per_s, 0.0)
+    log = NoticeLog(0.0, limit_per_s)
     log.told_ms = dict.fromkeys(names, 0.0)
     beats = [
         (rng.uniform(0.0, DIVISION_INTERVAL_MS), name) for name in names[: pattern.busy_count]
--- a/measure/limit_log.py
+++ b/measure/notice_log.py
@@ -1,4 +1,4 @@
-"""Checks that a fleet keeps to the limits that replicas name, by what reached each replica."""
+"""Checks what reaches a replica that has named a limit or said that it leaves."""
 
 from bisect import bisect_left
 
@@ -13,21 +13,21 @@
 """Requests that a window may have beyond `RATE_FACTOR` times what the limit allows."""
 
 
-class LimitLog:
+class NoticeLog:
     """
-    The requests that reach a replica while it names a limit.
+    The requests that reach a replica from when it first stated something about itself.
 
-    :param limit_per_s: requests per second that it accepts from all VMs together
-    :param since_ms: time in milliseconds when it first named the limit
-    :param told_ms: time in milliseconds of the first reply with the limit, by VM
+    :param since_ms: time in milliseconds when it did
+    :param limit_per_s: limit that it names, 0 if none
+    :param told_ms: time in milliseconds of the first reply that said so, by VM
     :param arrivals: time in milliseconds and VM of each request
     """
 
     __slots__ = ('arrivals', 'limit_per_s', 'since_ms', 'told_ms')
 
-    def __init__(self, limit_per_s: float, since_ms: float):
-        self.limit_per_s = limit_per_s
+    def __init__(self, since_ms: float, limit_per_s: float = 0.0):
         self.since_ms = since_ms
+        self.limit_per_s = limit_per_s
         self.told_ms: dict[str, float] = {}
         self.arrivals: list[tuple[float, str]] = []
 
@@ -36,17 +36,17 @@
         """Return how many requests may arrive in a window."""
         return RATE_FACTOR * self.limit_per_s * WINDOW_MS / 1000.0 + FIXED_COUNT
 
-    def counted_times(self) -> list[float]:
-        """Return the arrival times of the requests of VMs that knew of the limit."""
+    def list_informed(self, delay_ms: float) -> list[float]:
+        """Return the arrival times of requests of VMs that were told `delay_ms` before."""
         times = []
         for arrived_ms, vm in self.arrivals:
-            if arrived_ms >= self.told_ms.get(vm, float('inf')) + LEARNING_MS:
+            if arrived_ms >= self.told_ms.get(vm, float('inf')) + delay_ms:
                 times.append(arrived_ms)
         return sorted(times)
 
     def highest_count(self, stable_ms: float) -> int:
         """Return the most requests in a window that starts `stable_ms` or more after the limit."""
-        times = self.counted_times()
+        times = self.list_informed(LEARNING_MS)
         highest = 0
         for number in range(bisect_left(times, self.since_ms + stable_ms), len(times)):
             end = bisect_left(times, times[number] + WINDOW_MS)
--- a/measure/stand_ins.py
+++ b/measure/stand_ins.py
@@ -4,7 +4,7 @@
 from beechbridge.gateway.models import Notice, ReplicaEntry
 from beechbridge.gateway.node import Gateway
 
-from .limit_log import LimitLog
+from .notice_log import NoticeLog
 
 NO_PAUSE_MS = float('inf')
 
@@ -73,13 +73,13 @@
     """
     One simulated replica with its queue, its running requests and its connections.
 
-    :param limit_log: what reaches it while it names a limit, None while it names none
+    :param notice_log: what reaches it since it stated something about itself, None before
     """
 
     __slots__ = (
         'arrivals',
         'entry',
-        'limit_log',
+        'notice_log',
         'open_connections',
         'phase_ms',
         'queue',
@@ -95,12 +95,17 @@
         self.running: list[Job] = []
         self.arrivals: list[tuple[float, str]] = []
         self.open_connections: set[tuple[str, int]] = set()
-        self.limit_log: LimitLog | None = None
+        self.notice_log: NoticeLog | None = None
 
     def name_limit(self, limit_per_s: float | None, now_ms: float) -> None:
         """Name a limit from now on, or none."""
         self.spec.limit_per_s = limit_per_s
-        self.limit_log = None if limit_per_s is None else LimitLog(limit_per_s, now_ms)
+        self.notice_log = None if limit_per_s is None else NoticeLog(now_ms, limit_per_s)
+
+    def leave(self, now_ms: float) -> None:
+        """Say from now on that it leaves."""
+        self.spec.is_leaving = True
+        self.notice_log = NoticeLog(now_ms)
 
     def remaining_pause_ms(self, now_ms: float) -> float:
         """Return the remaining time of the current pause, 0 outside of one."""
--- a/tests/test_replica_limits.py
+++ b/tests/test_replica_limits.py
@@ -45,7 +45,7 @@
 class LimitTest(unittest.TestCase):
     def assert_kept(self, emulator, replica_ids):
         for replica_id in replica_ids:
-            log = emulator.replicas[replica_id].limit_log
+            log = emulator.replicas[replica_id].notice_log
             self.assertLessEqual(log.highest_count(STABLE_MS), log.allowed_count, replica_id)
 
     # A replica that named a limit got as many requests as before: nobody read its replies.
