Send nothing to a replica that asks for a pause until it is over

A replica that rejected a request with 503 and Retry-After got the next one at once. A request that no replica accepts now is rejected at once, with the time at which the first one does; the jitter makes no caller early. Shards whose replicas all want nothing are closed when the gather starts, so that it does not wait.

--- a/beechbridge/failures.py
+++ b/beechbridge/failures.py
@@ -33,6 +33,7 @@
     DEADLINE = 'deadline'
     COVERAGE_TOO_LOW = 'coverage_too_low'
     NO_REPLICA = 'no_replica'
+    REPLICAS_BUSY = 'replicas_busy'
     QUEUE_FULL = 'queue_full'
     SNAPSHOT_GONE = 'snapshot_gone'
     SNAPSHOT_NOT_YET = 'snapshot_not_yet'
--- a/beechbridge/gateway/fleet/aggregators.py
+++ b/beechbridge/gateway/fleet/aggregators.py
@@ -61,6 +61,10 @@
         for connection_id in state.remove_all_idle():
             gateway.drop_connection(connection_id)
 
+    def has_zone(self, zone: str) -> bool:
+        """Return whether there is a VM in a data centre."""
+        return any(state.entry.zone == zone for state in self.states.values())
+
     def choose(self, zone: str, route_name: str, gateway: GatewayInterface) -> ReplicaState | None:
         """Return the healthy VM of a data centre that is expected to be fastest, if any is."""
         healthy = []
--- a/beechbridge/gateway/replicas/limits.py
+++ b/beechbridge/gateway/replicas/limits.py
@@ -215,11 +215,21 @@
 
 def is_open(state: ReplicaState, gateway: GatewayInterface) -> bool:
     """Return whether a replica may be sent a request now, by what it has stated about itself."""
+    if gateway.now_ms < state.notices.paused_until_ms:
+        return False
     if state.notices.limit_per_s is None:
         return True
     return find_bucket(state, gateway).has_token(gateway.now_ms)
 
 
+def opens_in_ms(state: ReplicaState, gateway: GatewayInterface) -> float:
+    """Return the time in milliseconds until `is_open` may hold, infinite if that is unknown."""
+    wait_ms = max(0.0, state.notices.paused_until_ms - gateway.now_ms)
+    if state.notices.limit_per_s is None:
+        return wait_ms
+    return max(wait_ms, find_bucket(state, gateway).wait_ms(gateway.now_ms))
+
+
 def record_send(state: ReplicaState, kind: str, gateway: GatewayInterface) -> None:
     """Count a request that is sent to a replica, which uses a token if the replica has a limit."""
     state.notices.record_send(kind)
--- a/beechbridge/gateway/requests/admission.py
+++ b/beechbridge/gateway/requests/admission.py
@@ -12,11 +12,17 @@
 from ..actions import AnswerRequest, WriteLine
 from ..events import OrderReceived, RequestMalformed, RequestReceived
 from ..interface import GatewayInterface
-from ..models import CallerRequest
 from ..routes import Route
 from .answers import reject_request
-from .orders import order_remote_parts
-from .progress import answer_work, check_gather
+from .orders import may_order_from, order_remote_parts
+from .progress import answer_work, check_gather, close_task
+from .retry_times import (
+    NO_REPLICA_RETRY_MS,
+    defer_retry_ms,
+    needed_count,
+    retry_once_open_ms,
+    service_opens_in_ms,
+)
 from .sending import dispatch_task
 from .works import (
     CheckTimer,
@@ -35,11 +41,6 @@
 TABLE_DELAY_MS = 500.0
 """Time after a start within which a routing table arrives if there is anyone to get it from."""
 
-RETRY_TIME_FRACTION = 1 / 3
-"""Fraction of a caller's remaining time after which it should retry during an outage: what is left
-is enough for the retry, and an earlier one would probably be rejected too."""
-
-NO_REPLICA_RETRY_MS = 250
 BUSY_RETRY_MS = 200
 MAX_ACTIVE_REQUESTS = 500
 """Limit on concurrent requests: a gather over a hundred shards takes about 0.1 MB of memory."""
@@ -64,13 +65,6 @@
     return None
 
 
-def defer_retry_ms(request: CallerRequest, min_ms: int) -> int:
-    """Return when a caller should retry in an outage of unknown length, in milliseconds."""
-    if request.timeout_ms is None:
-        return min_ms
-    return max(min_ms, round(RETRY_TIME_FRACTION * request.timeout_ms))
-
-
 def check_timeout(event: RequestReceived, gateway: GatewayInterface) -> Failure | None:
     """Reject requests whose caller has already timed out."""
     timeout_ms = event.request.timeout_ms
@@ -111,17 +105,32 @@
 
 
 def check_replicas(work: Work, gateway: GatewayInterface) -> Failure | None:
-    """Reject requests for which too few services have a usable replica."""
-    available_count = 0
+    """Reject requests for which too few services have a replica that accepts requests now."""
+    usable_count = 0
+    waits_ms = []
     for task in work.tasks:
-        if gateway.upstreams.usable(task.service):
-            available_count += 1
-    needed_count = work.needed_count if isinstance(work, GatherWork) else 1
-    if available_count >= needed_count:
+        usable_count += bool(gateway.upstreams.usable(task.service))
+        wait_ms = service_opens_in_ms(task, gateway)
+        waits_ms.append(0.0 if wait_ms > 0.0 and may_order(task, gateway) else wait_ms)
+    needed = needed_count(work)
+    wait_ms = sorted(waits_ms)[needed - 1]
+    if wait_ms <= 0.0:
         return None
-    detail = f'{available_count} of {len(work.tasks)} services have a usable replica'
-    retry_after_ms = defer_retry_ms(work.request, NO_REPLICA_RETRY_MS)
-    return not_run(Reason.NO_REPLICA, detail, retry_after_ms)
+    total = len(work.tasks)
+    if usable_count < needed:
+        detail = f'{usable_count} of {total} services have a usable replica'
+        retry_after_ms = defer_retry_ms(work.request, NO_REPLICA_RETRY_MS)
+        return not_run(Reason.NO_REPLICA, detail, retry_after_ms)
+    open_count = sum(wait_ms <= 0.0 for wait_ms in waits_ms)
+    detail = f'the replicas of {total - open_count} of {total} services want no requests now'
+    retry_after_ms = retry_once_open_ms(wait_ms, BUSY_RETRY_MS, work.request)
+    return not_run(Reason.REPLICAS_BUSY, detail, retry_after_ms)
+
+
+def may_order(task: Task, gateway: GatewayInterface) -> bool:
+    """Return whether another VM may be asked for a part that no replica gives to this one."""
+    states = gateway.upstreams.usable(task.service)
+    return any(may_order_from(state, task, gateway) for state in states)
 
 
 WORK_FILTERS = (check_replicas,)
@@ -250,6 +259,11 @@
             return
         if task not in ordered:
             dispatch_task(task, gateway)
+    for task in work.tasks:
+        if work.is_finished:
+            return
+        if task not in ordered and not task.exchanges and not task.is_waiting:
+            close_task(task, gateway)
     if work.is_finished:
         return
     gateway.timers.arm(gateway.now_ms + 1.0, CheckTimer(work.key))
--- a/beechbridge/gateway/requests/answers.py
+++ b/beechbridge/gateway/requests/answers.py
@@ -8,6 +8,7 @@
 from ..events import RequestReceived
 from ..interface import GatewayInterface
 from ..models import Answer, ForwardedAnswer, LinkFault, MergedAnswer, PartsAnswer, Reply
+from .retry_times import jitter_ms, retry_once_open_ms, service_opens_in_ms
 from .sending import abort_exchange
 from .works import GatherWork, OrderedWork, SingleWork, Work
 
@@ -16,9 +17,6 @@
 """A request that fails this close to its deadline is reported as having exceeded it."""
 
 REJECTED_RETRY_MS = 300
-RETRY_JITTER = (0.7, 1.3)
-"""Range of the random factor applied to retry-after times."""
-
 MAX_MISSING_LOGGED = 8
 """Limit on the missing shards named in a log line."""
 
@@ -106,7 +104,10 @@
         # Nothing has been sent yet; aborting the exchanges ensures that nothing will be.
         for exchange in work.in_flight():
             abort_exchange(exchange, gateway)
-        retry_after_ms = jitter_ms(REJECTED_RETRY_MS, gateway)
+        open_tasks = [task for task in work.tasks if task.reply is None]
+        wait_ms = min(service_opens_in_ms(task, gateway) for task in open_tasks)
+        retry_after_ms = retry_once_open_ms(wait_ms, REJECTED_RETRY_MS, work.request)
+        retry_after_ms = jitter_ms(retry_after_ms, gateway)
         return not_run(
             Reason.OVERLOADED, f'{detail}, no replica accepted the request', retry_after_ms
         )
@@ -186,11 +187,6 @@
     return 'refused' if answer.executed is Executed.NOT_RUN else 'failed'
 
 
-def jitter_ms(retry_after_ms: int, gateway: GatewayInterface) -> int:
-    """Add jitter to a retry-after time, so that callers do not all retry at once."""
-    return round(retry_after_ms * gateway.rng.uniform(*RETRY_JITTER))
-
-
 def reject_request(
     event: RequestReceived, work: Work | None, failure: Failure, gateway: GatewayInterface
 ) -> None:
--- a/beechbridge/gateway/requests/orders.py
+++ b/beechbridge/gateway/requests/orders.py
@@ -115,6 +115,18 @@
     return zones_by_distance[min(zones_by_distance)] if zones_by_distance else set()
 
 
+def may_order_from(state: ReplicaState, task: Task, gateway: GatewayInterface) -> bool:
+    """
+    Return whether another VM may use a replica for a task that this VM may not send to it.
+
+    A pause concerns one VM, and a limit is divided among the VMs near the replica.
+    """
+    if not task.work.route.is_gather or state.distance == OWN_ZONE:
+        return False
+    gateway.aggregators.refresh(gateway)
+    return gateway.aggregators.has_zone(state.entry.zone)
+
+
 def place_order(order: Order, gateway: GatewayInterface) -> bool:
     """Send an order to a VM in its zone; return False if there is none or too little time."""
     now_ms = gateway.now_ms
--- a/beechbridge/gateway/requests/sending.py
+++ b/beechbridge/gateway/requests/sending.py
@@ -66,10 +66,11 @@
         return True
     if task.exchanges:
         return False
-    usable = [s for s in gateway.upstreams.usable(task.service) if is_open(s, gateway)]
-    if not usable:
+    open_states = [s for s in gateway.upstreams.usable(task.service) if is_open(s, gateway)]
+    if not open_states:
+        gateway.counters.add('tasks_held_back')
         return False
-    if any(id(state) not in task.excluded_replicas for state in usable):
+    if any(id(state) not in task.excluded_replicas for state in open_states):
         enqueue_task(task, gateway)
         return False
     if not task.is_waiting:
