--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -22,6 +22,7 @@
     PullChanges,
     SendHeartbeat,
     SendOrder,
+    SendPermits,
     SendRequest,
     SetCallerLimits,
     WriteLine,
@@ -46,8 +47,9 @@
 from ..platform.store import StoreClient
 from ..status import ExitStatus
 from ..wire.fleet import (
-    decode_heartbeat,
+    decode_datagram,
     encode_heartbeat,
+    encode_permits,
     read_order,
     read_parts,
     write_order,
@@ -269,18 +271,18 @@
 
 
 class HeartbeatProtocol(asyncio.DatagramProtocol):
-    """Receives heartbeats of other VMs."""
+    """Receives the datagrams of other VMs."""
 
     def __init__(self, process: GatewayProcess):
         self.process = process
 
     def datagram_received(self, data: bytes, address: tuple) -> None:
-        """Decode a heartbeat and pass it to the core."""
-        heartbeat = decode_heartbeat(data)
-        if isinstance(heartbeat, Failure):
+        """Decode a heartbeat or a message about permits and pass it to the core."""
+        event = decode_datagram(data)
+        if isinstance(event, Failure):
             self.process.core.counters.add('heartbeats_unreadable')
             return
-        self.process.handle(heartbeat)
+        self.process.handle(event)
 
     def error_received(self, error: OSError) -> None:
         """Ignore an undeliverable datagram: the silence of its VM is detected anyway."""
@@ -347,6 +349,13 @@
         process.datagrams.sendto(data, (host, process.settings.peer_port))
 
 
+@perform.register
+def perform_send_permits(action: SendPermits, process: GatewayProcess) -> None:
+    """Send a message about permits to another VM."""
+    address = (action.host, process.settings.peer_port)
+    process.datagrams.sendto(encode_permits(action), address)
+
+
 @perform.register
 def perform_follow_store(action: FollowStore, process: GatewayProcess) -> None:
     """Start or stop following the store."""
--- a/beechbridge/gateway/actions.py
+++ b/beechbridge/gateway/actions.py
@@ -2,6 +2,7 @@
 
 from ..record import Record
 from .models import Answer, CallerRequest, Member, PartsOrder
+from .permits import PermitMessage
 from .replicas.dictionaries import Dictionary
 from .routes import CallerLimits
 
@@ -169,6 +170,21 @@
         self.epoch = epoch
 
 
+class SendPermits(Record):
+    """
+    Send a message about permits to another VM.
+
+    :param sender: this VM
+    """
+
+    __slots__ = ('host', 'message', 'sender')
+
+    def __init__(self, host: str, sender: Member, message: PermitMessage):
+        self.host = host
+        self.sender = sender
+        self.message = message
+
+
 class FollowStore(Record):
     """
     Start following the store, or stop and leave that to other VMs.
@@ -225,6 +241,7 @@
     | SetCallerLimits
     | WriteLine
     | SendHeartbeat
+    | SendPermits
     | FollowStore
     | PullChanges
     | ExitProcess
--- a/beechbridge/gateway/events.py
+++ b/beechbridge/gateway/events.py
@@ -4,6 +4,7 @@
 from ..record import Record
 from .actions import PullChanges
 from .models import CallerRequest, Item, LinkFailure, Member, PartsOrder, PartsReply, Reply
+from .permits import PermitMessage
 from .settings import GatewaySettings
 
 
@@ -169,6 +170,16 @@
         self.epoch = epoch
 
 
+class PermitsReceived(Record):
+    """Another VM sent a message about permits."""
+
+    __slots__ = ('message', 'sender')
+
+    def __init__(self, sender: Member, message: PermitMessage):
+        self.sender = sender
+        self.message = message
+
+
 class SettingsReloaded(Record):
     """The settings were reloaded."""
 
--- a/beechbridge/gateway/interface.py
+++ b/beechbridge/gateway/interface.py
@@ -17,12 +17,14 @@
     from .fleet.stopping import Stopping
     from .latencies import CallerTimeouts, Histogram
     from .models import ReplicaEntry
+    from .replicas.limits import Limits
     from .replicas.notices import NoticeBook
     from .replicas.restoration import RemovedReplicas
     from .replicas.store_updates import StoreStatus
     from .replicas.store_view import StoreView
     from .replicas.upstreams import ReplicaState, Upstreams
     from .requests.budgets import BudgetShare, RetryBudget
+    from .requests.permit_requests import PermitRequests
     from .requests.splits import Splits
     from .requests.works import Work
     from .routes import RoutingTable
@@ -49,6 +51,8 @@
     replica_by_key: 'dict[str, ReplicaState]'
     removed_replicas: 'RemovedReplicas'
     notices: 'NoticeBook'
+    limits: 'Limits'
+    permit_requests: 'PermitRequests'
     decode_item: 'Callable[[str, bytes], RoutingTable | ReplicaEntry | Failure | None]'
     fleet: 'Fleet'
     gossip: 'Gossip'
--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -17,6 +17,7 @@
     HeartbeatReceived,
     OrderReceived,
     PauseDetected,
+    PermitsReceived,
     PullEnded,
     RequestMalformed,
     RequestReceived,
@@ -41,6 +42,7 @@
 )
 from .latencies import CallerTimeouts, Histogram
 from .models import Member, ReplicaEntry
+from .replicas.limits import Limits
 from .replicas.notices import NoticeBook, log_notices
 from .replicas.restoration import ConfirmationTimer, RemovedReplicas
 from .replicas.store_updates import (
@@ -67,6 +69,13 @@
     RetryBudget,
 )
 from .requests.hedges import fire_check
+from .requests.permission import (
+    PermitTimer,
+    fire_permit_timeout,
+    handle_permits_received,
+    send_pending,
+)
+from .requests.permit_requests import PermitRequests
 from .requests.progress import (
     dispatch_waiting,
     fire_deadline,
@@ -125,9 +134,11 @@
         'last_sharing_count',
         'last_update_ms',
         'latencies',
+        'limits',
         'max_reply_bytes',
         'notices',
         'now_ms',
+        'permit_requests',
         'placement',
         'pull_latencies',
         'pulls',
@@ -185,6 +196,8 @@
         self.replica_by_key: dict[str, ReplicaState] = {}
         self.removed_replicas = RemovedReplicas()
         self.notices = NoticeBook()
+        self.limits = Limits()
+        self.permit_requests = PermitRequests(own.incarnation)
         self.budgets: dict[str, RetryBudget] = {}
         self.splits = Splits(rng)
         self.waiting: dict[str, list] = {}
@@ -208,6 +221,7 @@
                 break
             fire_timer(timer, self)
         handle_event(event, self)
+        send_pending(self)
         return self.pop_actions()
 
     def recover(self, event: object, defect: dict) -> list[GatewayAction]:
@@ -328,6 +342,7 @@
             'active_requests': len(self.works),
             'exchanges': len(self.upstreams.exchanges),
             'members': self.fleet.describe(self.now_ms),
+            'limits': self.limits.describe(),
             'replicas': replicas,
             'counters': {
                 f'{name}.{label}' if label else name: value
@@ -398,6 +413,7 @@
     HeartbeatReceived: handle_heartbeat_received,
     StopRequested: handle_stop_requested,
     PauseDetected: handle_pause_detected,
+    PermitsReceived: handle_permits_received,
     SettingsReloaded: handle_settings_reloaded,
     TimerDue: handle_timer_due,
 }
@@ -410,6 +426,7 @@
     RetryTimer: fire_retry,
     RemovalTimer: fire_removal,
     ConfirmationTimer: fire_confirmation,
+    PermitTimer: fire_permit_timeout,
     CloseTimer: fire_close,
     ExitTimer: fire_exit,
 }
--- a/beechbridge/gateway/replicas/limits.py
+++ b/beechbridge/gateway/replicas/limits.py
@@ -1,237 +1,218 @@
 """
 Limits that replicas name: requests per second from all VMs together.
 
-VMs do not exchange tokens. Each works out, from what the heartbeats say of all VMs, which of them
-hold a part of a limit and how large it is, and keeps a token bucket for its own part. Only as many
-VMs hold a part as may send at the same moment, so that a limit of one request a second is kept by
-hundreds of VMs. The others send work elsewhere or, as orders, through a holder; now and then one
-of them sends a probe, to learn whether the limit still stands.
+For each data centre one VM keeps the limits of its replicas: the others ask it for a permit before
+they send to a replica that names a limit. One token bucket for the whole fleet uses a limit of one
+request a second as well as one of a hundred, however many VMs there are and whichever of them has
+the requests. A keeper holds no state that lasts: a new one starts with empty buckets.
 """
 
 import math
-import random
 
-from ...core.hashing import MAX_RANK_SCORE, rank_score
-from ...record import Record
+from ...core.hashing import rank_score
+from ..actions import WriteLine
 from ..interface import GatewayInterface
+from ..models import Member
 from .upstreams import ReplicaState
 
+KEEPER_ROLE = 'limits'
 FIXED_BURST = 2.0
-"""Requests that all holders together may send at once beyond one second's worth of a limit."""
+"""Requests that may be sent at once beyond one second's worth of a limit."""
 
 MIN_LIMIT_PER_S = 0.05
 """Limit used in place of a lower one, so that it is noticed when it is lifted."""
 
-PROBE_FRACTION = 0.05
-"""Fraction of a limit that is left to the probes of VMs that hold no part of it."""
+MAX_LIMIT_PER_S = 1e6
+MAX_KEPT_LIMITS = 4_000
+"""Replicas whose limits this VM keeps, those used last."""
 
-MIN_PROBE_INTERVAL_MS = 10_000.0
-PROBE_SLOT_MS = 1_000.0
-"""Time within which a due probe is sent or dropped: unused ones must not add up."""
+LEARNING_MS = 2_000.0
+"""Time after a start within which a VM learns of the others; until then it may be taken for the
+keeper only by itself."""
 
-MIN_DEMAND_FRACTION = 0.1
-"""Demand that a holder is taken to have at least, as a fraction of the holders' mean."""
+KEEPER_INTERVAL_MS = 400.0
+"""Interval between choices of the keepers: one heartbeat."""
 
-DIVISION_INTERVAL_MS = 400.0
-"""Interval between divisions of a limit: one heartbeat."""
 
-LEARNING_MS = 2_000.0
-"""Time after a start within which a VM learns of the others; it holds nothing before."""
+class LimitBucket:
+    """
+    Token bucket of a keeper for the limit of one replica.
 
+    It starts empty: requests may have been sent just before.
 
-class Part(Record):
+    :param filled_ms: time in milliseconds up to which tokens were added
     """
-    The part of a limit that one VM holds.
 
-    :param rate_per_s: requests per second that it may send
-    :param burst: requests that it may send at once
-    """
+    __slots__ = ('filled_ms', 'limit_per_s', 'tokens')
 
-    __slots__ = ('burst', 'rate_per_s')
+    def __init__(self, limit_per_s: float, now_ms: float):
+        self.limit_per_s = limit_per_s
+        self.tokens = 0.0
+        self.filled_ms = now_ms
 
-    def __init__(self, rate_per_s: float, burst: float):
-        self.rate_per_s = rate_per_s
-        self.burst = burst
+    def fill(self, limit_per_s: float, now_ms: float) -> None:
+        """Add the tokens of the time that has passed, then apply the limit that is in force."""
+        elapsed_s = (now_ms - self.filled_ms) / 1000.0
+        self.filled_ms = now_ms
+        self.tokens += elapsed_s * self.limit_per_s
+        self.limit_per_s = limit_per_s
+        self.tokens = min(self.tokens, FIXED_BURST + limit_per_s)
 
+    def wait_ms(self) -> float:
+        """Return the time in milliseconds until there is a token, counted from the last fill."""
+        return max(0.0, (1.0 - self.tokens) / self.limit_per_s * 1000.0)
 
-def divide_limit(limit_per_s: float, demands: dict[str, int], key: str) -> dict[str, Part]:
-    """
-    Return the parts of a limit by the VM that holds them.
+    def take(self) -> None:
+        """Use a token."""
+        self.tokens -= 1.0
 
-    Holders are chosen by weighted rendezvous hashing. A limit is divided by demand, since a part
-    that its holder cannot use is lost.
 
-    :param demands: requests per second that each VM sends to all replicas
-    :param key: replica that names the limit
+class Limits:
     """
-    burst = FIXED_BURST + limit_per_s
-    ordered = sorted(demands, key=lambda name: hold_order(key, name, demands[name]))
-    holders = ordered[: max(1, math.floor(burst))]
-    mean = sum(demands[name] for name in holders) / max(1, len(holders))
-    floor = MIN_DEMAND_FRACTION * mean if mean > 0 else 1.0
-    total = sum(demands[name] + floor for name in holders)
-    has_others = len(ordered) > len(holders)
-    held_per_s = limit_per_s * (1.0 - PROBE_FRACTION if has_others else 1.0)
-    parts = {}
-    for name in holders:
-        weight = (demands[name] + floor) / total
-        spare_burst = max(0.0, burst - len(holders))
-        parts[name] = Part(weight * held_per_s, 1.0 + weight * spare_burst)
-    return parts
-
-
-def hold_order(key: str, name: str, demand: int) -> tuple[float, str]:
-    """Return the position of a VM among the candidates for a part of a replica's limit."""
-    # Demand in powers of two, so that the order does not change with every heartbeat.
-    weight = 2.0 ** (demand + 1).bit_length()
-    draw = (rank_score(key, name) + 1) / (MAX_RANK_SCORE + 2)
-    return -math.log(draw) / weight, name
+    Limits as this VM keeps them for others, and who keeps which.
 
-
-class LimitBucket:
+    :param buckets: bucket by replica ID, for the replicas of this VM's data centre
+    :param keepers: keeper and time in milliseconds of its choice, by data centre
     """
-    Token bucket for this VM's part of a replica's limit.
-
-    It starts empty: the VM may have sent requests just before it learned of the limit.
 
-    :param since_ms: time in milliseconds when this VM learned of the limit
-    :param part: the part that this VM holds, None if it holds none
-    :param tokens: requests that may be sent now
-    :param filled_ms: time in milliseconds up to which tokens were added
-    :param divided_ms: time in milliseconds when the limit was last divided
-    :param probe_ms: time in milliseconds from which a VM without a part may send one request
-    """
+    __slots__ = ('buckets', 'keepers')
 
-    __slots__ = ('divided_ms', 'filled_ms', 'limit_per_s', 'part', 'probe_ms', 'tokens')
+    def __init__(self):
+        self.buckets: dict[str, LimitBucket] = {}
+        self.keepers: dict[str, tuple[Member, float]] = {}
 
-    def __init__(self, since_ms: float):
-        self.part: Part | None = None
-        self.limit_per_s = 0.0
-        self.tokens = 0.0
-        self.filled_ms = since_ms
-        self.divided_ms = -math.inf
-        self.probe_ms = math.inf
-
-    def hold(self, part: Part, now_ms: float) -> None:
-        """Set the part that this VM holds."""
-        self.part = part
-        self.probe_ms = math.inf
-        self.fill(now_ms)
-
-    def release(self, probe_interval_ms: float, now_ms: float, rng: random.Random) -> None:
-        """Hold no part; a probe is due at a random moment of each interval."""
-        self.part = None
-        self.tokens = 0.0
-        self.filled_ms = now_ms
-        if self.probe_ms == math.inf or now_ms >= self.probe_ms + PROBE_SLOT_MS:
-            self.probe_ms = now_ms + probe_interval_ms * rng.uniform(0.5, 1.5)
-
-    def fill(self, now_ms: float) -> None:
-        """Add the tokens of the time that has passed."""
-        if self.part is not None:
-            elapsed_s = (now_ms - self.filled_ms) / 1000.0
-            self.tokens = min(self.part.burst, self.tokens + elapsed_s * self.part.rate_per_s)
-        self.filled_ms = now_ms
+    def fill(self, replica_id: str, limit_per_s: float, now_ms: float) -> LimitBucket:
+        """Return the bucket of a replica, with the tokens that it has now."""
+        limit_per_s = min(MAX_LIMIT_PER_S, max(MIN_LIMIT_PER_S, limit_per_s))
+        bucket = self.buckets.pop(replica_id, None) or LimitBucket(limit_per_s, now_ms)
+        self.buckets[replica_id] = bucket
+        if len(self.buckets) > MAX_KEPT_LIMITS:
+            self.buckets.pop(next(iter(self.buckets)))
+        bucket.fill(limit_per_s, now_ms)
+        return bucket
 
-    def has_token(self, now_ms: float) -> bool:
-        """Return whether a request may be sent now."""
-        if self.part is None:
-            return self.probe_ms <= now_ms < self.probe_ms + PROBE_SLOT_MS
-        self.fill(now_ms)
-        return self.tokens >= 1.0
+    def describe(self) -> dict:
+        """Return the keepers and the tokens that are left, for the state dump."""
+        keepers = {zone: keeper.name for zone, (keeper, _) in self.keepers.items()}
+        tokens = {name: round(bucket.tokens, 2) for name, bucket in self.buckets.items()}
+        return {'keepers': keepers, 'tokens': tokens}
+
+
+def find_keeper(zone: str, gateway: GatewayInterface) -> Member:
+    """Return the VM that keeps the limits of a data centre's replicas, as this VM sees it."""
+    known = gateway.limits.keepers.get(zone)
+    if known is not None and gateway.now_ms - known[1] < KEEPER_INTERVAL_MS:
+        return known[0]
+    keeper = choose_keeper(zone, gateway)
+    if known is None or known[0].name != keeper.name:
+        before = known[0].name if known is not None else None
+        fields = {'zone': zone, 'keeper': keeper.name, 'before': before}
+        gateway.act(WriteLine('limits_kept', fields))
+    gateway.limits.keepers[zone] = (keeper, gateway.now_ms)
+    return keeper
+
+
+def choose_keeper(zone: str, gateway: GatewayInterface) -> Member:
+    """Choose a keeper by rendezvous hashing among the VMs that serve, those of the zone first."""
+    fleet = gateway.fleet
+    members = fleet.serving(gateway.now_ms) or [fleet.own]
+    near = [member for member in members if member.zone == zone]
+    return max(near or members, key=lambda member: rank_score(KEEPER_ROLE, member.name))
 
-    def take(self) -> None:
-        """Use a token for a request that is sent."""
-        if self.part is None:
-            self.probe_ms = -math.inf
-            return
-        self.tokens -= 1.0
 
-    def wait_ms(self, now_ms: float) -> float:
-        """Return the time in milliseconds until a request may be sent, infinite if unknown."""
-        if self.has_token(now_ms):
-            return 0.0
-        if self.part is None:
-            return math.inf
-        return (1.0 - self.tokens) / self.part.rate_per_s * 1000.0
+def is_keeper(state: ReplicaState, gateway: GatewayInterface) -> bool:
+    """Return whether this VM keeps a replica's limit."""
+    return find_keeper(state.entry.zone, gateway) is gateway.fleet.own
 
-    def describe(self) -> dict:
-        """Return its state for the state dump."""
-        if self.part is None:
-            return {'share_per_s': 0.0}
-        return {
-            'share_per_s': round(self.part.rate_per_s, 3),
-            'burst': round(self.part.burst, 2),
-            'tokens': round(self.tokens, 2),
-        }
-
-
-def find_bucket(state: ReplicaState, gateway: GatewayInterface) -> LimitBucket:
-    """Return the bucket for a replica that names a limit, with this VM's current part of it."""
-    notices = state.notices
-    now_ms = gateway.now_ms
-    if notices.bucket is None:
-        notices.bucket = LimitBucket(notices.limited_since_ms)
-    bucket = notices.bucket
-    is_current = bucket.limit_per_s == notices.limit_per_s
-    if is_current and now_ms - bucket.divided_ms < DIVISION_INTERVAL_MS:
-        return bucket
-    bucket.divided_ms = now_ms
-    bucket.limit_per_s = notices.limit_per_s
-    limit_per_s = max(MIN_LIMIT_PER_S, notices.limit_per_s)
-    demands = list_demands(state, gateway)
-    parts = divide_limit(limit_per_s, demands, state.entry.replica_id)
-    part = parts.get(gateway.fleet.own.name)
-    if part is not None and now_ms - gateway.started_ms >= LEARNING_MS:
-        bucket.hold(part, now_ms)
-        return bucket
-    other_count = max(1, gateway.fleet.size - len(parts))
-    interval_ms = 1000.0 * other_count / (PROBE_FRACTION * limit_per_s)
-    bucket.release(max(MIN_PROBE_INTERVAL_MS, interval_ms), now_ms, gateway.rng)
-    return bucket
 
+def start_bucket(state: ReplicaState, gateway: GatewayInterface) -> None:
+    """Begin to collect tokens for a replica that has just named a limit, as its keeper."""
+    if state.notices.limit_per_s is not None and is_keeper(state, gateway):
+        fill_own_bucket(state, gateway)
 
-def list_demands(state: ReplicaState, gateway: GatewayInterface) -> dict[str, int]:
-    """
-    Return the VMs that may hold a part of a replica's limit, with their requests per second.
 
-    Parts of a gather are ordered from VMs in the replica's data centre, so only those need it.
-    All VMs see the rates of the latest heartbeats; this one's own is therefore the announced one.
-    """
-    fleet = gateway.fleet
-    demands = {}
-    near_names = set()
-    for member in (fleet.own, *fleet.alive(gateway.now_ms)):
-        demand = round(member.rate_per_s)
-        if not demand and member.name not in gateway.activity.active_names:
-            continue
-        demands[member.name] = demand
-        if member.zone == state.entry.zone:
-            near_names.add(member.name)
-    if near_names and gateway.table.is_shard(state.entry.service):
-        return {name: demands[name] for name in near_names}
-    return demands
+def fill_own_bucket(state: ReplicaState, gateway: GatewayInterface) -> LimitBucket:
+    """Return the bucket of a replica whose limit this VM keeps."""
+    return gateway.limits.fill(state.entry.replica_id, state.notices.limit_per_s, gateway.now_ms)
 
 
 def is_open(state: ReplicaState, gateway: GatewayInterface) -> bool:
     """Return whether a replica may be sent a request now, by what it has stated about itself."""
-    if gateway.now_ms < state.notices.paused_until_ms:
+    now_ms = gateway.now_ms
+    if now_ms < state.notices.paused_until_ms:
         return False
     if state.notices.limit_per_s is None:
         return True
-    return find_bucket(state, gateway).has_token(gateway.now_ms)
+    if not is_keeper(state, gateway):
+        permits = state.notices.permits
+        return permits.count > 0 and now_ms < permits.valid_until_ms
+    if now_ms - gateway.started_ms < LEARNING_MS:
+        return False
+    return fill_own_bucket(state, gateway).tokens >= 1.0
+
+
+def may_ask(state: ReplicaState, gateway: GatewayInterface) -> bool:
+    """Return whether a permit for a replica may be asked for."""
+    notices = state.notices
+    now_ms = gateway.now_ms
+    if notices.limit_per_s is None or now_ms < notices.paused_until_ms:
+        return False
+    return now_ms >= notices.permits.denied_until_ms and not is_keeper(state, gateway)
 
 
 def opens_in_ms(state: ReplicaState, gateway: GatewayInterface) -> float:
-    """Return the time in milliseconds until `is_open` may hold, infinite if that is unknown."""
-    wait_ms = max(0.0, state.notices.paused_until_ms - gateway.now_ms)
-    if state.notices.limit_per_s is None:
+    """Return the time in milliseconds until `is_open` or `may_ask` may hold."""
+    now_ms = gateway.now_ms
+    notices = state.notices
+    wait_ms = max(0.0, notices.paused_until_ms - now_ms)
+    if notices.limit_per_s is None or is_open(state, gateway):
         return wait_ms
-    return max(wait_ms, find_bucket(state, gateway).wait_ms(gateway.now_ms))
+    if not is_keeper(state, gateway):
+        return max(wait_ms, notices.permits.denied_until_ms - now_ms)
+    learned_in_ms = gateway.started_ms + LEARNING_MS - now_ms
+    return max(wait_ms, learned_in_ms, fill_own_bucket(state, gateway).wait_ms())
 
 
 def record_send(state: ReplicaState, kind: str, gateway: GatewayInterface) -> None:
-    """Count a request that is sent to a replica, which uses a token if the replica has a limit."""
-    state.notices.record_send(kind)
-    if state.notices.limit_per_s is not None:
-        find_bucket(state, gateway).take()
+    """Count a request that is sent to a replica; one that names a limit costs a token."""
+    notices = state.notices
+    if notices.limit_per_s is None:
+        return
+    notices.record_send(kind)
+    if is_keeper(state, gateway):
+        fill_own_bucket(state, gateway).take()
+        return
+    notices.permits.count = max(0, notices.permits.count - 1)
+
+
+def grant_permits(
+    limits: list[tuple[str, float]], least_count: int, gateway: GatewayInterface
+) -> list[int]:
+    """
+    Take a token for each replica that has one, or none if too few have.
+
+    :return: milliseconds to wait for each replica, 0 where a token was taken
+    """
+    waits_ms = []
+    for replica_id, limit_per_s in limits:
+        bucket = fill_bucket(replica_id, limit_per_s, gateway)
+        wait_ms = bucket.wait_ms()
+        waits_ms.append(math.ceil(wait_ms))
+        if wait_ms <= 0.0:
+            bucket.take()
+    if sum(wait_ms == 0 for wait_ms in waits_ms) >= least_count:
+        return waits_ms
+    enough_in_ms = sorted(waits_ms)[least_count - 1]
+    for number, (replica_id, _) in enumerate(limits):
+        if waits_ms[number] == 0:
+            gateway.limits.buckets[replica_id].tokens += 1.0
+        waits_ms[number] = max(waits_ms[number], enough_in_ms)
+    return waits_ms
+
+
+def fill_bucket(replica_id: str, limit_per_s: float, gateway: GatewayInterface) -> LimitBucket:
+    """Return a replica's bucket, by the lower limit if this VM and the one that asks differ."""
+    state = gateway.upstreams.by_id.get(replica_id)
+    if state is not None and state.notices.limit_per_s is not None:
+        limit_per_s = min(limit_per_s, state.notices.limit_per_s)
+    return gateway.limits.fill(replica_id, limit_per_s, gateway.now_ms)
--- a/beechbridge/gateway/replicas/notices.py
+++ b/beechbridge/gateway/replicas/notices.py
@@ -8,7 +8,6 @@
 from ..models import Notice, ReplicaEntry, Reply
 
 if TYPE_CHECKING:
-    from .limits import LimitBucket
     from .upstreams import Exchange
 
 MAX_KNOWN_REPLICAS = 4_000
@@ -17,6 +16,9 @@
 MAX_PAUSE_MS = 60_000.0
 """Longest time for which a rejection keeps a replica from being tried again."""
 
+PERMIT_LIFETIME_MS = 500.0
+"""Time after which a permit that was not used is void."""
+
 MAX_SINGLE_LINES = 8
 """Changes of one kind within a sweep up to which each is logged in a line of its own."""
 
@@ -30,6 +32,28 @@
     ORDERED = 'ordered'
 
 
+class Permits:
+    """
+    Permits of another VM, the keeper, for one replica.
+
+    :param count: permits that have not been used
+    :param valid_until_ms: time in milliseconds when they become void
+    :param denied_until_ms: time in milliseconds until which it makes no sense to ask
+    """
+
+    __slots__ = ('count', 'denied_until_ms', 'valid_until_ms')
+
+    def __init__(self):
+        self.count = 0
+        self.valid_until_ms = 0.0
+        self.denied_until_ms = 0.0
+
+    def grant(self, now_ms: float) -> None:
+        """Add a permit; earlier ones that are void are dropped."""
+        self.count = self.count + 1 if now_ms < self.valid_until_ms else 1
+        self.valid_until_ms = now_ms + PERMIT_LIFETIME_MS
+
+
 class ReplicaNotices:
     """
     What one incarnation of a replica has stated about itself, as far as this VM knows.
@@ -42,17 +66,17 @@
         names no limit
     :param limited_since_ms: time in milliseconds when it first named a limit
     :param limited_ms: time in milliseconds of the latest reply that named a limit
-    :param bucket: this VM's part of the limit, None until it is needed
+    :param permits: permits to send to it while it names a limit
     :param sent_counts: sub-requests sent since it named a limit, by kind
     """
 
     __slots__ = (
-        'bucket',
         'is_leaving',
         'limit_per_s',
         'limited_ms',
         'limited_since_ms',
         'paused_until_ms',
+        'permits',
         'sent_counts',
     )
 
@@ -62,13 +86,12 @@
         self.limit_per_s: float | None = None
         self.limited_since_ms = 0.0
         self.limited_ms = 0.0
-        self.bucket: LimitBucket | None = None
+        self.permits = Permits()
         self.sent_counts: dict[str, int] = {}
 
     def record_send(self, kind: str) -> None:
-        """Count a sub-request if the replica names a limit."""
-        if self.limit_per_s is not None:
-            self.sent_counts[kind] = self.sent_counts.get(kind, 0) + 1
+        """Count a sub-request to a replica that names a limit."""
+        self.sent_counts[kind] = self.sent_counts.get(kind, 0) + 1
 
     def describe(self, now_ms: float) -> dict:
         """Return what is in force, for the state dump."""
@@ -81,8 +104,7 @@
             fields['limit_per_s'] = self.limit_per_s
             fields['limit_age_ms'] = round(now_ms - self.limited_ms)
             fields['sent'] = dict(self.sent_counts)
-        if self.bucket is not None:
-            fields.update(self.bucket.describe())
+            fields['denied_for_ms'] = max(0, round(self.permits.denied_until_ms - now_ms))
         return fields
 
 
@@ -190,7 +212,7 @@
         'sent': dict(notices.sent_counts),
     }
     notices.limit_per_s = None
-    notices.bucket = None
+    notices.permits = Permits()
     record_change('unlimited', exchange, fields, gateway)
 
 
--- a/beechbridge/gateway/requests/orders.py
+++ b/beechbridge/gateway/requests/orders.py
@@ -14,7 +14,7 @@
 from ..actions import SendOrder
 from ..interface import GatewayInterface
 from ..models import LinkFailure, LinkFault, PartsOrder, PartsReply, Reply
-from ..replicas.limits import is_open
+from ..replicas.limits import is_open, may_ask
 from ..replicas.upstreams import OWN_ZONE, Exchange, IdleConnection, ReplicaState
 from .answers import RECORD_BYTES
 from .progress import (
@@ -106,11 +106,12 @@
     """
     zones_by_distance: dict[int, set[str]] = {}
     for state in gateway.upstreams.usable(task.service):
-        if state.distance == OWN_ZONE and is_open(state, gateway):
+        is_near = state.distance == OWN_ZONE
+        if is_near and (is_open(state, gateway) or may_ask(state, gateway)):
             # Even if this replica is suspect: direct requests tell this VM when it recovers, and
             # which other replicas it can hedge with.
             return set()
-        if state.distance != OWN_ZONE and not state.is_suspect(gateway.now_ms):
+        if not is_near and not state.is_suspect(gateway.now_ms):
             zones_by_distance.setdefault(state.distance, set()).add(state.entry.zone)
     return zones_by_distance[min(zones_by_distance)] if zones_by_distance else set()
 
@@ -119,7 +120,7 @@
     """
     Return whether another VM may use a replica for a task that this VM may not send to it.
 
-    A pause concerns one VM, and a limit is divided among the VMs near the replica.
+    A pause concerns only the VM that was rejected.
     """
     if not task.work.route.is_gather or state.distance == OWN_ZONE:
         return False
--- /dev/null
+++ b/beechbridge/gateway/requests/permission.py
@@ -0,0 +1,158 @@
+"""
+Asks the keepers of limits for permits, and answers those who ask this VM.
+
+A task whose replica names a limit waits until the keeper has answered, for as long as a message
+takes; if it does not answer, the task goes elsewhere. All tasks of one event and one keeper are
+asked for together, so that a gather gets permits for enough of its shards or uses none.
+"""
+
+from functools import singledispatch
+
+from ...record import Record
+from ..actions import SendPermits
+from ..events import PermitsReceived
+from ..interface import GatewayInterface
+from ..models import Member
+from ..permits import PermitsAnswered, PermitsWanted
+from ..replicas.limits import MAX_LIMIT_PER_S, find_keeper, grant_permits, is_open
+from ..replicas.upstreams import INITIAL_ROUND_TRIP_MS
+from .permit_requests import PermitRequest
+from .progress import resume_task
+from .retry_times import needed_count
+from .works import GatherWork, Work
+
+ANSWER_TIMEOUT_MS = 25.0
+"""Time on top of the round trip within which a keeper answers."""
+
+MIN_DENIAL_MS = 20.0
+MAX_DENIAL_MS = 60_000.0
+UNANSWERED_DENIAL_MS = 200.0
+"""Time for which a keeper that did not answer is not asked again for the same replica."""
+
+MAX_PERMITS_PER_MESSAGE = 100
+"""Permits that one datagram asks for."""
+
+
+class PermitTimer(Record):
+    """Fires when the answer to a batch is overdue."""
+
+    __slots__ = ('batch_id',)
+
+    def __init__(self, batch_id: int):
+        self.batch_id = batch_id
+
+
+def send_pending(gateway: GatewayInterface) -> None:
+    """Ask for the permits that tasks have begun to wait for."""
+    requests = gateway.permit_requests
+    if not requests.pending:
+        return
+    pending, requests.pending = requests.pending, {}
+    for (_, zone), batch in pending.items():
+        keeper = find_keeper(zone, gateway)
+        least_count = count_least(batch[0].task.work, batch, gateway)
+        for start in range(0, len(batch), MAX_PERMITS_PER_MESSAGE):
+            part = batch[start : start + MAX_PERMITS_PER_MESSAGE]
+            send_batch(part, min(least_count, len(part)), keeper, gateway)
+
+
+@singledispatch
+def count_least(work: Work, batch: list[PermitRequest], gateway: GatewayInterface) -> int:
+    """Return how many of the permits that a request waits for it needs to be of any use."""
+    return 0
+
+
+@count_least.register
+def count_least_of_gather(
+    work: GatherWork, batch: list[PermitRequest], gateway: GatewayInterface
+) -> int:
+    """Return how many shards are needed beside those that can do without these permits."""
+    bound_count = 0
+    for request in batch:
+        states = gateway.upstreams.usable(request.task.service)
+        bound_count += not any(is_open(state, gateway) for state in states)
+    free_count = work.answered_count + work.open_count - bound_count
+    return min(bound_count, max(0, needed_count(work) - free_count))
+
+
+def send_batch(
+    batch: list[PermitRequest], least_count: int, keeper: Member, gateway: GatewayInterface
+) -> None:
+    """Send one message to a keeper."""
+    requests = gateway.permit_requests
+    requests.next_id += 1
+    requests.batches[requests.next_id] = batch
+    limits = []
+    for request in batch:
+        limits.append((request.state.entry.replica_id, request.state.notices.limit_per_s))
+    message = PermitsWanted(requests.next_id, limits, least_count)
+    gateway.act(SendPermits(keeper.host, gateway.fleet.own, message))
+    gateway.counters.add('permits_wanted', amount=len(batch))
+    round_trip_ms = INITIAL_ROUND_TRIP_MS[gateway.distance_to(keeper.zone)]
+    due_ms = gateway.now_ms + ANSWER_TIMEOUT_MS + round_trip_ms
+    gateway.timers.arm(due_ms, PermitTimer(requests.next_id))
+
+
+def handle_permits_received(event: PermitsReceived, gateway: GatewayInterface) -> None:
+    """Handle a message about permits according to its type."""
+    handle_message(event.message, event.sender, gateway)
+
+
+@singledispatch
+def handle_message(message: object, sender: Member, gateway: GatewayInterface) -> None:
+    """Handle a message about permits."""
+    raise TypeError(f'no handler for {type(message).__name__}')
+
+
+@handle_message.register
+def handle_wanted(message: PermitsWanted, sender: Member, gateway: GatewayInterface) -> None:
+    """Grant another VM what the limits allow."""
+    limits = message.limits[:MAX_PERMITS_PER_MESSAGE]
+    if any(not 0.0 <= limit_per_s <= MAX_LIMIT_PER_S for _, limit_per_s in limits):
+        gateway.counters.add('permits_unreadable')
+        return
+    least_count = max(0, min(message.least_count, len(limits)))
+    waits_ms = grant_permits(limits, least_count, gateway)
+    gateway.counters.add('permits_granted', amount=waits_ms.count(0))
+    gateway.counters.add('permits_denied', amount=len(waits_ms) - waits_ms.count(0))
+    answer = PermitsAnswered(message.batch_id, waits_ms)
+    gateway.act(SendPermits(sender.host, gateway.fleet.own, answer))
+
+
+@handle_message.register
+def handle_answered(message: PermitsAnswered, sender: Member, gateway: GatewayInterface) -> None:
+    """Resume the tasks of a batch, with a permit or elsewhere."""
+    batch = gateway.permit_requests.batches.get(message.batch_id)
+    if batch is None or len(batch) != len(message.waits_ms):
+        gateway.counters.add('permits_late')
+        return
+    del gateway.permit_requests.batches[message.batch_id]
+    for request, wait_ms in zip(batch, message.waits_ms, strict=True):
+        permits = request.state.notices.permits
+        if wait_ms == 0:
+            permits.grant(gateway.now_ms)
+            continue
+        denial_ms = min(MAX_DENIAL_MS, max(MIN_DENIAL_MS, float(wait_ms)))
+        permits.denied_until_ms = gateway.now_ms + denial_ms
+    resume_batch(batch, gateway)
+
+
+def fire_permit_timeout(timer: PermitTimer, gateway: GatewayInterface) -> None:
+    """Resume the tasks of a batch that was not answered."""
+    batch = gateway.permit_requests.batches.pop(timer.batch_id, None)
+    if batch is None:
+        return
+    gateway.counters.add('permits_unanswered', amount=len(batch))
+    for request in batch:
+        permits = request.state.notices.permits
+        permits.denied_until_ms = gateway.now_ms + UNANSWERED_DENIAL_MS
+    resume_batch(batch, gateway)
+
+
+def resume_batch(batch: list[PermitRequest], gateway: GatewayInterface) -> None:
+    """Resume tasks that waited for permits."""
+    for request in batch:
+        task = request.task
+        task.is_waiting = False
+        if not task.exchanges:
+            resume_task(task, gateway, may_retry=True)
--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -7,7 +7,7 @@
 from ..events import CallerDisconnected, ConnectionEnded, ExchangeEnded, RequestSent
 from ..interface import GatewayInterface
 from ..models import LinkFailure, LinkFault, PartsReply, Reply
-from ..replicas.limits import is_open
+from ..replicas.limits import is_open, may_ask, start_bucket
 from ..replicas.notices import apply_notice
 from ..replicas.upstreams import Exchange, ReplicaState
 from .answers import build_answer, record_end, trim_part
@@ -109,6 +109,7 @@
     is_match = reply.request_id == work.request.request_id
     is_reusable = not reply.is_closing and is_match
     apply_notice(exchange, reply, gateway)
+    start_bucket(state, gateway)
     if reply.is_other_instance:
         gateway.forget_replica(state, 'its address now belongs to another replica')
     # One without the request's ID may be a late copy of the answer to an earlier request.
@@ -230,7 +231,7 @@
         if not task.is_open:
             continue
         for state in gateway.upstreams.usable(task.service):
-            if not state.is_suspect(now_ms) and is_open(state, gateway):
+            if may_answer(state, task, gateway):
                 return True
         for exchange in task.exchanges:
             typical_ms = gateway.upstreams.typical_ms(work.route.name, exchange.replica.distance)
@@ -239,6 +240,15 @@
     return False
 
 
+def may_answer(state: ReplicaState, task: Task, gateway: GatewayInterface) -> bool:
+    """Return whether a healthy replica has a task, or may still be sent it."""
+    if state.is_suspect(gateway.now_ms):
+        return False
+    if is_open(state, gateway) or may_ask(state, gateway):
+        return True
+    return any(exchange.replica is state for exchange in task.exchanges)
+
+
 @on_task_closed.register
 def check_single(work: SingleWork, gateway: GatewayInterface) -> None:
     """Answer a request once its only task has ended."""
--- a/beechbridge/gateway/requests/sending.py
+++ b/beechbridge/gateway/requests/sending.py
@@ -4,7 +4,7 @@
 
 from ..actions import MAX_PART_BYTES, AbandonExchange, SendRequest
 from ..interface import GatewayInterface
-from ..replicas.limits import is_open, record_send
+from ..replicas.limits import is_open, may_ask, record_send
 from ..replicas.notices import SendKind
 from ..replicas.upstreams import (
     MIN_STALL_TIMEOUT_MS,
@@ -14,6 +14,7 @@
     IdleConnection,
     ReplicaState,
 )
+from .permit_requests import request_permit
 from .works import OrderedWork, RetryTimer, Task
 
 FIRST_BACKOFF_MS = 10.0
@@ -54,8 +55,11 @@
         limit_ms,
         now_ms,
         gateway.rng,
-        lambda state: is_open(state, gateway),
+        lambda state: is_open(state, gateway) or (not is_hedge and may_ask(state, gateway)),
     )
+    if state is not None and not is_open(state, gateway):
+        request_permit(task, state, gateway)
+        return False
     if state is not None:
         if task.delivery_count and not gateway.budget(task.service).acquire(
             gateway.budget_share(), now_ms
@@ -66,7 +70,10 @@
         return True
     if task.exchanges:
         return False
-    open_states = [s for s in gateway.upstreams.usable(task.service) if is_open(s, gateway)]
+    open_states = []
+    for state in gateway.upstreams.usable(task.service):
+        if is_open(state, gateway) or may_ask(state, gateway):
+            open_states.append(state)
     if not open_states:
         gateway.counters.add('tasks_held_back')
         return False
--- a/beechbridge/wire/fleet.py
+++ b/beechbridge/wire/fleet.py
@@ -1,10 +1,10 @@
-"""Codec of the Thrift messages between gateways: heartbeats, store changes and orders."""
+"""Codec of the Thrift messages between gateways: heartbeats, permits, store changes, orders."""
 
 from functools import singledispatch
 
 from ..failures import Executed, Failure, InputFailure, Reason, not_run
-from ..gateway.actions import SendHeartbeat, SendOrder
-from ..gateway.events import ChangesReceived, HeartbeatReceived
+from ..gateway.actions import SendHeartbeat, SendOrder, SendPermits
+from ..gateway.events import ChangesReceived, HeartbeatReceived, PermitsReceived
 from ..gateway.models import (
     CallerRequest,
     Item,
@@ -13,6 +13,7 @@
     PartsOrder,
     PartsReply,
 )
+from ..gateway.permits import PermitMessage, PermitsAnswered, PermitsWanted
 from ..gateway.replicas.store_view import ALL_PREFIXES
 from .frames import DECODE_ERRORS, decode_struct, encode_struct
 from .http import HttpResponse
@@ -41,51 +42,94 @@
         )
 
 
+def encode_member(member: Member) -> ttypes.FleetMember:
+    """Return the Thrift struct of a member."""
+    return ttypes.FleetMember(
+        member.name,
+        member.host,
+        member.zone,
+        member.incarnation,
+        member.heartbeat,
+        member.is_serving,
+        member.capacity_millicores,
+        member.reaches_store,
+        round(member.rate_per_s),
+        member.is_active,
+    )
+
+
 def encode_heartbeat(action: SendHeartbeat) -> bytes:
     """Encode a heartbeat."""
-    members = []
-    for member in action.members:
-        members.append(
-            ttypes.FleetMember(
-                member.name,
-                member.host,
-                member.zone,
-                member.incarnation,
-                member.heartbeat,
-                member.is_serving,
-                member.capacity_millicores,
-                member.reaches_store,
-                round(member.rate_per_s),
-                member.is_active,
-            )
-        )
+    members = [encode_member(member) for member in action.members]
     frame = ttypes.Heartbeat(
         members, action.table_version, action.revision, action.wants_members, action.epoch
     )
     return encode_struct(frame)
 
 
-def decode_heartbeat(data: bytes) -> HeartbeatReceived | Failure:
-    """Decode a heartbeat."""
+def encode_permits(action: SendPermits) -> bytes:
+    """Encode a message about permits, as a heartbeat without news of its own."""
+    frame = ttypes.Heartbeat([encode_member(action.sender)], 0, 0, False, 0)
+    set_permits(action.message, frame)
+    return encode_struct(frame)
+
+
+@singledispatch
+def set_permits(message: PermitMessage, frame: ttypes.Heartbeat) -> None:
+    """Set the field of a frame for a kind of message about permits."""
+    raise TypeError(f'no field for {type(message).__name__}')
+
+
+@set_permits.register
+def set_permits_wanted(message: PermitsWanted, frame: ttypes.Heartbeat) -> None:
+    """Set the field with the permits that a VM asks for."""
+    permits = [ttypes.WantedPermit(*limit) for limit in message.limits]
+    frame.permits_wanted = ttypes.PermitsWanted(message.batch_id, permits, message.least_count)
+
+
+@set_permits.register
+def set_permits_answered(message: PermitsAnswered, frame: ttypes.Heartbeat) -> None:
+    """Set the field with the permits that a VM was granted."""
+    frame.permits_answered = ttypes.PermitsAnswered(message.batch_id, message.waits_ms)
+
+
+def decode_datagram(data: bytes) -> HeartbeatReceived | PermitsReceived | Failure:
+    """Decode a heartbeat, or a message about permits."""
     frame = decode(data, ttypes.Heartbeat)
     if isinstance(frame, Failure):
         return frame
-    members = []
-    for record in frame.members:
-        member = Member(
-            record.name, record.host, record.zone, record.incarnation, record.heartbeat
-        )
-        member.is_serving = record.serving
-        member.capacity_millicores = record.capacity_millicores
-        member.is_active = record.active
-        member.reaches_store = record.reaches_store
-        member.rate_per_s = float(record.requests_per_s)
-        members.append(member)
+    members = [decode_member(record) for record in frame.members]
+    permits = read_permits(frame)
+    if permits is not None and members:
+        return PermitsReceived(members[0], permits)
     return HeartbeatReceived(
         members, frame.table_version, frame.revision, frame.wants_members, frame.epoch
     )
 
 
+def read_permits(frame: ttypes.Heartbeat) -> PermitMessage | None:
+    """Return the message about permits that a frame carries, None if it is a heartbeat."""
+    wanted = frame.permits_wanted
+    if wanted is not None:
+        limits = [(permit.replica_id, permit.limit_per_s) for permit in wanted.permits]
+        return PermitsWanted(wanted.batch_id, limits, wanted.least_count)
+    answered = frame.permits_answered
+    if answered is not None:
+        return PermitsAnswered(answered.batch_id, answered.waits_ms)
+    return None
+
+
+def decode_member(record: ttypes.FleetMember) -> Member:
+    """Return the member of a Thrift struct."""
+    member = Member(record.name, record.host, record.zone, record.incarnation, record.heartbeat)
+    member.is_serving = record.serving
+    member.capacity_millicores = record.capacity_millicores
+    member.is_active = record.active
+    member.reaches_store = record.reaches_store
+    member.rate_per_s = float(record.requests_per_s)
+    return member
+
+
 def encode_changes(event: ChangesReceived) -> bytes:
     """Encode store changes."""
     items = [ttypes.StoreItem(item.key, item.value, item.revision) for item in event.changes]
--- a/beechbridge/wire/peer.thrift
+++ b/beechbridge/wire/peer.thrift
@@ -112,6 +112,24 @@
   10: required bool active
 }
 
+struct WantedPermit {
+  1: required string replica_id
+  2: required double limit_per_s
+}
+
+// Asks the keeper of replicas' limits for permission to send one request to each.
+struct PermitsWanted {
+  1: required i64 batch_id
+  2: required list<WantedPermit> permits
+  3: required i32 least_count
+}
+
+// Wait in ms before each permit that was asked for, in the same order; 0 if it is granted.
+struct PermitsAnswered {
+  1: required i64 batch_id
+  2: required list<i32> waits_ms
+}
+
 // The first member is the sender. `wants_members` requests all members that the receiver knows.
 struct Heartbeat {
   1: required list<FleetMember> members
@@ -119,6 +137,8 @@
   3: required i64 revision
   4: required bool wants_members
   5: required i64 epoch
+  6: optional PermitsWanted permits_wanted
+  7: optional PermitsAnswered permits_answered
 }
 
 // An item without a value has been deleted.
--- a/beechbridge/wire/peer/ttypes.py
+++ b/beechbridge/wire/peer/ttypes.py
@@ -1763,6 +1763,289 @@
         return not (self == other)
 
 
+class WantedPermit(object):
+    """
+    Attributes:
+     - replica_id
+     - limit_per_s
+
+    """
+
+    __slots__ = (
+        'replica_id',
+        'limit_per_s',
+    )
+
+
+    def __init__(self, replica_id=None, limit_per_s=None,):
+        self.replica_id = replica_id
+        self.limit_per_s = limit_per_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.replica_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.limit_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('WantedPermit')
+        if self.replica_id is not None:
+            oprot.writeFieldBegin('replica_id', TType.STRING, 1)
+            oprot.writeString(self.replica_id.encode('utf-8') if sys.version_info[0] == 2 else self.replica_id)
+            oprot.writeFieldEnd()
+        if self.limit_per_s is not None:
+            oprot.writeFieldBegin('limit_per_s', TType.DOUBLE, 2)
+            oprot.writeDouble(self.limit_per_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.replica_id is None:
+            raise TProtocolException(message='Required field replica_id is unset!')
+        if self.limit_per_s is None:
+            raise TProtocolException(message='Required field limit_per_s is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PermitsWanted(object):
+    """
+    Attributes:
+     - batch_id
+     - permits
+     - least_count
+
+    """
+
+    __slots__ = (
+        'batch_id',
+        'permits',
+        'least_count',
+    )
+
+
+    def __init__(self, batch_id=None, permits=None, least_count=None,):
+        self.batch_id = batch_id
+        self.permits = permits
+        self.least_count = least_count
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.batch_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.permits = []
+                    (_etype42, _size39) = iprot.readListBegin()
+                    for _i43 in range(_size39):
+                        _elem44 = WantedPermit()
+                        _elem44.read(iprot)
+                        self.permits.append(_elem44)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.least_count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PermitsWanted')
+        if self.batch_id is not None:
+            oprot.writeFieldBegin('batch_id', TType.I64, 1)
+            oprot.writeI64(self.batch_id)
+            oprot.writeFieldEnd()
+        if self.permits is not None:
+            oprot.writeFieldBegin('permits', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.permits))
+            for iter45 in self.permits:
+                iter45.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.least_count is not None:
+            oprot.writeFieldBegin('least_count', TType.I32, 3)
+            oprot.writeI32(self.least_count)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.batch_id is None:
+            raise TProtocolException(message='Required field batch_id is unset!')
+        if self.permits is None:
+            raise TProtocolException(message='Required field permits is unset!')
+        if self.least_count is None:
+            raise TProtocolException(message='Required field least_count is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PermitsAnswered(object):
+    """
+    Attributes:
+     - batch_id
+     - waits_ms
+
+    """
+
+    __slots__ = (
+        'batch_id',
+        'waits_ms',
+    )
+
+
+    def __init__(self, batch_id=None, waits_ms=None,):
+        self.batch_id = batch_id
+        self.waits_ms = waits_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.batch_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.waits_ms = []
+                    (_etype49, _size46) = iprot.readListBegin()
+                    for _i50 in range(_size46):
+                        _elem51 = iprot.readI32()
+                        self.waits_ms.append(_elem51)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PermitsAnswered')
+        if self.batch_id is not None:
+            oprot.writeFieldBegin('batch_id', TType.I64, 1)
+            oprot.writeI64(self.batch_id)
+            oprot.writeFieldEnd()
+        if self.waits_ms is not None:
+            oprot.writeFieldBegin('waits_ms', TType.LIST, 2)
+            oprot.writeListBegin(TType.I32, len(self.waits_ms))
+            for iter52 in self.waits_ms:
+                oprot.writeI32(iter52)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.batch_id is None:
+            raise TProtocolException(message='Required field batch_id is unset!')
+        if self.waits_ms is None:
+            raise TProtocolException(message='Required field waits_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Heartbeat(object):
     """
     Attributes:
@@ -1771,6 +2054,8 @@
      - revision
      - wants_members
      - epoch
+     - permits_wanted
+     - permits_answered
 
     """
 
@@ -1780,15 +2065,19 @@
         'revision',
         'wants_members',
         'epoch',
+        'permits_wanted',
+        'permits_answered',
     )
 
 
-    def __init__(self, members=None, table_version=None, revision=None, wants_members=None, epoch=None,):
+    def __init__(self, members=None, table_version=None, revision=None, wants_members=None, epoch=None, permits_wanted=None, permits_answered=None,):
         self.members = members
         self.table_version = table_version
         self.revision = revision
         self.wants_members = wants_members
         self.epoch = epoch
+        self.permits_wanted = permits_wanted
+        self.permits_answered = permits_answered
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1802,11 +2091,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype42, _size39) = iprot.readListBegin()
-                    for _i43 in range(_size39):
-                        _elem44 = FleetMember()
-                        _elem44.read(iprot)
-                        self.members.append(_elem44)
+                    (_etype56, _size53) = iprot.readListBegin()
+                    for _i57 in range(_size53):
+                        _elem58 = FleetMember()
+                        _elem58.read(iprot)
+                        self.members.append(_elem58)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1830,6 +2119,18 @@
                     self.epoch = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.permits_wanted = PermitsWanted()
+                    self.permits_wanted.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRUCT:
+                    self.permits_answered = PermitsAnswered()
+                    self.permits_answered.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1843,8 +2144,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter45 in self.members:
-                iter45.write(oprot)
+            for iter59 in self.members:
+                iter59.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.table_version is not None:
@@ -1863,6 +2164,14 @@
             oprot.writeFieldBegin('epoch', TType.I64, 5)
             oprot.writeI64(self.epoch)
             oprot.writeFieldEnd()
+        if self.permits_wanted is not None:
+            oprot.writeFieldBegin('permits_wanted', TType.STRUCT, 6)
+            self.permits_wanted.write(oprot)
+            oprot.writeFieldEnd()
+        if self.permits_answered is not None:
+            oprot.writeFieldBegin('permits_answered', TType.STRUCT, 7)
+            self.permits_answered.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2035,11 +2344,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype49, _size46) = iprot.readListBegin()
-                    for _i50 in range(_size46):
-                        _elem51 = StoreItem()
-                        _elem51.read(iprot)
-                        self.items.append(_elem51)
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = StoreItem()
+                        _elem65.read(iprot)
+                        self.items.append(_elem65)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2070,8 +2379,8 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter52 in self.items:
-                iter52.write(oprot)
+            for iter66 in self.items:
+                iter66.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.epoch is not None:
@@ -2274,11 +2583,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype56, _size53) = iprot.readListBegin()
-                    for _i57 in range(_size53):
-                        _elem58 = Header()
-                        _elem58.read(iprot)
-                        self.headers.append(_elem58)
+                    (_etype70, _size67) = iprot.readListBegin()
+                    for _i71 in range(_size67):
+                        _elem72 = Header()
+                        _elem72.read(iprot)
+                        self.headers.append(_elem72)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2300,10 +2609,10 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.services = []
-                    (_etype62, _size59) = iprot.readListBegin()
-                    for _i63 in range(_size59):
-                        _elem64 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.services.append(_elem64)
+                    (_etype76, _size73) = iprot.readListBegin()
+                    for _i77 in range(_size73):
+                        _elem78 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.services.append(_elem78)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2352,8 +2661,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter65 in self.headers:
-                iter65.write(oprot)
+            for iter79 in self.headers:
+                iter79.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -2371,8 +2680,8 @@
         if self.services is not None:
             oprot.writeFieldBegin('services', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.services))
-            for iter66 in self.services:
-                oprot.writeString(iter66.encode('utf-8') if sys.version_info[0] == 2 else iter66)
+            for iter80 in self.services:
+                oprot.writeString(iter80.encode('utf-8') if sys.version_info[0] == 2 else iter80)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.attempts is not None:
@@ -2658,22 +2967,22 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype70, _size67) = iprot.readListBegin()
-                    for _i71 in range(_size67):
-                        _elem72 = Part()
-                        _elem72.read(iprot)
-                        self.parts.append(_elem72)
+                    (_etype84, _size81) = iprot.readListBegin()
+                    for _i85 in range(_size81):
+                        _elem86 = Part()
+                        _elem86.read(iprot)
+                        self.parts.append(_elem86)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.missing = []
-                    (_etype76, _size73) = iprot.readListBegin()
-                    for _i77 in range(_size73):
-                        _elem78 = MissingPart()
-                        _elem78.read(iprot)
-                        self.missing.append(_elem78)
+                    (_etype90, _size87) = iprot.readListBegin()
+                    for _i91 in range(_size87):
+                        _elem92 = MissingPart()
+                        _elem92.read(iprot)
+                        self.missing.append(_elem92)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2700,15 +3009,15 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.parts))
-            for iter79 in self.parts:
-                iter79.write(oprot)
+            for iter93 in self.parts:
+                iter93.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.missing is not None:
             oprot.writeFieldBegin('missing', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.missing))
-            for iter80 in self.missing:
-                iter80.write(oprot)
+            for iter94 in self.missing:
+                iter94.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -2872,6 +3181,25 @@
     (9, TType.I32, 'requests_per_s', None, None, ),  # 9
     (10, TType.BOOL, 'active', None, None, ),  # 10
 )
+all_structs.append(WantedPermit)
+WantedPermit.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'replica_id', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'limit_per_s', None, None, ),  # 2
+)
+all_structs.append(PermitsWanted)
+PermitsWanted.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'batch_id', None, None, ),  # 1
+    (2, TType.LIST, 'permits', (TType.STRUCT, [WantedPermit, None], False), None, ),  # 2
+    (3, TType.I32, 'least_count', None, None, ),  # 3
+)
+all_structs.append(PermitsAnswered)
+PermitsAnswered.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'batch_id', None, None, ),  # 1
+    (2, TType.LIST, 'waits_ms', (TType.I32, None, False), None, ),  # 2
+)
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
     None,  # 0
@@ -2880,6 +3208,8 @@
     (3, TType.I64, 'revision', None, None, ),  # 3
     (4, TType.BOOL, 'wants_members', None, None, ),  # 4
     (5, TType.I64, 'epoch', None, None, ),  # 5
+    (6, TType.STRUCT, 'permits_wanted', [PermitsWanted, None], None, ),  # 6
+    (7, TType.STRUCT, 'permits_answered', [PermitsAnswered, None], None, ),  # 7
 )
 all_structs.append(StoreItem)
 StoreItem.thrift_spec = (
--- a/measure/emulated_actions.py
+++ b/measure/emulated_actions.py
@@ -15,6 +15,7 @@
     PullChanges,
     SendHeartbeat,
     SendOrder,
+    SendPermits,
     SendRequest,
     SetCallerLimits,
     WriteLine,
@@ -22,6 +23,7 @@
 from beechbridge.gateway.events import (
     CallerDisconnected,
     HeartbeatReceived,
+    PermitsReceived,
     PullEnded,
     RequestSent,
 )
@@ -133,6 +135,15 @@
                 )
 
 
+@perform.register(SendPermits)
+def perform_permits(action: SendPermits, vm: EmulatedVm, emulator: 'Emulator') -> None:
+    """Deliver a message about permits, unless it is lost."""
+    other = emulator.vm_at(action.host)
+    event = PermitsReceived(copy.copy(action.sender), action.message)
+    delay_ms = emulator.delay_ms(vm, other.gateway.fleet.own.zone)
+    emulator.schedule(delay_ms, lambda: emulator.deliver_event(other, event))
+
+
 @perform.register(PullChanges)
 def perform_pull(action: PullChanges, vm: EmulatedVm, emulator: 'Emulator') -> None:
     """Ask another VM for the changes that it has."""
--- a/tests/test_fuzz_gateway.py
+++ b/tests/test_fuzz_gateway.py
@@ -36,7 +36,7 @@
 from beechbridge.wire.compression import DICTIONARY_ZSTD, IDENTITY, ZSTD, compress
 from beechbridge.wire.fleet import (
     decode_changes,
-    decode_heartbeat,
+    decode_datagram,
     encode_changes,
     encode_heartbeat,
     read_order,
@@ -97,7 +97,7 @@
     @FUZZ
     @given(mutations(HEARTBEAT))
     def test_heartbeats(self, data):
-        heartbeat = decode_heartbeat(data)
+        heartbeat = decode_datagram(data)
         self.assertIsInstance(heartbeat, HeartbeatReceived | Failure)
         if isinstance(heartbeat, HeartbeatReceived):
             gateway = self.gateway
--- a/tests/test_heartbeat_traffic.py
+++ b/tests/test_heartbeat_traffic.py
@@ -8,7 +8,7 @@
 from beechbridge.gateway.events import TimerDue
 from beechbridge.gateway.fleet.gossip import BOOTSTRAP_BEATS, HEARTBEAT_MS, INITIAL_HEARTBEAT_MS
 from beechbridge.gateway.models import Member
-from beechbridge.wire.fleet import decode_heartbeat, encode_heartbeat
+from beechbridge.wire.fleet import decode_datagram, encode_heartbeat
 from measure.emulator import Emulator
 
 from .gateways import WORK_MS, ZONES, drive, sweep_route
@@ -105,4 +105,4 @@
             members.append(member)
         data = encode_heartbeat(SendHeartbeat([], members, 40, 5_000))
         self.assertLessEqual(len(data), DATAGRAM_BYTES)
-        self.assertEqual(len(decode_heartbeat(data).members), 14)
+        self.assertEqual(len(decode_datagram(data).members), 14)
