Let the soak's replicas name limits, leave, and talk nonsense

New drills limited_replica, leaving_replica and babbling_replica; the ledger checks limits and leaving in sliding windows. Connections go through proxies, so it counts all VMs, less the first request of each. A mutant about withdrawn replicas named a line that has changed; it names the new one.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,6 +7,7 @@
 import time
 
 from .fleet import GRACE_S, Vm
+from .ledger import LIMIT_STABLE_S, NamedLimit
 from .standins import ENDLESS_REPLIES
 
 FAULT_GAP_S = (0.3, 2.0)
@@ -32,7 +33,13 @@
 )
 """Kinds of fault; each names a method of `Faults`."""
 
-DRILLS = ('restore_store', 'endless_replica')
+DRILLS = (
+    'restore_store',
+    'endless_replica',
+    'limited_replica',
+    'leaving_replica',
+    'babbling_replica',
+)
 """Further kinds, drawn only if named, so that the faults of earlier seeds stay the same."""
 
 COPY_AGE_S = 2.0
@@ -167,6 +174,55 @@
         await asyncio.sleep(duration_s)
         replica.endless_kind = ''
 
+    async def limited_replica(self, duration_s: float) -> None:
+        """Make a replica name a limit, long enough for the limit to be in force."""
+        replica = self.rng.choice(self.soak.replicas)
+        if replica.notice:
+            return
+        limit_per_s = round(self.rng.uniform(1.0, 20.0), 1)
+        replica.notice = {'Server-Limit': str(limit_per_s)}
+        since_s = time.monotonic()
+        await asyncio.sleep(LIMIT_STABLE_S + 2.0 * duration_s)
+        replica.notice = {}
+        limit = NamedLimit(replica.replica_id, limit_per_s, since_s, time.monotonic())
+        self.soak.ledger.named_limits.append(limit)
+
+    async def leaving_replica(self, duration_s: float) -> None:
+        """Make a replica say that it leaves, of which the store learns later or never."""
+        old = self.rng.choice(self.soak.replicas)
+        if old.notice:
+            return
+        await self.soak.start_replica(old.service, old.entry['zone'])
+        await asyncio.sleep(1.0)
+        old.notice = {'Server-Leaving': '1'}
+        self.soak.ledger.left_s[old.replica_id] = time.monotonic()
+        await asyncio.sleep(4.0 * duration_s)
+        self.soak.withdraw_replica(old, with_drain=True)
+
+    async def babbling_replica(self, duration_s: float) -> None:
+        """Make a replica state what cannot be read, or what changes with every reply."""
+        replica = self.rng.choice(self.soak.replicas)
+        if replica.notice:
+            return
+        values = (
+            '-1',
+            'nan',
+            '1e400',
+            '9' * 300,
+            '',
+            '5, x',
+            '0',
+            'Fri, 04 Dec 2026 12:00:00 GMT',
+        )
+        for _ in range(8):
+            name = self.rng.choice(('Server-Limit', 'Server-Leaving', 'Retry-After'))
+            value = self.rng.choice(values)
+            replica.notice = {name: value}
+            replica.reject_share = 0.4 if name == 'Retry-After' else 0.0
+            await asyncio.sleep(duration_s / 8)
+        replica.notice = {}
+        replica.reject_share = 0.0
+
     async def drain_replica(self, duration_s: float) -> None:
         """Mark a replica as draining after its replacement has started."""
         await self.soak.replace_replica(self.rng, with_drain=True)
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -11,6 +11,12 @@
 BUDGET_EXTRA = 56
 BUDGET_WINDOW_S = 10.0
 RECORD_BYTES = 16
+LIMIT_STABLE_S = 4.0
+"""Time after a replica first named a limit from which it must be kept."""
+
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA = 5
 
 
 class Arrival:
@@ -40,6 +46,18 @@
         self.body = body
 
 
+class NamedLimit:
+    """A limit that a replica named for a while."""
+
+    __slots__ = ('limit_per_s', 'replica', 'since_s', 'until_s')
+
+    def __init__(self, replica: str, limit_per_s: float, since_s: float, until_s: float):
+        self.replica = replica
+        self.limit_per_s = limit_per_s
+        self.since_s = since_s
+        self.until_s = until_s
+
+
 class CallerRequest:
     """A request of a caller and its response; `status` is None if there was no response."""
 
@@ -61,6 +79,9 @@
     Traffic and faults of one run.
 
     :param shard_sets: the set of shards of each published configuration
+    :param named_limits: limits that replicas have named
+    :param left_s: when a replica first said that it leaves, by replica id
+    :param vm_count: number of VMs; each learns what a replica says only from a reply to itself
     :param withdrawn_s: when the store acknowledged a replica's draining or removal, by replica id
     :param fault_spans: spans in which an unplanned fault affected a VM, by its name or `all`
     """
@@ -71,6 +92,9 @@
         self.requests: list[CallerRequest] = []
         self.shard_sets: list[frozenset[str]] = []
         self.withdrawn_s: dict[str, float] = {}
+        self.named_limits: list[NamedLimit] = []
+        self.left_s: dict[str, float] = {}
+        self.vm_count = 1
         self.fault_spans: dict[str, list[tuple[float, float]]] = defaultdict(list)
         self.table_acknowledged_s: dict[str, float] = {}
         self.min_share = 1.0
@@ -98,6 +122,8 @@
         violations.extend(self.check_denied())
         if include_timing:
             violations.extend(self.check_withdrawn())
+            violations.extend(self.check_limits())
+            violations.extend(self.check_left())
             violations.extend(self.check_routes())
             violations.extend(self.check_aborted())
         return violations
@@ -182,6 +208,43 @@
                 )
         return violations
 
+    def has_any_fault(self, since_s: float, until_s: float) -> bool:
+        """Return whether a fault affected some VM during a span or shortly before it."""
+        return any(self.had_fault(vm, since_s, until_s) for vm in list(self.fault_spans))
+
+    def check_limits(self) -> list[str]:
+        """Check the limits that replicas named, in sliding windows; first requests are free."""
+        violations = []
+        for limit in self.named_limits:
+            times = sorted(one.at_s for one in self.arrivals if one.replica == limit.replica)
+            allowed = LIMIT_FACTOR * limit.limit_per_s * LIMIT_WINDOW_S + LIMIT_EXTRA
+            for start_s in times:
+                end_s = min(start_s + LIMIT_WINDOW_S, limit.until_s)
+                count = sum(start_s <= at_s < end_s for at_s in times)
+                is_in_force = limit.since_s + LIMIT_STABLE_S <= start_s < limit.until_s
+                if not is_in_force or count <= allowed + self.vm_count:
+                    continue
+                if not self.has_any_fault(limit.since_s, end_s):
+                    violations.append(
+                        f'{limit.replica} received {count} requests in {LIMIT_WINDOW_S} s '
+                        f'for a limit of {limit.limit_per_s} a second'
+                    )
+                    break
+        return violations
+
+    def check_left(self) -> list[str]:
+        """Check that replicas that said they leave get no more than the VMs' first requests."""
+        violations = []
+        for replica, left_s in self.left_s.items():
+            since_s = left_s + DRAIN_S + SLACK_S
+            late = [one for one in self.arrivals if one.replica == replica and one.at_s > since_s]
+            if len(late) > self.vm_count and not self.has_any_fault(left_s, late[-1].at_s):
+                violations.append(
+                    f'{replica} received {len(late)} requests over {DRAIN_S} s after it said '
+                    'that it leaves'
+                )
+        return violations
+
     def check_budget(self) -> list[str]:
         """Check the retry budget of each service in sliding windows."""
         violations = []
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -52,9 +52,31 @@
 LOSSY = ('--shards=1', '--faults=lossy_replica', '--seconds=25')
 SLOW = ('--shards=2', '--faults=slow_replica', '--faults=silence_links', '--seconds=30')
 NO_OPTIONS = ()
+LIMITED = ('--shards=2', '--faults=limited_replica', '--seconds=30')
+LEAVING = ('--shards=2', '--faults=leaving_replica', '--seconds=30')
 
 
 MUTANTS = (
+    SoakMutant(
+        'the limits of replicas are ignored',
+        'for a limit of',
+        LIMITED,
+        Edit(
+            f'{GATEWAY}/replicas/notices.py',
+            'notices.limit_per_s = limit_per_s\n',
+            'notices.limit_per_s = None\n',
+        ),
+    ),
+    SoakMutant(
+        'replicas that say they leave stay in use',
+        'that it leaves',
+        LEAVING,
+        Edit(
+            f'{GATEWAY}/replicas/notices.py',
+            'notices.is_leaving = True\n',
+            'notices.is_leaving = False\n',
+        ),
+    ),
     SoakMutant(
         'a filing without a response is retried',
         'was executed 2 times',
@@ -142,8 +164,8 @@
         NO_OPTIONS,
         Edit(
             f'{GATEWAY}/replicas/upstreams.py',
-            'return not self.is_gone and not self.entry.is_draining',
-            'return not self.is_gone',
+            'is_leaving = self.entry.is_draining or self.notices.is_leaving',
+            'is_leaving = False',
         ),
         Edit(
             f'{GATEWAY}/replicas/store_updates.py',
--- a/soak/run.py
+++ b/soak/run.py
@@ -40,6 +40,7 @@
         self.ledger = Ledger()
         self.ledger.min_share = MIN_SHARE
         self.ledger.top_records = TOP_RECORDS
+        self.ledger.vm_count = vm_count
         self.vm_count = vm_count
         self.shard_count = shard_count
         self.store = Store(STAND_IN_HOST)
--- a/soak/standins.py
+++ b/soak/standins.py
@@ -101,6 +101,7 @@
     :param reject_share: share of the requests that are rejected
     :param late_share: share of the responses that are sent a second time, ahead of the next one
     :param endless_kind: kind of endless reply that it sends to every request, none if empty
+    :param notice: headers in which it states something about itself, in every reply
     """
 
     def __init__(self, host: str, replica_id: str, service: str, ledger: Ledger, rng):
@@ -114,6 +115,7 @@
         self.reject_share = 0.0
         self.late_share = 0.0
         self.endless_kind = ''
+        self.notice: dict[str, str] = {}
         self.run_count = 0
         self.late = b''
 
@@ -129,7 +131,7 @@
                 time.monotonic(), request_id, self.replica_id, self.service, vm, not is_rejected
             )
         )
-        echo = {'Beechbridge-Request-Id': request_id}
+        echo = {'Beechbridge-Request-Id': request_id, **self.notice}
         if is_misdirected:
             return respond(421, {'Beechbridge-Instance-Id': self.replica_id, **echo})
         if is_rejected:
@@ -147,7 +149,7 @@
             200,
             {
                 'Beechbridge-Server-Stamp': signature,
-                'Beechbridge-Request-Id': request_id,
+                **echo,
                 'Keep-Alive': f'timeout={KEEP_ALIVE_S}',
             },
             body,
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -4,7 +4,7 @@
 
 from nose2.tools import params
 
-from soak.ledger import Arrival, CallerRequest, Ledger, Part
+from soak.ledger import Arrival, CallerRequest, Ledger, NamedLimit, Part
 
 RECORD_A, RECORD_B = b'a' * 16, b'b' * 16
 
@@ -91,6 +91,27 @@
         (violation,) = self.check([make_request('lookup', 502)], arrivals)
         self.assertIn('59 extra attempts for 1 requests', violation)
 
+    # 4 s at 2 requests a second: 17 are allowed, and the first one of the VM.
+    @params((18, ()), (19, ('received 19 requests in 4.0 s',)))
+    def test_requests_over_a_limit_are_reported(self, count, expected):
+        ledger = make_ledger()
+        ledger.requests.append(make_request('lookup', 502))
+        ledger.named_limits.append(NamedLimit('r', 2.0, 94.0, 110.0))
+        ledger.arrivals.extend(
+            make_arrival(100.0 + number / 10.0, has_run=False) for number in range(count)
+        )
+        violations = ledger.check_limits()
+        self.assertEqual(len(violations), len(expected))
+        for text, violation in zip(expected, violations, strict=True):
+            self.assertIn(text, violation)
+
+    @params((1, 0), (2, 1))
+    def test_requests_to_a_replica_that_leaves_are_reported(self, count, expected_count):
+        ledger = make_ledger()
+        ledger.left_s['r'] = 95.0
+        ledger.arrivals.extend(make_arrival(100.0 + number) for number in range(count))
+        self.assertEqual(len(ledger.check_left()), expected_count)
+
     def test_fault_on_the_vm_excuses_an_aborted_request(self):
         ledger = make_ledger()
         ledger.requests.append(make_request('filing', None))
