Check replicas that state nothing about themselves without a call

Each dispatch, reply and admission asked of every replica whether it is limited or paused. A flag of its notices answers that for all others.

--- a/beechbridge/gateway/replicas/limits.py
+++ b/beechbridge/gateway/replicas/limits.py
@@ -138,13 +138,17 @@
 
 def is_open(state: ReplicaState, gateway: GatewayInterface) -> bool:
     """Return whether a replica may be sent a request now, by what it has stated about itself."""
+    notices = state.notices
+    if not notices.is_restricted:
+        return True
     now_ms = gateway.now_ms
-    if now_ms < state.notices.paused_until_ms:
+    if now_ms < notices.paused_until_ms:
         return False
-    if state.notices.limit_per_s is None:
+    if notices.limit_per_s is None:
+        notices.is_restricted = False
         return True
     if not is_keeper(state, gateway):
-        permits = state.notices.permits
+        permits = notices.permits
         return permits.count > 0 and now_ms < permits.valid_until_ms
     if now_ms - gateway.started_ms < LEARNING_MS:
         return False
@@ -154,12 +158,19 @@
 def may_ask(state: ReplicaState, gateway: GatewayInterface) -> bool:
     """Return whether a permit for a replica may be asked for."""
     notices = state.notices
+    if not notices.is_restricted:
+        return False
     now_ms = gateway.now_ms
     if notices.limit_per_s is None or now_ms < notices.paused_until_ms:
         return False
     return now_ms >= notices.permits.denied_until_ms and not is_keeper(state, gateway)
 
 
+def is_available(state: ReplicaState, gateway: GatewayInterface) -> bool:
+    """Return whether a replica may be sent a request now, or once a permit has been granted."""
+    return is_open(state, gateway) or may_ask(state, gateway)
+
+
 def opens_in_ms(state: ReplicaState, gateway: GatewayInterface) -> float:
     """Return the time in milliseconds until `is_open` or `may_ask` may hold."""
     now_ms = gateway.now_ms
--- a/beechbridge/gateway/replicas/notices.py
+++ b/beechbridge/gateway/replicas/notices.py
@@ -67,11 +67,13 @@
     :param limited_since_ms: time in milliseconds when it first named a limit
     :param limited_ms: time in milliseconds of the latest reply that named a limit
     :param permits: permits to send to it while it names a limit
+    :param is_restricted: whether a limit or a pause may be in force, for a quick check
     :param sent_counts: sub-requests sent since it named a limit, by kind
     """
 
     __slots__ = (
         'is_leaving',
+        'is_restricted',
         'limit_per_s',
         'limited_ms',
         'limited_since_ms',
@@ -82,6 +84,7 @@
 
     def __init__(self):
         self.is_leaving = False
+        self.is_restricted = False
         self.paused_until_ms = 0.0
         self.limit_per_s: float | None = None
         self.limited_since_ms = 0.0
@@ -183,6 +186,7 @@
         return
     is_new = gateway.now_ms >= notices.paused_until_ms
     notices.paused_until_ms = gateway.now_ms + pause_ms
+    notices.is_restricted = True
     if is_new:
         record_change('paused', exchange, {'for_ms': round(pause_ms)}, gateway)
 
@@ -192,6 +196,7 @@
     notices = exchange.replica.notices
     before = notices.limit_per_s
     notices.limit_per_s = limit_per_s
+    notices.is_restricted = True
     notices.limited_ms = gateway.now_ms
     if before == limit_per_s:
         return
--- a/beechbridge/gateway/replicas/upstreams.py
+++ b/beechbridge/gateway/replicas/upstreams.py
@@ -179,8 +179,7 @@
     @property
     def is_usable(self) -> bool:
         """Return whether it may be sent new requests."""
-        is_leaving = self.entry.is_draining or self.notices.is_leaving
-        return not self.is_gone and not is_leaving
+        return not (self.is_gone or self.entry.is_draining or self.notices.is_leaving)
 
     def is_suspect(self, now_ms: float) -> bool:
         """Return whether an exchange failed recently or has stalled."""
@@ -368,6 +367,13 @@
         """Return a service's replicas that may be sent new requests."""
         return [state for state in self.by_service.get(service, ()) if state.is_usable]
 
+    def has_unrestricted(self, service: str) -> bool:
+        """Return whether a replica of a service accepts any number of requests."""
+        for state in self.by_service.get(service, ()):
+            if state.is_usable and not state.notices.is_restricted:
+                return True
+        return False
+
     def choose(
         self,
         service: str,
@@ -391,7 +397,7 @@
         for state in self.by_service.get(service, ()):
             if not state.is_usable or id(state) in exclude or len(state.busy) >= share:
                 continue
-            if can_send(state):
+            if not state.notices.is_restricted or can_send(state):
                 by_distance.setdefault(state.distance, []).append(state)
         fastest = None
         fastest_ms = math.inf
--- a/beechbridge/gateway/requests/admission.py
+++ b/beechbridge/gateway/requests/admission.py
@@ -106,13 +106,17 @@
 
 def check_replicas(work: Work, gateway: GatewayInterface) -> Failure | None:
     """Reject requests for which too few services have a replica that accepts requests now."""
-    usable_count = 0
-    waits_ms = []
-    for task in work.tasks:
-        usable_count += bool(gateway.upstreams.usable(task.service))
+    upstreams = gateway.upstreams
+    restricted = [task for task in work.tasks if not upstreams.has_unrestricted(task.service)]
+    needed = needed_count(work)
+    if len(work.tasks) - len(restricted) >= needed:
+        return None
+    usable_count = len(work.tasks) - len(restricted)
+    waits_ms = [0.0] * usable_count
+    for task in restricted:
+        usable_count += bool(upstreams.usable(task.service))
         wait_ms = service_opens_in_ms(task, gateway)
         waits_ms.append(0.0 if wait_ms > 0.0 and may_order(task, gateway) else wait_ms)
-    needed = needed_count(work)
     wait_ms = sorted(waits_ms)[needed - 1]
     if wait_ms <= 0.0:
         return None
--- a/beechbridge/gateway/requests/orders.py
+++ b/beechbridge/gateway/requests/orders.py
@@ -14,7 +14,7 @@
 from ..actions import SendOrder
 from ..interface import GatewayInterface
 from ..models import LinkFailure, LinkFault, PartsOrder, PartsReply, Reply
-from ..replicas.limits import is_open, may_ask
+from ..replicas.limits import is_available
 from ..replicas.upstreams import OWN_ZONE, Exchange, IdleConnection, ReplicaState
 from .answers import RECORD_BYTES
 from .progress import (
@@ -107,7 +107,7 @@
     zones_by_distance: dict[int, set[str]] = {}
     for state in gateway.upstreams.usable(task.service):
         is_near = state.distance == OWN_ZONE
-        if is_near and (is_open(state, gateway) or may_ask(state, gateway)):
+        if is_near and is_available(state, gateway):
             # Even if this replica is suspect: direct requests tell this VM when it recovers, and
             # which other replicas it can hedge with.
             return set()
--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -7,7 +7,7 @@
 from ..events import CallerDisconnected, ConnectionEnded, ExchangeEnded, RequestSent
 from ..interface import GatewayInterface
 from ..models import LinkFailure, LinkFault, PartsReply, Reply
-from ..replicas.limits import is_open, may_ask, start_bucket
+from ..replicas.limits import is_available, start_bucket
 from ..replicas.notices import apply_notice
 from ..replicas.upstreams import Exchange, ReplicaState
 from .answers import build_answer, record_end, trim_part
@@ -108,8 +108,9 @@
     latency_ms = now_ms - exchange.sent_ms
     is_match = reply.request_id == work.request.request_id
     is_reusable = not reply.is_closing and is_match
-    apply_notice(exchange, reply, gateway)
-    start_bucket(state, gateway)
+    if reply.notice is not None or state.notices.is_restricted:
+        apply_notice(exchange, reply, gateway)
+        start_bucket(state, gateway)
     if reply.is_other_instance:
         gateway.forget_replica(state, 'its address now belongs to another replica')
     # One without the request's ID may be a late copy of the answer to an earlier request.
@@ -244,7 +245,7 @@
     """Return whether a healthy replica has a task, or may still be sent it."""
     if state.is_suspect(gateway.now_ms):
         return False
-    if is_open(state, gateway) or may_ask(state, gateway):
+    if is_available(state, gateway):
         return True
     return any(exchange.replica is state for exchange in task.exchanges)
 
--- a/beechbridge/gateway/requests/sending.py
+++ b/beechbridge/gateway/requests/sending.py
@@ -4,7 +4,7 @@
 
 from ..actions import MAX_PART_BYTES, AbandonExchange, SendRequest
 from ..interface import GatewayInterface
-from ..replicas.limits import is_open, may_ask, record_send
+from ..replicas.limits import is_available, is_open, record_send
 from ..replicas.notices import SendKind
 from ..replicas.upstreams import (
     MIN_STALL_TIMEOUT_MS,
@@ -55,9 +55,9 @@
         limit_ms,
         now_ms,
         gateway.rng,
-        lambda state: is_open(state, gateway) or (not is_hedge and may_ask(state, gateway)),
+        lambda state: (is_open if is_hedge else is_available)(state, gateway),
     )
-    if state is not None and not is_open(state, gateway):
+    if state is not None and state.notices.is_restricted and not is_open(state, gateway):
         request_permit(task, state, gateway)
         return False
     if state is not None:
@@ -72,7 +72,7 @@
         return False
     open_states = []
     for state in gateway.upstreams.usable(task.service):
-        if is_open(state, gateway) or may_ask(state, gateway):
+        if is_available(state, gateway):
             open_states.append(state)
     if not open_states:
         gateway.counters.add('tasks_held_back')
@@ -122,11 +122,11 @@
     typical_ms = gateway.upstreams.typical_ms(work.route.name, state.distance)
     stalled_at_ms = now_ms + max(MIN_STALL_TIMEOUT_MS, STALL_TIMEOUT_FACTOR * typical_ms)
     exchange = begin_exchange(task, state, idle, stalled_at_ms, gateway)
-    kind = find_kind(task, is_hedge)
-    record_send(state, kind, gateway)
+    if state.notices.is_restricted:
+        record_send(state, find_kind(task, is_hedge), gateway)
     if task.delivery_count:
         work.extra_count += 1
-        gateway.counters.add('repeats', kind)
+        gateway.counters.add('repeats', find_kind(task, is_hedge))
     task.delivery_count += 1
     task.run_count += 1
     gateway.activity.sent_count += 1
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -164,8 +164,8 @@
         NO_OPTIONS,
         Edit(
             f'{GATEWAY}/replicas/upstreams.py',
-            'is_leaving = self.entry.is_draining or self.notices.is_leaving',
-            'is_leaving = False',
+            'self.is_gone or self.entry.is_draining or self.notices.is_leaving',
+            'self.is_gone',
         ),
         Edit(
             f'{GATEWAY}/replicas/store_updates.py',
--- a/tests/test_paused_replicas.py
+++ b/tests/test_paused_replicas.py
@@ -31,6 +31,12 @@
     return [arrived_ms for arrived_ms, _ in emulator.replicas[replica_id].arrivals]
 
 
+def pause(state, until_ms):
+    """Let a replica want no requests until a time."""
+    state.notices.paused_until_ms = until_ms
+    state.notices.is_restricted = True
+
+
 def reject(request, retry_after_ms, status=503):
     """Answer a request with a rejection that asks for a pause."""
     notice = Notice(retry_after_ms=retry_after_ms)
@@ -60,7 +66,7 @@
         emulator = start_sweeps(10, zones=(REGIONS[0], REGIONS[0]))
         drive(emulator, '/sweep/x', 20, 2)
         state = emulator.vms[0].gateway.upstreams.by_id['r-0-0']
-        state.notices.paused_until_ms = emulator.now_ms + 5_000.0
+        pause(state, emulator.now_ms + 5_000.0)
         emulator.replicas['r-0-0'].arrivals.clear()
         drive(emulator, '/sweep/x', 20, 3)
         self.assertGreater(len(list_arrivals(emulator, 'r-0-0')), 10)
@@ -71,8 +77,8 @@
         emulator = start_register(single_route('lookup'))
         gateway = emulator.vms[0].gateway
         for number, pause_ms in enumerate(pauses_ms):
-            notices = gateway.upstreams.by_id[f'r-{number}'].notices
-            notices.paused_until_ms = emulator.now_ms + pause_ms
+            state = gateway.upstreams.by_id[f'r-{number}']
+            pause(state, emulator.now_ms + pause_ms)
         request = ManualRequest(emulator, 'a', '/lookup/x', 'GET', 4_000.0)
         self.assertEqual(request.sends, [])
         answer = request.answers[0]
@@ -111,8 +117,8 @@
         states = emulator.vms[0].gateway.upstreams.by_id
         for shard in range(shard_count):
             for number in range(2):
-                notices = states[f'r-{shard}-{number}'].notices
-                notices.paused_until_ms = emulator.now_ms + 60_000.0
+                state = states[f'r-{shard}-{number}']
+                pause(state, emulator.now_ms + 60_000.0)
         for vm, key, asked_ms in drive(emulator, '/sweep/x', 20, 2):
             answered_ms, answer = answer_of(emulator, vm, key)
             self.assertIsInstance(answer, answer_type)
