Prove the bound of a limit while its keeper changes

A keeper that lost its role and got it back went on with a bucket that had filled meanwhile: with a limit of over 2 a second two bursts in a window could exceed what is allowed (found on paper while writing the specification; no run showed it). Seven mutants of the code are noticed.

--- a/beechbridge/gateway/replicas/limits.py
+++ b/beechbridge/gateway/replicas/limits.py
@@ -17,7 +17,10 @@
 
 KEEPER_ROLE = 'limits'
 FIXED_BURST = 2.0
-"""Requests that may be sent at once beyond one second's worth of a limit."""
+"""Requests that may be sent at once, whatever the limit is."""
+
+BURST_S = 0.5
+"""Time in seconds for whose worth of a limit more may be sent at once."""
 
 MIN_LIMIT_PER_S = 0.05
 """Limit used in place of a lower one, so that it is noticed when it is lifted."""
@@ -56,7 +59,7 @@
         self.filled_ms = now_ms
         self.tokens += elapsed_s * self.limit_per_s
         self.limit_per_s = limit_per_s
-        self.tokens = min(self.tokens, FIXED_BURST + limit_per_s)
+        self.tokens = min(self.tokens, FIXED_BURST + BURST_S * limit_per_s)
 
     def wait_ms(self) -> float:
         """Return the time in milliseconds until there is a token, counted from the last fill."""
@@ -108,6 +111,9 @@
         before = known[0].name if known is not None else None
         fields = {'zone': zone, 'keeper': keeper.name, 'before': before}
         gateway.act(WriteLine('limits_kept', fields))
+        if keeper is gateway.fleet.own and known is not None:
+            # What was collected while another VM was in charge would be a second burst.
+            gateway.limits.buckets.clear()
     gateway.limits.keepers[zone] = (keeper, gateway.now_ms)
     return keeper
 
--- a/model/check.py
+++ b/model/check.py
@@ -6,13 +6,13 @@
 
 import sys
 
-from . import configuration, drain, extra_attempts, orders, shares, stopping, tickets
+from . import configuration, drain, extra_attempts, orders, permits, shares, stopping, tickets
 from .spec import Spec, find_trace, format_trace, prove
 
 
 def build_specs() -> list[Spec]:
     """Return the specifications whose mutants are checked."""
-    modules = (tickets, configuration, stopping, drain, shares, extra_attempts, orders)
+    modules = (tickets, configuration, stopping, drain, shares, extra_attempts, orders, permits)
     return [module.build_spec() for module in modules]
 
 
@@ -29,7 +29,9 @@
             print(format_trace(spec, find_trace(spec) or []))
     division_holds = shares.prove_division()
     print(f'division of a limit, any sizes  {"proved" if division_holds else "BROKEN"}')
-    return all_hold and division_holds
+    bound_holds = permits.prove_bound()
+    print(f'bound of a limit, any limit     {"proved" if bound_holds else "BROKEN"}')
+    return all_hold and division_holds and bound_holds
 
 
 def check_mutants() -> bool:
--- a/model/mutants.py
+++ b/model/mutants.py
@@ -48,8 +48,60 @@
 STORE_UPDATES = 'beechbridge/gateway/replicas/store_updates.py'
 RESTORATION = 'beechbridge/gateway/replicas/restoration.py'
 STORE_VIEW = 'beechbridge/gateway/replicas/store_view.py'
+NOTICES = 'beechbridge/gateway/replicas/notices.py'
+LIMITS = 'beechbridge/gateway/replicas/limits.py'
+USABLE = 'beechbridge/gateway/replicas/upstreams.py'
 
 MUTANTS = (
+    Mutant(
+        'a keeper sends without a token',
+        LIMITS,
+        'fill_own_bucket(state, gateway).take()',
+        'fill_own_bucket(state, gateway)',
+        ('test_limit_keepers',),
+    ),
+    Mutant(
+        'a permit costs no token',
+        LIMITS,
+        'if wait_ms <= 0.0:\n            bucket.take()',
+        'if False:\n            bucket.take()',
+        ('test_limit_keepers',),
+    ),
+    Mutant(
+        'permits that do not help are not given back',
+        LIMITS,
+        'gateway.limits.buckets[replica_id].tokens += 1.0',
+        'pass',
+        ('test_limit_keepers',),
+    ),
+    Mutant(
+        'a void permit is used',
+        LIMITS,
+        'permits.count > 0 and now_ms < permits.valid_until_ms',
+        'permits.count > 0',
+        ('test_limit_keepers',),
+    ),
+    Mutant(
+        'a reply to an earlier request lifts a limit',
+        NOTICES,
+        ' or exchange.sent_ms < notices.limited_ms',
+        '',
+        ('test_notices',),
+    ),
+    Mutant(
+        'a replica that says it leaves stays in use',
+        USABLE,
+        ' or self.notices.is_leaving',
+        '',
+        ('test_leaving_replicas',),
+    ),
+    Mutant(
+        'a pause is not kept',
+        NOTICES,
+        'notices.paused_until_ms = gateway.now_ms + pause_ms',
+        'notices.paused_until_ms = gateway.now_ms',
+        ('test_paused_replicas',),
+    ),
     Mutant(
         'a settled ticket runs again',
         TICKETS,
