--- a/model/mutants.py
+++ b/model/mutants.py
@@ -2,7 +2,8 @@
 Mutation tests: remove one guard of the code at a time and check that the tests fail.
 
 Each mutant is one replacement in one file, applied to a copy of the tree, and lists test modules
-of which at least one must fail. The exit status is 0 only if every mutant is noticed.
+of which at least one must fail; all of them must pass without it. The exit status is 0 only if
+every mutant is noticed.
 """
 
 import shutil
@@ -15,7 +16,7 @@
 from beechbridge.record import Record
 
 ROOT = Path(__file__).parent.parent
-COPIED = ('beechbridge', 'demo', 'model', 'tests', 'examples')
+COPIED = ('beechbridge', 'demo', 'examples', 'measure', 'model', 'soak', 'tests')
 WORKERS = 4
 TIMEOUT_S = 300
 
@@ -361,19 +362,39 @@
         problem = replace_once(root / mutant.file, mutant.old, mutant.new)
         if problem:
             return problem
-        modules = [f'tests.{name}' for name in mutant.tests]
-        done = subprocess.run(
-            [sys.executable, '-m', 'nose2', '-F', '-s', 'tests', '-t', '.', *modules],
-            cwd=root,
-            capture_output=True,
-            timeout=TIMEOUT_S,
-            check=False,
-        )
-        return 'noticed' if done.returncode else 'MISSED'
+        return 'MISSED' if tests_pass(root, mutant.tests) else 'noticed'
+
+
+def tests_pass(root: Path, tests: tuple[str, ...]) -> bool:
+    """Return whether test modules of a copy of the tree pass."""
+    modules = [f'tests.{name}' for name in tests]
+    done = subprocess.run(
+        [sys.executable, '-m', 'nose2', '-F', '-s', 'tests', '-t', '.', *modules],
+        cwd=root,
+        capture_output=True,
+        timeout=TIMEOUT_S,
+        check=False,
+    )
+    return done.returncode == 0
+
+
+def list_broken_tests() -> list[str]:
+    """Return the test modules that fail without a mutant, which would notice anything."""
+    names = sorted({name for mutant in MUTANTS for name in mutant.tests})
+    with tempfile.TemporaryDirectory(prefix='mutant-') as folder:
+        root = Path(folder)
+        copy_tree(COPIED, root)
+        with ThreadPoolExecutor(WORKERS) as executor:
+            results = executor.map(lambda name: tests_pass(root, (name,)), names)
+            return [name for name, passed in zip(names, results, strict=True) if not passed]
 
 
 def main() -> int:
     """Run all mutants and return the exit status."""
+    broken = list_broken_tests()
+    if broken:
+        print(f'fail without a mutant: {", ".join(broken)}')
+        return 1
     with ThreadPoolExecutor(WORKERS) as executor:
         verdicts = list(executor.map(run_mutant, MUTANTS))
     for mutant, verdict in zip(MUTANTS, verdicts, strict=True):
