Move exchanges with connections, and periodic checks, to modules of their own

Behaviour is the same but for one counter: tasks_held_back no longer counts tasks whose service has no replica at all. 109 tests of keepers, single requests, gathers, orders, pauses and reloads pass.

--- a/beechbridge/gateway/interface.py
+++ b/beechbridge/gateway/interface.py
@@ -23,7 +23,7 @@
     from .replicas.store_updates import StoreStatus
     from .replicas.store_view import StoreView
     from .replicas.upstreams import ReplicaState, Upstreams
-    from .requests.budgets import BudgetShare, RetryBudget
+    from .requests.budgets import BudgetRules, BudgetShare, RetryBudget
     from .requests.permit_requests import PermitRequests
     from .requests.splits import Splits
     from .requests.works import Work
@@ -38,6 +38,10 @@
     last_update_ms: float
     rng: random.Random
     max_reply_bytes: int
+    budget_rules: 'BudgetRules'
+    budgets: 'dict[str, RetryBudget]'
+    last_sharing_count: int
+    sharing_count: int
     timers: 'Timers'
     counters: 'Counters'
     latencies: 'Histogram'
--- /dev/null
+++ b/beechbridge/gateway/maintenance.py
@@ -0,0 +1,48 @@
+"""Periodic checks of a gateway, and what it does after a pause and when its settings change."""
+
+from .actions import WriteLine
+from .events import PauseDetected, SettingsReloaded
+from .interface import GatewayInterface
+from .replicas.notices import log_notices
+from .requests.progress import sweep_exchanges
+from .requests.sending import enforce_connection_shares
+
+SWEEP_INTERVAL_MS = 250.0
+
+
+class SweepTimer:
+    """Fires when exchanges and connection shares are due for a check."""
+
+    __slots__ = ()
+
+
+def handle_pause_detected(event: PauseDetected, gateway: GatewayInterface) -> None:
+    """Stop reusing idle connections from before a pause."""
+    gateway.act(WriteLine('paused', {'ms': round(event.pause_ms)}))
+    for state in gateway.all_upstreams():
+        for connection in state.idle:
+            connection.usable_until_ms = 0.0
+
+
+def handle_settings_reloaded(event: SettingsReloaded, gateway: GatewayInterface) -> None:
+    """Apply reloaded settings; names and addresses cannot change in a running process."""
+    settings = event.settings
+    gateway.budget_rules = settings.budget
+    gateway.max_reply_bytes = settings.max_reply_bytes
+    for budget in gateway.budgets.values():
+        budget.rules = settings.budget
+    gateway.stopping.grace_ms = settings.grace_ms
+    gateway.fleet.seeds = settings.seeds
+    gateway.fleet.regions.update(settings.regions)
+    gateway.fleet.own.capacity_millicores = settings.capacity_millicores
+    gateway.act(WriteLine('reloaded', {'seeds': list(settings.seeds)}))
+
+
+def fire_sweep(timer: SweepTimer, gateway: GatewayInterface) -> None:
+    """End overdue exchanges; close surplus connections if more VMs share the limits."""
+    gateway.timers.arm(gateway.now_ms + SWEEP_INTERVAL_MS, timer)
+    sweep_exchanges(gateway)
+    log_notices(gateway)
+    if gateway.sharing_count > gateway.last_sharing_count:
+        enforce_connection_shares(gateway)
+    gateway.last_sharing_count = gateway.sharing_count
--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -41,9 +41,16 @@
     handle_stop_requested,
 )
 from .latencies import CallerTimeouts, Histogram
+from .maintenance import (
+    SWEEP_INTERVAL_MS,
+    SweepTimer,
+    fire_sweep,
+    handle_pause_detected,
+    handle_settings_reloaded,
+)
 from .models import Member, ReplicaEntry
 from .replicas.limits import Limits
-from .replicas.notices import NoticeBook, log_notices
+from .replicas.notices import NoticeBook
 from .replicas.restoration import ConfirmationTimer, RemovedReplicas
 from .replicas.store_updates import (
     RemovalTimer,
@@ -84,14 +91,11 @@
     handle_connection_ended,
     handle_exchange_ended,
     handle_request_sent,
-    sweep_exchanges,
 )
-from .requests.sending import enforce_connection_shares
 from .requests.splits import Splits
 from .requests.works import CheckTimer, DeadlineTimer, RetryTimer, Work
 from .routes import RoutingTable
 
-SWEEP_INTERVAL_MS = 250.0
 MAX_ADDRESSES = 64
 """Maximum number of VMs in one directory answer."""
 
@@ -99,12 +103,6 @@
 """VMs that may join before they and the known VMs have learned of each other."""
 
 
-class SweepTimer:
-    """Fires when exchanges and connection shares are due for a check."""
-
-    __slots__ = ()
-
-
 class Gateway:
     """
     Makes all decisions of one VM about routed requests. Not thread-safe.
@@ -367,38 +365,6 @@
     """Do nothing: due timers fire before every event."""
 
 
-def handle_pause_detected(event: PauseDetected, gateway: Gateway) -> None:
-    """Stop reusing idle connections from before a pause."""
-    gateway.act(WriteLine('paused', {'ms': round(event.pause_ms)}))
-    for state in gateway.all_upstreams():
-        for connection in state.idle:
-            connection.usable_until_ms = 0.0
-
-
-def handle_settings_reloaded(event: SettingsReloaded, gateway: Gateway) -> None:
-    """Apply reloaded settings; names and addresses cannot change in a running process."""
-    settings = event.settings
-    gateway.budget_rules = settings.budget
-    gateway.max_reply_bytes = settings.max_reply_bytes
-    for budget in gateway.budgets.values():
-        budget.rules = settings.budget
-    gateway.stopping.grace_ms = settings.grace_ms
-    gateway.fleet.seeds = settings.seeds
-    gateway.fleet.regions.update(settings.regions)
-    gateway.fleet.own.capacity_millicores = settings.capacity_millicores
-    gateway.act(WriteLine('reloaded', {'seeds': list(settings.seeds)}))
-
-
-def fire_sweep(timer: SweepTimer, gateway: Gateway) -> None:
-    """End overdue exchanges; close surplus connections if more VMs share the limits."""
-    gateway.timers.arm(gateway.now_ms + SWEEP_INTERVAL_MS, timer)
-    sweep_exchanges(gateway)
-    log_notices(gateway)
-    if gateway.sharing_count > gateway.last_sharing_count:
-        enforce_connection_shares(gateway)
-    gateway.last_sharing_count = gateway.sharing_count
-
-
 EVENT_HANDLERS = {
     RequestReceived: handle_request_received,
     CallerDisconnected: handle_caller_disconnected,
--- a/beechbridge/gateway/replicas/notices.py
+++ b/beechbridge/gateway/replicas/notices.py
@@ -8,7 +8,7 @@
 from ..models import Notice, ReplicaEntry, Reply
 
 if TYPE_CHECKING:
-    from .upstreams import Exchange
+    from .connections import Exchange
 
 MAX_KNOWN_REPLICAS = 4_000
 """Incarnations of replicas whose notices are remembered, the latest ones."""
--- a/beechbridge/gateway/replicas/upstreams.py
+++ b/beechbridge/gateway/replicas/upstreams.py
@@ -5,6 +5,7 @@
 
 from ...core.latency import LatencyEstimate
 from ..models import ReplicaEntry
+from .connections import Exchange, IdleConnection
 from .notices import ReplicaNotices
 
 OWN_ZONE = 0
@@ -61,71 +62,6 @@
 """Longest idle time of a connection that may carry a request that must not be sent twice."""
 
 
-class Exchange:
-    """
-    One request to a replica or, for an order, to another VM.
-
-    :param owner: task or order that the request serves; once `is_abandoned` it ignores the reply
-    :param was_sent: whether the request may have reached the replica
-    :param stalled_at_ms: time in milliseconds from which the replica is suspect if it has not
-        answered
-    """
-
-    __slots__ = (
-        'connection_id',
-        'exchange_id',
-        'is_abandoned',
-        'is_new',
-        'owner',
-        'replica',
-        'sent_ms',
-        'stalled_at_ms',
-        'was_sent',
-    )
-
-    def __init__(
-        self,
-        exchange_id: int,
-        replica: 'ReplicaState',
-        owner: object,
-        connection_id: int,
-        is_new: bool,
-        sent_ms: float,
-        stalled_at_ms: float,
-    ):
-        self.exchange_id = exchange_id
-        self.replica = replica
-        self.owner = owner
-        self.connection_id = connection_id
-        self.is_new = is_new
-        self.sent_ms = sent_ms
-        self.stalled_at_ms = stalled_at_ms
-        self.is_abandoned = False
-        self.was_sent = not is_new
-
-
-class IdleConnection:
-    """
-    A pooled connection without a request in flight.
-
-    :param request_id: ID of the request that it carried last
-    """
-
-    __slots__ = ('connection_id', 'last_used_ms', 'request_id', 'usable_until_ms')
-
-    def __init__(
-        self,
-        connection_id: int,
-        last_used_ms: float,
-        usable_until_ms: float,
-        request_id: str = '',
-    ):
-        self.connection_id = connection_id
-        self.request_id = request_id
-        self.last_used_ms = last_used_ms
-        self.usable_until_ms = usable_until_ms
-
-
 class ReplicaState:
     """
     One incarnation of a replica.
--- a/beechbridge/gateway/requests/hedges.py
+++ b/beechbridge/gateway/requests/hedges.py
@@ -1,8 +1,8 @@
 """Hedging: sends a task to a second replica if the first is late and the budget allows it."""
 
 from ..interface import GatewayInterface
+from ..replicas.connections import Exchange
 from ..replicas.limits import is_open
-from ..replicas.upstreams import Exchange
 from .budgets import BudgetShare
 from .progress import check_gather
 from .sending import FOREVER_MS, dispatch_task
--- a/beechbridge/gateway/requests/orders.py
+++ b/beechbridge/gateway/requests/orders.py
@@ -14,8 +14,9 @@
 from ..actions import SendOrder
 from ..interface import GatewayInterface
 from ..models import LinkFailure, LinkFault, PartsOrder, PartsReply, Reply
+from ..replicas.connections import Exchange, IdleConnection
 from ..replicas.limits import is_available
-from ..replicas.upstreams import OWN_ZONE, Exchange, IdleConnection, ReplicaState
+from ..replicas.upstreams import OWN_ZONE, ReplicaState
 from .answers import RECORD_BYTES
 from .progress import (
     close_task,
--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -7,9 +7,10 @@
 from ..events import CallerDisconnected, ConnectionEnded, ExchangeEnded, RequestSent
 from ..interface import GatewayInterface
 from ..models import LinkFailure, LinkFault, PartsReply, Reply
+from ..replicas.connections import Exchange
 from ..replicas.limits import is_available, start_bucket
 from ..replicas.notices import apply_notice
-from ..replicas.upstreams import Exchange, ReplicaState
+from ..replicas.upstreams import ReplicaState
 from .answers import build_answer, record_end, trim_part
 from .sending import abandon_exchange, abort_exchange, dispatch_task, end_exchange
 from .works import DeadlineTimer, GatherWork, RetryTimer, SingleWork, Task, Work
--- a/beechbridge/gateway/requests/sending.py
+++ b/beechbridge/gateway/requests/sending.py
@@ -4,14 +4,13 @@
 
 from ..actions import MAX_PART_BYTES, AbandonExchange, SendRequest
 from ..interface import GatewayInterface
+from ..replicas.connections import Exchange, IdleConnection
 from ..replicas.limits import is_available, is_open, record_send
 from ..replicas.notices import SendKind
 from ..replicas.upstreams import (
     MIN_STALL_TIMEOUT_MS,
     NON_IDEMPOTENT_IDLE_MS,
     STALL_TIMEOUT_FACTOR,
-    Exchange,
-    IdleConnection,
     ReplicaState,
 )
 from .permit_requests import request_permit
@@ -75,7 +74,8 @@
         if is_available(state, gateway):
             open_states.append(state)
     if not open_states:
-        gateway.counters.add('tasks_held_back')
+        if gateway.upstreams.usable(task.service):
+            gateway.counters.add('tasks_held_back')
         return False
     if any(id(state) not in task.excluded_replicas for state in open_states):
         enqueue_task(task, gateway)
--- a/beechbridge/gateway/requests/works.py
+++ b/beechbridge/gateway/requests/works.py
@@ -4,7 +4,8 @@
 
 from ...record import Record
 from ..models import CallerRequest, LinkFault, Reply
-from ..replicas.upstreams import Exchange, ReplicaState
+from ..replicas.connections import Exchange
+from ..replicas.upstreams import ReplicaState
 from ..routes import Route
 
 
