Serve the same gathers at all keepers when limits do not suffice for all

With all copies of all shards limited, each keeper granted permits to whoever came first, so that most gathers got some of their parts and failed with 502 after those had run. Keepers now serve gathers by a rank that follows from the request's identifier, up to what the tokens allow for the demand; a gather that cannot do without permits sends nothing before they are answered, and is rejected as not run, with a time to return, if too few are granted. A VM asks its own keeper in the same way.

--- a/beechbridge/gateway/permits.py
+++ b/beechbridge/gateway/permits.py
@@ -2,6 +2,8 @@
 
 from ..record import Record
 
+OUTRANKED = -1
+
 
 class PermitsWanted(Record):
     """
@@ -9,14 +11,19 @@
 
     :param limits: replica ID and limit per second, as the VM knows it, for each request
     :param least_count: fewer permits than this are of no use
+    :param rank: precedence, 0 for the highest; keepers that cannot serve all serve those up to a
+        rank, so that a request gets permits from all keepers or from none
     """
 
-    __slots__ = ('batch_id', 'least_count', 'limits')
+    __slots__ = ('batch_id', 'least_count', 'limits', 'rank')
 
-    def __init__(self, batch_id: int, limits: list[tuple[str, float]], least_count: int):
+    def __init__(
+        self, batch_id: int, limits: list[tuple[str, float]], least_count: int, rank: float = 0.0
+    ):
         self.batch_id = batch_id
         self.limits = limits
         self.least_count = least_count
+        self.rank = rank
 
 
 class PermitsAnswered(Record):
@@ -24,7 +31,7 @@
     The answer to `PermitsWanted`.
 
     :param waits_ms: milliseconds to wait before asking again, in the order of the limits; 0 for a
-        permit
+        permit, `OUTRANKED` if other requests have precedence
     """
 
     __slots__ = ('batch_id', 'waits_ms')
--- a/beechbridge/gateway/replicas/limits.py
+++ b/beechbridge/gateway/replicas/limits.py
@@ -13,6 +13,7 @@
 from ..actions import WriteLine
 from ..interface import GatewayInterface
 from ..models import Member
+from ..permits import OUTRANKED, PermitsWanted
 from .upstreams import ReplicaState
 
 KEEPER_ROLE = 'limits'
@@ -22,6 +23,15 @@
 BURST_S = 0.5
 """Time in seconds for whose worth of a limit more may be sent at once."""
 
+DEMAND_WINDOW_S = 3.0
+"""Time constant in seconds of the estimate of how many permits are asked for."""
+
+MIN_DEMAND = 5.0
+"""Permits asked for lately below which there are too few for an estimate."""
+
+MIN_FILL_FACTOR = 0.6
+"""Factor on the share of the requests that is served if a bucket is empty; one more if full."""
+
 MIN_LIMIT_PER_S = 0.05
 """Limit used in place of a lower one, so that it is noticed when it is lifted."""
 
@@ -44,22 +54,38 @@
     It starts empty: requests may have been sent just before.
 
     :param filled_ms: time in milliseconds up to which tokens were added
+    :param demand: permits that were asked for, decaying with time
     """
 
-    __slots__ = ('filled_ms', 'limit_per_s', 'tokens')
+    __slots__ = ('demand', 'filled_ms', 'limit_per_s', 'tokens')
 
     def __init__(self, limit_per_s: float, now_ms: float):
         self.limit_per_s = limit_per_s
         self.tokens = 0.0
+        self.demand = 0.0
         self.filled_ms = now_ms
 
     def fill(self, limit_per_s: float, now_ms: float) -> None:
         """Add the tokens of the time that has passed, then apply the limit that is in force."""
         elapsed_s = (now_ms - self.filled_ms) / 1000.0
         self.filled_ms = now_ms
+        self.demand *= math.exp(-elapsed_s / DEMAND_WINDOW_S)
         self.tokens += elapsed_s * self.limit_per_s
         self.limit_per_s = limit_per_s
-        self.tokens = min(self.tokens, FIXED_BURST + BURST_S * limit_per_s)
+        self.tokens = min(self.tokens, self.burst)
+
+    @property
+    def burst(self) -> float:
+        """Return how many requests may be sent at once."""
+        return FIXED_BURST + BURST_S * self.limit_per_s
+
+    def highest_rank(self) -> float:
+        """Return the rank up to which requests can be served: more of them if tokens are left."""
+        if self.demand < MIN_DEMAND:
+            return 1.0
+        demand_per_s = self.demand / DEMAND_WINDOW_S
+        fill_factor = MIN_FILL_FACTOR + self.tokens / self.burst
+        return fill_factor * self.limit_per_s / demand_per_s
 
     def wait_ms(self) -> float:
         """Return the time in milliseconds until there is a token, counted from the last fill."""
@@ -126,20 +152,13 @@
     return max(near or members, key=lambda member: rank_score(KEEPER_ROLE, member.name))
 
 
-def is_keeper(state: ReplicaState, gateway: GatewayInterface) -> bool:
-    """Return whether this VM keeps a replica's limit."""
-    return find_keeper(state.entry.zone, gateway) is gateway.fleet.own
-
-
 def start_bucket(state: ReplicaState, gateway: GatewayInterface) -> None:
     """Begin to collect tokens for a replica that has just named a limit, as its keeper."""
-    if state.notices.limit_per_s is not None and is_keeper(state, gateway):
-        fill_own_bucket(state, gateway)
-
-
-def fill_own_bucket(state: ReplicaState, gateway: GatewayInterface) -> LimitBucket:
-    """Return the bucket of a replica whose limit this VM keeps."""
-    return gateway.limits.fill(state.entry.replica_id, state.notices.limit_per_s, gateway.now_ms)
+    limit_per_s = state.notices.limit_per_s
+    if limit_per_s is None or state.entry.replica_id in gateway.limits.buckets:
+        return
+    if find_keeper(state.entry.zone, gateway) is gateway.fleet.own:
+        gateway.limits.fill(state.entry.replica_id, limit_per_s, gateway.now_ms)
 
 
 def is_open(state: ReplicaState, gateway: GatewayInterface) -> bool:
@@ -153,12 +172,7 @@
     if notices.limit_per_s is None:
         notices.is_restricted = False
         return True
-    if not is_keeper(state, gateway):
-        permits = notices.permits
-        return permits.count > 0 and now_ms < permits.valid_until_ms
-    if now_ms - gateway.started_ms < LEARNING_MS:
-        return False
-    return fill_own_bucket(state, gateway).tokens >= 1.0
+    return notices.permits.count > 0 and now_ms < notices.permits.valid_until_ms
 
 
 def may_ask(state: ReplicaState, gateway: GatewayInterface) -> bool:
@@ -169,7 +183,7 @@
     now_ms = gateway.now_ms
     if notices.limit_per_s is None or now_ms < notices.paused_until_ms:
         return False
-    return now_ms >= notices.permits.denied_until_ms and not is_keeper(state, gateway)
+    return now_ms >= notices.permits.denied_until_ms
 
 
 def is_available(state: ReplicaState, gateway: GatewayInterface) -> bool:
@@ -184,46 +198,45 @@
     wait_ms = max(0.0, notices.paused_until_ms - now_ms)
     if notices.limit_per_s is None or is_open(state, gateway):
         return wait_ms
-    if not is_keeper(state, gateway):
-        return max(wait_ms, notices.permits.denied_until_ms - now_ms)
-    learned_in_ms = gateway.started_ms + LEARNING_MS - now_ms
-    return max(wait_ms, learned_in_ms, fill_own_bucket(state, gateway).wait_ms())
+    return max(wait_ms, notices.permits.denied_until_ms - now_ms)
 
 
-def record_send(state: ReplicaState, kind: str, gateway: GatewayInterface) -> None:
-    """Count a request that is sent to a replica; one that names a limit costs a token."""
+def record_send(state: ReplicaState, kind: str) -> None:
+    """Count a request that is sent to a replica that names a limit, which uses a permit."""
     notices = state.notices
     if notices.limit_per_s is None:
         return
     notices.record_send(kind)
-    if is_keeper(state, gateway):
-        fill_own_bucket(state, gateway).take()
-        return
     notices.permits.count = max(0, notices.permits.count - 1)
 
 
-def grant_permits(
-    limits: list[tuple[str, float]], least_count: int, gateway: GatewayInterface
-) -> list[int]:
+def grant_permits(message: PermitsWanted, gateway: GatewayInterface) -> list[int]:
     """
-    Take a token for each replica that has one, or none if too few have.
+    Take a token for each replica that has one for a request of this rank, or none if too few have.
 
-    :return: milliseconds to wait for each replica, 0 where a token was taken
+    :return: the waits of the answer, in milliseconds
     """
+    now_ms = gateway.now_ms
+    if now_ms - gateway.started_ms < LEARNING_MS and not gateway.fleet.members:
+        wait_ms = math.ceil(gateway.started_ms + LEARNING_MS - now_ms)
+        return [wait_ms] * len(message.limits)
     waits_ms = []
-    for replica_id, limit_per_s in limits:
+    for replica_id, limit_per_s in message.limits:
         bucket = fill_bucket(replica_id, limit_per_s, gateway)
+        bucket.demand += 1.0
+        if message.rank > bucket.highest_rank():
+            waits_ms.append(OUTRANKED)
+            continue
         wait_ms = bucket.wait_ms()
         waits_ms.append(math.ceil(wait_ms))
         if wait_ms <= 0.0:
             bucket.take()
-    if sum(wait_ms == 0 for wait_ms in waits_ms) >= least_count:
+    if waits_ms.count(0) >= message.least_count:
         return waits_ms
-    enough_in_ms = sorted(waits_ms)[least_count - 1]
-    for number, (replica_id, _) in enumerate(limits):
+    for number, (replica_id, _) in enumerate(message.limits):
         if waits_ms[number] == 0:
             gateway.limits.buckets[replica_id].tokens += 1.0
-        waits_ms[number] = max(waits_ms[number], enough_in_ms)
+            waits_ms[number] = OUTRANKED
     return waits_ms
 
 
--- a/beechbridge/gateway/requests/admission.py
+++ b/beechbridge/gateway/requests/admission.py
@@ -7,14 +7,18 @@
 
 from collections.abc import Iterable
 from functools import singledispatch
+from operator import attrgetter
 
 from ...failures import Failure, Reason, not_run
 from ..actions import AnswerRequest, WriteLine
 from ..events import OrderReceived, RequestMalformed, RequestReceived
 from ..interface import GatewayInterface
+from ..replicas.limits import may_ask
+from ..replicas.upstreams import ReplicaState
 from ..routes import Route
 from .answers import reject_request
 from .orders import may_order_from, order_remote_parts
+from .permit_requests import request_permit
 from .progress import answer_work, check_gather, close_task
 from .retry_times import (
     NO_REPLICA_RETRY_MS,
@@ -252,16 +256,63 @@
 
 
 def start_work(work: Work, gateway: GatewayInterface) -> None:
-    """Send the request's tasks to replicas or, as orders, to other VMs."""
+    """Start a request, once the permits that it cannot do without have been answered."""
     gateway.works[work.key] = work
     gateway.timers.arm(work.hard_at_ms, DeadlineTimer(work.key))
+    if not hold_for_permits(work, gateway):
+        launch_work(work, gateway)
+
+
+def hold_for_permits(work: Work, gateway: GatewayInterface) -> bool:
+    """
+    Ask for the permits without which a gather cannot succeed; return whether there are any.
+
+    Until they are answered nothing is sent, so that a gather without them can be rejected.
+    """
+    if not work.route.is_gather:
+        return False
+    bound = [task for task in work.tasks if needs_permit(task, gateway)]
+    if len(work.tasks) - len(bound) >= needed_count(work):
+        return False
+    ask_permits(bound, work, gateway)
+    return work.held_count > 0
+
+
+def ask_permits(tasks: list[Task], work: Work, gateway: GatewayInterface) -> None:
+    """Ask for a permit for each task, at a replica where none was denied, and hold the gather."""
+    for task in tasks:
+        state = find_limited(task, gateway)
+        if state is not None:
+            request_permit(task, state, gateway)
+    work.held_count = sum(task.is_waiting for task in tasks)
+
+
+def needs_permit(task: Task, gateway: GatewayInterface) -> bool:
+    """Return whether a task can only be sent to a replica that names a limit."""
+    if gateway.upstreams.has_unrestricted(task.service):
+        return False
+    return find_limited(task, gateway) is not None
+
+
+def find_limited(task: Task, gateway: GatewayInterface) -> ReplicaState | None:
+    """Return the nearest replica that may be asked for and that no other VM gathers from."""
+    for state in sorted(gateway.upstreams.usable(task.service), key=attrgetter('distance')):
+        if id(state) in task.excluded_replicas or not may_ask(state, gateway):
+            continue
+        if not may_order_from(state, task, gateway):
+            return state
+    return None
+
+
+def launch_work(work: Work, gateway: GatewayInterface) -> None:
+    """Send the request's tasks to replicas or, as orders, to other VMs."""
     ordered = order_parts(work, gateway)
     # The VM that takes an order counts its requests, since it makes the extra attempts.
     record_requests((task for task in work.tasks if task not in ordered), gateway)
     for task in work.tasks:
         if work.is_finished:
             return
-        if task not in ordered:
+        if task not in ordered and task.is_open and not task.exchanges:
             dispatch_task(task, gateway)
     for task in work.tasks:
         if work.is_finished:
--- a/beechbridge/gateway/requests/answers.py
+++ b/beechbridge/gateway/requests/answers.py
@@ -108,9 +108,9 @@
         wait_ms = min(service_opens_in_ms(task, gateway) for task in open_tasks)
         retry_after_ms = retry_once_open_ms(wait_ms, REJECTED_RETRY_MS, work.request)
         retry_after_ms = jitter_ms(retry_after_ms, gateway)
-        return not_run(
-            Reason.OVERLOADED, f'{detail}, no replica accepted the request', retry_after_ms
-        )
+        is_denied = any(task.is_denied for task in work.tasks)
+        reason = Reason.REPLICAS_BUSY if is_denied else Reason.OVERLOADED
+        return not_run(reason, f'{detail}, no replica accepted the request', retry_after_ms)
     if gateway.now_ms >= work.hard_at_ms - DEADLINE_SLACK_MS:
         return unknown(Reason.DEADLINE, detail)
     reason = Reason.COVERAGE_TOO_LOW
--- a/beechbridge/gateway/requests/permission.py
+++ b/beechbridge/gateway/requests/permission.py
@@ -8,6 +8,7 @@
 
 from functools import singledispatch
 
+from ...core.hashing import MAX_RANK_SCORE, rank_score
 from ...record import Record
 from ..actions import SendPermits
 from ..events import PermitsReceived
@@ -16,8 +17,9 @@
 from ..permits import PermitsAnswered, PermitsWanted
 from ..replicas.limits import MAX_LIMIT_PER_S, find_keeper, grant_permits, is_open
 from ..replicas.upstreams import INITIAL_ROUND_TRIP_MS
+from .admission import ask_permits, launch_work
 from .permit_requests import PermitRequest
-from .progress import resume_task
+from .progress import close_task, resume_task
 from .retry_times import needed_count
 from .works import GatherWork, Work
 
@@ -32,6 +34,8 @@
 MAX_PERMITS_PER_MESSAGE = 100
 """Permits that one datagram asks for."""
 
+RANK_KEY = 'permits'
+
 
 class PermitTimer(Record):
     """Fires when the answer to a batch is overdue."""
@@ -45,9 +49,15 @@
 def send_pending(gateway: GatewayInterface) -> None:
     """Ask for the permits that tasks have begun to wait for."""
     requests = gateway.permit_requests
-    if not requests.pending:
-        return
-    pending, requests.pending = requests.pending, {}
+    while requests.pending:
+        pending, requests.pending = requests.pending, {}
+        send_batches(pending, gateway)
+
+
+def send_batches(
+    pending: dict[tuple[int, str], list[PermitRequest]], gateway: GatewayInterface
+) -> None:
+    """Ask for the permits of one round, this VM's own or by messages."""
     for (_, zone), batch in pending.items():
         keeper = find_keeper(zone, gateway)
         least_count = count_least(batch[0].task.work, batch, gateway)
@@ -78,21 +88,37 @@
 def send_batch(
     batch: list[PermitRequest], least_count: int, keeper: Member, gateway: GatewayInterface
 ) -> None:
-    """Send one message to a keeper."""
+    """Send one message to a keeper, or answer it if that is this VM."""
     requests = gateway.permit_requests
     requests.next_id += 1
-    requests.batches[requests.next_id] = batch
     limits = []
     for request in batch:
         limits.append((request.state.entry.replica_id, request.state.notices.limit_per_s))
-    message = PermitsWanted(requests.next_id, limits, least_count)
-    gateway.act(SendPermits(keeper.host, gateway.fleet.own, message))
+    rank = find_rank(batch[0].task.work)
+    message = PermitsWanted(requests.next_id, limits, least_count, rank)
     gateway.counters.add('permits_wanted', amount=len(batch))
+    if keeper is gateway.fleet.own:
+        apply_answer(batch, grant_permits(message, gateway), gateway)
+        return
+    requests.batches[requests.next_id] = batch
+    gateway.act(SendPermits(keeper.host, gateway.fleet.own, message))
     round_trip_ms = INITIAL_ROUND_TRIP_MS[gateway.distance_to(keeper.zone)]
     due_ms = gateway.now_ms + ANSWER_TIMEOUT_MS + round_trip_ms
     gateway.timers.arm(due_ms, PermitTimer(requests.next_id))
 
 
+@singledispatch
+def find_rank(work: Work) -> float:
+    """Return the rank of a request: those to a single replica need no agreement of keepers."""
+    return 0.0
+
+
+@find_rank.register
+def find_rank_of_gather(work: GatherWork) -> float:
+    """Return a rank that all VMs derive alike from the request's ID."""
+    return rank_score(RANK_KEY, work.request.request_id) / MAX_RANK_SCORE
+
+
 def handle_permits_received(event: PermitsReceived, gateway: GatewayInterface) -> None:
     """Handle a message about permits according to its type."""
     handle_message(event.message, event.sender, gateway)
@@ -112,7 +138,8 @@
         gateway.counters.add('permits_unreadable')
         return
     least_count = max(0, min(message.least_count, len(limits)))
-    waits_ms = grant_permits(limits, least_count, gateway)
+    checked = PermitsWanted(message.batch_id, limits, least_count, message.rank)
+    waits_ms = grant_permits(checked, gateway)
     gateway.counters.add('permits_granted', amount=waits_ms.count(0))
     gateway.counters.add('permits_denied', amount=len(waits_ms) - waits_ms.count(0))
     answer = PermitsAnswered(message.batch_id, waits_ms)
@@ -127,13 +154,23 @@
         gateway.counters.add('permits_late')
         return
     del gateway.permit_requests.batches[message.batch_id]
-    for request, wait_ms in zip(batch, message.waits_ms, strict=True):
+    apply_answer(batch, message.waits_ms, gateway)
+
+
+def apply_answer(
+    batch: list[PermitRequest], waits_ms: list[int], gateway: GatewayInterface
+) -> None:
+    """Resume the tasks of a batch, with a permit or elsewhere."""
+    for request, wait_ms in zip(batch, waits_ms, strict=True):
         permits = request.state.notices.permits
+        request.task.is_denied = wait_ms != 0
         if wait_ms == 0:
             permits.grant(gateway.now_ms)
             continue
-        denial_ms = min(MAX_DENIAL_MS, max(MIN_DENIAL_MS, float(wait_ms)))
-        permits.denied_until_ms = gateway.now_ms + denial_ms
+        request.task.exclude_replica(request.state)
+        if wait_ms > 0:
+            denial_ms = min(MAX_DENIAL_MS, max(MIN_DENIAL_MS, float(wait_ms)))
+            permits.denied_until_ms = gateway.now_ms + denial_ms
     resume_batch(batch, gateway)
 
 
@@ -146,13 +183,34 @@
     for request in batch:
         permits = request.state.notices.permits
         permits.denied_until_ms = gateway.now_ms + UNANSWERED_DENIAL_MS
+        request.task.exclude_replica(request.state)
     resume_batch(batch, gateway)
 
 
 def resume_batch(batch: list[PermitRequest], gateway: GatewayInterface) -> None:
-    """Resume tasks that waited for permits."""
+    """Resume tasks that waited for permits, and requests that were held until all are answered."""
     for request in batch:
         task = request.task
         task.is_waiting = False
+        if task.work.held_count:
+            task.work.held_count -= 1
+            if not task.work.held_count:
+                launch_held(task.work, gateway)
+            continue
         if not task.exchanges:
             resume_task(task, gateway, may_retry=True)
+
+
+def launch_held(work: Work, gateway: GatewayInterface) -> None:
+    """Start a gather whose permits have been answered; it ends here if too few were granted."""
+    if work.is_finished:
+        return
+    denied = [task for task in work.tasks if task.is_denied]
+    if len(work.tasks) - len(denied) >= needed_count(work):
+        launch_work(work, gateway)
+        return
+    ask_permits(denied, work, gateway)
+    if work.held_count:
+        return
+    for task in denied:
+        close_task(task, gateway)
--- a/beechbridge/gateway/requests/retry_times.py
+++ b/beechbridge/gateway/requests/retry_times.py
@@ -25,7 +25,7 @@
 
 def needed_count(work: Work) -> int:
     """Return how many services a request needs to succeed."""
-    return max(1, work.needed_count) if isinstance(work, GatherWork) else 1
+    return work.needed_count if isinstance(work, GatherWork) else 1
 
 
 def jitter_ms(retry_after_ms: int, gateway: GatewayInterface) -> int:
--- a/beechbridge/gateway/requests/sending.py
+++ b/beechbridge/gateway/requests/sending.py
@@ -77,6 +77,8 @@
         if gateway.upstreams.usable(task.service):
             gateway.counters.add('tasks_held_back')
         return False
+    if task.is_denied:
+        return False
     if any(id(state) not in task.excluded_replicas for state in open_states):
         enqueue_task(task, gateway)
         return False
@@ -123,7 +125,7 @@
     stalled_at_ms = now_ms + max(MIN_STALL_TIMEOUT_MS, STALL_TIMEOUT_FACTOR * typical_ms)
     exchange = begin_exchange(task, state, idle, stalled_at_ms, gateway)
     if state.notices.is_restricted:
-        record_send(state, find_kind(task, is_hedge), gateway)
+        record_send(state, find_kind(task, is_hedge))
     if task.delivery_count:
         work.extra_count += 1
         gateway.counters.add('repeats', find_kind(task, is_hedge))
--- a/beechbridge/gateway/requests/works.py
+++ b/beechbridge/gateway/requests/works.py
@@ -17,6 +17,7 @@
     :param soft_at_ms: soft deadline in milliseconds, after which the answer loses value
     :param hard_at_ms: hard deadline in milliseconds, at which an answer must be sent
     :param orders: orders of parts sent to other VMs
+    :param held_count: permits that must be answered before anything is sent
     """
 
     __slots__ = (
@@ -25,6 +26,7 @@
         'exchanges',
         'extra_count',
         'hard_at_ms',
+        'held_count',
         'is_finished',
         'key',
         'open_count',
@@ -52,6 +54,7 @@
         self.open_count = 0
         self.orders: list[object] = []
         self.extra_count = 0
+        self.held_count = 0
         self.is_finished = False
 
     @property
@@ -115,6 +118,7 @@
     :param run_count: number of replicas that may have run the task
     :param fault: why there is no reply yet, None if nothing has failed
     :param failed_reply: reply of a replica that reports a failure
+    :param is_denied: whether a permit for it was denied
     """
 
     __slots__ = (
@@ -124,6 +128,7 @@
         'excluded_replicas',
         'failed_reply',
         'fault',
+        'is_denied',
         'is_open',
         'is_waiting',
         'reply',
@@ -143,6 +148,7 @@
         self.reply: Reply | None = None
         self.failed_reply: Reply | None = None
         self.fault: LinkFault | None = None
+        self.is_denied = False
         self.is_open = True
         self.is_waiting = False
 
--- a/beechbridge/wire/fleet.py
+++ b/beechbridge/wire/fleet.py
@@ -84,7 +84,9 @@
 def set_permits_wanted(message: PermitsWanted, frame: ttypes.Heartbeat) -> None:
     """Set the field with the permits that a VM asks for."""
     permits = [ttypes.WantedPermit(*limit) for limit in message.limits]
-    frame.permits_wanted = ttypes.PermitsWanted(message.batch_id, permits, message.least_count)
+    frame.permits_wanted = ttypes.PermitsWanted(
+        message.batch_id, permits, message.least_count, message.rank
+    )
 
 
 @set_permits.register
@@ -112,7 +114,7 @@
     wanted = frame.permits_wanted
     if wanted is not None:
         limits = [(permit.replica_id, permit.limit_per_s) for permit in wanted.permits]
-        return PermitsWanted(wanted.batch_id, limits, wanted.least_count)
+        return PermitsWanted(wanted.batch_id, limits, wanted.least_count, wanted.rank)
     answered = frame.permits_answered
     if answered is not None:
         return PermitsAnswered(answered.batch_id, answered.waits_ms)
--- a/beechbridge/wire/peer.thrift
+++ b/beechbridge/wire/peer.thrift
@@ -117,14 +117,17 @@
   2: required double limit_per_s
 }
 
-// Asks the keeper of replicas' limits for permission to send one request to each.
+// Asks the keeper of replicas' limits for permission to send one request to each. `rank` is a
+// number from 0 to 1 by which keepers agree on the requests that are served if not all can be.
 struct PermitsWanted {
   1: required i64 batch_id
   2: required list<WantedPermit> permits
   3: required i32 least_count
+  4: required double rank
 }
 
-// Wait in ms before each permit that was asked for, in the same order; 0 if it is granted.
+// Wait in ms before each permit that was asked for, in the same order; 0 if it is granted, -1 if
+// other requests have precedence.
 struct PermitsAnswered {
   1: required i64 batch_id
   2: required list<i32> waits_ms
--- a/beechbridge/wire/peer/ttypes.py
+++ b/beechbridge/wire/peer/ttypes.py
@@ -1853,6 +1853,7 @@
      - batch_id
      - permits
      - least_count
+     - rank
 
     """
 
@@ -1860,13 +1861,15 @@
         'batch_id',
         'permits',
         'least_count',
+        'rank',
     )
 
 
-    def __init__(self, batch_id=None, permits=None, least_count=None,):
+    def __init__(self, batch_id=None, permits=None, least_count=None, rank=None,):
         self.batch_id = batch_id
         self.permits = permits
         self.least_count = least_count
+        self.rank = rank
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1898,6 +1901,11 @@
                     self.least_count = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.rank = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1923,6 +1931,10 @@
             oprot.writeFieldBegin('least_count', TType.I32, 3)
             oprot.writeI32(self.least_count)
             oprot.writeFieldEnd()
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.DOUBLE, 4)
+            oprot.writeDouble(self.rank)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1933,6 +1945,8 @@
             raise TProtocolException(message='Required field permits is unset!')
         if self.least_count is None:
             raise TProtocolException(message='Required field least_count is unset!')
+        if self.rank is None:
+            raise TProtocolException(message='Required field rank is unset!')
         return
 
     def __repr__(self):
@@ -3193,6 +3207,7 @@
     (1, TType.I64, 'batch_id', None, None, ),  # 1
     (2, TType.LIST, 'permits', (TType.STRUCT, [WantedPermit, None], False), None, ),  # 2
     (3, TType.I32, 'least_count', None, None, ),  # 3
+    (4, TType.DOUBLE, 'rank', None, None, ),  # 4
 )
 all_structs.append(PermitsAnswered)
 PermitsAnswered.thrift_spec = (
--- a/tests/test_limit_keepers.py
+++ b/tests/test_limit_keepers.py
@@ -133,11 +133,12 @@
         emulator.run(2_000.0)
         self.assertGreaterEqual(in_time_count(emulator, asked, MergedAnswer), 0.75 * len(asked))
 
-    # A gather that cannot have enough of its shards takes no tokens from those that can.
-    def test_gathers_over_limited_shards_are_whole_or_rejected(self):
-        emulator = start_sweeps(10, zones=(REGIONS[0],) * 3, min_share=0.89)
-        for replica in emulator.replicas.values():
-            replica.entry.zone = REGIONS[0]
+    # All copies of all shards name limits: a gather gets enough of its shards, or is rejected at
+    # once and takes no tokens from the others.
+    @params(1, 3, 8)
+    def test_gathers_over_limited_shards_are_whole_or_rejected(self, vm_count):
+        zones = tuple(REGIONS[number % len(REGIONS)] for number in range(vm_count))
+        emulator = start_sweeps(10, zones=zones, min_share=0.89)
         limits = {f'r-{s}-{c}': 8.0 + s % 3 for s in range(10) for c in range(2)}
         name_limits(emulator, limits)
         drive(emulator, '/sweep/x', 40, 6)
@@ -146,6 +147,17 @@
         served = in_time_count(emulator, asked, MergedAnswer)
         # The replicas of the weakest shard take 16 of 40 requests a second.
         self.assertGreaterEqual(served, MIN_USED_FRACTION * 16 / 40 * len(asked))
+        started_count = 0
+        for vm, key, asked_ms in asked:
+            answered_ms, answer = answer_of(emulator, vm, key)
+            if isinstance(answer, MergedAnswer):
+                continue
+            if answer.executed is Executed.NOT_RUN:
+                self.assertGreater(answer.retry_after_ms, 0)
+                self.assertLessEqual(answered_ms - asked_ms, OBJECTIVE_MS / 4)
+                continue
+            started_count += 1
+        self.assertLessEqual(started_count, 0.1 * len(asked))
 
     # All replicas drop their limits: nobody goes on asking for permits.
     def test_load_comes_back_when_limits_are_lifted(self):
