Queue a task without a permit for a connection to another copy

A task that was denied a permit was closed even if another copy had merely no connection free, which small shares of connections make likely; a gather lost the shard, a single request was rejected. Found by reading. QueueTest failed before (rejected with replicas_busy) and passes. dispatch_task is split into its steps. 137 tests of keepers, limits, pauses, leaving, single requests, gathers and orders pass.

--- a/beechbridge/gateway/requests/orders.py
+++ b/beechbridge/gateway/requests/orders.py
@@ -118,11 +118,7 @@
 
 
 def may_order_from(state: ReplicaState, task: Task, gateway: GatewayInterface) -> bool:
-    """
-    Return whether another VM may use a replica for a task that this VM may not send to it.
-
-    A pause concerns only the VM that was rejected.
-    """
+    """Return whether a VM of a replica's data centre may gather from it what this VM may not."""
     if not task.work.route.is_gather or state.distance == OWN_ZONE:
         return False
     gateway.aggregators.refresh(gateway)
--- a/beechbridge/gateway/requests/sending.py
+++ b/beechbridge/gateway/requests/sending.py
@@ -37,54 +37,66 @@
 
     A task that cannot be sent now is queued for a connection or a later retry, if that may help.
     """
-    if not task.is_open or task.work.is_finished:
+    if not is_worth_sending(task, gateway):
         return False
-    now_ms = gateway.now_ms
-    if task.work.hard_at_ms - now_ms < MIN_TIME_LEFT_MS:
+    state = choose_replica(task, is_hedge, gateway)
+    if state is None:
+        if not task.exchanges:
+            wait_for_replica(task, gateway)
+        return False
+    if state.notices.is_restricted and not is_open(state, gateway):
+        request_permit(task, state, gateway)
         return False
-    if task.run_count >= task.work.route.attempts:
+    if task.delivery_count and not gateway.budget(task.service).acquire(
+        gateway.budget_share(), gateway.now_ms
+    ):
+        gateway.counters.add('repeats_denied')
         return False
-    share = gateway.connection_share(task.service)
-    limit_ms = NEAR_FRACTION * (task.work.soft_at_ms - now_ms)
-    state = gateway.upstreams.choose(
+    send_task(task, state, gateway, is_hedge)
+    return True
+
+
+def is_worth_sending(task: Task, gateway: GatewayInterface) -> bool:
+    """Return whether a task is open and has time and attempts left."""
+    work = task.work
+    if not task.is_open or work.is_finished:
+        return False
+    if work.hard_at_ms - gateway.now_ms < MIN_TIME_LEFT_MS:
+        return False
+    return task.run_count < work.route.attempts
+
+
+def choose_replica(task: Task, is_hedge: bool, gateway: GatewayInterface) -> ReplicaState | None:
+    """Return the replica to send a task to, if there is one; hedges do not ask for permits."""
+    can_send = is_open if is_hedge else is_available
+    return gateway.upstreams.choose(
         task.service,
         task.work.route.name,
         task.excluded_replicas,
-        share,
-        limit_ms,
-        now_ms,
+        gateway.connection_share(task.service),
+        NEAR_FRACTION * (task.work.soft_at_ms - gateway.now_ms),
+        gateway.now_ms,
         gateway.rng,
-        lambda state: (is_open if is_hedge else is_available)(state, gateway),
+        lambda state: can_send(state, gateway),
     )
-    if state is not None and state.notices.is_restricted and not is_open(state, gateway):
-        request_permit(task, state, gateway)
-        return False
-    if state is not None:
-        if task.delivery_count and not gateway.budget(task.service).acquire(
-            gateway.budget_share(), now_ms
-        ):
-            gateway.counters.add('repeats_denied')
-            return False
-        send_task(task, state, gateway, is_hedge)
-        return True
-    if task.exchanges:
-        return False
-    open_states = []
-    for state in gateway.upstreams.usable(task.service):
-        if is_available(state, gateway):
-            open_states.append(state)
-    if not open_states:
-        if gateway.upstreams.usable(task.service):
-            gateway.counters.add('tasks_held_back')
-        return False
-    if task.is_denied:
-        return False
-    if any(id(state) not in task.excluded_replicas for state in open_states):
+
+
+def wait_for_replica(task: Task, gateway: GatewayInterface) -> None:
+    """Queue a task for a connection or a later retry, if that may help."""
+    usable = gateway.upstreams.usable(task.service)
+    if not usable:
+        return
+    available = [state for state in usable if is_available(state, gateway)]
+    if not available:
+        gateway.counters.add('tasks_held_back')
+        return
+    if any(id(state) not in task.excluded_replicas for state in available):
         enqueue_task(task, gateway)
-        return False
-    if not task.is_waiting:
+        return
+    # Without a permit now, only a replica that needs none is worth another attempt.
+    may_retry = not task.is_denied or gateway.upstreams.has_unrestricted(task.service)
+    if may_retry and not task.is_waiting:
         schedule_retry(task, gateway)
-    return False
 
 
 def enqueue_task(task: Task, gateway: GatewayInterface) -> None:
--- a/tests/test_limit_keepers.py
+++ b/tests/test_limit_keepers.py
@@ -8,7 +8,7 @@
 from beechbridge.failures import Executed, Failure, Reason
 from beechbridge.gateway.actions import SendPermits
 from beechbridge.gateway.events import PermitsReceived
-from beechbridge.gateway.models import ForwardedAnswer, Member, MergedAnswer
+from beechbridge.gateway.models import ForwardedAnswer, Member, MergedAnswer, Reply
 from beechbridge.gateway.permits import PermitsAnswered, PermitsWanted
 from beechbridge.gateway.replicas.limits import find_keeper, is_open
 from beechbridge.wire.fleet import decode_datagram, encode_permits
@@ -17,9 +17,12 @@
     OBJECTIVE_MS,
     REGIONS,
     ZONES,
+    ManualRequest,
     answer_of,
     drive,
     in_time_count,
+    single_route,
+    start_register,
     start_sweeps,
 )
 from .test_replica_limits import LOOKUP_OBJECTIVE_MS, STABLE_MS, name_limits, start_lookups
@@ -251,6 +254,24 @@
         self.assertEqual(state.notices.permits.count, 1)
 
 
+class QueueTest(unittest.TestCase):
+    # The other copy is only busy: a task without a permit waits for a connection to it.
+    def test_denied_task_waits_for_a_connection_to_another_copy(self):
+        emulator = start_register(single_route('lookup'))
+        emulator.put_table([single_route('lookup')], connection_limit=2, version=2)
+        gateway = emulator.vms[0].gateway
+        limited, other = (gateway.upstreams.by_id[f'r-{number}'] for number in range(2))
+        limited.notices.limit_per_s = 0.1
+        limited.notices.is_restricted = True
+        first = ManualRequest(emulator, 'a', '/lookup/x', 'GET', 4_000.0)
+        self.assertEqual(first.sends[0].instance_id, other.entry.replica_id)
+        second = ManualRequest(emulator, 'b', '/lookup/x', 'GET', 4_000.0)
+        self.assertEqual((second.sends, second.answers), ([], []))
+        first.end(Reply(200, [], b'', signature='s', request_id='a'))
+        sent = [one for one in gateway.upstreams.exchanges.values() if one.replica is other]
+        self.assertEqual([one.owner.work.request.request_id for one in sent], ['b'])
+
+
 class RejectionTest(unittest.TestCase):
     def test_rejection_names_the_cause(self):
         emulator = start_lookups(1, 1)
