Do not ask keepers about limits that they cannot read

A replica that names more than a million requests a second was locked out: its keeper ignored each message with such a limit, and the VM that asked waited for the answer and went elsewhere. Found by reading. Limits over a million now count as a million. HugeLimitTest failed before (fewer than 95% in time) and passes.

--- a/beechbridge/gateway/replicas/limits.py
+++ b/beechbridge/gateway/replicas/limits.py
@@ -14,6 +14,7 @@
 from ..interface import GatewayInterface
 from ..models import Member
 from ..permits import OUTRANKED, PermitsWanted
+from .notices import MAX_LIMIT_PER_S
 from .upstreams import ReplicaState
 
 KEEPER_ROLE = 'limits'
@@ -35,13 +36,12 @@
 MIN_LIMIT_PER_S = 0.05
 """Limit used in place of a lower one, so that it is noticed when it is lifted."""
 
-MAX_LIMIT_PER_S = 1e6
 MAX_KEPT_LIMITS = 4_000
 """Replicas whose limits this VM keeps, those used last."""
 
 LEARNING_MS = 2_000.0
-"""Time after a start within which a VM learns of the others; until then it may be taken for the
-keeper only by itself."""
+"""Time after a start in which a VM that knows no other one grants no permits: others may be
+starting too."""
 
 KEEPER_INTERVAL_MS = 400.0
 """Interval between choices of the keepers: one heartbeat."""
--- a/beechbridge/gateway/replicas/notices.py
+++ b/beechbridge/gateway/replicas/notices.py
@@ -13,6 +13,9 @@
 MAX_KNOWN_REPLICAS = 4_000
 """Incarnations of replicas whose notices are remembered, the latest ones."""
 
+MAX_LIMIT_PER_S = 1e6
+"""Limit used in place of a higher one."""
+
 MAX_PAUSE_MS = 60_000.0
 """Longest time for which a rejection keeps a replica from being tried again."""
 
@@ -159,7 +162,7 @@
         apply_leaving(exchange, notice, gateway)
         apply_pause(exchange, notice, gateway)
     if notice is not None and notice.limit_per_s is not None:
-        apply_limit(exchange, notice.limit_per_s, gateway)
+        apply_limit(exchange, min(MAX_LIMIT_PER_S, notice.limit_per_s), gateway)
         return
     if notice is not None and notice.is_limit_unreadable:
         gateway.counters.add('notices', 'unreadable')
--- a/beechbridge/gateway/requests/permission.py
+++ b/beechbridge/gateway/requests/permission.py
@@ -15,7 +15,8 @@
 from ..interface import GatewayInterface
 from ..models import Member
 from ..permits import PermitsAnswered, PermitsWanted
-from ..replicas.limits import MAX_LIMIT_PER_S, find_keeper, grant_permits, is_open
+from ..replicas.limits import find_keeper, grant_permits, is_open
+from ..replicas.notices import MAX_LIMIT_PER_S
 from ..replicas.upstreams import INITIAL_ROUND_TRIP_MS
 from .admission import ask_permits, launch_work
 from .permit_requests import PermitRequest
--- a/tests/test_limit_keepers.py
+++ b/tests/test_limit_keepers.py
@@ -254,6 +254,17 @@
         self.assertEqual(state.notices.permits.count, 1)
 
 
+class HugeLimitTest(unittest.TestCase):
+    # A keeper ignores messages with limits that it cannot read: nobody may send it one.
+    def test_huge_limit_does_not_lock_a_replica_out(self):
+        emulator = start_lookups(4, 1)
+        name_limits(emulator, {'r-0': 999_999_999.0})
+        drive_lookups(emulator, 10, 2)
+        asked = drive_lookups(emulator, 10, 4)
+        in_time = in_time_count(emulator, asked, ForwardedAnswer, LOOKUP_OBJECTIVE_MS)
+        self.assertGreaterEqual(in_time, 0.95 * len(asked))
+
+
 class QueueTest(unittest.TestCase):
     # The other copy is only busy: a task without a permit waits for a connection to it.
     def test_denied_task_waits_for_a_connection_to_another_copy(self):
