--- a/beechbridge/gateway/replicas/notices.py
+++ b/beechbridge/gateway/replicas/notices.py
@@ -181,7 +181,7 @@
 
 def apply_pause(exchange: 'Exchange', notice: Notice, gateway: GatewayInterface) -> None:
     """Record until when a replica wants no requests of this VM."""
-    if notice.retry_after_ms is None:
+    if not notice.retry_after_ms:
         return
     notices = exchange.replica.notices
     pause_ms = min(notice.retry_after_ms, MAX_PAUSE_MS)
--- a/tests/test_paused_replicas.py
+++ b/tests/test_paused_replicas.py
@@ -100,6 +100,13 @@
         self.assertIs(answer.executed, Executed.NOT_RUN)
         self.assertGreaterEqual(answer.retry_after_ms, 2_000.0)
 
+    def test_pause_of_no_time_is_none(self):
+        emulator = start_register(single_route('lookup'), replica_count=1)
+        request = ManualRequest(emulator, 'a', '/lookup/x', 'GET', 4_000.0)
+        reject(request, 0.0)
+        self.assertFalse(emulator.vms[0].gateway.notices.changes)
+        self.assertEqual(request.answers, [])
+
     # A pause of a year must not lock a replica out.
     def test_long_pause_is_cut(self):
         emulator = start_register(single_route('lookup'), replica_count=1)
