--- a/beechbridge/daemon/bodies.py
+++ b/beechbridge/daemon/bodies.py
@@ -79,7 +79,6 @@
     Reason.WOULD_BE_LATE: '503 Service Unavailable',
     Reason.TICKET_TABLE_FULL: '503 Service Unavailable',
     Reason.NO_REPLICA: '503 Service Unavailable',
-    Reason.REPLICAS_BUSY: '503 Service Unavailable',
     Reason.SHED: '503 Service Unavailable',
     Reason.DRAINING: '503 Service Unavailable',
     Reason.QUEUE_FULL: '503 Service Unavailable',
--- a/tests/test_fuzz_gateway.py
+++ b/tests/test_fuzz_gateway.py
@@ -13,8 +13,13 @@
     ReplyMemory,
 )
 from beechbridge.failures import Failure
-from beechbridge.gateway.actions import SendHeartbeat
-from beechbridge.gateway.events import ChangesReceived, ExchangeEnded, HeartbeatReceived
+from beechbridge.gateway.actions import SendHeartbeat, SendPermits
+from beechbridge.gateway.events import (
+    ChangesReceived,
+    ExchangeEnded,
+    HeartbeatReceived,
+    PermitsReceived,
+)
 from beechbridge.gateway.models import (
     CallerRequest,
     Item,
@@ -24,6 +29,7 @@
     PartsReply,
     Reply,
 )
+from beechbridge.gateway.permits import PermitsAnswered, PermitsWanted
 from beechbridge.gateway.replicas.dictionaries import Dictionary
 from beechbridge.gateway.settings import GatewaySettings
 from beechbridge.platform.callers import read_request
@@ -39,6 +45,7 @@
     decode_datagram,
     encode_changes,
     encode_heartbeat,
+    encode_permits,
     read_order,
     read_parts,
     write_parts,
@@ -53,6 +60,12 @@
 CHANGES = encode_changes(
     ChangesReceived([Item('servers/a', b'{}', 4), Item('servers/b', None, 5)], 5, epoch=1)
 )
+PERMITS_WANTED = encode_permits(
+    SendPermits('vm-1', MEMBERS[0], PermitsWanted(7, [('r-0', 1.5), ('r-1', 20.0)], 1, 0.5))
+)
+PERMITS_ANSWERED = encode_permits(
+    SendPermits('vm-1', MEMBERS[0], PermitsAnswered(7, [0, 250, -1]))
+)
 DICTIONARY = Dictionary(CHANGES * 40)
 PARTS = write_parts(PartsAnswer({'a': 's'}, {'b': 1}, b'0' * 16, 1.0, frozenset('b')), 'q1').body
 RESPONSE = (
@@ -104,6 +117,14 @@
             gateway.handle(heartbeat, gateway.now_ms)
             gateway.handle(heartbeat, gateway.timers.next_due_ms())
 
+    @FUZZ
+    @given(st.one_of(mutations(PERMITS_WANTED), mutations(PERMITS_ANSWERED)))
+    def test_messages_about_permits(self, data):
+        event = decode_datagram(data)
+        self.assertIsInstance(event, HeartbeatReceived | PermitsReceived | Failure)
+        if isinstance(event, PermitsReceived):
+            self.gateway.handle(event, self.gateway.now_ms)
+
     @FUZZ
     @given(mutations(CHANGES))
     def test_changes(self, data):
--- a/tests/test_limit_keepers.py
+++ b/tests/test_limit_keepers.py
@@ -25,7 +25,13 @@
     start_register,
     start_sweeps,
 )
-from .test_replica_limits import LOOKUP_OBJECTIVE_MS, STABLE_MS, name_limits, start_lookups
+from .test_replica_limits import (
+    LOOKUP_OBJECTIVE_MS,
+    STABLE_MS,
+    assert_kept,
+    name_limits,
+    start_lookups,
+)
 
 MIN_USED_FRACTION = 0.85
 """Fraction of a named limit that the fleet is to use where there is work for it."""
@@ -60,11 +66,6 @@
 
 
 class FleetTest(unittest.TestCase):
-    def assert_kept(self, emulator, replica_ids):
-        for replica_id in replica_ids:
-            log = emulator.replicas[replica_id].notice_log
-            self.assertLessEqual(log.highest_count(STABLE_MS), log.allowed_count, replica_id)
-
     # A limit of one request a second for all VMs: equal shares starve it, full buckets break it.
     @params(
         (8, EVEN, 1.1),
@@ -82,7 +83,7 @@
         name_limits(emulator, limits)
         asked_ms = emulator.now_ms
         drive_lookups(emulator, 9 * limit_per_s, max(12.0, 30.0 / limit_per_s), pattern)
-        self.assert_kept(emulator, limits)
+        assert_kept(self, emulator, limits)
         for replica_id in limits:
             log = emulator.replicas[replica_id].notice_log
             used = used_fraction(log, asked_ms + STABLE_MS, emulator.now_ms - 1_000.0)
@@ -115,7 +116,7 @@
         emulator.run(3_000.0)
         since_ms = emulator.now_ms
         drive_lookups(emulator, 40, 8)
-        self.assert_kept(emulator, limits)
+        assert_kept(self, emulator, limits)
         log = emulator.replicas['r-0'].notice_log
         used = used_fraction(log, since_ms, emulator.now_ms - 1_000.0)
         self.assertGreaterEqual(used, MIN_USED_FRACTION)
@@ -146,7 +147,7 @@
         name_limits(emulator, limits)
         drive(emulator, '/sweep/x', 40, 6)
         asked = drive(emulator, '/sweep/x', 40, 12)
-        self.assert_kept(emulator, limits)
+        assert_kept(self, emulator, limits)
         served = in_time_count(emulator, asked, MergedAnswer)
         # The replicas of the weakest shard take 16 of 40 requests a second.
         self.assertGreaterEqual(served, MIN_USED_FRACTION * 16 / 40 * len(asked))
--- a/tests/test_replica_limits.py
+++ b/tests/test_replica_limits.py
@@ -42,12 +42,14 @@
         emulator.replicas[replica_id].name_limit(limit_per_s, emulator.now_ms)
 
 
-class LimitTest(unittest.TestCase):
-    def assert_kept(self, emulator, replica_ids):
-        for replica_id in replica_ids:
-            log = emulator.replicas[replica_id].notice_log
-            self.assertLessEqual(log.highest_count(STABLE_MS), log.allowed_count, replica_id)
+def assert_kept(test, emulator, replica_ids):
+    """Check that the VMs that knew of the limits of replicas kept them in any window."""
+    for replica_id in replica_ids:
+        log = emulator.replicas[replica_id].notice_log
+        test.assertLessEqual(log.highest_count(STABLE_MS), log.allowed_count, replica_id)
+
 
+class LimitTest(unittest.TestCase):
     # A replica that named a limit got as many requests as before: nobody read its replies.
     @params((8, 10.0), (8, 3.0), (3, 5.0))
     def test_limit_of_one_copy_of_a_shard_is_kept(self, vm_count, limit_per_s):
@@ -56,7 +58,7 @@
         drive(emulator, '/sweep/x', 45, 3)
         name_limits(emulator, {'r-0-0': limit_per_s})
         asked = drive(emulator, '/sweep/x', 45, 15)
-        self.assert_kept(emulator, ['r-0-0'])
+        assert_kept(self, emulator, ['r-0-0'])
         in_time = in_time_count(emulator, asked, MergedAnswer)
         self.assertGreaterEqual(in_time, 0.95 * len(asked))
 
@@ -68,6 +70,6 @@
         limited = {f'r-{number}': limit_per_s for number, limit_per_s in enumerate(limits)}
         name_limits(emulator, limited)
         asked = drive(emulator, '/lookup/x', 11, 20, 4_000.0)
-        self.assert_kept(emulator, limited)
+        assert_kept(self, emulator, limited)
         in_time = in_time_count(emulator, asked, ForwardedAnswer, LOOKUP_OBJECTIVE_MS)
         self.assertGreaterEqual(in_time, 0.85 * len(asked))
