Remove the set of shards that nothing asks for any more

The division of limits among holders asked whether a service is a shard; the keeper does not. A docstring still said that permits come from another VM: the keeper may be this one.

--- a/beechbridge/gateway/replicas/notices.py
+++ b/beechbridge/gateway/replicas/notices.py
@@ -37,7 +37,7 @@
 
 class Permits:
     """
-    Permits of another VM, the keeper, for one replica.
+    Permits of the keeper, which may be this VM, for one replica.
 
     :param count: permits that have not been used
     :param valid_until_ms: time in milliseconds when they become void
--- a/beechbridge/gateway/routes.py
+++ b/beechbridge/gateway/routes.py
@@ -93,7 +93,7 @@
 class RoutingTable(Record):
     """One version of the configuration: routes by host, longest prefix first."""
 
-    __slots__ = ('limits', 'routes_by_host', 'services', 'shards', 'version')
+    __slots__ = ('limits', 'routes_by_host', 'services', 'version')
 
     def __init__(
         self,
@@ -108,12 +108,6 @@
         self.routes_by_host: dict[str, list[Route]] = {}
         for route in sorted(routes, key=lambda route: -len(route.prefix)):
             self.routes_by_host.setdefault(route.host, []).append(route)
-        gathers = [route for route in routes if route.is_gather]
-        self.shards = {service for route in gathers for service in route.services}
-
-    def is_shard(self, service: str) -> bool:
-        """Return whether a service is a shard of a gather."""
-        return service in self.shards
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that matches the path."""
