Log lost sub-requests, and which requests are the same one coming again

A request now has a digest of method, host, target, body and its caller's address, which orders carry on; sub_request_lost names replica, kind and age. Nothing is decided by it.

--- a/beechbridge/gateway/models.py
+++ b/beechbridge/gateway/models.py
@@ -49,16 +49,33 @@
         self.started_ms = started_ms
 
 
+class RequestIdentity(Record):
+    """
+    Digests by which all VMs recognise a request when a caller sends it again.
+
+    :param content: digest of what a replica gets to see: method, host, target and body
+    :param key: digest of the content and the caller's address
+    """
+
+    __slots__ = ('content', 'key')
+
+    def __init__(self, key: str, content: str):
+        self.key = key
+        self.content = content
+
+
 class CallerRequest(Record):
     """
     One attempt of a caller.
 
     :param target: path and query string as sent
     :param timeout_ms: how long the caller will wait in milliseconds, None if it did not say
+    :param caller: address that the request came from, without its port
     """
 
     __slots__ = (
         'body',
+        'caller',
         'headers',
         'host',
         'method',
@@ -78,8 +95,10 @@
         headers: list[tuple[str, str]],
         body: bytes = b'',
         timeout_ms: float | None = None,
+        caller: str = '',
     ):
         self.request_id = request_id
+        self.caller = caller
         self.method = method
         self.target = target
         self.host = host
@@ -236,11 +255,13 @@
     :param attempts: maximum number of replicas of one service that may run the request
     :param soft_ms: milliseconds after its arrival within which the answer must be sent
     :param hard_ms: milliseconds after its arrival within which replicas may work on it
+    :param identity: identity of the caller's request
     """
 
     __slots__ = (
         'attempts',
         'hard_ms',
+        'identity',
         'priority',
         'request',
         'route_name',
@@ -259,7 +280,9 @@
         top_records: int,
         soft_ms: float,
         hard_ms: float,
+        identity: RequestIdentity,
     ):
+        self.identity = identity
         self.request = request
         self.route_name = route_name
         self.priority = priority
--- a/beechbridge/gateway/replicas/connections.py
+++ b/beechbridge/gateway/replicas/connections.py
@@ -11,6 +11,7 @@
     One request to a replica or, for an order, to another VM.
 
     :param owner: task or order that the request serves; once `is_abandoned` it ignores the reply
+    :param kind: why it was sent, see `SendKind`
     :param was_sent: whether the request may have reached the replica
     :param stalled_at_ms: time in milliseconds from which the replica is suspect if it has not
         answered
@@ -21,6 +22,7 @@
         'exchange_id',
         'is_abandoned',
         'is_new',
+        'kind',
         'owner',
         'replica',
         'sent_ms',
@@ -37,7 +39,9 @@
         is_new: bool,
         sent_ms: float,
         stalled_at_ms: float,
+        kind: str = '',
     ):
+        self.kind = kind
         self.exchange_id = exchange_id
         self.replica = replica
         self.owner = owner
--- a/beechbridge/gateway/requests/admission.py
+++ b/beechbridge/gateway/requests/admission.py
@@ -17,6 +17,7 @@
 from ..replicas.upstreams import ReplicaState
 from ..routes import Route
 from .answers import reject_request
+from .identity import identify_request
 from .orders import may_order_from, order_remote_parts
 from .permit_requests import request_permit
 from .progress import answer_work, check_gather, close_task
@@ -147,7 +148,10 @@
 def make_work(event: RequestReceived, route: Route, gateway: GatewayInterface) -> Work:
     """Return the `Work` for a request, with its tasks and deadlines."""
     work_class = GatherWork if route.is_gather else SingleWork
-    work = work_class(event.key, event.request, route, gateway.table.version, gateway.now_ms)
+    identity = identify_request(event.request)
+    work = work_class(
+        event.key, event.request, identity, route, gateway.table.version, gateway.now_ms
+    )
     services = route.services if route.is_gather else (gateway.splits.pick(route),)
     work.tasks = [Task(work, service) for service in services]
     work.open_count = len(work.tasks)
@@ -234,7 +238,9 @@
         priority=order.priority,
         top_records=order.top_records,
     )
-    work = OrderedWork(event.key, order.request, route, gateway.table.version, gateway.now_ms)
+    work = OrderedWork(
+        event.key, order.request, order.identity, route, gateway.table.version, gateway.now_ms
+    )
     work.tasks = [Task(work, service) for service in order.services]
     work.open_count = len(work.tasks)
     return work
--- a/beechbridge/gateway/requests/answers.py
+++ b/beechbridge/gateway/requests/answers.py
@@ -140,6 +140,7 @@
     """Return the log fields that describe a finished request."""
     fields = {
         'request': work.request.request_id,
+        'digest': work.identity.key,
         'route': work.route.name,
         'table': work.table_version,
         'ms': round(gateway.now_ms - work.arrived_ms, 1),
@@ -199,6 +200,7 @@
     fields = {
         'outcome': 'refused',
         'request': event.request.request_id,
+        'digest': work.identity.key if work else None,
         'route': work.route.name if work else None,
         'table': gateway.table.version if gateway.table else None,
         'reason': failure.reason.value,
--- a/beechbridge/gateway/requests/orders.py
+++ b/beechbridge/gateway/requests/orders.py
@@ -152,6 +152,7 @@
         route.top_records,
         soft_ms,
         work.hard_at_ms - now_ms - overhead_ms,
+        work.identity,
     )
     send_order(order, parts_order, state, idle, gateway)
     return True
--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -67,6 +67,8 @@
     if not failure.was_sent:
         task.delivery_count -= 1
         task.run_count -= 1
+    if failure.was_sent and failure.fault is LinkFault.LOST:
+        log_loss(exchange, gateway)
     if is_suspicious(exchange, failure.fault):
         suspect_replica(state, failure.fault.value, gateway)
     task.exclude_replica(state)
@@ -76,6 +78,20 @@
         resume_task(task, gateway, may_retry=not failure.was_sent or task.work.route.is_idempotent)
 
 
+def log_loss(exchange: Exchange, gateway: GatewayInterface) -> None:
+    """Log that the connection was lost over which a request had been sent."""
+    work = exchange.owner.work
+    fields = {
+        'request': work.request.request_id,
+        'digest': work.identity.key,
+        'replica': exchange.replica.entry.replica_id,
+        'service': exchange.replica.entry.service,
+        'kind': exchange.kind,
+        'age_ms': round(gateway.now_ms - exchange.sent_ms, 1),
+    }
+    gateway.act(WriteLine('sub_request_lost', fields))
+
+
 def is_suspicious(exchange: Exchange, fault: LinkFault) -> bool:
     """
     Return whether a failure tells something about the replica.
--- a/beechbridge/gateway/requests/sending.py
+++ b/beechbridge/gateway/requests/sending.py
@@ -135,12 +135,13 @@
         gateway.counters.add('connections_opened')
     typical_ms = gateway.upstreams.typical_ms(work.route.name, state.distance)
     stalled_at_ms = now_ms + max(MIN_STALL_TIMEOUT_MS, STALL_TIMEOUT_FACTOR * typical_ms)
-    exchange = begin_exchange(task, state, idle, stalled_at_ms, gateway)
+    kind = find_kind(task, is_hedge)
+    exchange = begin_exchange(task, state, idle, stalled_at_ms, gateway, kind)
     if state.notices.is_restricted:
-        record_send(state, find_kind(task, is_hedge))
+        record_send(state, kind)
     if task.delivery_count:
         work.extra_count += 1
-        gateway.counters.add('repeats', find_kind(task, is_hedge))
+        gateway.counters.add('repeats', kind)
     task.delivery_count += 1
     task.run_count += 1
     gateway.activity.sent_count += 1
@@ -174,6 +175,7 @@
     idle: IdleConnection | None,
     stalled_at_ms: float,
     gateway: GatewayInterface,
+    kind: str = '',
 ) -> Exchange:
     """
     Register an exchange that is about to be sent.
@@ -182,6 +184,7 @@
     :param idle: connection to reuse, None to open a new one
     :param stalled_at_ms: time in milliseconds at which the replica becomes suspect if it has not
         answered
+    :param kind: why it is sent, see `SendKind`
     """
     connection_id = gateway.upstreams.new_id() if idle is None else idle.connection_id
     gateway.upstreams.owners[connection_id] = state
@@ -193,6 +196,7 @@
         idle is None,
         gateway.now_ms,
         stalled_at_ms,
+        kind,
     )
     state.busy[connection_id] = exchange
     gateway.upstreams.exchanges[exchange.exchange_id] = exchange
--- a/beechbridge/gateway/requests/works.py
+++ b/beechbridge/gateway/requests/works.py
@@ -3,7 +3,7 @@
 import math
 
 from ...record import Record
-from ..models import CallerRequest, LinkFault, Reply
+from ..models import CallerRequest, LinkFault, Reply, RequestIdentity
 from ..replicas.connections import Exchange
 from ..replicas.upstreams import ReplicaState
 from ..routes import Route
@@ -14,6 +14,7 @@
     One request of a caller in progress.
 
     :param key: identifies the waiting caller
+    :param identity: what the request has in common with other attempts of its caller
     :param soft_at_ms: soft deadline in milliseconds, after which the answer loses value
     :param hard_at_ms: hard deadline in milliseconds, at which an answer must be sent
     :param orders: orders of parts sent to other VMs
@@ -27,6 +28,7 @@
         'extra_count',
         'hard_at_ms',
         'held_count',
+        'identity',
         'is_finished',
         'key',
         'open_count',
@@ -39,10 +41,17 @@
     )
 
     def __init__(
-        self, key: int, request: CallerRequest, route: Route, table_version: int, arrived_ms: float
+        self,
+        key: int,
+        request: CallerRequest,
+        identity: RequestIdentity,
+        route: Route,
+        table_version: int,
+        arrived_ms: float,
     ):
         self.key = key
         self.request = request
+        self.identity = identity
         self.route = route
         self.table_version = table_version
         self.arrived_ms = arrived_ms
--- a/beechbridge/platform/callers.py
+++ b/beechbridge/platform/callers.py
@@ -49,7 +49,8 @@
     path = target.partition('?')[0]
     body = environ['wsgi.input'].read()
     method = environ['REQUEST_METHOD']
-    return CallerRequest(request_id, method, target, host, path, headers, body, timeout_ms)
+    caller = environ.get('REMOTE_ADDR', '')
+    return CallerRequest(request_id, method, target, host, path, headers, body, timeout_ms, caller)
 
 
 def to_header_name(variable: str) -> str:
--- a/beechbridge/wire/fleet.py
+++ b/beechbridge/wire/fleet.py
@@ -12,6 +12,7 @@
     PartsAnswer,
     PartsOrder,
     PartsReply,
+    RequestIdentity,
 )
 from ..gateway.permits import PermitMessage, PermitsAnswered, PermitsWanted
 from ..gateway.replicas.store_view import ALL_PREFIXES
@@ -168,6 +169,8 @@
         order.top_records,
         order.soft_ms,
         order.hard_ms,
+        order.identity.key,
+        order.identity.content,
     )
     body = encode_struct(frame)
     head = (
@@ -197,6 +200,7 @@
         frame.top_records,
         frame.soft_ms,
         frame.hard_ms,
+        RequestIdentity(frame.digest or '', frame.content_digest or ''),
     )
 
 
--- a/beechbridge/wire/peer.thrift
+++ b/beechbridge/wire/peer.thrift
@@ -164,7 +164,8 @@
   2: required string value
 }
 
-// Asks a VM to gather the shards that are near it. Times are in ms from the order's arrival.
+// Asks a VM to gather the shards that are near it. Times are in ms from the order's arrival. The
+// digests identify the request, see gateway/requests/identity.py.
 struct PartsOrder {
   1: required string request_id
   2: required string method
@@ -178,6 +179,8 @@
   10: required i32 top_records
   11: required double soft_ms
   12: required double hard_ms
+  13: optional string digest
+  14: optional string content_digest
 }
 
 struct Part {
--- a/beechbridge/wire/peer/ttypes.py
+++ b/beechbridge/wire/peer/ttypes.py
@@ -2537,6 +2537,8 @@
      - top_records
      - soft_ms
      - hard_ms
+     - digest
+     - content_digest
 
     """
 
@@ -2553,10 +2555,12 @@
         'top_records',
         'soft_ms',
         'hard_ms',
+        'digest',
+        'content_digest',
     )
 
 
-    def __init__(self, request_id=None, method=None, target=None, headers=None, body=None, route=None, priority=None, services=None, attempts=None, top_records=None, soft_ms=None, hard_ms=None,):
+    def __init__(self, request_id=None, method=None, target=None, headers=None, body=None, route=None, priority=None, services=None, attempts=None, top_records=None, soft_ms=None, hard_ms=None, digest=None, content_digest=None,):
         self.request_id = request_id
         self.method = method
         self.target = target
@@ -2569,6 +2573,8 @@
         self.top_records = top_records
         self.soft_ms = soft_ms
         self.hard_ms = hard_ms
+        self.digest = digest
+        self.content_digest = content_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2650,6 +2656,16 @@
                     self.hard_ms = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRING:
+                    self.content_digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2714,6 +2730,14 @@
             oprot.writeFieldBegin('hard_ms', TType.DOUBLE, 12)
             oprot.writeDouble(self.hard_ms)
             oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 13)
+            oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
+            oprot.writeFieldEnd()
+        if self.content_digest is not None:
+            oprot.writeFieldBegin('content_digest', TType.STRING, 14)
+            oprot.writeString(self.content_digest.encode('utf-8') if sys.version_info[0] == 2 else self.content_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3262,6 +3286,8 @@
     (10, TType.I32, 'top_records', None, None, ),  # 10
     (11, TType.DOUBLE, 'soft_ms', None, None, ),  # 11
     (12, TType.DOUBLE, 'hard_ms', None, None, ),  # 12
+    (13, TType.STRING, 'digest', 'UTF8', None, ),  # 13
+    (14, TType.STRING, 'content_digest', 'UTF8', None, ),  # 14
 )
 all_structs.append(Part)
 Part.thrift_spec = (
