--- a/measure/emulated_actions.py
+++ b/measure/emulated_actions.py
@@ -22,11 +22,13 @@
 )
 from beechbridge.gateway.events import (
     CallerDisconnected,
+    ExchangeEnded,
     HeartbeatReceived,
     PermitsReceived,
     PullEnded,
     RequestSent,
 )
+from beechbridge.gateway.models import LinkFailure, LinkFault
 from beechbridge.wire.changes import read_pull, write_changes, write_pull
 from beechbridge.wire.fleet import encode_heartbeat
 
@@ -54,6 +56,13 @@
     job = Job(action, vm, replica)
     vm.jobs[action.connection_id] = job
     delay_ms = emulator.delay_ms(vm, replica.entry.zone)
+    if action.is_new and replica.is_down:
+        failure = LinkFailure(LinkFault.CONNECT_FAILED, was_sent=False)
+        event = ExchangeEnded(action.exchange_id, failure)
+        emulator.schedule(
+            2 * delay_ms, lambda: job.is_cancelled or emulator.deliver_event(vm, event)
+        )
+        return
     if action.is_new:
         delay_ms = 3 * delay_ms + HANDSHAKE_MS
         replica.open_connections.add((vm.gateway.fleet.own.name, action.connection_id))
--- a/measure/emulator.py
+++ b/measure/emulator.py
@@ -5,6 +5,7 @@
 heartbeats. All randomness comes from one seed, so that a run is reproducible.
 """
 
+import copy
 import heapq
 import random
 import struct
@@ -13,6 +14,7 @@
 from beechbridge.gateway.events import (
     CallerDisconnected,
     ChangesReceived,
+    ConnectionEnded,
     ExchangeEnded,
     OrderReceived,
     RequestReceived,
@@ -45,6 +47,8 @@
 HOST = 'search.example'
 BASE64_FACTOR = 4 / 3
 UNLIMITED = float('inf')
+RESTART_MS = 3_000.0
+"""Time after which a replica that ended is back."""
 
 
 class Emulator:
@@ -53,10 +57,12 @@
 
     :param zones: data centre of each VM, named `REGION-SUFFIX`
     :param work_ms: median processing time of a request in milliseconds, by route name
+    :param deadly_targets: targets of the requests that end each replica that runs them
     :param seed: seed of the random number generator
     """
 
     __slots__ = (
+        'deadly_targets',
         'entries',
         'events',
         'items',
@@ -80,6 +86,7 @@
     ):
         self.rng = random.Random(seed)
         self.work_ms = work_ms
+        self.deadly_targets: set[str] = set()
         self.now_ms = 0.0
         self.events: list[tuple[float, int, object]] = []
         self.sequence = 0
@@ -197,12 +204,19 @@
         self.schedule(vm.link_free_ms - self.now_ms + delay_ms, callback)
 
     def send_request(
-        self, vm_number: int, path: str, timeout_ms: float, method: str = 'GET'
+        self,
+        vm_number: int,
+        path: str,
+        timeout_ms: float,
+        method: str = 'GET',
+        caller: str = '',
     ) -> int:
         """Send a caller's request to a VM now; return the key of its answer."""
         self.next_key += 1
         key = self.next_key
-        request = CallerRequest(f'request-{key}', method, path, HOST, path, [], b'', timeout_ms)
+        request = CallerRequest(
+            f'request-{key}', method, path, HOST, path, [], b'', timeout_ms, caller
+        )
         self.deliver_event(self.vms[vm_number], RequestReceived(key, request))
         return key
 
@@ -253,7 +267,10 @@
         replica = job.replica
         if job.is_cancelled or replica.spec.is_dark:
             return
-        replica.arrivals.append((self.now_ms, job.action.request.request_id))
+        if replica.is_down:
+            self.lose_job(job)
+            return
+        replica.arrivals.append((self.now_ms, job.action.request))
         if replica.notice_log is not None:
             replica.notice_log.arrivals.append((self.now_ms, job.vm.gateway.fleet.own.name))
         is_full = len(replica.running) >= replica.spec.slots
@@ -280,10 +297,16 @@
     def finish_job(self, job: Job) -> None:
         """Finish processing a request, start queued ones and send the reply."""
         replica = job.replica
+        if job not in replica.running:
+            return
         pause_ms = replica.remaining_pause_ms(self.now_ms)
         if pause_ms > 0.0:
             self.schedule(pause_ms, lambda: self.finish_job(job))
             return
+        if job.action.request.target in self.deadly_targets:
+            replica.ends.append((self.now_ms, job.action.request))
+            self.end_replica(replica)
+            return
         replica.running.remove(job)
         while replica.queue and len(replica.running) < replica.spec.slots:
             waiting = replica.queue.pop(0)
@@ -301,6 +324,75 @@
             job, Reply(200, [], b''.join(records), signature, job.action.request.request_id)
         )
 
+    def end_replica(self, replica: EmulatedReplica) -> None:
+        """End a replica's process: all its connections are lost; it is back after a while."""
+        replica.is_down = True
+        jobs = [*replica.running, *replica.queue]
+        replica.running.clear()
+        replica.queue.clear()
+        for job in jobs:
+            self.lose_job(job)
+        for vm in self.vms:
+            name = vm.gateway.fleet.own.name
+            own_ids = [number for owner, number in replica.open_connections if owner == name]
+            busy_ids = {job.action.connection_id for job in jobs if job.vm is vm}
+            for connection_id in sorted(set(own_ids) - busy_ids):
+                event = ConnectionEnded(connection_id)
+                delay_ms = self.delay_ms(vm, replica.entry.zone)
+                self.schedule(delay_ms, lambda v=vm, e=event: self.deliver_event(v, e))
+        replica.open_connections.clear()
+        self.schedule(RESTART_MS, lambda: self.restart_replica(replica))
+
+    def restart_replica(self, replica: EmulatedReplica) -> None:
+        """Start a replica's process again, as another incarnation."""
+        replica.is_down = False
+        entry = copy.copy(replica.entry)
+        entry.started_ms = round(self.now_ms)
+        replica.entry = entry
+        self.publish_entry(entry)
+
+    def lose_job(self, job: Job) -> None:
+        """Report that the connection of a request was lost."""
+        if job.is_cancelled:
+            return
+        event = ExchangeEnded(job.action.exchange_id, LinkFailure(LinkFault.LOST, was_sent=True))
+        delay_ms = self.delay_ms(job.vm, job.replica.entry.zone)
+        self.schedule(delay_ms, lambda: job.is_cancelled or self.deliver_event(job.vm, event))
+
+    def restart_vm(self, vm: EmulatedVm, for_ms: float) -> None:
+        """End a VM's process, and start it again without what it knew."""
+        vm.is_up = False
+        vm.is_following = False
+        vm.timer_ms = UNLIMITED
+        for job in vm.jobs.values():
+            job.is_cancelled = True
+        for replica in self.replicas.values():
+            name = vm.gateway.fleet.own.name
+            replica.open_connections = {
+                known for known in replica.open_connections if known[0] != name
+            }
+        vm.jobs.clear()
+        vm.sent_orders.clear()
+        vm.received_orders.clear()
+        self.schedule(for_ms, lambda: self.start_vm(vm))
+
+    def start_vm(self, vm: EmulatedVm) -> None:
+        """Start a new process of a VM."""
+        before = vm.gateway
+        known = before.fleet.own
+        own = Member(known.name, known.host, known.zone, known.incarnation + 1)
+        vm.gateway = Gateway(
+            own,
+            before.fleet.seeds,
+            before.fleet.regions,
+            self.decode_item,
+            before.budget_rules,
+            6_000.0,
+            random.Random(self.rng.getrandbits(64)),
+        )
+        vm.is_up = True
+        self.perform_all(vm, vm.gateway.start(self.now_ms))
+
     def reply(self, job: Job, reply: Reply) -> None:
         """Send a reply to the VM."""
         reply.request_id = job.action.request.request_id
--- a/measure/stand_ins.py
+++ b/measure/stand_ins.py
@@ -1,7 +1,7 @@
 """Simulated replicas and VMs of the emulator, and the messages between them."""
 
 from beechbridge.gateway.actions import SendOrder, SendRequest, WriteLine
-from beechbridge.gateway.models import Notice, ReplicaEntry
+from beechbridge.gateway.models import CallerRequest, Notice, ReplicaEntry
 from beechbridge.gateway.node import Gateway
 
 from .notice_log import NoticeLog
@@ -74,11 +74,15 @@
     One simulated replica with its queue, its running requests and its connections.
 
     :param notice_log: what reaches it since it stated something about itself, None before
+    :param is_down: whether its process has ended and has not started again
+    :param ends: time in milliseconds and the request, for each end of its process under a request
     """
 
     __slots__ = (
         'arrivals',
+        'ends',
         'entry',
+        'is_down',
         'notice_log',
         'open_connections',
         'phase_ms',
@@ -93,9 +97,11 @@
         self.phase_ms = phase_ms
         self.queue: list[Job] = []
         self.running: list[Job] = []
-        self.arrivals: list[tuple[float, str]] = []
+        self.arrivals: list[tuple[float, CallerRequest]] = []
         self.open_connections: set[tuple[str, int]] = set()
         self.notice_log: NoticeLog | None = None
+        self.is_down = False
+        self.ends: list[tuple[float, CallerRequest]] = []
 
     def name_limit(self, limit_per_s: float | None, now_ms: float) -> None:
         """Name a limit from now on, or none."""
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -113,7 +113,7 @@
     found = []
     for replica in emulator.replicas.values():
         if replica.entry.service == service:
-            found.extend(replica.arrivals)
+            found.extend((at_ms, request.request_id) for at_ms, request in replica.arrivals)
     return sorted(found)
 
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -135,8 +135,8 @@
         drive(emulator, '/sweep/x', 30, 10)
         arrivals = {}
         for replica in emulator.replicas.values():
-            for _, request_id in replica.arrivals:
-                key = (replica.entry.service, request_id)
+            for _, request in replica.arrivals:
+                key = (replica.entry.service, request.request_id)
                 arrivals.setdefault(key, set()).add(replica.entry.replica_id)
         self.assertLessEqual(max(len(replicas) for replicas in arrivals.values()), 2)
 
