--- a/beechbridge/daemon/client_connection.py
+++ b/beechbridge/daemon/client_connection.py
@@ -315,12 +315,16 @@
             return
         self.close_idle()
 
-    def fail(self, fault: LinkFault) -> None:
-        """Close the connection and report that the exchange failed."""
+    def fail(self, fault: LinkFault, is_refused: bool = False) -> None:
+        """
+        Close the connection and report that the exchange failed.
+
+        :param is_refused: whether nothing listens at the address
+        """
         exchange_id, self.exchange_id = self.exchange_id, None
         was_sent = self.transport is not None
         self.drop()
-        self.post(ExchangeEnded(exchange_id, LinkFailure(fault, was_sent)))
+        self.post(ExchangeEnded(exchange_id, LinkFailure(fault, was_sent, is_refused)))
 
     def close_idle(self) -> None:
         """Close the idle connection and report its end."""
--- a/beechbridge/daemon/exchanges.py
+++ b/beechbridge/daemon/exchanges.py
@@ -9,8 +9,8 @@
 import asyncio
 from collections.abc import Callable
 
-from ..gateway.actions import AbandonExchange, DropConnection, SendOrder, SendRequest
-from ..gateway.events import ExchangeEnded
+from ..gateway.actions import AbandonExchange, DropConnection, ProbeReplica, SendOrder, SendRequest
+from ..gateway.events import ExchangeEnded, ProbeEnded
 from ..gateway.models import LinkFailure, LinkFault
 from ..gateway.settings import DEFAULT_REPLY_MEMORY_BYTES
 from ..record import Record
@@ -84,10 +84,31 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await self.loop.create_connection(lambda: connection, host, port)
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError) as error:
             self.connections.pop(connection.connection_id, None)
             if not connection.is_dropped and connection.exchange_id is not None:
-                connection.fail(LinkFault.CONNECT_FAILED)
+                is_refused = isinstance(error, ConnectionRefusedError)
+                connection.fail(LinkFault.CONNECT_FAILED, is_refused)
+
+    def probe(self, action: ProbeReplica) -> None:
+        """Open a connection that carries nothing, and report whether it was accepted."""
+        task = self.loop.create_task(self.run_probe(action))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def run_probe(self, action: ProbeReplica) -> None:
+        """Report whether an address accepts connections, refuses them or does not answer."""
+        is_open = is_refused = False
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                transport, _ = await self.loop.create_connection(
+                    asyncio.Protocol, action.host, action.port
+                )
+            is_open = True
+            transport.abort()
+        except (OSError, TimeoutError) as error:
+            is_refused = isinstance(error, ConnectionRefusedError)
+        self.post(ProbeEnded(action.probe_id, is_open, is_refused))
 
     def drop(self, action: DropConnection) -> None:
         """Close a connection."""
--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -19,11 +19,13 @@
     DropConnection,
     ExitProcess,
     FollowStore,
+    ProbeReplica,
     PullChanges,
     SendHeartbeat,
     SendOrder,
     SendPermits,
     SendRequest,
+    SendSuspects,
     SetCallerLimits,
     WriteLine,
 )
@@ -50,6 +52,7 @@
     decode_datagram,
     encode_heartbeat,
     encode_permits,
+    encode_suspects,
     read_order,
     read_parts,
     write_order,
@@ -105,6 +108,7 @@
             settings.grace_ms,
             random.Random(secrets.randbits(64)),
             settings.max_reply_bytes,
+            settings.is_first_start,
         )
         self.loop = asyncio.new_event_loop()
         self.loop.set_exception_handler(log_loop_error)
@@ -356,6 +360,20 @@
     process.datagrams.sendto(encode_permits(action), address)
 
 
+@perform.register
+def perform_send_suspects(action: SendSuspects, process: GatewayProcess) -> None:
+    """Send evidence against requests to each of the VMs."""
+    data = encode_suspects(action)
+    for host in action.hosts:
+        process.datagrams.sendto(data, (host, process.settings.peer_port))
+
+
+@perform.register
+def perform_probe_replica(action: ProbeReplica, process: GatewayProcess) -> None:
+    """Probe the address of a replica."""
+    process.exchanges.probe(action)
+
+
 @perform.register
 def perform_follow_store(action: FollowStore, process: GatewayProcess) -> None:
     """Start or stop following the store."""
--- a/beechbridge/failures.py
+++ b/beechbridge/failures.py
@@ -57,6 +57,8 @@
     DIGEST_MISMATCH = 'digest_mismatch'
     INVALID_DOCUMENT = 'invalid_document'
     INTERNAL = 'internal'
+    QUARANTINED = 'quarantined'
+    """Replicas ended while they ran the request."""
 
 
 class Failure(Record):
--- a/beechbridge/gateway/actions.py
+++ b/beechbridge/gateway/actions.py
@@ -5,6 +5,7 @@
 from .permits import PermitMessage
 from .replicas.dictionaries import Dictionary
 from .routes import CallerLimits
+from .suspects import SuspectsReport
 
 MAX_PART_BYTES = 1024 * 1024
 """Largest part of a gather: 65,536 records; also the largest answer to an order of parts."""
@@ -90,6 +91,17 @@
         return self.order.request_id
 
 
+class ProbeReplica(Record):
+    """Open a connection to a replica's address and close it; report whether it was accepted."""
+
+    __slots__ = ('host', 'port', 'probe_id')
+
+    def __init__(self, probe_id: int, host: str, port: int):
+        self.probe_id = probe_id
+        self.host = host
+        self.port = port
+
+
 class DropConnection(Record):
     """Close a connection; no event is reported for an exchange on it."""
 
@@ -185,6 +197,21 @@
         self.message = message
 
 
+class SendSuspects(Record):
+    """
+    Send evidence against requests to other VMs.
+
+    :param sender: this VM
+    """
+
+    __slots__ = ('hosts', 'report', 'sender')
+
+    def __init__(self, hosts: list[str], sender: Member, report: SuspectsReport):
+        self.hosts = hosts
+        self.sender = sender
+        self.report = report
+
+
 class FollowStore(Record):
     """
     Start following the store, or stop and leave that to other VMs.
@@ -242,6 +269,8 @@
     | WriteLine
     | SendHeartbeat
     | SendPermits
+    | SendSuspects
+    | ProbeReplica
     | FollowStore
     | PullChanges
     | ExitProcess
--- a/beechbridge/gateway/events.py
+++ b/beechbridge/gateway/events.py
@@ -6,6 +6,7 @@
 from .models import CallerRequest, Item, LinkFailure, Member, PartsOrder, PartsReply, Reply
 from .permits import PermitMessage
 from .settings import GatewaySettings
+from .suspects import SuspectsReport
 
 
 class RequestReceived(Record):
@@ -180,6 +181,32 @@
         self.message = message
 
 
+class SuspectsReceived(Record):
+    """Another VM sent evidence against requests."""
+
+    __slots__ = ('report', 'sender')
+
+    def __init__(self, sender: Member, report: SuspectsReport):
+        self.sender = sender
+        self.report = report
+
+
+class ProbeEnded(Record):
+    """
+    A probe of a replica has ended; neither is set if there was no answer.
+
+    :param is_open: whether the connection was accepted
+    :param is_refused: whether nothing listens at the address
+    """
+
+    __slots__ = ('is_open', 'is_refused', 'probe_id')
+
+    def __init__(self, probe_id: int, is_open: bool, is_refused: bool):
+        self.probe_id = probe_id
+        self.is_open = is_open
+        self.is_refused = is_refused
+
+
 class SettingsReloaded(Record):
     """The settings were reloaded."""
 
--- a/beechbridge/gateway/fleet/gossip.py
+++ b/beechbridge/gateway/fleet/gossip.py
@@ -15,6 +15,7 @@
 from ..interface import GatewayInterface
 from ..models import Member
 from .pulls import pull_if_behind
+from .suspect_reports import send_all_reports
 
 HEARTBEAT_MS = 400.0
 INITIAL_HEARTBEAT_MS = 50.0
@@ -106,6 +107,7 @@
         fleet.apply_member(member, gateway.now_ms, is_sender=member is sender)
     if event.wants_members:
         send_list(gateway, [sender.host], fleet.alive(gateway.now_ms))
+        send_all_reports([sender.host], gateway)
     forward_relay(event, gateway)
     pull_if_behind(event, sender, gateway)
 
@@ -136,7 +138,10 @@
     for name in sorted(alive_names ^ fleet.alive_names):
         state = 'alive' if name in alive_names else 'silent'
         gateway.act(WriteLine('member_changed', {'member': name, 'state': state}))
+    returned = sorted(alive_names - fleet.alive_names)
     fleet.alive_names = alive_names
+    if gateway.suspicions.by_digest:
+        send_all_reports([fleet.members[name].host for name in returned], gateway)
 
 
 def elect_follower(gateway: GatewayInterface) -> None:
--- a/beechbridge/gateway/interface.py
+++ b/beechbridge/gateway/interface.py
@@ -24,8 +24,10 @@
     from .replicas.store_view import StoreView
     from .replicas.upstreams import ReplicaState, Upstreams
     from .requests.budgets import BudgetRules, BudgetShare, RetryBudget
+    from .requests.evidence import Evidence
     from .requests.permit_requests import PermitRequests
     from .requests.splits import Splits
+    from .requests.suspicion import SuspicionBook
     from .requests.works import Work
     from .routes import RoutingTable
 
@@ -57,6 +59,8 @@
     notices: 'NoticeBook'
     limits: 'Limits'
     permit_requests: 'PermitRequests'
+    evidence: 'Evidence'
+    suspicions: 'SuspicionBook'
     decode_item: 'Callable[[str, bytes], RoutingTable | ReplicaEntry | Failure | None]'
     fleet: 'Fleet'
     gossip: 'Gossip'
--- a/beechbridge/gateway/maintenance.py
+++ b/beechbridge/gateway/maintenance.py
@@ -2,8 +2,10 @@
 
 from .actions import WriteLine
 from .events import PauseDetected, SettingsReloaded
+from .fleet.suspect_reports import repeat_reports
 from .interface import GatewayInterface
 from .replicas.notices import log_notices
+from .requests.evidence import sweep_evidence
 from .requests.progress import sweep_exchanges
 from .requests.sending import enforce_connection_shares
 
@@ -43,6 +45,8 @@
     gateway.timers.arm(gateway.now_ms + SWEEP_INTERVAL_MS, timer)
     sweep_exchanges(gateway)
     log_notices(gateway)
+    sweep_evidence(gateway)
+    repeat_reports(gateway)
     if gateway.sharing_count > gateway.last_sharing_count:
         enforce_connection_shares(gateway)
     gateway.last_sharing_count = gateway.sharing_count
--- a/beechbridge/gateway/models.py
+++ b/beechbridge/gateway/models.py
@@ -49,33 +49,16 @@
         self.started_ms = started_ms
 
 
-class RequestIdentity(Record):
-    """
-    Digests by which all VMs recognise a request when a caller sends it again.
-
-    :param content: digest of what a replica gets to see: method, host, target and body
-    :param key: digest of the content and the caller's address
-    """
-
-    __slots__ = ('content', 'key')
-
-    def __init__(self, key: str, content: str):
-        self.key = key
-        self.content = content
-
-
 class CallerRequest(Record):
     """
     One attempt of a caller.
 
     :param target: path and query string as sent
     :param timeout_ms: how long the caller will wait in milliseconds, None if it did not say
-    :param caller: address that the request came from, without its port
     """
 
     __slots__ = (
         'body',
-        'caller',
         'headers',
         'host',
         'method',
@@ -95,10 +78,8 @@
         headers: list[tuple[str, str]],
         body: bytes = b'',
         timeout_ms: float | None = None,
-        caller: str = '',
     ):
         self.request_id = request_id
-        self.caller = caller
         self.method = method
         self.target = target
         self.host = host
@@ -214,11 +195,13 @@
     An exchange that ended without a complete reply.
 
     :param was_sent: whether any byte of the request may have reached the replica
+    :param is_refused: whether nothing listens at the replica's address
     """
 
-    __slots__ = ('fault', 'was_sent')
+    __slots__ = ('fault', 'is_refused', 'was_sent')
 
-    def __init__(self, fault: LinkFault, was_sent: bool):
+    def __init__(self, fault: LinkFault, was_sent: bool, is_refused: bool = False):
+        self.is_refused = is_refused
         self.fault = fault
         self.was_sent = was_sent
 
@@ -255,13 +238,13 @@
     :param attempts: maximum number of replicas of one service that may run the request
     :param soft_ms: milliseconds after its arrival within which the answer must be sent
     :param hard_ms: milliseconds after its arrival within which replicas may work on it
-    :param identity: identity of the caller's request
+    :param digest: what the request has in common with other attempts of its caller
     """
 
     __slots__ = (
         'attempts',
+        'digest',
         'hard_ms',
-        'identity',
         'priority',
         'request',
         'route_name',
@@ -280,9 +263,9 @@
         top_records: int,
         soft_ms: float,
         hard_ms: float,
-        identity: RequestIdentity,
+        digest: str,
     ):
-        self.identity = identity
+        self.digest = digest
         self.request = request
         self.route_name = route_name
         self.priority = priority
@@ -309,9 +292,10 @@
     :param work_ms: milliseconds from the order to the answer, measured at that VM
     :param tried: services of missing parts whose replicas the request may have reached, also if
         they rejected it
+    :param lost: services of missing parts that were lost with their connection and not retried
     """
 
-    __slots__ = ('body', 'run_counts', 'signatures', 'tried', 'work_ms')
+    __slots__ = ('body', 'lost', 'run_counts', 'signatures', 'tried', 'work_ms')
 
     def __init__(
         self,
@@ -320,7 +304,9 @@
         body: bytes,
         work_ms: float,
         tried: frozenset[str] = frozenset(),
+        lost: frozenset[str] = frozenset(),
     ):
+        self.lost = lost
         self.signatures = signatures
         self.tried = tried
         self.run_counts = run_counts
--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -18,6 +18,7 @@
     OrderReceived,
     PauseDetected,
     PermitsReceived,
+    ProbeEnded,
     PullEnded,
     RequestMalformed,
     RequestReceived,
@@ -25,6 +26,7 @@
     SettingsReloaded,
     StopRequested,
     StoreFailed,
+    SuspectsReceived,
     TimerDue,
 )
 from .fleet.aggregators import Aggregators
@@ -40,6 +42,7 @@
     fire_exit,
     handle_stop_requested,
 )
+from .fleet.suspect_reports import handle_suspects_received, report_suspects
 from .latencies import CallerTimeouts, Histogram
 from .maintenance import (
     SWEEP_INTERVAL_MS,
@@ -75,6 +78,8 @@
     BudgetShare,
     RetryBudget,
 )
+from .requests.canaries import fire_canary
+from .requests.evidence import Evidence, handle_probe_ended
 from .requests.hedges import fire_check
 from .requests.permission import (
     PermitTimer,
@@ -93,7 +98,8 @@
     handle_request_sent,
 )
 from .requests.splits import Splits
-from .requests.works import CheckTimer, DeadlineTimer, RetryTimer, Work
+from .requests.suspicion import SuspicionBook
+from .requests.works import CanaryTimer, CheckTimer, DeadlineTimer, RetryTimer, Work
 from .routes import RoutingTable
 
 MAX_ADDRESSES = 64
@@ -115,6 +121,8 @@
     :param grace_ms: milliseconds between a stop request and the kill
     :param rng: source of all randomness
     :param max_reply_bytes: largest reply of a replica that is forwarded to a caller
+    :param is_first_start: whether the whole system starts for the first time, so that there is
+        nothing that it may have forgotten
     :param last_sharing_count: number of VMs sharing the connections at the last sweep
     """
 
@@ -127,8 +135,10 @@
         'caller_timeouts',
         'counters',
         'decode_item',
+        'evidence',
         'fleet',
         'gossip',
+        'is_first_start',
         'last_sharing_count',
         'last_update_ms',
         'latencies',
@@ -148,6 +158,7 @@
         'started_ms',
         'stopping',
         'store',
+        'suspicions',
         'table',
         'timers',
         'upstreams',
@@ -166,6 +177,7 @@
         grace_ms: float,
         rng: random.Random,
         max_reply_bytes: int = MAX_REPLY_BYTES,
+        is_first_start: bool = True,
     ):
         self.max_reply_bytes = max_reply_bytes
         self.fleet = Fleet(own, seeds, regions)
@@ -202,10 +214,15 @@
         self.works: dict[int, Work] = {}
         self.stopping = Stopping(grace_ms)
         self.last_sharing_count = 0
+        self.evidence = Evidence()
+        self.suspicions = SuspicionBook()
+        self.is_first_start = is_first_start
 
     def start(self, now_ms: float) -> list[GatewayAction]:
         """Arm the periodic timers."""
         self.now_ms = self.started_ms = self.last_update_ms = now_ms
+        if not self.is_first_start:
+            self.suspicions.memory_since_ms = now_ms
         self.timers.arm(now_ms, HeartbeatTimer())
         self.timers.arm(now_ms + SWEEP_INTERVAL_MS, SweepTimer())
         return self.pop_actions()
@@ -220,6 +237,7 @@
             fire_timer(timer, self)
         handle_event(event, self)
         send_pending(self)
+        report_suspects(self)
         return self.pop_actions()
 
     def recover(self, event: object, defect: dict) -> list[GatewayAction]:
@@ -341,6 +359,7 @@
             'exchanges': len(self.upstreams.exchanges),
             'members': self.fleet.describe(self.now_ms),
             'limits': self.limits.describe(),
+            'suspects': self.suspicions.describe(self.now_ms),
             'replicas': replicas,
             'counters': {
                 f'{name}.{label}' if label else name: value
@@ -380,6 +399,8 @@
     StopRequested: handle_stop_requested,
     PauseDetected: handle_pause_detected,
     PermitsReceived: handle_permits_received,
+    ProbeEnded: handle_probe_ended,
+    SuspectsReceived: handle_suspects_received,
     SettingsReloaded: handle_settings_reloaded,
     TimerDue: handle_timer_due,
 }
@@ -387,6 +408,7 @@
 TIMER_HANDLERS = {
     HeartbeatTimer: fire_heartbeat,
     SweepTimer: fire_sweep,
+    CanaryTimer: fire_canary,
     CheckTimer: fire_check,
     DeadlineTimer: fire_deadline,
     RetryTimer: fire_retry,
--- a/beechbridge/gateway/replicas/connections.py
+++ b/beechbridge/gateway/replicas/connections.py
@@ -12,6 +12,8 @@
 
     :param owner: task or order that the request serves; once `is_abandoned` it ignores the reply
     :param kind: why it was sent, see `SendKind`
+    :param is_alone: whether its request was sent to no other replica at the time
+    :param round_number: round of its request
     :param was_sent: whether the request may have reached the replica
     :param stalled_at_ms: time in milliseconds from which the replica is suspect if it has not
         answered
@@ -21,10 +23,12 @@
         'connection_id',
         'exchange_id',
         'is_abandoned',
+        'is_alone',
         'is_new',
         'kind',
         'owner',
         'replica',
+        'round_number',
         'sent_ms',
         'stalled_at_ms',
         'was_sent',
@@ -42,6 +46,8 @@
         kind: str = '',
     ):
         self.kind = kind
+        self.is_alone = False
+        self.round_number = 0
         self.exchange_id = exchange_id
         self.replica = replica
         self.owner = owner
--- a/beechbridge/gateway/replicas/restoration.py
+++ b/beechbridge/gateway/replicas/restoration.py
@@ -40,19 +40,32 @@
 
 
 class RemovedReplicas:
-    """Start times of the replicas that were removed, by store key."""
+    """
+    Replicas that were removed.
+
+    :param started_ms: start times by store key
+    :param ids: store keys by the replica's ID
+    """
 
-    __slots__ = ('started_ms',)
+    __slots__ = ('ids', 'started_ms')
 
     def __init__(self):
         self.started_ms: dict[str, int] = {}
+        self.ids: dict[str, str] = {}
 
     def add(self, key: str, entry: ReplicaEntry) -> None:
         """Remember the removal of a replica."""
         self.started_ms.pop(key, None)
         self.started_ms[key] = entry.started_ms
+        self.ids[entry.replica_id] = key
         if len(self.started_ms) > MAX_REMOVED_REPLICAS:
             self.started_ms.pop(next(iter(self.started_ms)))
+        if len(self.ids) > MAX_REMOVED_REPLICAS:
+            self.ids.pop(next(iter(self.ids)))
+
+    def was_removed(self, replica_id: str) -> bool:
+        """Return whether a replica with an ID is remembered."""
+        return replica_id in self.ids
 
     def includes(self, key: str, entry: ReplicaEntry) -> bool:
         """Return whether this incarnation of a replica, or a later one, was removed."""
--- a/beechbridge/gateway/replicas/store_updates.py
+++ b/beechbridge/gateway/replicas/store_updates.py
@@ -8,6 +8,7 @@
 from ..fleet.pulls import mark_caught_up, record_pull
 from ..interface import GatewayInterface
 from ..models import Item, ReplicaEntry
+from ..requests.evidence import REMOVED, confirm_end
 from ..routes import RoutingTable
 from .restoration import ConfirmationTimer, start_epoch
 from .upstreams import ReplicaState
@@ -235,3 +236,5 @@
     for connection_id in gateway.upstreams.remove(state):
         gateway.drop_connection(connection_id)
     log_replica(state.entry, cause, gateway)
+    confirm_end(state, REMOVED, gateway)
+    confirm_end(state, REMOVED, gateway)
--- a/beechbridge/gateway/replicas/upstreams.py
+++ b/beechbridge/gateway/replicas/upstreams.py
@@ -71,6 +71,7 @@
     :param reject_share: share of its requests that it rejected or answered with an error, decaying
         with time
     :param notices: what it has stated about itself
+    :param replied_ms: time in milliseconds of its latest reply
     :param missing_since_ms: time in milliseconds when its entry went missing while the store was
         unstable, None if it is present
     """
@@ -86,6 +87,7 @@
         'missing_since_ms',
         'notices',
         'reject_share',
+        'replied_ms',
         'sampled_ms',
         'suspect_until_ms',
         'suspicion_ms',
@@ -110,6 +112,7 @@
         self.suspect_until_ms = 0.0
         self.suspicion_ms = 0.0
         self.is_gone = False
+        self.replied_ms = -math.inf
         self.missing_since_ms: float | None = None
 
     @property
--- a/beechbridge/gateway/requests/admission.py
+++ b/beechbridge/gateway/requests/admission.py
@@ -5,7 +5,7 @@
 contacted at this point, so every rejection can safely be reported as `not_run`.
 """
 
-from collections.abc import Iterable
+import math
 from functools import singledispatch
 from operator import attrgetter
 
@@ -17,18 +17,21 @@
 from ..replicas.upstreams import ReplicaState
 from ..routes import Route
 from .answers import reject_request
-from .identity import identify_request
+from .canaries import begin_trial, needs_trial
+from .identity import compute_digest
 from .orders import may_order_from, order_remote_parts
 from .permit_requests import request_permit
 from .progress import answer_work, check_gather, close_task
 from .retry_times import (
     NO_REPLICA_RETRY_MS,
+    RETRY_JITTER,
     defer_retry_ms,
     needed_count,
     retry_once_open_ms,
     service_opens_in_ms,
 )
-from .sending import dispatch_task
+from .sending import dispatch_task, record_requests
+from .suspicion import CONVICTION_MS, Verdict
 from .works import (
     CheckTimer,
     DeadlineTimer,
@@ -142,19 +145,38 @@
     return any(may_order_from(state, task, gateway) for state in states)
 
 
-WORK_FILTERS = (check_replicas,)
+def check_conviction(work: Work, gateway: GatewayInterface) -> Failure | None:
+    """Reject requests that are known to end the replicas that run them."""
+    return refuse_convicted(work.digest, gateway)
+
+
+def refuse_convicted(digest: str, gateway: GatewayInterface) -> Failure | None:
+    """Return the failure of a request that is known to end the replicas that run it."""
+    book = gateway.suspicions
+    if book.judge(digest, gateway.now_ms) is not Verdict.CONVICTED:
+        return None
+    suspicion = book.by_digest[digest]
+    wait_ms = suspicion.latest_ms + CONVICTION_MS - gateway.now_ms
+    detail = f'replicas ended while they ran this request; its digest is {digest}'
+    retry_after_ms = math.ceil(wait_ms / min(RETRY_JITTER))
+    return not_run(Reason.QUARANTINED, detail, retry_after_ms)
+
+
+WORK_FILTERS = (check_conviction, check_replicas)
 
 
 def make_work(event: RequestReceived, route: Route, gateway: GatewayInterface) -> Work:
     """Return the `Work` for a request, with its tasks and deadlines."""
     work_class = GatherWork if route.is_gather else SingleWork
-    identity = identify_request(event.request)
+    digest = compute_digest(event.request)
     work = work_class(
-        event.key, event.request, identity, route, gateway.table.version, gateway.now_ms
+        event.key, event.request, digest, route, gateway.table.version, gateway.now_ms
     )
     services = route.services if route.is_gather else (gateway.splits.pick(route),)
     work.tasks = [Task(work, service) for service in services]
     work.open_count = len(work.tasks)
+    verdict = gateway.suspicions.judge(digest, gateway.now_ms)
+    work.is_trial = not route.is_gather and verdict is Verdict.SUSPECT
     wait_ms = route.timeout_ms
     spent_ms = 0.0
     if event.request.timeout_ms is not None:
@@ -199,13 +221,12 @@
     start_work(work, gateway)
 
 
-def record_requests(tasks: Iterable[Task], gateway: GatewayInterface) -> None:
-    """Count the requests to the services of tasks, which permit extra attempts at them."""
-    for task in tasks:
-        gateway.budget(task.service).record_request(gateway.now_ms)
+def check_order_conviction(event: OrderReceived, gateway: GatewayInterface) -> Failure | None:
+    """Reject orders of requests that are known to end the replicas that run them."""
+    return refuse_convicted(event.order.digest, gateway)
 
 
-ORDER_FILTERS = (check_readiness, check_capacity)
+ORDER_FILTERS = (check_readiness, check_capacity, check_order_conviction)
 
 
 def handle_order_received(event: OrderReceived, gateway: GatewayInterface) -> None:
@@ -239,7 +260,7 @@
         top_records=order.top_records,
     )
     work = OrderedWork(
-        event.key, order.request, order.identity, route, gateway.table.version, gateway.now_ms
+        event.key, order.request, order.digest, route, gateway.table.version, gateway.now_ms
     )
     work.tasks = [Task(work, service) for service in order.services]
     work.open_count = len(work.tasks)
@@ -312,6 +333,11 @@
 
 def launch_work(work: Work, gateway: GatewayInterface) -> None:
     """Send the request's tasks to replicas or, as orders, to other VMs."""
+    if needs_trial(work, gateway):
+        gateway.timers.arm(gateway.now_ms + 1.0, CheckTimer(work.key))
+        begin_trial(work, gateway)
+        return
+    work.was_launched = True
     ordered = order_parts(work, gateway)
     # The VM that takes an order counts its requests, since it makes the extra attempts.
     record_requests((task for task in work.tasks if task not in ordered), gateway)
--- a/beechbridge/gateway/requests/answers.py
+++ b/beechbridge/gateway/requests/answers.py
@@ -10,6 +10,7 @@
 from ..models import Answer, ForwardedAnswer, LinkFault, MergedAnswer, PartsAnswer, Reply
 from .retry_times import jitter_ms, retry_once_open_ms, service_opens_in_ms
 from .sending import abort_exchange
+from .suspicion import Verdict
 from .works import GatherWork, OrderedWork, SingleWork, Work
 
 RECORD_BYTES = 16
@@ -53,6 +54,7 @@
     signatures = {}
     run_counts = {}
     tried = set()
+    lost = set()
     for task in work.tasks:
         if task.reply is not None:
             signatures[task.service] = task.reply.signature
@@ -60,9 +62,11 @@
         run_counts[task.service] = task.run_count
         if task.delivery_count:
             tried.add(task.service)
+        if task.fault is LinkFault.LOST and not work.is_vindicated:
+            lost.add(task.service)
     body = merge_largest_records(work.replies, work.route.top_records)
     work_ms = gateway.now_ms - work.arrived_ms
-    return PartsAnswer(signatures, run_counts, body, work_ms, frozenset(tried))
+    return PartsAnswer(signatures, run_counts, body, work_ms, frozenset(tried), frozenset(lost))
 
 
 def merge_largest_records(replies: list[Reply], count: int) -> bytes:
@@ -113,6 +117,8 @@
         return not_run(reason, f'{detail}, no replica accepted the request', retry_after_ms)
     if gateway.now_ms >= work.hard_at_ms - DEADLINE_SLACK_MS:
         return unknown(Reason.DEADLINE, detail)
+    if gateway.suspicions.judge(work.digest, gateway.now_ms) is Verdict.CONVICTED:
+        return unknown(Reason.QUARANTINED, f'{detail}; replicas ended while they ran the request')
     reason = Reason.COVERAGE_TOO_LOW
     for task in work.tasks:
         if task.fault is not None:
@@ -140,7 +146,7 @@
     """Return the log fields that describe a finished request."""
     fields = {
         'request': work.request.request_id,
-        'digest': work.identity.key,
+        'digest': work.digest,
         'route': work.route.name,
         'table': work.table_version,
         'ms': round(gateway.now_ms - work.arrived_ms, 1),
@@ -200,7 +206,7 @@
     fields = {
         'outcome': 'refused',
         'request': event.request.request_id,
-        'digest': work.identity.key if work else None,
+        'digest': work.digest if work else None,
         'route': work.route.name if work else None,
         'table': gateway.table.version if gateway.table else None,
         'reason': failure.reason.value,
--- a/beechbridge/gateway/requests/orders.py
+++ b/beechbridge/gateway/requests/orders.py
@@ -26,6 +26,8 @@
     record_latency,
     resume_task,
     suspect_replica,
+    vindicate,
+    wake_held,
 )
 from .sending import begin_exchange, drop_idle, end_exchange
 from .works import GatherWork, Task
@@ -77,6 +79,8 @@
         return ordered
     zones_by_task: dict[Task, set[str]] = {}
     for task in work.tasks:
+        if not task.is_open or task.exchanges or task.run_count:
+            continue
         zones = remote_zones(task, gateway)
         if zones:
             zones_by_task[task] = zones
@@ -152,7 +156,7 @@
         route.top_records,
         soft_ms,
         work.hard_at_ms - now_ms - overhead_ms,
-        work.identity,
+        work.digest,
     )
     send_order(order, parts_order, state, idle, gateway)
     return True
@@ -227,9 +231,12 @@
     if not exchange.is_new:
         round_trip_ms = max(0.0, latency_ms - reply.answer.work_ms)
         gateway.aggregators.record_round_trip(owner.zone, round_trip_ms)
+    if reply.answer.signatures:
+        vindicate(work, gateway)
     if exchange.is_abandoned or work.is_finished:
         return
     answer = reply.answer
+    work.has_losses = work.has_losses or bool(answer.lost)
     # The body holds the merged records of all parts, so only one task gets it. It replaces a part
     # that has meanwhile come from a replica directly, which would otherwise be counted twice.
     body = answer.body
@@ -245,8 +252,11 @@
         if task.reply is not None:
             close_task(task, gateway)
             continue
-        # If the task may have run there without a reply, that VM has tried what it could.
-        resume_task(task, gateway, may_retry=not answer.run_counts[task.service])
+        # If the task may have run there without a reply, that VM has tried what it could, unless
+        # it stopped because replicas may end under the request.
+        is_left = not answer.run_counts[task.service] or task.service in answer.lost
+        resume_task(task, gateway, may_retry=is_left)
+    wake_held(work, gateway)
 
 
 def is_answer_to(order: Order, reply: PartsReply) -> bool:
@@ -276,3 +286,4 @@
         return
     for task in order.open_tasks:
         resume_task(task, gateway, may_retry=True)
+    wake_held(order.work, gateway)
--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -12,8 +12,9 @@
 from ..replicas.notices import apply_notice
 from ..replicas.upstreams import ReplicaState
 from .answers import build_answer, record_end, trim_part
+from .evidence import REFUSED, acquit, confirm_end, record_loss
 from .sending import abandon_exchange, abort_exchange, dispatch_task, end_exchange
-from .works import DeadlineTimer, GatherWork, RetryTimer, SingleWork, Task, Work
+from .works import CanaryTimer, DeadlineTimer, GatherWork, RetryTimer, SingleWork, Task, Work
 
 SUSPECT_WAIT_FACTOR = 2.0
 """Multiple of the typical latency to wait for a shard whose replicas are all suspect."""
@@ -67,8 +68,12 @@
     if not failure.was_sent:
         task.delivery_count -= 1
         task.run_count -= 1
+    if failure.is_refused:
+        confirm_end(state, REFUSED, gateway)
     if failure.was_sent and failure.fault is LinkFault.LOST:
-        log_loss(exchange, gateway)
+        handle_loss(exchange, gateway)
+    elif failure.fault in (LinkFault.MALFORMED, LinkFault.OVERSIZED):
+        vindicate(task.work, gateway)
     if is_suspicious(exchange, failure.fault):
         suspect_replica(state, failure.fault.value, gateway)
     task.exclude_replica(state)
@@ -76,14 +81,25 @@
     end_exchange(exchange, gateway, is_reusable=False)
     if not exchange.is_abandoned:
         resume_task(task, gateway, may_retry=not failure.was_sent or task.work.route.is_idempotent)
+    wake_held(task.work, gateway)
 
 
-def log_loss(exchange: Exchange, gateway: GatewayInterface) -> None:
-    """Log that the connection was lost over which a request had been sent."""
-    work = exchange.owner.work
+def handle_loss(exchange: Exchange, gateway: GatewayInterface) -> None:
+    """Handle the loss of a connection over which a request had been sent: its replica may have
+    ended because of it.
+    """
+    task = exchange.owner
+    work = task.work
+    record_loss(exchange, gateway)
+    work.has_losses = True
+    if work.trial_task is task:
+        work.trial_task = None
+    if not work.route.is_gather:
+        work.is_trial = True
+        work.round_number += 1
     fields = {
         'request': work.request.request_id,
-        'digest': work.identity.key,
+        'digest': work.digest,
         'replica': exchange.replica.entry.replica_id,
         'service': exchange.replica.entry.service,
         'kind': exchange.kind,
@@ -92,6 +108,21 @@
     gateway.act(WriteLine('sub_request_lost', fields))
 
 
+def vindicate(work: Work, gateway: GatewayInterface) -> None:
+    """Note that a replica has run a request without ending; what waited for that goes on."""
+    if work.is_vindicated:
+        return
+    work.is_vindicated = True
+    acquit(work, gateway)
+    wake_held(work, gateway)
+
+
+def wake_held(work: Work, gateway: GatewayInterface) -> None:
+    """Let a gather go on whose tasks wait for an answer, if it can."""
+    if work.held_tasks:
+        gateway.timers.arm(gateway.now_ms, CanaryTimer(work.key))
+
+
 def is_suspicious(exchange: Exchange, fault: LinkFault) -> bool:
     """
     Return whether a failure tells something about the replica.
@@ -134,6 +165,10 @@
     is_not_run = reply.is_rejected and is_match
     if is_not_run:
         task.run_count -= 1
+    if is_match and not reply.is_rejected:
+        vindicate(work, gateway)
+    if not reply.is_other_instance:
+        state.replied_ms = now_ms
     if reply.is_rejected:
         state.record_rejection(True, now_ms)
         gateway.counters.add('rejections', str(reply.status))
--- a/beechbridge/gateway/requests/sending.py
+++ b/beechbridge/gateway/requests/sending.py
@@ -1,6 +1,7 @@
 """Dispatch of tasks to replicas: replica choice, connections, queueing, backoff and budget."""
 
 import heapq
+from collections.abc import Iterable
 
 from ..actions import MAX_PART_BYTES, AbandonExchange, SendRequest
 from ..interface import GatewayInterface
@@ -13,6 +14,7 @@
     STALL_TIMEOUT_FACTOR,
     ReplicaState,
 )
+from .holding import hold_task, is_convicted, is_held_back
 from .permit_requests import request_permit
 from .works import OrderedWork, RetryTimer, Task
 
@@ -39,6 +41,9 @@
     """
     if not is_worth_sending(task, gateway):
         return False
+    if is_held_back(task):
+        hold_task(task)
+        return False
     state = choose_replica(task, is_hedge, gateway)
     if state is None:
         if not task.exchanges:
@@ -57,9 +62,9 @@
 
 
 def is_worth_sending(task: Task, gateway: GatewayInterface) -> bool:
-    """Return whether a task is open and has time and attempts left."""
+    """Return whether a task is open, has time and attempts left and ends no replica."""
     work = task.work
-    if not task.is_open or work.is_finished:
+    if not task.is_open or work.is_finished or is_convicted(task, gateway):
         return False
     if work.hard_at_ms - gateway.now_ms < MIN_TIME_LEFT_MS:
         return False
@@ -137,6 +142,8 @@
     stalled_at_ms = now_ms + max(MIN_STALL_TIMEOUT_MS, STALL_TIMEOUT_FACTOR * typical_ms)
     kind = find_kind(task, is_hedge)
     exchange = begin_exchange(task, state, idle, stalled_at_ms, gateway, kind)
+    exchange.is_alone = work.is_trial
+    exchange.round_number = work.round_number
     if state.notices.is_restricted:
         record_send(state, kind)
     if task.delivery_count:
@@ -162,6 +169,12 @@
     )
 
 
+def record_requests(tasks: Iterable[Task], gateway: GatewayInterface) -> None:
+    """Count the requests to the services of tasks, which permit extra attempts at them."""
+    for task in tasks:
+        gateway.budget(task.service).record_request(gateway.now_ms)
+
+
 def find_kind(task: Task, is_hedge: bool) -> str:
     """Return why a task is about to be sent."""
     if task.delivery_count:
--- a/beechbridge/gateway/requests/works.py
+++ b/beechbridge/gateway/requests/works.py
@@ -3,7 +3,7 @@
 import math
 
 from ...record import Record
-from ..models import CallerRequest, LinkFault, Reply, RequestIdentity
+from ..models import CallerRequest, LinkFault, Reply
 from ..replicas.connections import Exchange
 from ..replicas.upstreams import ReplicaState
 from ..routes import Route
@@ -14,44 +14,60 @@
     One request of a caller in progress.
 
     :param key: identifies the waiting caller
-    :param identity: what the request has in common with other attempts of its caller
+    :param digest: what the request has in common with other attempts of its caller
     :param soft_at_ms: soft deadline in milliseconds, after which the answer loses value
     :param hard_at_ms: hard deadline in milliseconds, at which an answer must be sent
     :param orders: orders of parts sent to other VMs
     :param held_count: permits that must be answered before anything is sent
+    :param held_tasks: tasks that wait until a replica has answered
+    :param has_losses: whether a connection was lost over which it had been sent
+    :param is_trial: whether it is sent to one replica at a time, since it may end them
+    :param trial_task: the task that may be sent during a trial
+    :param is_vindicated: whether a replica has answered it, and so has not ended
+    :param was_launched: whether it has been sent to all shards
+    :param round_number: how often it was sent anew after all that was under way had failed
+    :param probe_count: replicas that were probed in this round
     """
 
     __slots__ = (
         'answered_count',
         'arrived_ms',
+        'digest',
         'exchanges',
         'extra_count',
         'hard_at_ms',
+        'has_losses',
         'held_count',
-        'identity',
+        'held_tasks',
         'is_finished',
+        'is_trial',
+        'is_vindicated',
         'key',
         'open_count',
         'orders',
+        'probe_count',
         'request',
+        'round_number',
         'route',
         'soft_at_ms',
         'table_version',
         'tasks',
+        'trial_task',
+        'was_launched',
     )
 
     def __init__(
         self,
         key: int,
         request: CallerRequest,
-        identity: RequestIdentity,
+        digest: str,
         route: Route,
         table_version: int,
         arrived_ms: float,
     ):
         self.key = key
         self.request = request
-        self.identity = identity
+        self.digest = digest
         self.route = route
         self.table_version = table_version
         self.arrived_ms = arrived_ms
@@ -64,6 +80,14 @@
         self.orders: list[object] = []
         self.extra_count = 0
         self.held_count = 0
+        self.held_tasks: list[Task] = []
+        self.has_losses = False
+        self.is_trial = False
+        self.trial_task: Task | None = None
+        self.is_vindicated = False
+        self.was_launched = False
+        self.round_number = 0
+        self.probe_count = 0
         self.is_finished = False
 
     @property
@@ -175,6 +199,15 @@
         self.key = key
 
 
+class CanaryTimer(Record):
+    """Fires when a request that waits for the answer of one replica may go on."""
+
+    __slots__ = ('key',)
+
+    def __init__(self, key: int):
+        self.key = key
+
+
 class DeadlineTimer(Record):
     """Fires at the hard deadline of a request."""
 
--- a/beechbridge/gateway/settings.py
+++ b/beechbridge/gateway/settings.py
@@ -33,6 +33,7 @@
     :param max_ttl_s: maximum lifetime of a directory answer in seconds
     :param max_reply_bytes: largest reply of a replica that is forwarded to a caller
     :param reply_memory_bytes: memory for the replies that are being received
+    :param is_first_start: whether the whole system starts for the first time
     """
 
     __slots__ = (
@@ -42,6 +43,7 @@
         'directory',
         'grace_ms',
         'host',
+        'is_first_start',
         'max_reply_bytes',
         'max_ttl_s',
         'name',
@@ -74,7 +76,9 @@
         capacity_millicores: int = 1000,
         max_reply_bytes: int = MAX_REPLY_BYTES,
         reply_memory_bytes: int = DEFAULT_REPLY_MEMORY_BYTES,
+        is_first_start: bool = True,
     ):
+        self.is_first_start = is_first_start
         self.name = name
         self.host = host
         self.zone = zone
--- a/beechbridge/platform/callers.py
+++ b/beechbridge/platform/callers.py
@@ -49,8 +49,7 @@
     path = target.partition('?')[0]
     body = environ['wsgi.input'].read()
     method = environ['REQUEST_METHOD']
-    caller = environ.get('REMOTE_ADDR', '')
-    return CallerRequest(request_id, method, target, host, path, headers, body, timeout_ms, caller)
+    return CallerRequest(request_id, method, target, host, path, headers, body, timeout_ms)
 
 
 def to_header_name(variable: str) -> str:
--- a/beechbridge/platform/settings.py
+++ b/beechbridge/platform/settings.py
@@ -76,6 +76,9 @@
     zones: dict[str, str]
     listen: Listen
     platform: Platform
+    bootstrap: bool = True
+    """False when a process starts again that had run before; the whole fleet may have, too."""
+
     bounds: Bounds = msgspec.field(default_factory=Bounds)
     limits: Limits = msgspec.field(default_factory=Limits)
 
@@ -118,6 +121,7 @@
         max_ttl_s=bounds.directory_ttl_s,
         capacity_millicores=int(file.limits.cpu_share * file.limits.cores * MILLICORES_PER_CORE),
         max_reply_bytes=max_reply_bytes,
+        is_first_start=file.bootstrap,
         reply_memory_bytes=int(REPLY_MEMORY_FRACTION * file.limits.memory_mb * BYTES_PER_MB),
     )
 
--- a/beechbridge/wire/fleet.py
+++ b/beechbridge/wire/fleet.py
@@ -3,8 +3,13 @@
 from functools import singledispatch
 
 from ..failures import Executed, Failure, InputFailure, Reason, not_run
-from ..gateway.actions import SendHeartbeat, SendOrder, SendPermits
-from ..gateway.events import ChangesReceived, HeartbeatReceived, PermitsReceived
+from ..gateway.actions import SendHeartbeat, SendOrder, SendPermits, SendSuspects
+from ..gateway.events import (
+    ChangesReceived,
+    HeartbeatReceived,
+    PermitsReceived,
+    SuspectsReceived,
+)
 from ..gateway.models import (
     CallerRequest,
     Item,
@@ -12,10 +17,10 @@
     PartsAnswer,
     PartsOrder,
     PartsReply,
-    RequestIdentity,
 )
 from ..gateway.permits import PermitMessage, PermitsAnswered, PermitsWanted
 from ..gateway.replicas.store_view import ALL_PREFIXES
+from ..gateway.suspects import EndReport, SuspectReport, SuspectsReport
 from .frames import DECODE_ERRORS, decode_struct, encode_struct
 from .http import HttpResponse
 from .peer import ttypes
@@ -96,8 +101,42 @@
     frame.permits_answered = ttypes.PermitsAnswered(message.batch_id, message.waits_ms)
 
 
-def decode_datagram(data: bytes) -> HeartbeatReceived | PermitsReceived | Failure:
-    """Decode a heartbeat, or a message about permits."""
+def encode_suspects(action: SendSuspects) -> bytes:
+    """Encode evidence against requests, as a heartbeat without news of its own."""
+    frame = ttypes.Heartbeat([encode_member(action.sender)], 0, 0, False, 0)
+    suspects = []
+    for suspect in action.report.suspects:
+        ends = []
+        for end in suspect.ends:
+            ends.append(
+                ttypes.EndReport(
+                    end.replica_id, end.started_ms, end.round_id, end.age_ms, end.is_alone
+                )
+            )
+        suspects.append(ttypes.SuspectReport(suspect.digest, ends, suspect.cleared_age_ms))
+    frame.suspects = ttypes.SuspectsReport(suspects, action.report.memory_age_ms)
+    return encode_struct(frame)
+
+
+def read_suspects(frame: ttypes.Heartbeat) -> SuspectsReport | None:
+    """Return the evidence that a frame carries, None if there is none."""
+    if frame.suspects is None:
+        return None
+    suspects = []
+    for suspect in frame.suspects.suspects:
+        ends = []
+        for end in suspect.ends:
+            ends.append(
+                EndReport(end.replica_id, end.started_ms, end.round_id, end.age_ms, end.is_alone)
+            )
+        suspects.append(SuspectReport(suspect.digest, ends, suspect.cleared_age_ms))
+    return SuspectsReport(suspects, frame.suspects.memory_age_ms)
+
+
+def decode_datagram(
+    data: bytes,
+) -> HeartbeatReceived | PermitsReceived | SuspectsReceived | Failure:
+    """Decode a heartbeat, a message about permits, or evidence against requests."""
     frame = decode(data, ttypes.Heartbeat)
     if isinstance(frame, Failure):
         return frame
@@ -105,6 +144,9 @@
     permits = read_permits(frame)
     if permits is not None and members:
         return PermitsReceived(members[0], permits)
+    suspects = read_suspects(frame)
+    if suspects is not None and members:
+        return SuspectsReceived(members[0], suspects)
     return HeartbeatReceived(
         members, frame.table_version, frame.revision, frame.wants_members, frame.epoch
     )
@@ -169,8 +211,7 @@
         order.top_records,
         order.soft_ms,
         order.hard_ms,
-        order.identity.key,
-        order.identity.content,
+        order.digest,
     )
     body = encode_struct(frame)
     head = (
@@ -200,7 +241,7 @@
         frame.top_records,
         frame.soft_ms,
         frame.hard_ms,
-        RequestIdentity(frame.digest or '', frame.content_digest or ''),
+        frame.digest or '',
     )
 
 
@@ -216,7 +257,8 @@
     parts = [ttypes.Part(name, signature) for name, signature in answer.signatures.items()]
     missing = []
     for name, count in answer.run_counts.items():
-        missing.append(ttypes.MissingPart(name, count, name in answer.tried))
+        is_lost = name in answer.lost
+        missing.append(ttypes.MissingPart(name, count, name in answer.tried, is_lost))
     body = encode_struct(ttypes.PartsAnswer(parts, missing, answer.body, answer.work_ms))
     return HttpResponse('200 OK', [CONTENT_TYPE_HEADER, (ORDER_ID_HEADER, request_id)], body)
 
@@ -246,8 +288,9 @@
     signatures = {part.service_name: part.signature for part in frame.parts}
     run_counts = {part.service_name: part.run_count for part in frame.missing}
     tried = frozenset(part.service_name for part in frame.missing if part.was_tried)
+    lost = frozenset(part.service_name for part in frame.missing if part.was_lost)
     return PartsReply(
-        PartsAnswer(signatures, run_counts, frame.body, frame.work_ms, tried),
+        PartsAnswer(signatures, run_counts, frame.body, frame.work_ms, tried, lost),
         request_id,
         closes,
     )
--- a/beechbridge/wire/peer.thrift
+++ b/beechbridge/wire/peer.thrift
@@ -133,6 +133,28 @@
   2: required list<i32> waits_ms
 }
 
+// The end of a replica's process while it ran a request; `age_ms` counts until the message was sent.
+struct EndReport {
+  1: required string replica_id
+  2: required i64 started_ms
+  3: required string round_id
+  4: required i64 age_ms
+  5: required bool is_alone
+}
+
+// The evidence against a request. `cleared_age_ms` is the time since a replica had run it safely.
+struct SuspectReport {
+  1: required string digest
+  2: required list<EndReport> ends
+  3: optional i64 cleared_age_ms
+}
+
+// Without suspects it only says for how long the sender has heard of all ends.
+struct SuspectsReport {
+  1: required list<SuspectReport> suspects
+  2: required i64 memory_age_ms
+}
+
 // The first member is the sender. `wants_members` requests all members that the receiver knows.
 struct Heartbeat {
   1: required list<FleetMember> members
@@ -142,6 +164,7 @@
   5: required i64 epoch
   6: optional PermitsWanted permits_wanted
   7: optional PermitsAnswered permits_answered
+  8: optional SuspectsReport suspects
 }
 
 // An item without a value has been deleted.
@@ -165,7 +188,7 @@
 }
 
 // Asks a VM to gather the shards that are near it. Times are in ms from the order's arrival. The
-// digests identify the request, see gateway/requests/identity.py.
+// digest identifies the request, see gateway/requests/identity.py.
 struct PartsOrder {
   1: required string request_id
   2: required string method
@@ -180,7 +203,6 @@
   11: required double soft_ms
   12: required double hard_ms
   13: optional string digest
-  14: optional string content_digest
 }
 
 struct Part {
@@ -192,6 +214,7 @@
   1: required string service_name
   2: required i32 run_count
   3: required bool was_tried
+  4: optional bool was_lost
 }
 
 // The body holds the merged records of all parts.
--- a/beechbridge/wire/peer/ttypes.py
+++ b/beechbridge/wire/peer/ttypes.py
@@ -2060,6 +2060,330 @@
         return not (self == other)
 
 
+class EndReport(object):
+    """
+    Attributes:
+     - replica_id
+     - started_ms
+     - round_id
+     - age_ms
+     - is_alone
+
+    """
+
+    __slots__ = (
+        'replica_id',
+        'started_ms',
+        'round_id',
+        'age_ms',
+        'is_alone',
+    )
+
+
+    def __init__(self, replica_id=None, started_ms=None, round_id=None, age_ms=None, is_alone=None,):
+        self.replica_id = replica_id
+        self.started_ms = started_ms
+        self.round_id = round_id
+        self.age_ms = age_ms
+        self.is_alone = is_alone
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.replica_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.round_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.is_alone = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndReport')
+        if self.replica_id is not None:
+            oprot.writeFieldBegin('replica_id', TType.STRING, 1)
+            oprot.writeString(self.replica_id.encode('utf-8') if sys.version_info[0] == 2 else self.replica_id)
+            oprot.writeFieldEnd()
+        if self.started_ms is not None:
+            oprot.writeFieldBegin('started_ms', TType.I64, 2)
+            oprot.writeI64(self.started_ms)
+            oprot.writeFieldEnd()
+        if self.round_id is not None:
+            oprot.writeFieldBegin('round_id', TType.STRING, 3)
+            oprot.writeString(self.round_id.encode('utf-8') if sys.version_info[0] == 2 else self.round_id)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 4)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.is_alone is not None:
+            oprot.writeFieldBegin('is_alone', TType.BOOL, 5)
+            oprot.writeBool(self.is_alone)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.replica_id is None:
+            raise TProtocolException(message='Required field replica_id is unset!')
+        if self.started_ms is None:
+            raise TProtocolException(message='Required field started_ms is unset!')
+        if self.round_id is None:
+            raise TProtocolException(message='Required field round_id is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        if self.is_alone is None:
+            raise TProtocolException(message='Required field is_alone is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SuspectReport(object):
+    """
+    Attributes:
+     - digest
+     - ends
+     - cleared_age_ms
+
+    """
+
+    __slots__ = (
+        'digest',
+        'ends',
+        'cleared_age_ms',
+    )
+
+
+    def __init__(self, digest=None, ends=None, cleared_age_ms=None,):
+        self.digest = digest
+        self.ends = ends
+        self.cleared_age_ms = cleared_age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.ends = []
+                    (_etype101, _size102) = iprot.readListBegin()
+                    for _i103 in range(_size102):
+                        _elem104 = EndReport()
+                        _elem104.read(iprot)
+                        self.ends.append(_elem104)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.cleared_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SuspectReport')
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 1)
+            oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
+            oprot.writeFieldEnd()
+        if self.ends is not None:
+            oprot.writeFieldBegin('ends', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.ends))
+            for iter105 in self.ends:
+                iter105.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.cleared_age_ms is not None:
+            oprot.writeFieldBegin('cleared_age_ms', TType.I64, 3)
+            oprot.writeI64(self.cleared_age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.digest is None:
+            raise TProtocolException(message='Required field digest is unset!')
+        if self.ends is None:
+            raise TProtocolException(message='Required field ends is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SuspectsReport(object):
+    """
+    Attributes:
+     - suspects
+     - memory_age_ms
+
+    """
+
+    __slots__ = (
+        'suspects',
+        'memory_age_ms',
+    )
+
+
+    def __init__(self, suspects=None, memory_age_ms=None,):
+        self.suspects = suspects
+        self.memory_age_ms = memory_age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.suspects = []
+                    (_etype106, _size107) = iprot.readListBegin()
+                    for _i108 in range(_size107):
+                        _elem109 = SuspectReport()
+                        _elem109.read(iprot)
+                        self.suspects.append(_elem109)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.memory_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SuspectsReport')
+        if self.suspects is not None:
+            oprot.writeFieldBegin('suspects', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.suspects))
+            for iter110 in self.suspects:
+                iter110.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.memory_age_ms is not None:
+            oprot.writeFieldBegin('memory_age_ms', TType.I64, 2)
+            oprot.writeI64(self.memory_age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.suspects is None:
+            raise TProtocolException(message='Required field suspects is unset!')
+        if self.memory_age_ms is None:
+            raise TProtocolException(message='Required field memory_age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Heartbeat(object):
     """
     Attributes:
@@ -2070,6 +2394,7 @@
      - epoch
      - permits_wanted
      - permits_answered
+     - suspects
 
     """
 
@@ -2081,10 +2406,11 @@
         'epoch',
         'permits_wanted',
         'permits_answered',
+        'suspects',
     )
 
 
-    def __init__(self, members=None, table_version=None, revision=None, wants_members=None, epoch=None, permits_wanted=None, permits_answered=None,):
+    def __init__(self, members=None, table_version=None, revision=None, wants_members=None, epoch=None, permits_wanted=None, permits_answered=None, suspects=None,):
         self.members = members
         self.table_version = table_version
         self.revision = revision
@@ -2092,6 +2418,7 @@
         self.epoch = epoch
         self.permits_wanted = permits_wanted
         self.permits_answered = permits_answered
+        self.suspects = suspects
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2145,6 +2472,12 @@
                     self.permits_answered.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRUCT:
+                    self.suspects = SuspectsReport()
+                    self.suspects.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2186,6 +2519,10 @@
             oprot.writeFieldBegin('permits_answered', TType.STRUCT, 7)
             self.permits_answered.write(oprot)
             oprot.writeFieldEnd()
+        if self.suspects is not None:
+            oprot.writeFieldBegin('suspects', TType.STRUCT, 8)
+            self.suspects.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2538,7 +2875,6 @@
      - soft_ms
      - hard_ms
      - digest
-     - content_digest
 
     """
 
@@ -2556,11 +2892,10 @@
         'soft_ms',
         'hard_ms',
         'digest',
-        'content_digest',
     )
 
 
-    def __init__(self, request_id=None, method=None, target=None, headers=None, body=None, route=None, priority=None, services=None, attempts=None, top_records=None, soft_ms=None, hard_ms=None, digest=None, content_digest=None,):
+    def __init__(self, request_id=None, method=None, target=None, headers=None, body=None, route=None, priority=None, services=None, attempts=None, top_records=None, soft_ms=None, hard_ms=None, digest=None,):
         self.request_id = request_id
         self.method = method
         self.target = target
@@ -2574,7 +2909,6 @@
         self.soft_ms = soft_ms
         self.hard_ms = hard_ms
         self.digest = digest
-        self.content_digest = content_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2661,11 +2995,6 @@
                     self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
-            elif fid == 14:
-                if ftype == TType.STRING:
-                    self.content_digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2734,10 +3063,6 @@
             oprot.writeFieldBegin('digest', TType.STRING, 13)
             oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
             oprot.writeFieldEnd()
-        if self.content_digest is not None:
-            oprot.writeFieldBegin('content_digest', TType.STRING, 14)
-            oprot.writeString(self.content_digest.encode('utf-8') if sys.version_info[0] == 2 else self.content_digest)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2877,6 +3202,7 @@
      - service_name
      - run_count
      - was_tried
+     - was_lost
 
     """
 
@@ -2884,13 +3210,15 @@
         'service_name',
         'run_count',
         'was_tried',
+        'was_lost',
     )
 
 
-    def __init__(self, service_name=None, run_count=None, was_tried=None,):
+    def __init__(self, service_name=None, run_count=None, was_tried=None, was_lost=None,):
         self.service_name = service_name
         self.run_count = run_count
         self.was_tried = was_tried
+        self.was_lost = was_lost
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2916,6 +3244,11 @@
                     self.was_tried = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.was_lost = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2938,6 +3271,10 @@
             oprot.writeFieldBegin('was_tried', TType.BOOL, 3)
             oprot.writeBool(self.was_tried)
             oprot.writeFieldEnd()
+        if self.was_lost is not None:
+            oprot.writeFieldBegin('was_lost', TType.BOOL, 4)
+            oprot.writeBool(self.was_lost)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3239,6 +3576,28 @@
     (1, TType.I64, 'batch_id', None, None, ),  # 1
     (2, TType.LIST, 'waits_ms', (TType.I32, None, False), None, ),  # 2
 )
+all_structs.append(EndReport)
+EndReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'replica_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'started_ms', None, None, ),  # 2
+    (3, TType.STRING, 'round_id', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'age_ms', None, None, ),  # 4
+    (5, TType.BOOL, 'is_alone', None, None, ),  # 5
+)
+all_structs.append(SuspectReport)
+SuspectReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'digest', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'ends', (TType.STRUCT, [EndReport, None], False), None, ),  # 2
+    (3, TType.I64, 'cleared_age_ms', None, None, ),  # 3
+)
+all_structs.append(SuspectsReport)
+SuspectsReport.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'suspects', (TType.STRUCT, [SuspectReport, None], False), None, ),  # 1
+    (2, TType.I64, 'memory_age_ms', None, None, ),  # 2
+)
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
     None,  # 0
@@ -3249,6 +3608,7 @@
     (5, TType.I64, 'epoch', None, None, ),  # 5
     (6, TType.STRUCT, 'permits_wanted', [PermitsWanted, None], None, ),  # 6
     (7, TType.STRUCT, 'permits_answered', [PermitsAnswered, None], None, ),  # 7
+    (8, TType.STRUCT, 'suspects', [SuspectsReport, None], None, ),  # 8
 )
 all_structs.append(StoreItem)
 StoreItem.thrift_spec = (
@@ -3287,7 +3647,6 @@
     (11, TType.DOUBLE, 'soft_ms', None, None, ),  # 11
     (12, TType.DOUBLE, 'hard_ms', None, None, ),  # 12
     (13, TType.STRING, 'digest', 'UTF8', None, ),  # 13
-    (14, TType.STRING, 'content_digest', 'UTF8', None, ),  # 14
 )
 all_structs.append(Part)
 Part.thrift_spec = (
@@ -3301,6 +3660,7 @@
     (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
     (2, TType.I32, 'run_count', None, None, ),  # 2
     (3, TType.BOOL, 'was_tried', None, None, ),  # 3
+    (4, TType.BOOL, 'was_lost', None, None, ),  # 4
 )
 all_structs.append(PartsAnswer)
 PartsAnswer.thrift_spec = (
--- a/measure/emulated_actions.py
+++ b/measure/emulated_actions.py
@@ -12,11 +12,13 @@
     DropConnection,
     ExitProcess,
     FollowStore,
+    ProbeReplica,
     PullChanges,
     SendHeartbeat,
     SendOrder,
     SendPermits,
     SendRequest,
+    SendSuspects,
     SetCallerLimits,
     WriteLine,
 )
@@ -25,12 +27,13 @@
     ExchangeEnded,
     HeartbeatReceived,
     PermitsReceived,
+    ProbeEnded,
     PullEnded,
     RequestSent,
 )
 from beechbridge.gateway.models import LinkFailure, LinkFault
 from beechbridge.wire.changes import read_pull, write_changes, write_pull
-from beechbridge.wire.fleet import encode_heartbeat
+from beechbridge.wire.fleet import decode_datagram, encode_heartbeat, encode_suspects
 
 from .stand_ins import EmulatedOrder, EmulatedVm, Job
 
@@ -57,7 +60,7 @@
     vm.jobs[action.connection_id] = job
     delay_ms = emulator.delay_ms(vm, replica.entry.zone)
     if action.is_new and replica.is_down:
-        failure = LinkFailure(LinkFault.CONNECT_FAILED, was_sent=False)
+        failure = LinkFailure(LinkFault.CONNECT_FAILED, was_sent=False, is_refused=True)
         event = ExchangeEnded(action.exchange_id, failure)
         emulator.schedule(
             2 * delay_ms, lambda: job.is_cancelled or emulator.deliver_event(vm, event)
@@ -153,6 +156,27 @@
     emulator.schedule(delay_ms, lambda: emulator.deliver_event(other, event))
 
 
+@perform.register(SendSuspects)
+def perform_suspects(action: SendSuspects, vm: EmulatedVm, emulator: 'Emulator') -> None:
+    """Deliver evidence to the VMs that are up."""
+    event = decode_datagram(encode_suspects(action))
+    for other in emulator.vms:
+        if other is vm or other.gateway.fleet.own.host not in action.hosts:
+            continue
+        delay_ms = emulator.delay_ms(vm, other.gateway.fleet.own.zone)
+        emulator.schedule(delay_ms, lambda o=other: emulator.deliver_event(o, event))
+
+
+@perform.register(ProbeReplica)
+def perform_probe(action: ProbeReplica, vm: EmulatedVm, emulator: 'Emulator') -> None:
+    """Report whether a replica accepts connections; one that is dark does not answer."""
+    replica = emulator.replicas[action.host]
+    event = ProbeEnded(action.probe_id, not replica.is_down, replica.is_down)
+    if not replica.spec.is_dark:
+        delay_ms = 2 * emulator.delay_ms(vm, replica.entry.zone)
+        emulator.schedule(delay_ms, lambda: emulator.deliver_event(vm, event))
+
+
 @perform.register(PullChanges)
 def perform_pull(action: PullChanges, vm: EmulatedVm, emulator: 'Emulator') -> None:
     """Ask another VM for the changes that it has."""
--- a/measure/emulator.py
+++ b/measure/emulator.py
@@ -204,19 +204,12 @@
         self.schedule(vm.link_free_ms - self.now_ms + delay_ms, callback)
 
     def send_request(
-        self,
-        vm_number: int,
-        path: str,
-        timeout_ms: float,
-        method: str = 'GET',
-        caller: str = '',
+        self, vm_number: int, path: str, timeout_ms: float, method: str = 'GET'
     ) -> int:
         """Send a caller's request to a VM now; return the key of its answer."""
         self.next_key += 1
         key = self.next_key
-        request = CallerRequest(
-            f'request-{key}', method, path, HOST, path, [], b'', timeout_ms, caller
-        )
+        request = CallerRequest(f'request-{key}', method, path, HOST, path, [], b'', timeout_ms)
         self.deliver_event(self.vms[vm_number], RequestReceived(key, request))
         return key
 
@@ -389,6 +382,7 @@
             before.budget_rules,
             6_000.0,
             random.Random(self.rng.getrandbits(64)),
+            is_first_start=False,
         )
         vm.is_up = True
         self.perform_all(vm, vm.gateway.start(self.now_ms))
--- a/tests/test_deadly_requests.py
+++ b/tests/test_deadly_requests.py
@@ -19,7 +19,6 @@
     start_sweeps,
     sweep_route,
 )
-from .known_red import known_red
 
 STABLE_MS = 4_000.0
 """Time after the third end of a replica from which hardly anything of the request may arrive."""
@@ -44,7 +43,7 @@
     return emulator
 
 
-def drive_both(emulator, path, duration_s, callers=('10.0.0.9',), method='GET', after=None):
+def drive_both(emulator, path, duration_s, method='GET', after=None):
     """
     Send requests of many callers, and a deadly one that comes again at any VM.
 
@@ -55,13 +54,12 @@
     asked = []
     for number in range(int(duration_s * 1000.0 / GAP_MS)):
         vm = number % len(emulator.vms)
-        key = emulator.send_request(vm, f'{path}{number}', TIMEOUT_MS, method, f'10.1.0.{vm}')
+        key = emulator.send_request(vm, f'{path}{number}', TIMEOUT_MS, method)
         asked.append((vm, key, emulator.now_ms))
         if number % DEADLY_EVERY == 0:
             round_number = number // DEADLY_EVERY
-            caller = callers[round_number % len(callers)]
             vm = round_number % len(emulator.vms)
-            emulator.send_request(vm, target, TIMEOUT_MS, method, caller)
+            emulator.send_request(vm, target, TIMEOUT_MS, method)
         if after is not None:
             after(number)
         emulator.run(GAP_MS)
@@ -89,7 +87,7 @@
 
 
 def identity_of(request):
-    return (request.method, request.target, request.caller, request.body)
+    return (request.method, request.target, request.body)
 
 
 def end_count(emulator):
@@ -106,7 +104,6 @@
 
 class DeadlyRequestTest(unittest.TestCase):
     # A request under which three replicas had ended was sent to replicas whenever it came again.
-    @known_red
     @params(*KINDS)
     def test_request_that_ended_three_replicas_is_sent_to_no_more(self, name, route, path, method):
         for seed in (1, 2, 3):
@@ -117,7 +114,6 @@
             self.assertLessEqual(max(counts.values()), MAX_LATE_ARRIVALS, counts)
 
     # One caller's request ended all replicas of a service, and with them everybody's requests.
-    @known_red
     @params(
         (*KINDS[0], MergedAnswer, 138.0, 0.9),
         (*KINDS[1], ForwardedAnswer, LOOKUP_OBJECTIVE_MS, 0.9),
--- a/tests/test_defects.py
+++ b/tests/test_defects.py
@@ -12,7 +12,7 @@
 from beechbridge.failures import Executed, Failure, Reason, unknown
 from beechbridge.gateway.actions import AnswerRequest, WriteLine
 from beechbridge.gateway.events import OrderReceived, RequestReceived, StoreFailed, TimerDue
-from beechbridge.gateway.models import CallerRequest, PartsOrder, RequestIdentity
+from beechbridge.gateway.models import CallerRequest, PartsOrder
 from beechbridge.platform.store import Page
 from beechbridge.wire.fleet import read_parts, write_parts
 from measure.emulator import HOST
@@ -21,8 +21,7 @@
 
 WAIT_S = 5.0
 REQUEST = CallerRequest('q1', 'GET', '/lookup/x', HOST, '/lookup/x', [], b'', 4000.0)
-IDENTITY = RequestIdentity('key', 'content')
-ORDER = PartsOrder(REQUEST, 'sweep', 1, ('shard-0',), 2, 10, 100.0, 1000.0, IDENTITY)
+ORDER = PartsOrder(REQUEST, 'sweep', 1, ('shard-0',), 2, 10, 100.0, 1000.0, 'digest')
 DEFECT = {'error': 'ZeroDivisionError', 'detail': 'division by zero', 'at': 'works.py:1'}
 
 
--- a/tests/test_gather.py
+++ b/tests/test_gather.py
@@ -108,6 +108,7 @@
 
     def test_unreachable_minimum_coverage_fails_at_once(self):
         gather = Gather(min_share=1.0, copies=1)
+        gather.reply(1, record(1))
         gather.fail(0)
         gather.wait(20.0)
         gather.fail(4)
@@ -128,12 +129,24 @@
 class RepeatsTest(unittest.TestCase):
     def test_lost_exchange_is_repeated_at_the_other_replica(self):
         gather = Gather()
+        gather.reply(1, record(1))
         gather.fail(0)
         self.assertEqual(len(gather.sends), 5)
         self.assertNotEqual(gather.sends[4].instance_id, gather.sends[0].instance_id)
 
+    def test_exchange_lost_before_the_first_answer_is_repeated_after_it(self):
+        gather = Gather()
+        gather.fail(0)
+        gather.wait(1.0)
+        self.assertEqual(len(gather.sends), 4)
+        gather.reply(1, record(1))
+        gather.wait(1.0)
+        self.assertEqual(len(gather.sends), 5)
+        self.assertNotEqual(gather.sends[4].instance_id, gather.sends[0].instance_id)
+
     def test_no_more_replicas_are_asked_than_attempts_are_allowed(self):
         gather = Gather()
+        gather.reply(1, record(1))
         gather.fail(0)
         gather.fail(4)
         gather.wait(100.0)
--- a/tests/test_replica_link.py
+++ b/tests/test_replica_link.py
@@ -206,7 +206,7 @@
             harness.send(1)
             self.assertEqual(
                 (await harness.next_event()).result,
-                LinkFailure(LinkFault.CONNECT_FAILED, was_sent=False),
+                LinkFailure(LinkFault.CONNECT_FAILED, was_sent=False, is_refused=True),
             )
 
         run_script([], scenario)
