After a loss of all memory, use canaries only if replicas have started again

The entries of the replicas outlive the memory of the fleet: unless three replicas of a route have started again, no request can have ended them.

--- a/beechbridge/gateway/requests/canaries.py
+++ b/beechbridge/gateway/requests/canaries.py
@@ -10,6 +10,7 @@
 
 from ..actions import WriteLine
 from ..interface import GatewayInterface
+from .evidence import had_restarts
 from .holding import hold_task
 from .orders import order_remote_parts
 from .progress import close_task, resume_task
@@ -35,7 +36,9 @@
         return False
     if book.judge(work.digest, gateway.now_ms) is Verdict.SUSPECT:
         return True
-    return book.is_cautious(gateway.now_ms) or book.is_troubled(work.route.name, gateway.now_ms)
+    if book.is_troubled(work.route.name, gateway.now_ms):
+        return True
+    return book.is_cautious(gateway.now_ms) and had_restarts(work.route.services, gateway)
 
 
 def begin_trial(work: GatherWork, gateway: GatewayInterface) -> None:
--- a/beechbridge/gateway/requests/evidence.py
+++ b/beechbridge/gateway/requests/evidence.py
@@ -6,6 +6,9 @@
 replaced or removed. To know soon, the address is probed with a connection that carries nothing.
 """
 
+from collections import Counter
+from collections.abc import Iterable
+
 from ...record import Record
 from ..actions import ProbeReplica, WriteLine
 from ..events import ProbeEnded
@@ -30,6 +33,12 @@
 REMOVED = 'removed'
 """Its entry was removed or replaced, or another replica answers at its address."""
 
+RESTART_GAP_MS = 5_000.0
+"""Time after the oldest start of a replica from which one counts as started again."""
+
+TELLING_RESTARTS = 3
+"""Replicas of a route that have started again from which a request may have ended them."""
+
 REPORT_COUNT = 3
 """How often a change is reported to the other VMs: datagrams get lost."""
 
@@ -67,16 +76,18 @@
     :param losses: unconfirmed losses, by incarnation of the replica
     :param probes: probes under way, by ID
     :param probed_ms: time in milliseconds of the latest probe, by incarnation
+    :param restarts: replicas that have started again, by service; only while the memory is short
     :param unreported: how often a request's evidence is still to be reported, by its digest;
         negative until the next sweep
     """
 
-    __slots__ = ('losses', 'probed_ms', 'probes', 'unreported')
+    __slots__ = ('losses', 'probed_ms', 'probes', 'restarts', 'unreported')
 
     def __init__(self):
         self.losses: dict[tuple[str, int], list[Loss]] = {}
         self.probes: dict[int, Probe] = {}
         self.probed_ms: dict[tuple[str, int], float] = {}
+        self.restarts: Counter[str] = Counter()
         self.unreported: dict[str, int] = {}
 
     def is_probing(self, work: Work) -> bool:
@@ -182,6 +193,28 @@
     gateway.act(WriteLine('request_judged', {'verdict': verdict.value, **fields, **evidence}))
 
 
+def count_restarts(gateway: GatewayInterface) -> None:
+    """
+    Count the replicas that have started again, as their entries say.
+
+    The entries outlive this fleet's memory: without restarts no request can have ended replicas.
+    """
+    gateway.evidence.restarts.clear()
+    states = list(gateway.upstreams.by_id.values())
+    if not states:
+        return
+    oldest_ms = min(state.entry.started_ms for state in states)
+    for state in states:
+        if state.entry.started_ms > oldest_ms + RESTART_GAP_MS:
+            gateway.evidence.restarts[state.entry.service] += 1
+
+
+def had_restarts(services: Iterable[str], gateway: GatewayInterface) -> bool:
+    """Return whether several replicas of a route have started again."""
+    restarts = gateway.evidence.restarts
+    return sum(restarts[service] for service in services) >= TELLING_RESTARTS
+
+
 def sweep_evidence(gateway: GatewayInterface) -> None:
     """Forget losses that were not confirmed, and evidence that is too old."""
     evidence = gateway.evidence
@@ -193,3 +226,5 @@
         if probed_ms < oldest_ms:
             del evidence.probed_ms[key]
     gateway.suspicions.expire(gateway.now_ms)
+    if gateway.suspicions.is_cautious(gateway.now_ms):
+        count_restarts(gateway)
--- a/beechbridge/gateway/requests/suspicion.py
+++ b/beechbridge/gateway/requests/suspicion.py
@@ -26,7 +26,8 @@
 """Rounds that convict a request whatever else ran at the replicas that ended."""
 
 CAUTION_MS = 60_000.0
-"""Time for which a fleet that has lost its memory sends every gather to one shard first."""
+"""Time for which a fleet that has lost its memory sends gathers to one shard first, if replicas
+have started again lately."""
 
 
 TROUBLE_COUNT = 3
