Let the soak's replicas end under requests, and break the guards against that in mutants

The drill deadly_request sends one that ends the replicas that run it again and again at any VM; the ledger checks that it is contained after the third end, and that no other request is turned away for that reason.

--- a/model/mutants.py
+++ b/model/mutants.py
@@ -52,8 +52,82 @@
 NOTICES = 'beechbridge/gateway/replicas/notices.py'
 LIMITS = 'beechbridge/gateway/replicas/limits.py'
 USABLE = 'beechbridge/gateway/replicas/upstreams.py'
+SUSPICION = 'beechbridge/gateway/requests/suspicion.py'
+EVIDENCE = 'beechbridge/gateway/requests/evidence.py'
+HOLDING = 'beechbridge/gateway/requests/holding.py'
+REPORTS = 'beechbridge/gateway/fleet/suspect_reports.py'
 
 MUTANTS = (
+    Mutant(
+        'a gather is hedged before its first answer',
+        HOLDING,
+        'return work.has_losses or bool(task.exchanges)',
+        'return work.has_losses',
+        ('test_deadly_requests',),
+    ),
+    Mutant(
+        'a loss is repeated before the first answer',
+        HOLDING,
+        'return work.has_losses or bool(task.exchanges)',
+        'return bool(task.exchanges)',
+        ('test_suspicion',),
+    ),
+    Mutant(
+        'ends of one round convict',
+        SUSPICION,
+        'return alone_count > 0 and any(len(ends) > 1 for ends in rounds.values())',
+        'return any(len(ends) > 1 for ends in rounds.values())',
+        ('test_suspicion',),
+    ),
+    Mutant(
+        'a shared end counts for both requests',
+        SUSPICION,
+        'if self.by_digest[digest].round_count >= round_count:',
+        'if False:',
+        ('test_suspicion',),
+    ),
+    Mutant(
+        'a conviction is for ever',
+        SUSPICION,
+        'if suspicion is None or now_ms - suspicion.latest_ms >= CONVICTION_MS:',
+        'if suspicion is None:',
+        ('test_suspicion',),
+    ),
+    Mutant(
+        'a lost connection is an end',
+        EVIDENCE,
+        '    if event.is_refused:\n',
+        '    if event.is_refused or event.is_open:\n',
+        ('test_suspicion',),
+    ),
+    Mutant(
+        'an answer does not acquit',
+        EVIDENCE,
+        '    book.clear(work.digest, gateway.now_ms)\n',
+        '',
+        ('test_suspicion',),
+    ),
+    Mutant(
+        'ends are not reported',
+        REPORTS,
+        '    send_reports([found for found in suspicions if found is not None], hosts, gateway)\n',
+        '',
+        ('test_suspicion',),
+    ),
+    Mutant(
+        'reports of strangers count',
+        REPORTS,
+        'if known is None or known.host != sender.host:',
+        'if False:',
+        ('test_suspicion',),
+    ),
+    Mutant(
+        'ends of replicas that answer count',
+        REPORTS,
+        'return state.replied_ms <= end.at_ms + CLOCK_SLACK_MS',
+        'return True',
+        ('test_suspicion',),
+    ),
     Mutant(
         'a keeper sends without a token',
         LIMITS,
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,7 +10,7 @@
 from .ledger import CallerRequest, Ledger
 
 HOST = 'soak.example'
-TIMEOUT_MS = {'gather': 1200, 'lookup': 4000, 'filing': 4000, 'new': 1200}
+TIMEOUT_MS = {'gather': 1200, 'lookup': 4000, 'filing': 4000, 'new': 1200, 'deadly': 1200}
 PATHS = {'gather': '/gather/x', 'lookup': '/lookup/x', 'filing': '/filing/x'}
 LOOKUP_INTERVAL_S = 1.0
 TIMEOUT_MARGIN_S = 2.0
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,9 +6,10 @@
 import signal
 import time
 
+from .callers import Caller
 from .fleet import GRACE_S, Vm
 from .ledger import LIMIT_STABLE_S, NamedLimit
-from .standins import ENDLESS_REPLIES
+from .standins import DEADLY, ENDLESS_REPLIES
 
 FAULT_GAP_S = (0.3, 2.0)
 KINDS = (
@@ -39,10 +40,14 @@
     'limited_replica',
     'leaving_replica',
     'babbling_replica',
+    'deadly_request',
 )
 """Further kinds, drawn only if named, so that the faults of earlier seeds stay the same."""
 
 COPY_AGE_S = 2.0
+DEADLY_S = 8.0
+"""Least time for which a request that ends replicas comes again."""
+
 REWRITE_DELAY_S = 1.0
 LEASE_S = 3.6
 """Time after which the entry of a replica expires that does not run."""
@@ -223,6 +228,19 @@
         replica.notice = {}
         replica.reject_share = 0.0
 
+    async def deadly_request(self, duration_s: float) -> None:
+        """Send a request that ends the replicas that run it again and again, at any VM."""
+        kind = self.rng.choice(('gather', 'lookup', 'filing'))
+        target = f'/{kind}/{DEADLY}-{len(self.applied)}'
+        caller = Caller(3000 + len(self.applied), self.soak.vms, self.soak.ledger, self.rng, ())
+        until_s = time.monotonic() + DEADLY_S + duration_s
+        while time.monotonic() < until_s:
+            await asyncio.sleep(self.rng.uniform(0.2, 1.0))
+            await caller.refresh_hosts()
+            if caller.hosts:
+                await caller.send('deadly', target)
+        caller.close()
+
     async def drain_replica(self, duration_s: float) -> None:
         """Mark a replica as draining after its replacement has started."""
         await self.soak.replace_replica(self.rng, with_drain=True)
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -16,6 +16,11 @@
 
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
+DEADLY_STABLE_S = 4.0
+"""Time after the third end of a replica from which its request must be contained."""
+
+MAX_DEADLY_ARRIVALS = 3
+QUARANTINED = b'"quarantined"'
 LIMIT_EXTRA = 5
 
 
@@ -81,6 +86,8 @@
     :param shard_sets: the set of shards of each published configuration
     :param named_limits: limits that replicas have named
     :param left_s: when a replica first said that it leaves, by replica id
+    :param deadly_arrivals: time and VM of each arrival of a request that ends replicas, by target
+    :param deadly_ends: times at which replicas ended under a request, by target
     :param vm_count: number of VMs; each learns what a replica says only from a reply to itself
     :param withdrawn_s: when the store acknowledged a replica's draining or removal, by replica id
     :param fault_spans: spans in which an unplanned fault affected a VM, by its name or `all`
@@ -94,6 +101,8 @@
         self.withdrawn_s: dict[str, float] = {}
         self.named_limits: list[NamedLimit] = []
         self.left_s: dict[str, float] = {}
+        self.deadly_arrivals: dict[str, list[tuple[float, str]]] = defaultdict(list)
+        self.deadly_ends: dict[str, list[float]] = defaultdict(list)
         self.vm_count = 1
         self.fault_spans: dict[str, list[tuple[float, float]]] = defaultdict(list)
         self.table_acknowledged_s: dict[str, float] = {}
@@ -120,10 +129,12 @@
         violations.extend(self.check_executions())
         violations.extend(self.check_budget())
         violations.extend(self.check_denied())
+        violations.extend(self.check_quarantined())
         if include_timing:
             violations.extend(self.check_withdrawn())
             violations.extend(self.check_limits())
             violations.extend(self.check_left())
+            violations.extend(self.check_deadly())
             violations.extend(self.check_routes())
             violations.extend(self.check_aborted())
         return violations
@@ -245,6 +256,34 @@
                 )
         return violations
 
+    def check_deadly(self) -> list[str]:
+        """Check that requests that have ended three replicas reach hardly any more."""
+        violations = []
+        for target, ends in self.deadly_ends.items():
+            if len(ends) < 3:
+                continue
+            third_s = sorted(ends)[2]
+            late = []
+            for at_s, vm in self.deadly_arrivals[target]:
+                is_late = at_s > third_s + DEADLY_STABLE_S + SLACK_S
+                if is_late and not self.had_fault(vm, third_s, at_s):
+                    late.append(at_s)
+            if len(late) > MAX_DEADLY_ARRIVALS:
+                violations.append(
+                    f'{target} reached replicas {len(late)} times over {DEADLY_STABLE_S} s after '
+                    'it had ended the third'
+                )
+        return violations
+
+    def check_quarantined(self) -> list[str]:
+        """Check that only requests that end replicas are turned away for that reason."""
+        violations = []
+        for request in self.requests:
+            if QUARANTINED in request.body and request.kind != 'deadly':
+                name = f'{request.kind} {request.request_id}'
+                violations.append(f'{name} was turned away though it ends no replica')
+        return violations
+
     def check_budget(self) -> list[str]:
         """Check the retry budget of each service in sliding windows."""
         violations = []
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -54,9 +54,30 @@
 NO_OPTIONS = ()
 LIMITED = ('--shards=2', '--faults=limited_replica', '--seconds=30')
 LEAVING = ('--shards=2', '--faults=leaving_replica', '--seconds=30')
+DEADLY = ('--shards=2', '--faults=deadly_request', '--seconds=20')
 
 
 MUTANTS = (
+    SoakMutant(
+        'no request is ever convicted',
+        'after it had ended the third',
+        DEADLY,
+        Edit(
+            f'{GATEWAY}/requests/suspicion.py',
+            'return Verdict.CONVICTED if self.is_convicting(suspicion) else Verdict.SUSPECT',
+            'return Verdict.SUSPECT',
+        ),
+    ),
+    SoakMutant(
+        'a lost connection convicts',
+        'was turned away though it ends no replica',
+        ('--shards=1', '--faults=lossy_replica', '--faults=reset_links', '--seconds=30'),
+        Edit(
+            f'{GATEWAY}/requests/evidence.py',
+            'if event.is_refused:',
+            'if True:',
+        ),
+    ),
     SoakMutant(
         'the limits of replicas are ignored',
         'for a limit of',
--- a/soak/run.py
+++ b/soak/run.py
@@ -22,6 +22,7 @@
 MIN_SHARE = 0.5
 TOP_RECORDS = 5
 START_TIMEOUT_S = 20.0
+REPLICA_RESTART_S = 3.0
 SETTLE_S = 5.0
 MIN_SERVED_SHARE = 0.5
 """Share of requests that must succeed; a run with fewer successes tests too little."""
@@ -54,6 +55,7 @@
         self.generation = 0
         self.added_routes: list[str] = []
         self.next_replica = 0
+        self.restarts: set[asyncio.Task] = set()
 
     def shards(self) -> list[str]:
         """Return the names of the current set of shards."""
@@ -105,6 +107,7 @@
         replica = Replica(STAND_IN_HOST, f'i-{self.next_replica}', service, self.ledger, rng)
         await replica.start()
         proxy = await self.start_proxy(replica.port)
+        replica.end = lambda: self.end_replica(replica, proxy)
         replica.entry = {
             'service': service,
             'addr': f'{STAND_IN_HOST}:{proxy.port}',
@@ -120,6 +123,25 @@
         self.replicas.append(replica)
         return replica
 
+    def end_replica(self, replica: Replica, proxy: Proxy) -> None:
+        """End a replica's process, and start it again after a while as another incarnation."""
+        replica.stop()
+        proxy.stop()
+        task = asyncio.create_task(self.restart_replica(replica, proxy))
+        self.restarts.add(task)
+        task.add_done_callback(self.restarts.discard)
+
+    async def restart_replica(self, replica: Replica, proxy: Proxy) -> None:
+        """Start a replica that has ended, unless it was withdrawn meanwhile."""
+        await asyncio.sleep(REPLICA_RESTART_S)
+        if replica not in self.replicas or replica.server is not None:
+            return
+        await replica.start()
+        await proxy.start()
+        self.next_replica += 1
+        replica.entry = {**replica.entry, 'born': self.next_replica}
+        self.store.put(f'servers/{replica.replica_id}', replica.entry)
+
     def publish(self) -> float:
         """Publish the configuration; return the time of the acknowledgement."""
         self.version += 3
--- a/soak/standins.py
+++ b/soak/standins.py
@@ -28,6 +28,9 @@
 }
 """Replies without an end: how each begins, what follows for ever, and the pause in seconds."""
 
+DEADLY = 'deadly'
+"""In the target of each request that ends the replicas that run it."""
+
 REASONS = {200: 'OK', 404: 'Not Found', 410: 'Gone', 421: 'Misdirected', 503: 'Unavailable'}
 
 
@@ -101,6 +104,7 @@
     :param reject_share: share of the requests that are rejected
     :param late_share: share of the responses that are sent a second time, ahead of the next one
     :param endless_kind: kind of endless reply that it sends to every request, none if empty
+    :param end: called by a request that ends the replica's process
     :param notice: headers in which it states something about itself, in every reply
     """
 
@@ -116,6 +120,7 @@
         self.late_share = 0.0
         self.endless_kind = ''
         self.notice: dict[str, str] = {}
+        self.end: Callable[[], None] = self.stop
         self.run_count = 0
         self.late = b''
 
@@ -131,6 +136,9 @@
                 time.monotonic(), request_id, self.replica_id, self.service, vm, not is_rejected
             )
         )
+        target = message.first_line.split()[1]
+        if DEADLY in target and not is_rejected:
+            self.ledger.deadly_arrivals[target].append((time.monotonic(), vm))
         echo = {'Beechbridge-Request-Id': request_id, **self.notice}
         if is_misdirected:
             return respond(421, {'Beechbridge-Instance-Id': self.replica_id, **echo})
@@ -139,6 +147,10 @@
         self.run_count += 1
         signature = f'{self.replica_id}.{self.run_count}'
         await asyncio.sleep(SERVICE_TIME_S * self.slowdown * self.rng.uniform(0.5, 2.0))
+        if DEADLY in target:
+            self.ledger.deadly_ends[target].append(time.monotonic())
+            self.end()
+            return None
         if self.endless_kind:
             return functools.partial(send_without_end, self.endless_kind)
         if self.rng.random() < self.lose_share:
