Bound the names in evidence against requests

A round was named after the request's ID, which a caller chooses: with a long one the report did not fit into a datagram, and 2,000 of them would have taken 20 MB; a report with long names was kept as it was. IDs of over 64 characters are now shortened to a digest, and longer names in reports are ignored.

--- a/beechbridge/gateway/fleet/suspect_reports.py
+++ b/beechbridge/gateway/fleet/suspect_reports.py
@@ -11,12 +11,20 @@
 from ..interface import GatewayInterface
 from ..models import Member
 from ..requests.evidence import add_end
-from ..requests.suspicion import CONVICTION_MS, ReplicaEnd, Suspicion
+from ..requests.suspicion import (
+    CONVICTION_MS,
+    MAX_ENDS_PER_ROUND,
+    MAX_NAME_LENGTH,
+    MAX_ROUNDS,
+    ReplicaEnd,
+    Suspicion,
+)
 from ..suspects import EndReport, SuspectReport, SuspectsReport
 
 MAX_SUSPECTS_PER_MESSAGE = 8
 """Suspects in one datagram, with up to eight ends each: about 6 KB."""
 
+MAX_ENDS = MAX_ROUNDS * MAX_ENDS_PER_ROUND
 MAX_REPORTS_PER_EVENT = 24
 """Changes that are reported at once; in a flood the others follow with the sweeps."""
 
@@ -107,6 +115,9 @@
 def apply_suspect(suspect: SuspectReport, sender: Member, gateway: GatewayInterface) -> None:
     """Merge the evidence against one request."""
     now_ms = gateway.now_ms
+    if max(len(suspect.digest), len(suspect.route_name)) > MAX_NAME_LENGTH:
+        gateway.counters.add('reports_ignored', 'oversized')
+        return
     suspicion = gateway.suspicions.by_digest.get(suspect.digest)
     is_acquitted = suspect.cleared_age_ms is not None and suspect.cleared_age_ms >= 0
     if is_acquitted and suspicion is not None and suspicion.ends:
@@ -116,7 +127,10 @@
         if not suspicion.ends:
             fields = {'digest': suspect.digest, 'verdict': 'clear', 'source': sender.name}
             gateway.act(WriteLine('request_judged', {**fields, 'ends_before': before_count}))
-    for report in suspect.ends:
+    for report in suspect.ends[:MAX_ENDS]:
+        if max(len(report.replica_id), len(report.round_id)) > MAX_NAME_LENGTH:
+            gateway.counters.add('reports_ignored', 'oversized')
+            continue
         if not 0 <= report.age_ms < CONVICTION_MS:
             gateway.counters.add('reports_ignored', 'outdated')
             continue
--- a/beechbridge/gateway/requests/evidence.py
+++ b/beechbridge/gateway/requests/evidence.py
@@ -6,6 +6,7 @@
 replaced or removed. To know soon, the address is probed with a connection that carries nothing.
 """
 
+import hashlib
 from collections import Counter
 from collections.abc import Iterable
 
@@ -21,6 +22,9 @@
 CONFIRMATION_MS = 5_000.0
 """Time after a loss within which it can be confirmed as the end of the replica."""
 
+MAX_REQUEST_ID_LENGTH = 64
+"""Length of a request's ID up to which rounds are named after it."""
+
 PROBE_INTERVAL_MS = 500.0
 """Minimum time between two probes of a replica."""
 
@@ -107,12 +111,21 @@
         return
     state = exchange.replica
     evidence = gateway.evidence
-    round_id = f'{work.request.request_id}:{exchange.round_number}'
+    round_id = name_round(work.request.request_id, exchange.round_number)
     loss = Loss(work, round_id, gateway.now_ms, exchange.is_alone)
     evidence.losses.setdefault(incarnation_of(state), []).append(loss)
     probe_replica(state, work, gateway)
 
 
+def name_round(request_id: str, number: int) -> str:
+    """Return the name of a round; callers choose the IDs, so that of a long one is shortened."""
+    if len(request_id) > MAX_REQUEST_ID_LENGTH:
+        request_id = hashlib.blake2b(
+            request_id.encode('utf-8', 'surrogateescape'), digest_size=16
+        ).hexdigest()
+    return f'{request_id}:{number}'
+
+
 def probe_replica(state: ReplicaState, work: Work, gateway: GatewayInterface) -> None:
     """Find out whether a replica still accepts connections, unless enough is known."""
     evidence = gateway.evidence
--- a/beechbridge/gateway/requests/suspicion.py
+++ b/beechbridge/gateway/requests/suspicion.py
@@ -22,6 +22,9 @@
 MAX_ROUNDS = 4
 """Rounds that are remembered of one request, the latest ones."""
 
+MAX_NAME_LENGTH = 200
+"""Length of a digest or a name in the evidence, as in the store: reports must fit in datagrams."""
+
 CONVICTING_ROUNDS = 3
 """Rounds that convict a request whatever else ran at the replicas that ended."""
 
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -12,6 +12,7 @@
 from beechbridge.gateway.requests.identity import compute_digest
 from beechbridge.gateway.requests.suspicion import (
     CONVICTION_MS,
+    MAX_NAME_LENGTH,
     MAX_SUSPICIONS,
     ReplicaEnd,
     Suspicion,
@@ -203,6 +204,17 @@
         request.probes.clear()
         request.wait(1.0)
 
+    # A caller chooses the ID of its request, and reports of it must fit into a datagram.
+    def test_long_request_id_makes_no_long_report(self):
+        emulator = start_sweeps(4, zones=('brum-a',), copies=2, min_share=0.5)
+        request = ManualRequest(emulator, 'q' * 10_000, TARGET, 'GET', 1200.0)
+        self.lose_all(request)
+        self.end_probes(request)
+        for suspicion in request.gateway.suspicions.by_digest.values():
+            for end in suspicion.ends.values():
+                self.assertLessEqual(len(end.round_id), MAX_NAME_LENGTH)
+        self.assertTrue(request.gateway.suspicions.by_digest)
+
     def test_canary_that_answers_lets_the_rest_follow(self):
         request = self.start()
         self.lose_all(request)
@@ -281,6 +293,9 @@
         ('outdated', {'age_ms': int(CONVICTION_MS) + 1}),
         ('replica answers', {}),
         ('invented replica', {}),
+        ('long round', {}),
+        ('long route', {}),
+        ('long digest', {}),
     )
     def test_report_that_cannot_be_true_is_ignored(self, what, fields):
         emulator, gateway, sender = self.start()
@@ -296,7 +311,14 @@
         if what == 'invented replica':
             for end in ends:
                 end.replica_id = f'invented-{end.replica_id}'
-        self.assertIs(self.report(gateway, sender, ends, emulator.now_ms), Verdict.CLEAR)
+        if what == 'long round':
+            for end in ends:
+                end.round_id = end.round_id * 1000
+        route_name = 'sweep' * 1000 if what == 'long route' else 'sweep'
+        digest = DIGEST * 1000 if what == 'long digest' else DIGEST
+        report = SuspectsReport([SuspectReport(digest, route_name, ends)], 0)
+        gateway.handle(SuspectsReceived(sender, report), emulator.now_ms)
+        self.assertIs(gateway.suspicions.judge(digest, emulator.now_ms), Verdict.CLEAR)
 
     # A VM that had started after a replica was gone did not believe that it had ended.
     def test_vm_that_starts_is_told(self):
