--- a/tests/test_fuzz_gateway.py
+++ b/tests/test_fuzz_gateway.py
@@ -13,12 +13,13 @@
     ReplyMemory,
 )
 from beechbridge.failures import Failure
-from beechbridge.gateway.actions import SendHeartbeat, SendPermits
+from beechbridge.gateway.actions import SendHeartbeat, SendPermits, SendSuspects
 from beechbridge.gateway.events import (
     ChangesReceived,
     ExchangeEnded,
     HeartbeatReceived,
     PermitsReceived,
+    SuspectsReceived,
 )
 from beechbridge.gateway.models import (
     CallerRequest,
@@ -31,7 +32,9 @@
 )
 from beechbridge.gateway.permits import PermitsAnswered, PermitsWanted
 from beechbridge.gateway.replicas.dictionaries import Dictionary
+from beechbridge.gateway.requests.suspicion import MAX_NAME_LENGTH
 from beechbridge.gateway.settings import GatewaySettings
+from beechbridge.gateway.suspects import EndReport, SuspectReport, SuspectsReport
 from beechbridge.platform.callers import read_request
 from beechbridge.platform.items import decode_item
 from beechbridge.platform.names import REPLICAS_PREFIX, TABLE_KEY
@@ -46,6 +49,7 @@
     encode_changes,
     encode_heartbeat,
     encode_permits,
+    encode_suspects,
     read_order,
     read_parts,
     write_parts,
@@ -66,6 +70,15 @@
 PERMITS_ANSWERED = encode_permits(
     SendPermits('vm-1', MEMBERS[0], PermitsAnswered(7, [0, 250, -1]))
 )
+SUSPECTS = encode_suspects(
+    SendSuspects(
+        [],
+        MEMBERS[0],
+        SuspectsReport(
+            [SuspectReport('d' * 32, 'lookup', [EndReport('r-0', 0, 'q:0', 20, True)], 5_000)], 9
+        ),
+    )
+)
 DICTIONARY = Dictionary(CHANGES * 40)
 PARTS = write_parts(PartsAnswer({'a': 's'}, {'b': 1}, b'0' * 16, 1.0, frozenset('b')), 'q1').body
 RESPONSE = (
@@ -126,6 +139,19 @@
             self.gateway.handle(event, self.gateway.now_ms)
 
     @FUZZ
+    @given(mutations(SUSPECTS))
+    def test_evidence_against_requests(self, data):
+        event = decode_datagram(data)
+        self.assertIsInstance(event, HeartbeatReceived | SuspectsReceived | Failure)
+        if not isinstance(event, SuspectsReceived):
+            return
+        gateway = self.gateway
+        gateway.fleet.members.setdefault(event.sender.name, event.sender)
+        gateway.handle(event, gateway.now_ms)
+        gateway.suspicions.describe(gateway.now_ms)
+        for suspicion in gateway.suspicions.by_digest.values():
+            self.assertLessEqual(len(suspicion.digest), MAX_NAME_LENGTH)
+
     @given(mutations(CHANGES))
     def test_changes(self, data):
         self.assertIsInstance(decode_changes(data), ChangesReceived | Failure)
