--- a/tests/test_fuzz_gateway.py
+++ b/tests/test_fuzz_gateway.py
@@ -152,6 +152,7 @@
         for suspicion in gateway.suspicions.by_digest.values():
             self.assertLessEqual(len(suspicion.digest), MAX_NAME_LENGTH)
 
+    @FUZZ
     @given(mutations(CHANGES))
     def test_changes(self, data):
         self.assertIsInstance(decode_changes(data), ChangesReceived | Failure)
