Send datagrams to several VMs in one place

Heartbeats, permits and evidence had a loop or an address each; behaviour is the same (tests of the daemon, the front and the evidence pass).

--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -252,6 +252,11 @@
             self.handle(PauseDetected(late_ms))
         self.loop.call_later(PAUSE_CHECK_INTERVAL_S, self.check_pause)
 
+    def send_datagrams(self, data: bytes, hosts: list[str]) -> None:
+        """Send a datagram to each of several VMs."""
+        for host in hosts:
+            self.datagrams.sendto(data, (host, self.settings.peer_port))
+
     def pull_changes(self, action: PullChanges) -> None:
         """Pull store changes from another VM; blocks, so call it in its own thread."""
         try:
@@ -348,24 +353,19 @@
 @perform.register
 def perform_send_heartbeat(action: SendHeartbeat, process: GatewayProcess) -> None:
     """Send a heartbeat to each of the VMs."""
-    data = encode_heartbeat(action)
-    for host in action.hosts:
-        process.datagrams.sendto(data, (host, process.settings.peer_port))
+    process.send_datagrams(encode_heartbeat(action), action.hosts)
 
 
 @perform.register
 def perform_send_permits(action: SendPermits, process: GatewayProcess) -> None:
     """Send a message about permits to another VM."""
-    address = (action.host, process.settings.peer_port)
-    process.datagrams.sendto(encode_permits(action), address)
+    process.send_datagrams(encode_permits(action), [action.host])
 
 
 @perform.register
 def perform_send_suspects(action: SendSuspects, process: GatewayProcess) -> None:
     """Send evidence against requests to each of the VMs."""
-    data = encode_suspects(action)
-    for host in action.hosts:
-        process.datagrams.sendto(data, (host, process.settings.peer_port))
+    process.send_datagrams(encode_suspects(action), action.hosts)
 
 
 @perform.register
--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -85,9 +85,7 @@
 
 
 def handle_loss(exchange: Exchange, gateway: GatewayInterface) -> None:
-    """Handle the loss of a connection over which a request had been sent: its replica may have
-    ended because of it.
-    """
+    """Handle a loss after a request had been sent: its replica may have ended because of it."""
     task = exchange.owner
     work = task.work
     record_loss(exchange, gateway)
