Log silent replicas, and orders that bring no part

Cause: not settled before; nothing said that a VM hears from no replica at all, nor which VM had answered an order with nothing. No decision changes.

--- a/beechbridge/gateway/interface.py
+++ b/beechbridge/gateway/interface.py
@@ -19,6 +19,7 @@
     from .models import ReplicaEntry
     from .replicas.limits import Limits
     from .replicas.notices import NoticeBook
+    from .replicas.reach import Reach
     from .replicas.restoration import RemovedReplicas
     from .replicas.store_updates import StoreStatus
     from .replicas.store_view import StoreView
@@ -54,6 +55,7 @@
     view: 'StoreView'
     store: 'StoreStatus'
     upstreams: 'Upstreams'
+    reach: 'Reach'
     replica_by_key: 'dict[str, ReplicaState]'
     removed_replicas: 'RemovedReplicas'
     notices: 'NoticeBook'
--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -54,6 +54,7 @@
 from .models import Member, ReplicaEntry
 from .replicas.limits import Limits
 from .replicas.notices import NoticeBook
+from .replicas.reach import Reach
 from .replicas.restoration import ConfirmationTimer, RemovedReplicas
 from .replicas.store_updates import (
     RemovalTimer,
@@ -150,6 +151,7 @@
         'placement',
         'pull_latencies',
         'pulls',
+        'reach',
         'removed_replicas',
         'replica_by_key',
         'request_latencies',
@@ -203,6 +205,7 @@
         self.view = StoreView()
         self.store = StoreStatus()
         self.upstreams = Upstreams()
+        self.reach = Reach()
         self.replica_by_key: dict[str, ReplicaState] = {}
         self.removed_replicas = RemovedReplicas()
         self.notices = NoticeBook()
--- a/beechbridge/gateway/requests/orders.py
+++ b/beechbridge/gateway/requests/orders.py
@@ -11,7 +11,7 @@
 
 from collections import Counter
 
-from ..actions import SendOrder
+from ..actions import SendOrder, WriteLine
 from ..interface import GatewayInterface
 from ..models import LinkFailure, LinkFault, PartsOrder, PartsReply, Reply
 from ..replicas.connections import Exchange, IdleConnection
@@ -227,6 +227,8 @@
         exchange.replica.record_rejection(True, now_ms)
         return_tasks(owner, exchange, LinkFault.MALFORMED, reply.answer is None, gateway)
         return
+    if not reply.answer.signatures:
+        log_unmet(owner, exchange, gateway)
     record_latency(exchange, work.route.name, latency_ms, gateway)
     if not exchange.is_new:
         round_trip_ms = max(0.0, latency_ms - reply.answer.work_ms)
@@ -259,6 +261,18 @@
     wake_held(work, gateway)
 
 
+def log_unmet(order: Order, exchange: Exchange, gateway: GatewayInterface) -> None:
+    """Log that another VM has answered an order without a single part."""
+    fields = {
+        'request': order.work.request.request_id,
+        'member': exchange.replica.entry.replica_id,
+        'zone': order.zone,
+        'shards': len(order.tasks),
+        'ms': round(gateway.now_ms - exchange.sent_ms, 1),
+    }
+    gateway.act(WriteLine('order_unmet', fields))
+
+
 def is_answer_to(order: Order, reply: PartsReply) -> bool:
     """Return whether a reply matches this order's request and covers exactly its shards."""
     answer = reply.answer
--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -65,6 +65,7 @@
     task = owner
     state = exchange.replica
     gateway.counters.add('exchange_failures', failure.fault.value)
+    gateway.reach.record_failure(exchange, failure.fault, gateway.now_ms)
     if not failure.was_sent:
         task.delivery_count -= 1
         task.run_count -= 1
@@ -152,6 +153,7 @@
     state = exchange.replica
     now_ms = gateway.now_ms
     latency_ms = now_ms - exchange.sent_ms
+    gateway.reach.record_reply(now_ms)
     is_match = reply.request_id == work.request.request_id
     is_reusable = not reply.is_closing and is_match
     if reply.notice is not None or state.notices.is_restricted:
