--- a/measure/emulated_actions.py
+++ b/measure/emulated_actions.py
@@ -35,7 +35,7 @@
 from beechbridge.wire.changes import read_pull, write_changes, write_pull
 from beechbridge.wire.fleet import decode_datagram, encode_heartbeat, encode_suspects
 
-from .stand_ins import EmulatedOrder, EmulatedVm, Job
+from .stand_ins import Cut, EmulatedOrder, EmulatedVm, Job
 
 if TYPE_CHECKING:
     from .emulator import Emulator
@@ -44,6 +44,7 @@
 PULL_TIMEOUT_MS = 800.0
 STORE_LATENCY_MS = 8.0
 REGION_DELAY_MS = 8.0
+CONNECT_TIMEOUT_MS = 600.0
 
 
 @singledispatch
@@ -58,6 +59,9 @@
     replica = emulator.replicas[action.host]
     job = Job(action, vm, replica)
     vm.jobs[action.connection_id] = job
+    if vm.is_silenced or (vm.cut is Cut.REFUSED and action.is_new):
+        emulator.lose_request(job)
+        return
     delay_ms = emulator.delay_ms(vm, replica.entry.zone)
     if action.is_new and replica.is_down:
         failure = LinkFailure(LinkFault.CONNECT_FAILED, was_sent=False, is_refused=True)
@@ -171,6 +175,11 @@
 def perform_probe(action: ProbeReplica, vm: EmulatedVm, emulator: 'Emulator') -> None:
     """Report whether a replica accepts connections; one that is dark does not answer."""
     replica = emulator.replicas[action.host]
+    if vm.cut is not None:
+        event = ProbeEnded(action.probe_id, False, vm.cut is Cut.REFUSED)
+        delay_ms = CONNECT_TIMEOUT_MS if vm.is_silenced else REGION_DELAY_MS
+        emulator.schedule(delay_ms, lambda: emulator.deliver_event(vm, event))
+        return
     event = ProbeEnded(action.probe_id, not replica.is_down, replica.is_down)
     if not replica.spec.is_dark:
         delay_ms = 2 * emulator.delay_ms(vm, replica.entry.zone)
--- a/measure/emulator.py
+++ b/measure/emulator.py
@@ -36,8 +36,16 @@
 from beechbridge.gateway.requests.budgets import BudgetRules
 from beechbridge.gateway.routes import CallerLimits, Route, RoutingTable, ServiceRules
 
-from .emulated_actions import REGION_DELAY_MS, perform
-from .stand_ins import EmulatedOrder, EmulatedReplica, EmulatedVm, Job, ReplicaSpec, region_of
+from .emulated_actions import CONNECT_TIMEOUT_MS, REGION_DELAY_MS, perform
+from .stand_ins import (
+    Cut,
+    EmulatedOrder,
+    EmulatedReplica,
+    EmulatedVm,
+    Job,
+    ReplicaSpec,
+    region_of,
+)
 
 ZONE_DELAY_MS = 0.1
 WATCH_TIMEOUT_MS = 2_500.0
@@ -47,6 +55,9 @@
 HOST = 'search.example'
 BASE64_FACTOR = 4 / 3
 UNLIMITED = float('inf')
+ACKNOWLEDGEMENT_TIMEOUT_MS = 3_000.0
+"""Time after which a connection that lost its link ends, as the exchange client sets it."""
+
 RESTART_MS = 3_000.0
 """Time after which a replica that ended is back."""
 
@@ -344,6 +355,40 @@
         replica.entry = entry
         self.publish_entry(entry)
 
+    def cut_replicas(self, vm: EmulatedVm, cut: Cut | None) -> None:
+        """Cut a VM off from all replicas, or mend its links."""
+        vm.cut = cut
+        if cut is not Cut.RESET:
+            return
+        for job in vm.jobs.values():
+            self.lose_job(job)
+        name = vm.gateway.fleet.own.name
+        for replica in self.replicas.values():
+            for owner, number in sorted(replica.open_connections):
+                if owner == name and number not in vm.jobs:
+                    self.deliver_event(vm, ConnectionEnded(number))
+            replica.open_connections = {
+                known for known in replica.open_connections if known[0] != name
+            }
+
+    def lose_request(self, job: Job) -> None:
+        """Let a request that a VM sends while it is cut off fail as its connection does."""
+        if job.vm.cut is Cut.REFUSED:
+            delay_ms = 2 * self.delay_ms(job.vm, job.replica.entry.zone)
+            self.fail_job(job, LinkFault.CONNECT_FAILED, delay_ms, is_refused=True)
+        elif job.action.is_new:
+            self.fail_job(job, LinkFault.CONNECT_FAILED, CONNECT_TIMEOUT_MS)
+        else:
+            self.fail_job(job, LinkFault.LOST, ACKNOWLEDGEMENT_TIMEOUT_MS)
+
+    def fail_job(
+        self, job: Job, fault: LinkFault, delay_ms: float, is_refused: bool = False
+    ) -> None:
+        """Report after a delay that a request has failed, unless its VM has given it up."""
+        failure = LinkFailure(fault, fault is LinkFault.LOST, is_refused)
+        event = ExchangeEnded(job.action.exchange_id, failure)
+        self.schedule(delay_ms, lambda: job.is_cancelled or self.deliver_event(job.vm, event))
+
     def lose_job(self, job: Job) -> None:
         """Report that the connection of a request was lost."""
         if job.is_cancelled:
@@ -394,6 +439,9 @@
         if job.replica.notice_log is not None:
             told_ms = job.replica.notice_log.told_ms
             told_ms.setdefault(job.vm.gateway.fleet.own.name, self.now_ms)
+        if job.vm.is_silenced:
+            self.fail_job(job, LinkFault.LOST, ACKNOWLEDGEMENT_TIMEOUT_MS)
+            return
         delay_ms = self.delay_ms(job.vm, job.replica.entry.zone)
         self.schedule(delay_ms, lambda: self.deliver_reply(job, reply))
 
--- a/measure/stand_ins.py
+++ b/measure/stand_ins.py
@@ -1,5 +1,7 @@
 """Simulated replicas and VMs of the emulator, and the messages between them."""
 
+import enum
+
 from beechbridge.gateway.actions import SendOrder, SendRequest, WriteLine
 from beechbridge.gateway.models import CallerRequest, Notice, ReplicaEntry
 from beechbridge.gateway.node import Gateway
@@ -150,10 +152,22 @@
         self.is_cancelled = False
 
 
+class Cut(enum.Enum):
+    """How the links between a VM and all replicas fail."""
+
+    SILENT = 'silent'
+    RESET = 'reset'
+    """Open connections are reset, new ones do not open."""
+
+    REFUSED = 'refused'
+    """Open connections live on, new ones are refused."""
+
+
 class EmulatedVm:
     """
     One gateway with its orders, answers and log lines.
 
+    :param cut: how it is cut off from all replicas, None if it is not
     :param link_bytes_per_ms: speed of its link in each direction, for store changes and heartbeats
     :param link_free_ms: time in milliseconds at which all that it has sent is on its way
     :param sent_orders: orders to other VMs, by connection id
@@ -162,6 +176,7 @@
 
     __slots__ = (
         'answers',
+        'cut',
         'gateway',
         'is_following',
         'is_up',
@@ -176,6 +191,7 @@
 
     def __init__(self, gateway: Gateway):
         self.gateway = gateway
+        self.cut: Cut | None = None
         self.sent_orders: dict[int, EmulatedOrder] = {}
         self.received_orders: dict[int, EmulatedOrder] = {}
         self.answers: dict[int, tuple[float, object]] = {}
@@ -187,6 +203,11 @@
         self.link_bytes_per_ms = float('inf')
         self.link_free_ms = 0.0
 
+    @property
+    def is_silenced(self) -> bool:
+        """Return whether nothing comes through between it and any replica."""
+        return self.cut in (Cut.SILENT, Cut.RESET)
+
 
 def region_of(zone: str) -> str:
     """Return the region of a data centre."""
