Do not take an answer without parts for a quick one

Cause: an answer to an order counted as a success however little it brought, so that the VM that answered at once, with nothing, looked the fastest and got more. Change: an answer without parts counts as a rejection; a VM that refuses because it reaches no replica is suspect, which spares the time until its heartbeat comes. Conclusion: holds also for VMs that do not know yet that they are cut off.

--- a/beechbridge/gateway/requests/orders.py
+++ b/beechbridge/gateway/requests/orders.py
@@ -11,6 +11,7 @@
 
 from collections import Counter
 
+from ...failures import Reason
 from ..actions import SendOrder, WriteLine
 from ..interface import GatewayInterface
 from ..models import LinkFailure, LinkFault, PartsOrder, PartsReply, Reply
@@ -225,11 +226,16 @@
     if reply.answer is None or not is_answer_to(owner, reply):
         gateway.counters.add('orders_failed', 'refused' if reply.answer is None else 'malformed')
         exchange.replica.record_rejection(True, now_ms)
+        if reply.refusal == Reason.UNREACHABLE.value:
+            suspect_replica(exchange.replica, reply.refusal, gateway)
         return_tasks(owner, exchange, LinkFault.MALFORMED, reply.answer is None, gateway)
         return
-    if not reply.answer.signatures:
+    if reply.answer.signatures:
+        record_latency(exchange, work.route.name, latency_ms, gateway)
+    else:
+        # However quickly it came: a VM that brings nothing must not look fast.
+        exchange.replica.record_rejection(True, now_ms)
         log_unmet(owner, exchange, gateway)
-    record_latency(exchange, work.route.name, latency_ms, gateway)
     if not exchange.is_new:
         round_trip_ms = max(0.0, latency_ms - reply.answer.work_ms)
         gateway.aggregators.record_round_trip(owner.zone, round_trip_ms)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -248,6 +248,51 @@
         self.assertFalse(self.request.answers)
 
 
+class EmptyAnswerTest(unittest.TestCase):
+    """Two VMs of a data centre, one of which answers at once and brings nothing."""
+
+    def ask(self, emulator, number, answer):
+        """Send a gather, answer its orders to the data centre; return the VMs that got them."""
+        request = ManualRequest(emulator, f'q{number}', '/sweep/x', 'GET', 1200.0)
+        request.now_ms += 5.0
+        hosts = []
+        for order in request.orders:
+            services = order.order.services
+            if order.host not in ('vm-1', 'vm-2'):
+                parts = PartsAnswer(dict.fromkeys(services, 's'), {}, b'', 1.0)
+                result = PartsReply(parts, f'q{number}', False)
+            else:
+                hosts.append(order.host)
+                result = answer(order.host, services, f'q{number}')
+            request.deliver(ExchangeEnded(order.exchange_id, result))
+        request.deliver(CallerDisconnected(request.key))
+        emulator.run(50.0)
+        return hosts
+
+    # A VM that had lost its replicas answered orders first, and got all the more of them.
+    @params(
+        ('nothing', lambda services, name: PartsAnswer({}, dict.fromkeys(services, 0), b'', 0.0)),
+        ('refusal', lambda services, name: None),
+    )
+    def test_vm_that_brings_nothing_is_not_preferred(self, name, make_parts):
+        emulator = start_sweeps(SHARDS, zones=('brum-a', 'notts-a', 'notts-a', 'wolves-a'))
+
+        def answer(host, services, request_id):
+            if host == 'vm-1':
+                refusal = Reason.UNREACHABLE.value
+                return PartsReply(make_parts(services, request_id), request_id, False, refusal)
+            parts = PartsAnswer(dict.fromkeys(services, 's'), {}, b'', 1.0)
+            return PartsReply(parts, request_id, False)
+
+        for number in range(10):
+            self.ask(emulator, number, answer)
+        hosts = []
+        for number in range(10, 70):
+            hosts.extend(self.ask(emulator, number, answer))
+        self.assertGreater(len(hosts), 10)
+        self.assertLess(hosts.count('vm-1'), len(hosts) / 4)
+
+
 class ScarceAttemptsTest(unittest.TestCase):
     """Shards with more replicas than a request has attempts."""
 
