Send callers to VMs that reach replicas

Change: both take the VMs that reach replicas, all of them if none does; /readyz stays 200, since such a VM serves its callers through others.

--- a/beechbridge/gateway/fleet/placement.py
+++ b/beechbridge/gateway/fleet/placement.py
@@ -183,7 +183,7 @@
             return
         self.chosen_ms = now_ms
         by_zone: dict[str, list[Member]] = {}
-        for member in fleet.serving(now_ms):
+        for member in fleet.reaching(now_ms):
             by_zone.setdefault(member.zone, []).append(member)
         self.active_names = set()
         for members in by_zone.values():
--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -324,9 +324,9 @@
         """Return the VMs that a caller in a data centre and region should use."""
         self.placement.refresh(self.table, self.upstreams, now_ms)
         self.activity.choose(self.fleet, now_ms)
-        serving = self.fleet.serving(now_ms)
-        active = [member for member in serving if member.name in self.activity.active_names]
-        chosen = self.placement.choose(active or serving, zone, region)
+        reaching = self.fleet.reaching(now_ms)
+        active = [member for member in reaching if member.name in self.activity.active_names]
+        chosen = self.placement.choose(active or reaching, zone, region)
         if len(chosen) <= MAX_ADDRESSES:
             return chosen
         by_name = {member.name: member for member in chosen}
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -214,3 +214,38 @@
         asked = drive(emulator, GATHER, 2_000.0)
         emulator.run(2_000.0)
         self.assertGreaterEqual(served_share(emulator, asked), 0.95)
+
+
+class DirectoryTest(unittest.TestCase):
+    # The directory went on sending callers to VMs that had lost their replicas.
+    @params(((0, 1, 2, 4),), ((0, 1),), ((0,),))
+    def test_callers_are_sent_to_vms_that_reach_replicas(self, cut_vms):
+        emulator = start_fleet(GATHER[1])
+        drive(emulator, GATHER, 3_000.0)
+        for number in cut_vms:
+            emulator.cut_replicas(emulator.vms[number], Cut.SILENT)
+        drive(emulator, GATHER, 3_000.0)
+        cut_names = {f'vm-{number}' for number in cut_vms}
+        for vm in emulator.vms:
+            for zone in ZONES:
+                found = vm.gateway.best_members(zone, zone.partition('-')[0], emulator.now_ms)
+                self.assertTrue(found)
+                self.assertFalse(cut_names & {member.name for member in found})
+
+    # If replicas are gone for everybody, no VM is better than another.
+    def test_directory_is_never_empty(self):
+        emulator = start_fleet(GATHER[1])
+        drive(emulator, GATHER, 3_000.0)
+        before = emulator.vms[0].gateway.best_members(ZONES[0], 'brum', emulator.now_ms)
+        for vm in emulator.vms:
+            emulator.cut_replicas(vm, Cut.SILENT)
+        drive(emulator, GATHER, 3_000.0)
+        found = emulator.vms[0].gateway.best_members(ZONES[0], 'brum', emulator.now_ms)
+        self.assertEqual({one.name for one in found}, {one.name for one in before})
+
+    def test_vm_without_replicas_stays_ready(self):
+        emulator = start_fleet(GATHER[1])
+        drive(emulator, GATHER, 3_000.0)
+        emulator.cut_replicas(emulator.vms[0], Cut.SILENT)
+        drive(emulator, GATHER, 3_000.0)
+        self.assertTrue(emulator.vms[0].gateway.is_ready())
