Doubt the links of a VM also if it cannot open a connection

Callers saw: at VMs whose connections lived on while new ones were refused, each request that needed a new one waited for its deadline (127 answers 504 in 24 s). Cause: replies over the connections that were left proved the links to be fine. Change: connections that could not be opened to several replicas, with none opened since, are doubtful too; only an accepted probe clears that. What is under way over open connections is left alone.

--- a/beechbridge/gateway/replicas/reach.py
+++ b/beechbridge/gateway/replicas/reach.py
@@ -39,6 +39,7 @@
 
     :param replied_ms: time in milliseconds of the latest reply of any replica
     :param failed: replicas to which an exchange has failed since then, by `id()` of their state
+    :param unconnected: replicas to which no connection could be opened since one last was
     :param accepted_ms: time in milliseconds when a replica last accepted a probe
     :param refused_ms: time in milliseconds when a replica last refused a probe
     :param probes: IDs of the probes that have not ended
@@ -46,6 +47,8 @@
     :param round_ms: time in milliseconds when the latest probes were sent
     :param is_lost: whether no replica is believed to be reached
     :param is_doubted: whether probes are to decide that
+    :param wants_connection: whether replies over open connections prove nothing, since no new one
+        could be opened
     :param changed_ms: time in milliseconds when the belief last changed
     :param check_due_ms: time in milliseconds of the next check, None if there is nothing to check
     :param doubt_pause_ms: time without doubts after one that was not confirmed
@@ -70,11 +73,15 @@
         'refused_ms',
         'replied_ms',
         'round_ms',
+        'unconnected',
+        'wants_connection',
     )
 
     def __init__(self):
         self.replied_ms = -float('inf')
         self.failed: dict[int, ReplicaState] = {}
+        self.unconnected: dict[int, ReplicaState] = {}
+        self.wants_connection = False
         self.accepted_ms = -float('inf')
         self.refused_ms = -float('inf')
         self.probes: set[int] = set()
@@ -91,8 +98,10 @@
 
     @property
     def was_answered(self) -> bool:
-        """Return whether a replica has replied or accepted a probe since the latest probes."""
-        return max(self.replied_ms, self.accepted_ms) >= self.round_ms
+        """Return whether a replica has accepted a probe, or replied, since the latest probes."""
+        if self.accepted_ms >= self.round_ms:
+            return True
+        return self.replied_ms >= self.round_ms and not self.wants_connection
 
     @property
     def is_silent(self) -> bool:
@@ -108,9 +117,17 @@
         """Record that an exchange with a replica failed that began after the latest reply."""
         if fault in FAULTS_OF_REPLIES:
             self.record_reply(now_ms)
-        elif exchange.sent_ms >= self.replied_ms:
+            return
+        if fault is LinkFault.CONNECT_FAILED:
+            self.unconnected[id(exchange.replica)] = exchange.replica
+        if exchange.sent_ms >= self.replied_ms:
             self.failed[id(exchange.replica)] = exchange.replica
 
+    def record_connection(self, now_ms: float) -> None:
+        """Record that a connection to a replica was opened."""
+        self.accepted_ms = now_ms
+        self.unconnected.clear()
+
     def find_silent(self, gateway: GatewayInterface) -> list[ReplicaState]:
         """Return the replicas that failed or are overdue, none having replied since."""
         silent = dict(self.failed)
@@ -134,6 +151,7 @@
             'reply_age_ms': describe_age(self.replied_ms, now_ms),
             'accepted_age_ms': describe_age(self.accepted_ms, now_ms),
             'failed': len(self.failed),
+            'unconnected': len(self.unconnected),
         }
 
 
--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -10,7 +10,7 @@
 from ..replicas.connections import Exchange
 from ..replicas.limits import is_available, start_bucket
 from ..replicas.notices import apply_notice
-from ..replicas.upstreams import ReplicaState
+from ..replicas.upstreams import AGGREGATOR_DISTANCE, ReplicaState
 from .answers import build_answer, record_end, trim_part
 from .evidence import REFUSED, acquit, confirm_end, record_loss
 from .sending import abandon_exchange, abort_exchange, dispatch_task, end_exchange
@@ -37,8 +37,11 @@
 def handle_request_sent(event: RequestSent, gateway: GatewayInterface) -> None:
     """Record that a replica may be processing a request from now on."""
     exchange = gateway.upstreams.exchanges.get(event.exchange_id)
-    if exchange is not None:
-        exchange.was_sent = True
+    if exchange is None:
+        return
+    exchange.was_sent = True
+    if exchange.replica.distance != AGGREGATOR_DISTANCE:
+        gateway.reach.record_connection(gateway.now_ms)
 
 
 @singledispatch
--- a/beechbridge/gateway/requests/reach_checks.py
+++ b/beechbridge/gateway/requests/reach_checks.py
@@ -1,10 +1,11 @@
 """
 Judges whether this VM reaches replicas, and acts on it.
 
-Several replicas are silent, and no other one has replied since: that is doubtful, and replicas of
-other services are probed with a connection that carries nothing. If none accepts one, the links of
-this VM are taken for lost: the other VMs are told, requests go through them (`relays`), and probes
-go on until a replica accepts one. At rest nothing is probed.
+Several replicas are silent and no other one has replied since, or connections to several could not
+be opened and none was since: that is doubtful, and replicas of other services are probed with a
+connection that carries nothing. If none accepts one, the links of this VM are taken for lost: the
+other VMs are told, requests go through them (`relays`), and probes go on until a replica accepts
+one. At rest nothing is probed.
 """
 
 from ..actions import ProbeReplica, WriteLine
@@ -60,29 +61,41 @@
 
 
 def check_silence(gateway: GatewayInterface) -> None:
-    """Begin to doubt the reach if several replicas are silent and none has replied since."""
+    """Begin to doubt the reach if several replicas are silent, or none takes connections."""
     reach = gateway.reach
     if not has_exchanges(gateway):
         reach.check_due_ms = None
         return
     quiet_ms = gateway.now_ms - reach.replied_ms
-    if quiet_ms < OVERDUE_MS:
-        schedule_check(max(CHECK_INTERVAL_MS, OVERDUE_MS - quiet_ms), gateway)
-        return
-    schedule_check(CHECK_INTERVAL_MS, gateway)
+    schedule_check(max(CHECK_INTERVAL_MS, OVERDUE_MS - quiet_ms), gateway)
     if gateway.now_ms < reach.next_doubt_ms:
         return
-    silent = reach.find_silent(gateway)
     usable_count = sum(state.is_usable for state in gateway.upstreams.by_id.values())
-    if not silent or len(silent) < min(SILENT_REPLICAS, usable_count):
+    needed_count = max(1, min(SILENT_REPLICAS, usable_count))
+    if len(reach.unconnected) >= needed_count:
+        doubt_reach(list(reach.unconnected.values()), gateway, wants_connection=True)
+        return
+    if quiet_ms < OVERDUE_MS:
         return
+    silent = reach.find_silent(gateway)
+    if len(silent) >= needed_count:
+        doubt_reach(silent, gateway, wants_connection=False)
+
+
+def doubt_reach(
+    silent: list[ReplicaState], gateway: GatewayInterface, wants_connection: bool
+) -> None:
+    """Probe other replicas than those that are silent, to decide whether any is reached."""
+    reach = gateway.reach
     reach.is_doubted = True
+    reach.wants_connection = wants_connection
     send_probes(silent, gateway)
     gateway.counters.add('reach_doubts')
     fields = {
         'replicas': len(silent),
         'services': len({state.entry.service for state in silent}),
         'failed': len(reach.failed),
+        'unconnected': len(reach.unconnected),
         'reply_age_ms': describe_age(reach.replied_ms, gateway.now_ms),
     }
     gateway.act(WriteLine('replicas_silent', fields))
@@ -216,7 +229,7 @@
         return
     reach.probes.discard(event.probe_id)
     if event.is_open:
-        reach.accepted_ms = gateway.now_ms
+        reach.record_connection(gateway.now_ms)
     elif event.is_refused:
         reach.refused_ms = gateway.now_ms
         if not reach.was_answered:
--- a/beechbridge/gateway/requests/relays.py
+++ b/beechbridge/gateway/requests/relays.py
@@ -130,7 +130,7 @@
         return
     relayed = []
     for work in list(gateway.works.values()):
-        if work.is_relayed_on or is_bound(work):
+        if work.is_relayed_on or is_bound(work) or is_going_on(work, gateway):
             continue
         work.is_relayed_on = True
         relayed.append(work)
@@ -148,6 +148,17 @@
     return not work.route.is_idempotent and work.may_have_run
 
 
+def is_going_on(work: Work, gateway: GatewayInterface) -> bool:
+    """Return whether a request is under way everywhere over connections that live on."""
+    if not gateway.reach.wants_connection:
+        return False
+    ordered = set()
+    for order in work.orders:
+        if order.exchanges:
+            ordered.update(order.open_tasks)
+    return all(task.exchanges or not task.is_open or task in ordered for task in work.tasks)
+
+
 def withdraw_exchanges(work: Work, gateway: GatewayInterface) -> None:
     """Abort the exchanges of a request; those that were not sent do not count as attempts."""
     for task in work.tasks:
--- a/measure/emulator.py
+++ b/measure/emulator.py
@@ -403,18 +403,21 @@
     def cut_replicas(self, vm: EmulatedVm, cut: Cut | None) -> None:
         """Cut a VM off from all replicas, or mend its links."""
         vm.cut = cut
-        if cut is not Cut.RESET:
-            return
-        for job in vm.jobs.values():
-            self.lose_job(job)
+        if cut is Cut.RESET:
+            self.reset_connections(vm, 1.0)
+
+    def reset_connections(self, vm: EmulatedVm, share: float) -> None:
+        """Reset a share of a VM's connections to replicas."""
         name = vm.gateway.fleet.own.name
         for replica in self.replicas.values():
             for owner, number in sorted(replica.open_connections):
-                if owner == name and number not in vm.jobs:
-                    self.deliver_event(vm, ConnectionEnded(number))
-            replica.open_connections = {
-                known for known in replica.open_connections if known[0] != name
-            }
+                if owner != name or self.rng.random() >= share:
+                    continue
+                replica.open_connections.discard((owner, number))
+                job = vm.jobs.pop(number, None)
+                if job is not None and number in vm.gateway.upstreams.owners:
+                    self.lose_job(job)
+                self.deliver_event(vm, ConnectionEnded(number))
 
     def lose_request(self, job: Job) -> None:
         """Let a request that a VM sends while it is cut off fail as its connection does."""
--- a/tests/test_stranded_vms.py
+++ b/tests/test_stranded_vms.py
@@ -92,6 +92,20 @@
             served_share(emulator, at_cut), LEAST_RATIO * served_share(emulator, at_others)
         )
 
+    # Connections lived on, new ones were refused: what needed one waited for its deadline.
+    @params(*[(kind[0], kind) for kind in KINDS])
+    def test_callers_are_served_if_only_open_connections_live_on(self, name, kind):
+        emulator = start_fleet(kind[1])
+        drive(emulator, kind, 3_000.0)
+        cut_vms = (0, 1, 2, 4)
+        for number in cut_vms:
+            emulator.cut_replicas(emulator.vms[number], Cut.REFUSED)
+            emulator.reset_connections(emulator.vms[number], 0.6)
+        drive(emulator, kind, STABLE_MS)
+        asked = drive(emulator, kind, 6_000.0, vms=cut_vms)
+        emulator.run(kind[4] + 500.0)
+        self.assertGreaterEqual(served_share(emulator, asked), 0.99)
+
     # A VM that answered orders at once, with nothing, was asked again and again.
     def test_gathers_of_other_vms_do_not_fail_because_of_them(self):
         emulator, _, at_others = play_cut(KINDS[0], Cut.SILENT, (0, 1, 2, 4))
