Guard relays and reach against damaged messages and false convictions

Cause: the same class elsewhere: a VM that loses connections and is refused new ones takes its replicas for ended, and reports the requests that ran there. Conclusion: no change of logic needed.

--- a/tests/test_fuzz_gateway.py
+++ b/tests/test_fuzz_gateway.py
@@ -13,22 +13,33 @@
     ReplyMemory,
 )
 from beechbridge.failures import Failure
-from beechbridge.gateway.actions import SendHeartbeat, SendPermits, SendSuspects
+from beechbridge.gateway.actions import (
+    AnswerRequest,
+    SendHeartbeat,
+    SendPermits,
+    SendRelay,
+    SendSuspects,
+)
 from beechbridge.gateway.events import (
     ChangesReceived,
     ExchangeEnded,
     HeartbeatReceived,
     PermitsReceived,
+    RelayReceived,
     SuspectsReceived,
+    TimerDue,
 )
 from beechbridge.gateway.models import (
     CallerRequest,
+    ForwardedAnswer,
     Item,
     Member,
     PartsAnswer,
     PartsOrder,
     PartsReply,
+    RelayReply,
     Reply,
+    RequestRelay,
 )
 from beechbridge.gateway.permits import PermitsAnswered, PermitsWanted
 from beechbridge.gateway.replicas.dictionaries import Dictionary
@@ -54,6 +65,14 @@
     read_parts,
     write_parts,
 )
+from beechbridge.wire.relays import (
+    RELAYS_PATH,
+    read_relay,
+    read_relay_reply,
+    write_relay,
+    write_relay_answer,
+)
+from measure.emulator import HOST
 
 from .gateways import single_route, start_register
 from .utils import FUZZ
@@ -81,6 +100,23 @@
 )
 DICTIONARY = Dictionary(CHANGES * 40)
 PARTS = write_parts(PartsAnswer({'a': 's'}, {'b': 1}, b'0' * 16, 1.0, frozenset('b')), 'q1').body
+RELAY = write_relay(
+    SendRelay(
+        1,
+        2,
+        True,
+        'vm-1',
+        RequestRelay(
+            CallerRequest('q1', 'GET', '/lookup/x', HOST, '/lookup/x', [('A', 'b')]),
+            300.0,
+            900.0,
+            {'register': 1},
+            False,
+        ),
+        1_000,
+    )
+).partition(b'\r\n\r\n')[2]
+RELAY_ANSWER = write_relay_answer(ForwardedAnswer(Reply(200, [('A', 'b')], b'x', 's')), 'q1').body
 RESPONSE = (
     b'HTTP/1.1 200 OK\r\nBeechbridge-Server-Stamp: s\r\nBeechbridge-Request-Id: q1\r\n'
     b'Transfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n'
@@ -176,6 +212,28 @@
         environ = {'PATH_INFO': '/v1/parts', 'wsgi.input': io.BytesIO(data)}
         self.assertIsInstance(read_order(environ), PartsOrder | Failure)
 
+    # Another VM may send anything as a relay; what can be read is served or rejected, once.
+    @FUZZ
+    @given(mutations(RELAY))
+    def test_relays(self, data):
+        environ = {'PATH_INFO': RELAYS_PATH, 'wsgi.input': io.BytesIO(data)}
+        relay = read_relay(environ)
+        self.assertIsInstance(relay, RequestRelay | Failure)
+        if isinstance(relay, Failure):
+            return
+        gateway = self.gateway
+        actions = gateway.handle(RelayReceived(1, relay), gateway.now_ms)
+        for _ in range(50):
+            gateway.now_ms += 100.0
+            actions += gateway.handle(TimerDue(), gateway.now_ms)
+        answers = [one for one in actions if isinstance(one, AnswerRequest) and one.key == 1]
+        self.assertEqual(len(answers), 1)
+
+    @FUZZ
+    @given(mutations(RELAY_ANSWER), st.sampled_from([200, 404, 500, 502, 503]))
+    def test_answers_to_relays(self, data, status):
+        self.assertIsInstance(read_relay_reply(status, [], data, False), RelayReply)
+
     @FUZZ
     @given(
         st.text(max_size=8),
--- a/tests/test_stranded_vms.py
+++ b/tests/test_stranded_vms.py
@@ -4,6 +4,7 @@
 
 from nose2.tools import params
 
+from beechbridge.failures import Reason
 from beechbridge.gateway.models import ForwardedAnswer, MergedAnswer
 from beechbridge.gateway.requests.budgets import BudgetRules
 from measure.emulator import Emulator
@@ -110,3 +111,26 @@
     def test_gathers_of_other_vms_do_not_fail_because_of_them(self):
         emulator, _, at_others = play_cut(KINDS[0], Cut.SILENT, (0, 1, 2, 4))
         self.assertGreaterEqual(served_share(emulator, at_others), 0.99)
+
+    # A VM that loses connections, and is refused new ones, takes its replicas for ended; requests
+    # that it then reports as deadly would be turned away everywhere.
+    @params(((0,),), ((0, 1, 2, 4),))
+    def test_no_request_is_taken_for_one_that_ends_replicas(self, cut_vms):
+        emulator = start_fleet(KINDS[0][1])
+        drive(emulator, KINDS[0], 3_000.0)
+        for number in cut_vms:
+            emulator.cut_replicas(emulator.vms[number], Cut.REFUSED)
+        for number in range(150):
+            vm = emulator.rng.randrange(len(emulator.vms))
+            emulator.send_request(vm, f'/sweep/again-{number % 3}', 1200.0)
+            emulator.run(12.0)
+            for cut_vm in cut_vms:
+                emulator.reset_connections(emulator.vms[cut_vm], 0.8)
+            emulator.run(30.0)
+        emulator.run(2_000.0)
+        for vm in emulator.vms:
+            for line in vm.lines:
+                if line.subject == 'request_judged':
+                    self.assertNotEqual(line.fields['verdict'], 'convicted')
+            for _, answer in vm.answers.values():
+                self.assertIsNot(getattr(answer, 'reason', None), Reason.QUARANTINED)
