Decode each answer of another VM as that of its own request

Cause: a connection kept the decoder of the request that had opened it, and relays and orders to one VM share its connections. Change: the decoder is set with each request; both use one header for the ID, so that a late copy is recognised whatever it answers. Figures: SharedConnectionTest fails before in both orders.

--- a/beechbridge/daemon/client_connection.py
+++ b/beechbridge/daemon/client_connection.py
@@ -95,7 +95,7 @@
     One connection to a replica or another VM; carries one exchange at a time.
 
     :param post: receives the events
-    :param decode_reply: builds a reply; see `Codec`
+    :param decode_reply: builds the reply to the current request; see `Codec`
     :param memory: counts the bytes that are kept
     :param current: response that is being received
     :param completed: responses received in full and not yet processed
--- a/beechbridge/daemon/exchanges.py
+++ b/beechbridge/daemon/exchanges.py
@@ -86,6 +86,8 @@
             failure = LinkFailure(LinkFault.LOST, was_sent=False)
             self.loop.call_soon(self.post, ExchangeEnded(action.exchange_id, failure))
             return
+        # Orders and relays to one VM share its connections.
+        connection.decode_reply = codec.decode
         connection.send(action.exchange_id, action.request_id, data, action.max_reply_bytes)
 
     async def connect(self, connection: ClientConnection, host: str, port: int) -> None:
--- a/beechbridge/wire/fleet.py
+++ b/beechbridge/wire/fleet.py
@@ -28,7 +28,7 @@
 PARTS_PATH = '/v1/parts'
 CONTENT_TYPE_HEADER = ('Content-Type', 'application/x-thrift')
 ORDER_ID_HEADER = 'Order-Request-Id'
-"""Header in the answer to an order: ID of the request that the order belongs to."""
+"""Header in the answer to an order or a relay: ID of the request that it belongs to."""
 
 REFUSAL_HEADER = 'Order-Refusal'
 """Header in the answer to an order: reason for which it was rejected."""
--- a/beechbridge/wire/relays.py
+++ b/beechbridge/wire/relays.py
@@ -5,15 +5,20 @@
 from ..failures import Executed, Failure, Reason, not_run
 from ..gateway.actions import SendRelay
 from ..gateway.models import ForwardedAnswer, MergedAnswer, RelayReply, Reply, RequestRelay
-from .fleet import CONTENT_TYPE_HEADER, OK_STATUS, decode, read_caller_request, write_post
+from .fleet import (
+    CONTENT_TYPE_HEADER,
+    OK_STATUS,
+    ORDER_ID_HEADER,
+    decode,
+    read_caller_request,
+    write_post,
+)
 from .frames import encode_struct
 from .http import HttpResponse
 from .peer import ttypes
 
 RELAYS_PATH = '/v1/relays'
 MAX_TIME_MS = 3_600_000.0
-RELAY_ID_HEADER = 'Relay-Request-Id'
-"""Header in the answer to a relay: ID of its request."""
 
 
 def write_relay(action: SendRelay) -> bytes:
@@ -55,7 +60,7 @@
     answer: ForwardedAnswer | MergedAnswer | Failure, request_id: str
 ) -> HttpResponse:
     """Return the HTTP response to a relay."""
-    headers = [CONTENT_TYPE_HEADER, (RELAY_ID_HEADER, request_id)]
+    headers = [CONTENT_TYPE_HEADER, (ORDER_ID_HEADER, request_id)]
     return HttpResponse('200 OK', headers, to_relay_answer(answer))
 
 
@@ -96,7 +101,7 @@
     """Return the reply to a relay from another VM's HTTP response."""
     request_id = ''
     for name, value in headers:
-        if name.lower() == RELAY_ID_HEADER.lower():
+        if name.lower() == ORDER_ID_HEADER.lower():
             request_id = value
     frame = decode(body, ttypes.RelayAnswer)
     if status != OK_STATUS or isinstance(frame, Failure):
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -1,10 +1,13 @@
 """Requests that a VM without replicas lets other VMs serve."""
 
+import asyncio
 import io
+import re
 import unittest
 
 from nose2.tools import params
 
+from beechbridge.daemon.exchanges import Codec, ExchangeClient
 from beechbridge.failures import Executed, Failure, Reason, not_run, unknown
 from beechbridge.gateway.actions import (
     AnswerRequest,
@@ -27,11 +30,14 @@
     LinkFailure,
     LinkFault,
     MergedAnswer,
+    PartsAnswer,
     PartsOrder,
+    PartsReply,
     RelayReply,
     Reply,
     RequestRelay,
 )
+from beechbridge.wire.fleet import read_parts, write_order, write_parts
 from beechbridge.wire.relays import (
     RELAYS_PATH,
     read_relay,
@@ -47,6 +53,7 @@
 
 GATHER, SINGLE, WRITE = KINDS
 RELAY_KEY = 9_000
+WAIT_S = 5.0
 UNSENT = LinkFailure(LinkFault.CONNECT_FAILED, was_sent=False)
 LOST = LinkFailure(LinkFault.LOST, was_sent=True)
 REPLY = Reply(200, [('X-Note', 'kept')], b'deed', 'signature', 'q')
@@ -295,3 +302,70 @@
             'wsgi.input': io.BytesIO(data.partition(b'\r\n\r\n')[2]),
         }
         self.assertIs(read_relay(environ).reason, Reason.INVALID_INPUT)
+
+
+class SharedConnectionTest(unittest.TestCase):
+    """Relays and orders to one VM share its connections."""
+
+    def exchange(self, actions, responses):
+        """Send actions one after the other over one connection; return their results."""
+
+        async def run():
+            async def serve(reader, writer):
+                for response in responses:
+                    head = await reader.readuntil(b'\r\n\r\n')
+                    length = int(re.search(rb'Content-Length: (\d+)', head)[1])
+                    await reader.readexactly(length)
+                    lines = [f'{name}: {value}\r\n' for name, value in response.headers]
+                    lines.append(f'Content-Length: {len(response.body)}\r\n\r\n')
+                    writer.write(f'HTTP/1.1 {response.status}\r\n{"".join(lines)}'.encode())
+                    writer.write(response.body)
+                writer.close()
+
+            server = await asyncio.start_server(serve, '127.0.0.1', 0)
+            port = server.sockets[0].getsockname()[1]
+            events = asyncio.Queue()
+            codecs = {
+                SendOrder: Codec(write_order, read_parts),
+                SendRelay: Codec(write_relay, read_relay_reply),
+            }
+            client = ExchangeClient(asyncio.get_running_loop(), events.put_nowait, codecs)
+            results = []
+            for action in actions:
+                client.send(action, port)
+                event = await asyncio.wait_for(events.get(), WAIT_S)
+                while not isinstance(event, ExchangeEnded):
+                    event = await asyncio.wait_for(events.get(), WAIT_S)
+                results.append(event.result)
+            client.close()
+            server.close()
+            return results
+
+        return asyncio.run(run())
+
+    # A connection decoded all answers as those of the request that had opened it: the answer to an
+    # order that followed a relay raised an exception, and its gather waited for its deadline.
+    @params((True,), (False,))
+    def test_answers_are_decoded_by_their_own_kind(self, is_relay_first):
+        request = make_request('/sweep/x')
+        relay = RequestRelay(request, 100.0, 900.0, {}, False)
+        order = PartsOrder(request, 'sweep', 1, ('a',), 2, 10, 100.0, 900.0, 'd')
+        merged = MergedAnswer(b'0' * 16, ['s'], 0)
+        parts = PartsAnswer({'a': 's'}, {}, b'0' * 16, 1.0)
+        kinds = [
+            (
+                lambda number, is_new: SendRelay(number, 7, is_new, '127.0.0.1', relay, 1_000),
+                write_relay_answer(merged, 'q'),
+                RelayReply(merged, 'q', False),
+            ),
+            (
+                lambda number, is_new: SendOrder(number, 7, is_new, '127.0.0.1', order),
+                write_parts(parts, 'q'),
+                PartsReply(parts, 'q', False),
+            ),
+        ]
+        if not is_relay_first:
+            kinds.reverse()
+        actions = [kind[0](number, number == 0) for number, kind in enumerate(kinds)]
+        results = self.exchange(actions, [kind[1] for kind in kinds])
+        self.assertEqual(results, [kind[2] for kind in kinds])
