Tell the others at once when a VM is ready

Callers saw: VMs without replicas turned them away for some 0.3 s more than necessary after the VMs that could serve them had started again. Cause: that a VM serves was told with its next regular heartbeat, up to 0.4 s later. Change: the first routing table is followed by a heartbeat to all who get one. Figures: StartTest fails before; the others know within 20 ms now.

--- a/beechbridge/gateway/fleet/gossip.py
+++ b/beechbridge/gateway/fleet/gossip.py
@@ -121,8 +121,8 @@
     )
 
 
-def announce_reach(gateway: GatewayInterface) -> None:
-    """Tell the others at once that this VM reaches replicas no more, or again."""
+def announce_change(gateway: GatewayInterface) -> None:
+    """Tell the others at once that this VM is ready, or reaches replicas no more, or again."""
     send(gateway, direct_hosts(gateway), refresh_own_member(gateway))
 
 
--- a/beechbridge/gateway/replicas/store_updates.py
+++ b/beechbridge/gateway/replicas/store_updates.py
@@ -4,7 +4,7 @@
 from ...record import Record
 from ..actions import SetCallerLimits, WriteLine
 from ..events import ChangesReceived, PullEnded, StoreFailed
-from ..fleet.gossip import announce_revision
+from ..fleet.gossip import announce_change, announce_revision
 from ..fleet.pulls import mark_caught_up, record_pull
 from ..interface import GatewayInterface
 from ..models import Item, ReplicaEntry
@@ -85,6 +85,7 @@
         return
     store = gateway.store
     now_ms = gateway.now_ms
+    was_ready = gateway.is_ready()
     gateway.last_update_ms = now_ms
     if event.is_from_store:
         store.is_failing = False
@@ -104,7 +105,9 @@
         apply_item(item, gateway, is_listing)
     if is_listing:
         log_listing(len(applied), len(gateway.upstreams.by_id) - known_count, gateway)
-    if applied and event.is_from_store:
+    if gateway.is_ready() and not was_ready:
+        announce_change(gateway)
+    elif applied and event.is_from_store:
         announce_revision(gateway)
 
 
--- a/beechbridge/gateway/requests/reach_checks.py
+++ b/beechbridge/gateway/requests/reach_checks.py
@@ -10,7 +10,7 @@
 
 from ..actions import ProbeReplica, WriteLine
 from ..events import ProbeEnded
-from ..fleet.gossip import announce_reach
+from ..fleet.gossip import announce_change
 from ..interface import GatewayInterface
 from ..replicas.reach import (
     OVERDUE_MS,
@@ -178,7 +178,7 @@
     }
     reach.changed_ms = gateway.now_ms
     gateway.act(WriteLine(subject, fields))
-    announce_reach(gateway)
+    announce_change(gateway)
 
 
 def send_probes(silent: list[ReplicaState], gateway: GatewayInterface) -> None:
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -16,6 +16,9 @@
 BELIEF_TARGET_MS = 300.0
 """Target for the time from the first silence at ten requests a second until it is believed."""
 
+ANNOUNCEMENT_MS = 20.0
+"""Time that one message takes to any VM."""
+
 RETURN_TARGET_MS = 1_000.0
 
 
@@ -216,6 +219,23 @@
         self.assertGreaterEqual(served_share(emulator, asked), 0.95)
 
 
+class StartTest(unittest.TestCase):
+    # VMs without replicas turned their callers away while one that could serve them was ready, and
+    # nobody knew.
+    def test_others_know_at_once_when_a_vm_is_ready(self):
+        for seed in (1, 2, 3):
+            emulator = start_fleet(GATHER[1], seed=seed)
+            emulator.restart_vm(emulator.vms[3], 500.0)
+            emulator.run(500.0)
+            while not emulator.vms[3].gateway.is_ready():
+                emulator.run(1.0)
+            emulator.run(ANNOUNCEMENT_MS)
+            for vm in emulator.vms:
+                if vm is not emulator.vms[3]:
+                    member = vm.gateway.fleet.members['vm-3']
+                    self.assertEqual((member.incarnation, member.is_serving), (2, True))
+
+
 class DirectoryTest(unittest.TestCase):
     # The directory went on sending callers to VMs that had lost their replicas.
     @params(((0, 1, 2, 4),), ((0, 1),), ((0,),))
