Specify relays, and prove that nothing runs twice over several VMs

Cause: at most once over two VMs rested on tests of single cases. Change: model/relays: one request, three VMs, beliefs that come and go, connections that open or fail, lost and late messages. Conclusion: the rule in docs/PLATFORM.md holds for any order of messages.

--- a/model/check.py
+++ b/model/check.py
@@ -6,13 +6,33 @@
 
 import sys
 
-from . import configuration, drain, extra_attempts, orders, permits, shares, stopping, tickets
+from . import (
+    configuration,
+    drain,
+    extra_attempts,
+    orders,
+    permits,
+    relays,
+    shares,
+    stopping,
+    tickets,
+)
 from .spec import Spec, find_trace, format_trace, prove
 
 
 def build_specs() -> list[Spec]:
     """Return the specifications whose mutants are checked."""
-    modules = (tickets, configuration, stopping, drain, shares, extra_attempts, orders, permits)
+    modules = (
+        tickets,
+        configuration,
+        stopping,
+        drain,
+        shares,
+        extra_attempts,
+        orders,
+        permits,
+        relays,
+    )
     return [module.build_spec() for module in modules]
 
 
