--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -5,11 +5,13 @@
 import socket
 import struct
 
+from .listener import Listener
+
 CHUNK_BYTES = 65_536
 RESET_LINGER = struct.pack('ii', 1, 0)
 
 
-class Proxy:
+class Proxy(Listener):
     """
     Proxy in front of one server.
 
@@ -19,25 +21,21 @@
     """
 
     def __init__(self, host: str, target_host: str, target_port: int):
-        self.host = host
-        self.port = 0
+        super().__init__(host)
         self.target_host = target_host
         self.target_port = target_port
         self.delay_s = 0.0
         self.is_deaf = False
         self.is_mute = False
         self.links: set[Link] = set()
-        self.server: asyncio.Server | None = None
 
     async def start(self) -> None:
         """Start listening."""
-        self.server = await asyncio.start_server(self.handle_connection, self.host, self.port)
-        self.port = self.server.sockets[0].getsockname()[1]
+        await self.listen(self.handle_connection)
 
     def stop(self) -> None:
         """Stop listening and reset all connections."""
-        if self.server is not None:
-            self.server.close()
+        self.stop_listening()
         self.reset()
 
     def reset(self) -> None:
--- a/soak/standins.py
+++ b/soak/standins.py
@@ -12,6 +12,7 @@
 
 from .http11 import Message, read_message, write_message
 from .ledger import Arrival, Ledger, Part
+from .listener import Listener
 
 SERVICE_TIME_S = 0.006
 KEEP_ALIVE_S = 10
@@ -34,25 +35,20 @@
 REASONS = {200: 'OK', 404: 'Not Found', 410: 'Gone', 421: 'Misdirected', 503: 'Unavailable'}
 
 
-class Server:
+class Server(Listener):
     """Loopback server that can be stopped and restarted on the same port."""
 
     def __init__(self, host: str):
-        self.host = host
-        self.port = 0
-        self.server: asyncio.Server | None = None
+        super().__init__(host)
         self.writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Start listening; after a stop, on the same port as before."""
-        self.server = await asyncio.start_server(self.serve, self.host, self.port)
-        self.port = self.server.sockets[0].getsockname()[1]
+        await self.listen(self.serve)
 
     def stop(self) -> None:
         """Stop listening and reset all connections."""
-        if self.server is not None:
-            self.server.close()
-            self.server = None
+        self.stop_listening()
         for writer in list(self.writers):
             writer.transport.abort()
 
