--- a/beechbridge/gateway/requests/relays.py
+++ b/beechbridge/gateway/requests/relays.py
@@ -39,7 +39,6 @@
 REPLY_MARGIN_BYTES = 65_536
 """Size of a relayed reply beside its body: its headers are limited to this."""
 
-
 TEMPORARY_REASONS = frozenset(
     (
         Reason.NOT_READY,
