Keep one copy of the fleet that two tests start

Change: it moves to tests/gateways.py; the tests keep their assertions and seeds. Conclusion: no behaviour changes.

--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -20,6 +20,7 @@
 TIMEOUT_MS = 1200.0
 WORK_MS = {'sweep': 16.0, 'lookup': 90.0, 'file': 90.0, 'split': 10.0}
 START_MS = 4_000.0
+REGISTER_REPLICAS = 8
 
 
 def sweep_route(shard_count, min_share=0.89, attempts=2):
@@ -80,6 +81,18 @@
     return emulator
 
 
+def start_fleet(route, zones=ZONES[:3], seed=1):
+    """Return an emulator with a gather over 20 shards, or one service without shards."""
+    if route.is_gather:
+        return start_sweeps(20, zones=zones, seed=seed)
+    emulator = Emulator(zones, WORK_MS, BudgetRules(0.2, 56.0), seed)
+    for number in range(REGISTER_REPLICAS):
+        emulator.put_replica(f'r-{number}', 'register', REGIONS[number % 3])
+    emulator.put_table([route])
+    emulator.run(START_MS)
+    return emulator
+
+
 def drive(emulator, path, per_s, duration_s, timeout_ms=TIMEOUT_MS, after=None):
     """Send requests to all VMs in turn at a rate; return (vm, key, asked_ms) of each request."""
     asked = []
--- a/tests/test_deadly_requests.py
+++ b/tests/test_deadly_requests.py
@@ -6,27 +6,14 @@
 
 from beechbridge.failures import Failure, Reason
 from beechbridge.gateway.models import ForwardedAnswer, MergedAnswer
-from beechbridge.gateway.requests.budgets import BudgetRules
-from measure.emulator import Emulator
-
-from .gateways import (
-    REGIONS,
-    START_MS,
-    TIMEOUT_MS,
-    WORK_MS,
-    ZONES,
-    in_time_count,
-    single_route,
-    start_sweeps,
-    sweep_route,
-)
+
+from .gateways import TIMEOUT_MS, in_time_count, single_route, start_fleet, sweep_route
 from .known_red import known_red
 
 STABLE_MS = 4_000.0
 """Time after the third end of a replica from which hardly anything of the request may arrive."""
 
 MAX_LATE_ARRIVALS = 3
-REGISTER_REPLICAS = 8
 LOOKUP_OBJECTIVE_MS = 400.0
 GAP_MS = 1000.0 / 30.0
 DEADLY_EVERY = 20
@@ -35,18 +22,6 @@
 """Number of the request after which all VMs lose power."""
 
 
-def start_fleet(route, zones=ZONES[:3], seed=1):
-    """Return an emulator with a gather over 20 shards and one service without shards."""
-    if route.is_gather:
-        return start_sweeps(20, zones=zones, seed=seed)
-    emulator = Emulator(zones, WORK_MS, BudgetRules(0.2, 56.0), seed)
-    for number in range(REGISTER_REPLICAS):
-        emulator.put_replica(f'r-{number}', 'register', REGIONS[number % 3])
-    emulator.put_table([route])
-    emulator.run(START_MS)
-    return emulator
-
-
 def drive_both(emulator, path, duration_s, method='GET', after=None, is_deadly=True, pause=()):
     """
     Send requests of many callers, and a deadly one that comes again at any VM.
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -8,8 +8,8 @@
 from beechbridge.gateway.replicas.reach import PROBE_INTERVAL_MS
 from measure.stand_ins import Cut, ReplicaSpec
 
-from .gateways import ZONES, start_sweeps
-from .test_stranded_vms import KINDS, drive, is_served, served_share, start_fleet
+from .gateways import ZONES, start_fleet, start_sweeps
+from .test_stranded_vms import KINDS, drive, is_served, served_share
 
 GATHER, SINGLE, _ = KINDS
 TROUBLE_COUNT = 8
@@ -137,7 +137,7 @@
     # A VM went on sending to replicas that it could not reach.
     @params((Cut.SILENT,), (Cut.RESET,))
     def test_loss_is_believed_soon_after_the_first_silence(self, cut):
-        emulator = start_fleet(GATHER[1])
+        emulator = start_fleet(GATHER[1], ZONES)
         drive(emulator, GATHER, 3_000.0)
         emulator.cut_replicas(emulator.vms[0], cut)
         first_ms = emulator.now_ms
@@ -150,7 +150,7 @@
         self.assertLessEqual(lost_ms - first_ms, BELIEF_TARGET_MS)
 
     def test_others_are_told_at_once(self):
-        emulator = start_fleet(GATHER[1])
+        emulator = start_fleet(GATHER[1], ZONES)
         drive(emulator, GATHER, 3_000.0)
         emulator.cut_replicas(emulator.vms[0], Cut.SILENT)
         drive(emulator, GATHER, 2_000.0)
@@ -161,7 +161,7 @@
 
     # Callers waited for VMs whose links had long been back.
     def test_links_that_are_back_are_used_within_a_second(self):
-        emulator = start_fleet(GATHER[1])
+        emulator = start_fleet(GATHER[1], ZONES)
         drive(emulator, GATHER, 3_000.0)
         emulator.cut_replicas(emulator.vms[0], Cut.SILENT)
         drive(emulator, GATHER, 5_000.0)
@@ -176,7 +176,7 @@
 
     # Links that came and went took each request that was sent in between.
     def test_links_that_come_and_go_are_trusted_later_each_time(self):
-        emulator = start_fleet(GATHER[1])
+        emulator = start_fleet(GATHER[1], ZONES)
         drive(emulator, GATHER, 3_000.0)
         for relapse in range(4):
             emulator.cut_replicas(emulator.vms[0], Cut.SILENT)
@@ -192,7 +192,7 @@
 
     # After a pause a VM sees all its exchanges overdue before it has read the replies.
     def test_pause_amid_a_request_is_not_doubted(self):
-        emulator = start_fleet(GATHER[1])
+        emulator = start_fleet(GATHER[1], ZONES)
         drive(emulator, GATHER, 3_000.0)
         for number in range(5):
             emulator.send_request(0, f'/sweep/{number}', 1200.0)
@@ -204,7 +204,7 @@
     # Requests waited for their deadline at VMs none of which could serve them.
     @params((Cut.SILENT,), (Cut.RESET,))
     def test_requests_are_rejected_at_once_if_no_vm_reaches_replicas(self, cut):
-        emulator = start_fleet(SINGLE[1])
+        emulator = start_fleet(SINGLE[1], ZONES)
         drive(emulator, SINGLE, 3_000.0)
         for vm in emulator.vms:
             emulator.cut_replicas(vm, cut)
@@ -242,7 +242,7 @@
     # nobody knew.
     def test_others_know_at_once_when_a_vm_is_ready(self):
         for seed in (1, 2, 3):
-            emulator = start_fleet(GATHER[1], seed=seed)
+            emulator = start_fleet(GATHER[1], ZONES, seed)
             emulator.restart_vm(emulator.vms[3], 500.0)
             emulator.run(500.0)
             while not emulator.vms[3].gateway.is_ready():
@@ -258,7 +258,7 @@
     # The directory went on sending callers to VMs that had lost their replicas.
     @params(((0, 1, 2, 4),), ((0, 1),), ((0,),))
     def test_callers_are_sent_to_vms_that_reach_replicas(self, cut_vms):
-        emulator = start_fleet(GATHER[1])
+        emulator = start_fleet(GATHER[1], ZONES)
         drive(emulator, GATHER, 3_000.0)
         for number in cut_vms:
             emulator.cut_replicas(emulator.vms[number], Cut.SILENT)
@@ -272,7 +272,7 @@
 
     # If replicas are gone for everybody, no VM is better than another.
     def test_directory_is_never_empty(self):
-        emulator = start_fleet(GATHER[1])
+        emulator = start_fleet(GATHER[1], ZONES)
         drive(emulator, GATHER, 3_000.0)
         before = emulator.vms[0].gateway.best_members(ZONES[0], 'brum', emulator.now_ms)
         for vm in emulator.vms:
@@ -282,7 +282,7 @@
         self.assertEqual({one.name for one in found}, {one.name for one in before})
 
     def test_vm_without_replicas_stays_ready(self):
-        emulator = start_fleet(GATHER[1])
+        emulator = start_fleet(GATHER[1], ZONES)
         drive(emulator, GATHER, 3_000.0)
         emulator.cut_replicas(emulator.vms[0], Cut.SILENT)
         drive(emulator, GATHER, 3_000.0)
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -48,8 +48,8 @@
 from measure.emulator import HOST
 from measure.stand_ins import Cut
 
-from .gateways import REGIONS, ZONES, arrivals_of
-from .test_stranded_vms import KINDS, drive, is_served, start_fleet
+from .gateways import REGIONS, ZONES, arrivals_of, start_fleet
+from .test_stranded_vms import KINDS, drive, is_served
 
 GATHER, SINGLE, WRITE = KINDS
 RELAY_KEY = 9_000
@@ -78,7 +78,7 @@
     """One gateway that reaches no replica; the test plays the other VMs."""
 
     def __init__(self, kind, body=b''):
-        self.emulator = start_fleet(kind[1])
+        self.emulator = start_fleet(kind[1], ZONES)
         drive(self.emulator, kind, 2_000.0)
         self.gateway = lose_links(self.emulator, kind)
         self.now_ms = self.emulator.now_ms
@@ -159,7 +159,7 @@
 
     # A request could have circled between VMs that had all lost their replicas.
     def test_vm_without_replicas_takes_nothing_from_others(self):
-        emulator = start_fleet(GATHER[1])
+        emulator = start_fleet(GATHER[1], ZONES)
         drive(emulator, GATHER, 2_000.0)
         gateway = lose_links(emulator, GATHER)
         request = make_request('/sweep/x')
@@ -174,7 +174,7 @@
                 self.assertFalse([one for one in actions if isinstance(one, SendRelay)])
 
     def test_relayed_request_that_loses_its_replicas_too_is_given_back(self):
-        emulator = start_fleet(GATHER[1])
+        emulator = start_fleet(GATHER[1], ZONES)
         drive(emulator, GATHER, 2_000.0)
         vm = emulator.vms[0]
         relay = RequestRelay(make_request('/sweep/x'), 100.0, 900.0, {}, False)
@@ -187,7 +187,7 @@
 
     # A relayed request got a second set of attempts at the other VM.
     def test_attempts_and_time_that_are_spent_do_not_come_back(self):
-        emulator = start_fleet(GATHER[1])
+        emulator = start_fleet(GATHER[1], ZONES)
         drive(emulator, GATHER, 2_000.0)
         gateway = emulator.vms[1].gateway
         spent = {f'shard-{number}': 2 for number in range(3)} | {'shard-3': 1}
@@ -220,7 +220,7 @@
     # What was under way when the links were lost waited for its deadline.
     @params((GATHER,), (SINGLE,))
     def test_requests_under_way_go_on_elsewhere_or_fail_soon(self, kind):
-        emulator = start_fleet(kind[1])
+        emulator = start_fleet(kind[1], ZONES)
         drive(emulator, kind, 3_000.0)
         emulator.cut_replicas(emulator.vms[0], Cut.SILENT)
         asked = drive(emulator, kind, 1_500.0, vms=(0,))
@@ -233,7 +233,7 @@
         self.assertTrue(all(is_served(emulator, vm, key) for vm, key, _ in late))
 
     def test_writes_run_once_while_links_come_and_go(self):
-        emulator = start_fleet(WRITE[1])
+        emulator = start_fleet(WRITE[1], ZONES)
         for number in range(12):
             cut = (Cut.SILENT, Cut.RESET, Cut.REFUSED, None)[number % 4]
             for vm in emulator.rng.sample(emulator.vms, 3):
--- a/tests/test_stranded_vms.py
+++ b/tests/test_stranded_vms.py
@@ -6,11 +6,9 @@
 
 from beechbridge.failures import Reason
 from beechbridge.gateway.models import ForwardedAnswer, MergedAnswer
-from beechbridge.gateway.requests.budgets import BudgetRules
-from measure.emulator import Emulator
 from measure.stand_ins import Cut
 
-from .gateways import REGIONS, START_MS, WORK_MS, ZONES, single_route, start_sweeps, sweep_route
+from .gateways import ZONES, single_route, start_fleet, sweep_route
 
 STABLE_MS = 4_000.0
 """Time after the start of a cut from which the callers of the VMs that are cut count."""
@@ -25,19 +23,6 @@
     ('single', single_route('lookup'), '/lookup/', 'GET', 4000.0),
     ('write', single_route('file', is_idempotent=False), '/file/', 'POST', 4000.0),
 )
-REGISTER_REPLICAS = 8
-
-
-def start_fleet(route, zones=ZONES, seed=1):
-    """Return an emulator with a gather over 20 shards, or one service without shards."""
-    if route.is_gather:
-        return start_sweeps(20, zones=zones, seed=seed)
-    emulator = Emulator(zones, WORK_MS, BudgetRules(0.2, 56.0), seed)
-    for number in range(REGISTER_REPLICAS):
-        emulator.put_replica(f'r-{number}', 'register', REGIONS[number % 3])
-    emulator.put_table([route])
-    emulator.run(START_MS)
-    return emulator
 
 
 def drive(emulator, kind, duration_ms, vms=None):
@@ -70,7 +55,7 @@
 
 def play_cut(kind, cut, cut_vms, seed=1):
     """Cut VMs off from all replicas; return the emulator, and the requests at them and others."""
-    emulator = start_fleet(kind[1], seed=seed)
+    emulator = start_fleet(kind[1], ZONES, seed)
     drive(emulator, kind, 3_000.0)
     for number in cut_vms:
         emulator.cut_replicas(emulator.vms[number], cut)
@@ -96,7 +81,7 @@
     # Connections lived on, new ones were refused: what needed one waited for its deadline.
     @params(*[(kind[0], kind) for kind in KINDS])
     def test_callers_are_served_if_only_open_connections_live_on(self, name, kind):
-        emulator = start_fleet(kind[1])
+        emulator = start_fleet(kind[1], ZONES)
         drive(emulator, kind, 3_000.0)
         cut_vms = (0, 1, 2, 4)
         for number in cut_vms:
@@ -116,7 +101,7 @@
     # that it then reports as deadly would be turned away everywhere.
     @params(((0,),), ((0, 1, 2, 4),))
     def test_no_request_is_taken_for_one_that_ends_replicas(self, cut_vms):
-        emulator = start_fleet(KINDS[0][1])
+        emulator = start_fleet(KINDS[0][1], ZONES)
         drive(emulator, KINDS[0], 3_000.0)
         for number in cut_vms:
             emulator.cut_replicas(emulator.vms[number], Cut.REFUSED)
