--- a/measure/emulated_actions.py
+++ b/measure/emulated_actions.py
@@ -25,14 +25,13 @@
 )
 from beechbridge.gateway.events import (
     CallerDisconnected,
-    ExchangeEnded,
     HeartbeatReceived,
     PermitsReceived,
     ProbeEnded,
     PullEnded,
     RequestSent,
 )
-from beechbridge.gateway.models import LinkFailure, LinkFault
+from beechbridge.gateway.models import LinkFault
 from beechbridge.wire.changes import read_pull, write_changes, write_pull
 from beechbridge.wire.fleet import decode_datagram, encode_heartbeat, encode_suspects
 
@@ -65,11 +64,7 @@
         return
     delay_ms = emulator.delay_ms(vm, replica.entry.zone)
     if action.is_new and replica.is_down:
-        failure = LinkFailure(LinkFault.CONNECT_FAILED, was_sent=False, is_refused=True)
-        event = ExchangeEnded(action.exchange_id, failure)
-        emulator.schedule(
-            2 * delay_ms, lambda: job.is_cancelled or emulator.deliver_event(vm, event)
-        )
+        emulator.fail_job(job, LinkFault.CONNECT_FAILED, 2 * delay_ms, is_refused=True)
         return
     if action.is_new:
         delay_ms = 3 * delay_ms + HANDSHAKE_MS
--- a/measure/emulator.py
+++ b/measure/emulator.py
@@ -441,9 +441,7 @@
         """Report that the connection of a request was lost."""
         if job.is_cancelled:
             return
-        event = ExchangeEnded(job.action.exchange_id, LinkFailure(LinkFault.LOST, was_sent=True))
-        delay_ms = self.delay_ms(job.vm, job.replica.entry.zone)
-        self.schedule(delay_ms, lambda: job.is_cancelled or self.deliver_event(job.vm, event))
+        self.fail_job(job, LinkFault.LOST, self.delay_ms(job.vm, job.replica.entry.zone))
 
     def restart_vm(self, vm: EmulatedVm, for_ms: float) -> None:
         """End a VM's process, and start it again without what it knew."""
