Log the requests and answers that a process leaves behind when it exits

Whether requests were cut off at a planned stop because their replicas still worked, because their answers had not been sent, or because they came after the end was decided could not be told: the exit wrote one count. Now each request that is left has a line with its age, the time it still had and whether a replica may have run it, and the answers not sent are counted when idle connections are closed and at the exit.

--- a/beechbridge/daemon/front.py
+++ b/beechbridge/daemon/front.py
@@ -351,6 +351,17 @@
         return False
 
 
+def describe_unsent(listeners: list[BaseWSGIServer]) -> dict[str, int]:
+    """Return log fields that count the answers still being written and their unsent bytes."""
+    counts = {'connections': 0, 'bytes': 0, 'unanswered': 0}
+    for listener in listeners:
+        for channel in list(listener.active_channels.values()):
+            counts['connections'] += bool(channel.total_outbufs_len)
+            counts['bytes'] += channel.total_outbufs_len
+            counts['unanswered'] += bool(channel.requests)
+    return counts
+
+
 def close_idle_channels(listeners: list[BaseWSGIServer]) -> None:
     """
     Stop accepting connections and close idle ones; call in the server's thread.
--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -63,7 +63,14 @@
 from ..wire.relays import read_relay, read_relay_reply, write_relay, write_relay_answer
 from .clock import read_clock_ms
 from .exchanges import Codec, ExchangeClient
-from .front import Endpoint, FrontApp, close_idle_channels, create_front, list_listeners
+from .front import (
+    Endpoint,
+    FrontApp,
+    close_idle_channels,
+    create_front,
+    describe_unsent,
+    list_listeners,
+)
 from .log_lines import LineHandler, describe_defect, write_line
 from .pages import GatewayPages
 from .pulls import pull_changes
@@ -274,7 +281,12 @@
 
     def stop_loop(self) -> None:
         """Stop the loop after a delay in which the last answers are sent."""
-        self.loop.call_later(EXIT_DELAY_S, self.loop.stop)
+        self.loop.call_later(EXIT_DELAY_S, self.end_loop)
+
+    def end_loop(self) -> None:
+        """Log the answers that are cut off, and stop the loop."""
+        write_line('answers_unsent', describe_unsent(self.listeners))
+        self.loop.stop()
 
 
 def log_loop_error(loop: asyncio.AbstractEventLoop, context: dict) -> None:
@@ -396,6 +408,7 @@
 @perform.register
 def perform_close_idle_callers(action: CloseIdleCallers, process: GatewayProcess) -> None:
     """Close the listeners and idle connections of callers, in the server's thread."""
+    write_line('callers_closed', describe_unsent(process.listeners))
     process.listeners[0].trigger.pull_trigger(lambda: close_idle_channels(process.listeners))
 
 
--- a/beechbridge/gateway/fleet/stopping.py
+++ b/beechbridge/gateway/fleet/stopping.py
@@ -4,6 +4,7 @@
 from ..actions import CloseIdleCallers, ExitProcess, WriteLine
 from ..events import StopRequested
 from ..interface import GatewayInterface
+from ..requests.works import Work
 from .gossip import send_heartbeat
 
 ACCEPT_SHARE = 0.62
@@ -13,6 +14,8 @@
 """Share of the grace period after which the process exits even with requests in flight."""
 
 EXIT_CHECK_INTERVAL_MS = 50.0
+MAX_LEFT_LOGGED = 40
+"""Limit on the requests that are named when the process exits without having answered them."""
 
 
 class CloseTimer(Record):
@@ -71,5 +74,21 @@
         gateway.timers.arm(gateway.now_ms + EXIT_CHECK_INTERVAL_MS, timer)
         return
     gateway.stopping.is_closed = True
-    gateway.act(WriteLine('stopped', {'in_flight': len(gateway.works)}))
+    works = list(gateway.works.values())
+    for work in works[:MAX_LEFT_LOGGED]:
+        gateway.act(WriteLine('request_left', describe_left(work, gateway)))
+    gateway.act(WriteLine('stopped', {'in_flight': len(works)}))
     gateway.act(ExitProcess())
+
+
+def describe_left(work: Work, gateway: GatewayInterface) -> dict:
+    """Return the log fields of a request that is in flight when the process exits."""
+    return {
+        'request': work.request.request_id,
+        'digest': work.digest,
+        'route': work.route.name,
+        'age_ms': round(gateway.now_ms - work.arrived_ms, 1),
+        'left_ms': round(work.hard_at_ms - gateway.now_ms, 1),
+        'may_have_run': work.may_have_run,
+        'exchanges': len(work.in_flight()),
+    }
