--- a/measure/emulated_actions.py
+++ b/measure/emulated_actions.py
@@ -224,9 +224,15 @@
         emulator.schedule(STORE_LATENCY_MS, lambda: emulator.list_items(vm))
 
 
+@perform.register(ExitProcess)
+def perform_exit(action: ExitProcess, vm: EmulatedVm, emulator: 'Emulator') -> None:
+    """Note when a VM's process wanted to exit."""
+    if vm.exited_ms is None:
+        vm.exited_ms = emulator.now_ms
+
+
 @perform.register(AbandonExchange)
 @perform.register(CloseIdleCallers)
-@perform.register(ExitProcess)
 @perform.register(SetCallerLimits)
 def ignore(action: object, vm: EmulatedVm, emulator: 'Emulator') -> None:
     """Ignore the action: emulated VMs have no process, no listener and no endless replies."""
--- a/measure/stand_ins.py
+++ b/measure/stand_ins.py
@@ -170,6 +170,7 @@
     One gateway with its orders, answers and log lines.
 
     :param cut: how it is cut off from all replicas, None if it is not
+    :param exited_ms: time in milliseconds at which its process wanted to exit, None before
     :param frozen_until_ms: time in milliseconds until which it stands still
     :param link_bytes_per_ms: speed of its link in each direction, for store changes and heartbeats
     :param link_free_ms: time in milliseconds at which all that it has sent is on its way
@@ -180,6 +181,7 @@
     __slots__ = (
         'answers',
         'cut',
+        'exited_ms',
         'frozen_until_ms',
         'gateway',
         'is_following',
@@ -196,6 +198,7 @@
     def __init__(self, gateway: Gateway):
         self.gateway = gateway
         self.cut: Cut | None = None
+        self.exited_ms: float | None = None
         self.frozen_until_ms = 0.0
         self.sent_orders: dict[int, EmulatedOrder] = {}
         self.received_orders: dict[int, EmulatedOrder] = {}
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -23,6 +23,8 @@
 from beechbridge.gateway.settings import Address
 from beechbridge.platform.callers import read_request, write_answer
 
+from .known_red import known_red
+
 WAIT_S = 5.0
 HEAD = 'GET /a/x HTTP/1.1\r\nHost: h\r\nBeechbridge-Request-Id: q1\r\n'
 
@@ -81,6 +83,8 @@
 
 STATUS_LINE = re.compile(rb'HTTP/1\.[01] (\d{3}) ')
 ANSWER = MergedAnswer(b'0123456789abcdef', ['s1', 's2'], 1)
+LONG_ANSWER = MergedAnswer(b'0123456789abcdef' * 1_000_000, ['s1'], 0)
+"""More than the buffers of both sockets take."""
 
 
 class FrontTest(unittest.TestCase):
@@ -259,3 +263,36 @@
         self.front.app.deliver(99, ANSWER)
         time.sleep(0)
         self.assertFalse(self.front.app.answers)
+
+
+@known_red
+class UnsentAnswerTest(unittest.TestCase):
+    def setUp(self):
+        self.front = Front()
+        self.addCleanup(self.front.close)
+
+    def request_long_answer(self):
+        """Return the connection of a caller who has not read any of a long answer yet."""
+        sock = self.front.connect()
+        self.addCleanup(sock.close)
+        sock.sendall((HEAD + '\r\n').encode())
+        self.front.app.deliver(self.front.next_event().key, LONG_ANSWER)
+        channel = next(iter(self.front.listeners[0].active_channels.values()))
+        while channel.requests or not channel.total_outbufs_len:
+            time.sleep(0.01)
+        return sock
+
+    # Answers on their way to slow callers were broken off when a stopping VM closed connections.
+    def test_closing_idle_connections_finishes_answers_being_sent(self):
+        sock = self.request_long_answer()
+        closed = threading.Event()
+
+        def close():
+            close_idle_channels(self.front.listeners)
+            closed.set()
+
+        self.front.listeners[0].trigger.pull_trigger(close)
+        self.assertTrue(closed.wait(WAIT_S))
+        _, body = read_response(sock)
+        self.assertEqual(len(body), len(LONG_ANSWER.body))
+        self.assertEqual(sock.recv(1), b'')
