Send the answers of a stopping VM to their end

Callers behind slow links got the beginning of an answer and then the end of the connection when their VM was stopped: idle connections were closed even with an answer in their buffer, and the end of the process looked at requests without an answer only.

--- a/beechbridge/daemon/front.py
+++ b/beechbridge/daemon/front.py
@@ -5,6 +5,7 @@
 to the gateway, and hands the connection to a worker thread once the answer can be written.
 """
 
+import asyncio
 import copy
 import itertools
 import logging
@@ -28,6 +29,7 @@
 from ..gateway.settings import Address
 from ..record import Record
 from ..wire.http import HttpResponse
+from .clock import read_clock_ms
 
 WORKER_THREADS = 4
 """Worker threads, which write answers and serve requests that need no waiting."""
@@ -48,6 +50,7 @@
 
 CONNECTION_LIMIT = 2_000
 BACKLOG = 512
+SENT_CHECK_INTERVAL_S = 0.02
 CHANNEL_KEY = 'beechbridge.channel'
 
 
@@ -362,6 +365,26 @@
     return counts
 
 
+def call_when_sent(
+    listeners: list[BaseWSGIServer],
+    loop: asyncio.AbstractEventLoop,
+    deadline_ms: float,
+    callback: Callable[[], None],
+) -> None:
+    """
+    Call back once all requests that were read are answered and the answers are sent.
+
+    :param deadline_ms: time in milliseconds at which to call back in any case
+    """
+    counts = describe_unsent(listeners)
+    is_sent = not counts['connections'] and not counts['unanswered']
+    if is_sent or read_clock_ms() >= deadline_ms:
+        callback()
+        return
+    arguments = (listeners, loop, deadline_ms, callback)
+    loop.call_later(SENT_CHECK_INTERVAL_S, call_when_sent, *arguments)
+
+
 def close_idle_channels(listeners: list[BaseWSGIServer]) -> None:
     """
     Stop accepting connections and close idle ones; call in the server's thread.
@@ -373,7 +396,8 @@
         for channel in list(listener.active_channels.values()):
             if channel.requests or channel.request is not None or has_unread_data(channel):
                 continue
-            channel.will_close = True
+            # An answer may still be on its way to a slow caller.
+            channel.close_when_flushed = True
         listener.accepting = False
         listener.socket.close()
         listener.del_channel()
--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -66,6 +66,7 @@
 from .front import (
     Endpoint,
     FrontApp,
+    call_when_sent,
     close_idle_channels,
     create_front,
     describe_unsent,
@@ -279,9 +280,11 @@
             ended = PullEnded(action, Failure(Reason.INTERNAL, detail=fields['error']))
         self.post(ended)
 
-    def stop_loop(self) -> None:
-        """Stop the loop after a delay in which the last answers are sent."""
-        self.loop.call_later(EXIT_DELAY_S, self.end_loop)
+    def exit_when_sent(self, deadline_ms: float) -> None:
+        """Stop the loop once all answers have been sent, at the latest at a deadline."""
+        arguments = (self.listeners, self.loop, deadline_ms, self.end_loop)
+        # Requests that were just read are still on their way to the core.
+        self.loop.call_later(EXIT_DELAY_S, call_when_sent, *arguments)
 
     def end_loop(self) -> None:
         """Log the answers that are cut off, and stop the loop."""
@@ -414,8 +417,8 @@
 
 @perform.register
 def perform_exit_process(action: ExitProcess, process: GatewayProcess) -> None:
-    """Exit the process after a delay for the last answers."""
-    process.stop_loop()
+    """Exit the process once the last answers have been sent."""
+    process.exit_when_sent(action.deadline_ms)
 
 
 def run_gateway(
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -1,5 +1,6 @@
 """HTTP server over real sockets: complete answers, malformed input and disconnections."""
 
+import asyncio
 import http.client
 import re
 import socket
@@ -9,9 +10,11 @@
 
 from nose2.tools import params
 
+from beechbridge.daemon.clock import read_clock_ms
 from beechbridge.daemon.front import (
     Endpoint,
     FrontApp,
+    call_when_sent,
     close_idle_channels,
     create_front,
     list_listeners,
@@ -23,8 +26,6 @@
 from beechbridge.gateway.settings import Address
 from beechbridge.platform.callers import read_request, write_answer
 
-from .known_red import known_red
-
 WAIT_S = 5.0
 HEAD = 'GET /a/x HTTP/1.1\r\nHost: h\r\nBeechbridge-Request-Id: q1\r\n'
 
@@ -265,7 +266,6 @@
         self.assertFalse(self.front.app.answers)
 
 
-@known_red
 class UnsentAnswerTest(unittest.TestCase):
     def setUp(self):
         self.front = Front()
@@ -296,3 +296,38 @@
         _, body = read_response(sock)
         self.assertEqual(len(body), len(LONG_ANSWER.body))
         self.assertEqual(sock.recv(1), b'')
+
+    def wait_sent(self, deadline_ms, meanwhile=None):
+        """Run a loop until all is sent or the deadline has passed; call `meanwhile`."""
+        loop = asyncio.new_event_loop()
+        self.addCleanup(loop.close)
+        call_when_sent(self.front.listeners, loop, deadline_ms, loop.stop)
+        if meanwhile is not None:
+            loop.call_later(0.1, meanwhile)
+        loop.run_forever()
+
+    # A process that had answered all requests exited while the answers were still on their way.
+    def test_exit_waits_for_answers_being_sent(self):
+        sock = self.request_long_answer()
+        received = []
+        reader = threading.Thread(target=lambda: received.append(read_response(sock)[1]))
+        self.wait_sent(read_clock_ms() + 60_000.0, reader.start)
+        channels = self.front.listeners[0].active_channels.values()
+        self.assertFalse(any(channel.total_outbufs_len for channel in channels))
+        reader.join(WAIT_S)
+        self.assertEqual(len(received[0]), len(LONG_ANSWER.body))
+
+    # A request that was read while the process waits for others must get its answer, too.
+    def test_exit_waits_for_requests_that_were_read(self):
+        with self.front.connect() as sock:
+            sock.sendall((HEAD + '\r\n').encode())
+            key = self.front.next_event().key
+            self.wait_sent(read_clock_ms() + 60_000.0, lambda: self.front.app.deliver(key, ANSWER))
+            self.assertEqual(read_response(sock)[1], ANSWER.body)
+
+    # Callers that read nothing must not keep a process for ever.
+    def test_exit_waits_until_its_deadline(self):
+        self.request_long_answer()
+        self.wait_sent(read_clock_ms() + 100.0)
+        channels = self.front.listeners[0].active_channels.values()
+        self.assertTrue(any(channel.total_outbufs_len for channel in channels))
