Answer the runs of tickets that outlast a planned stop

The stop exited with runs and relays in hand. They are now answered first: `unknown` if the request was sent, else `not_run`; so are queries, which their own deadline has ended before.

Before: both rows of the test get no answer. After: they do; test_stop, test_tickets, test_daemon_stop and test_model pass.

--- a/beechbridge/core/fleet/stopping.py
+++ b/beechbridge/core/fleet/stopping.py
@@ -13,6 +13,7 @@
 from ...failures import Failure, Reason, not_run
 from ...record import Record
 from ..interface import CoreInterface
+from ..requests.endings import finish_plan
 
 PROPAGATION_MS = 1_500.0
 """Time for the announcement to reach all VMs, and for answers they are writing to be sent."""
@@ -112,7 +113,9 @@
 
 
 def fire_stop_timeout(timer: StopTimeoutTimer, core: CoreInterface) -> None:
-    """Exit even if work is still in flight."""
-    if core.stopping.phase is Phase.FINISHING:
-        core.stopping.enter(Phase.STOPPED, core)
-        core.act(Exit())
+    """Answer what is still in flight, and exit."""
+    if core.stopping.phase is not Phase.FINISHING:
+        return
+    for plan in list(core.plans.values()):
+        finish_plan(plan, core)
+    core.tickets.end_all(core)
--- a/beechbridge/core/tickets/controller.py
+++ b/beechbridge/core/tickets/controller.py
@@ -240,6 +240,24 @@
         if vm is not None:
             core.act(SendPeer(vm, RelayedOutcome(waiter.relay_id, outcome)))
 
+    def end_all(self, core: CoreInterface) -> None:
+        """Answer all that is in progress, because the process exits."""
+        for run in list(self.runs.values()):
+            self.end_run(run, Reason.STOPPING, 'the VM exits', core)
+        for relay in list(self.relays.values()):
+            detail = 'the VM exits before the issuing VM has answered'
+            self.finish_relay(relay, unknown(Reason.STOPPING, detail), core)
+
+    def end_run(self, run: Run, reason: Reason, cause: str, core: CoreInterface) -> None:
+        """Settle a run without a reply: `unknown` if it was sent, else `not_run`."""
+        attempt = run.attempt
+        if attempt is not None:
+            core.upstreams.cancel(attempt, core)
+        if attempt is not None and attempt.sent_ms is not None:
+            self.settle(run, unknown(reason, f'no reply before {cause}'), core)
+            return
+        self.settle(run, not_run(run.reason, f'not sent before {cause}'), core)
+
     def is_idle(self) -> bool:
         """Return whether no run or relay is active."""
         return not self.runs and not self.relays
@@ -265,15 +283,8 @@
 def fire_run_deadline(timer: RunDeadlineTimer, core: CoreInterface) -> None:
     """Settle a run at its deadline: `unknown` if it was sent, else `not_run`; both are final."""
     run = core.tickets.runs.get(timer.number)
-    if run is None:
-        return
-    attempt = run.attempt
-    if attempt is not None:
-        core.upstreams.cancel(attempt, core)
-    if attempt is not None and attempt.sent_ms is not None:
-        core.tickets.settle(run, unknown(Reason.DEADLINE, 'no reply by the deadline'), core)
-        return
-    core.tickets.settle(run, not_run(run.reason, 'not sent by the deadline'), core)
+    if run is not None:
+        core.tickets.end_run(run, Reason.DEADLINE, 'the deadline', core)
 
 
 def fire_run_retry(timer: RunRetryTimer, core: CoreInterface) -> None:
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -2,11 +2,13 @@
 
 import unittest
 
+from nose2.tools import params
+
 from beechbridge.actions import SendPeer
 from beechbridge.core.fleet.stopping import FINISH_MARGIN_MS, PROPAGATION_MS
 from beechbridge.core.limits import Limits
 from beechbridge.events import EntryRequested, StopRequested
-from beechbridge.failures import Reason
+from beechbridge.failures import Executed, Reason
 from beechbridge.models import Done
 
 from .utils import Simulation, make_document
@@ -87,6 +89,21 @@
         sim.run(MAX_STOP_MS)
         self.assertIn('v1', sim.exited)
 
+    # A run that outlasted the stop was cut off: its caller could not tell a crash from a stop.
+    @params('v1', 'v2')
+    def test_run_that_outlasts_the_stop_is_answered_before_the_exit(self, issuer):
+        sim = start_fleet()
+        sim.upstreams.script = {f'svc{n}-{x}': lambda a: None for n in range(3) for x in 'ab'}
+        ticket = sim.ticket(issuer)
+        sim.handle('v1', StopRequested())
+        sim.run(TICKET_KEEP_MS - 100)
+        sim.submit('v1', ticket, 'r', deadline_ms=60_000)
+        while 'v1' not in sim.exited:
+            self.assertNotIn('r', sim.answers)
+            sim.run(1)
+        outcome = sim.answer('r')
+        self.assertEqual((outcome.reason, outcome.executed), (Reason.STOPPING, Executed.UNKNOWN))
+
     def test_late_query_is_rejected_and_not_sent(self):
         sim = start_fleet()
         sim.upstreams.latency_ms = {f'svc{n}-{x}': 900.0 for n in range(3) for x in 'ab'}
