--- a/model/mutants.py
+++ b/model/mutants.py
@@ -47,6 +47,7 @@
 EXCHANGES = 'beechbridge/core/upstreams/exchanges.py'
 CONFIGURATION = 'beechbridge/core/fleet/configuration.py'
 STORE_UPDATES = 'beechbridge/gateway/replicas/store_updates.py'
+GATEWAY_STOPPING = 'beechbridge/gateway/fleet/stopping.py'
 RESTORATION = 'beechbridge/gateway/replicas/restoration.py'
 STORE_VIEW = 'beechbridge/gateway/replicas/store_view.py'
 NOTICES = 'beechbridge/gateway/replicas/notices.py'
@@ -466,6 +467,27 @@
         'self.serve_until_ms = core.now_ms',
         ('test_stop',),
     ),
+    Mutant(
+        'a gateway exits without answering what is in flight',
+        GATEWAY_STOPPING,
+        'for work in left:\n        answer_work(work, gateway)',
+        'for work in ():\n        answer_work(work, gateway)',
+        ('test_planned_stops',),
+    ),
+    Mutant(
+        'a stopping gateway takes requests that outlast it',
+        GATEWAY_STOPPING,
+        'if not stopping.is_too_late(gateway.now_ms, ends_ms):',
+        'if not stopping.is_closed:',
+        ('test_planned_stops',),
+    ),
+    Mutant(
+        'an exit does not wait for answers being sent',
+        'beechbridge/daemon/front.py',
+        "is_sent = not counts['connections'] and not counts['unanswered']",
+        'is_sent = True',
+        ('test_front',),
+    ),
     Mutant(
         'an older routing table comes into force',
         STORE_UPDATES,
