Answer all pipelined requests before a leaving VM closes a connection

A caller that had sent two requests at once to a VM being stopped got the first answer and a closed connection: the second request had been read, and was dropped. `Connection: close` now goes with the last answer.

Before: the test waits for the second request in vain. After: both get 200.

--- a/beechbridge/daemon/front.py
+++ b/beechbridge/daemon/front.py
@@ -125,8 +125,8 @@
             self.server.add_task(self)
 
     def service(self) -> None:
-        """Serve a request; close the connection after it if the VM is leaving."""
-        if self.app.is_leaving() and self.requests:
+        """Serve a request; close the connection after the last one if the VM is leaving."""
+        if self.app.is_leaving() and len(self.requests) == 1:
             self.requests[0].headers['CONNECTION'] = 'close'
         super().service()
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -148,6 +148,20 @@
             self.assertEqual(body, ANSWER.body)
             self.assertEqual(sock.recv(1), b'')
 
+    # The second of two requests sent at once was read, and dropped with the first one's answer.
+    def test_pipelined_requests_are_all_answered_while_leaving(self):
+        self.front.is_leaving = True
+        with self.front.connect() as sock:
+            sock.sendall((HEAD + '\r\n').encode() * 2)
+            while not (channels := list(self.front.listeners[0].active_channels.values())) or (
+                len(channels[0].requests) < 2
+            ):
+                time.sleep(0.01)
+            for _ in range(2):
+                self.front.app.deliver(self.front.next_event().key, ANSWER)
+            received = b''.join(iter(lambda: sock.recv(65_536), b''))
+        self.assertEqual(STATUS_LINE.findall(received), [b'200', b'200'])
+
     def test_closing_idle_connections_keeps_requests_in_flight(self):
         idle = self.front.connect()
         busy = self.front.connect()
