Join the small chunks of a body as they arrive

Callers of one replica that sent a body without end, in chunks of two bytes, lost the VM: the process exceeded its 300 MB and was killed, with all that it had in hand, again and again.

Each chunk was kept as an object of its own, some 50 bytes and a place in a list for a payload of two, while the limits on the body and on all replies counted the payload. Neither was reached before the memory was gone.

Chunks of less than 1 KiB are now joined in the last piece of the body. The first chunk and large ones stay as they are, so an answer that comes in one piece is still not copied. What is held is at most some eighth more than what the limits count.

--- a/beechbridge/daemon/client_connection.py
+++ b/beechbridge/daemon/client_connection.py
@@ -28,6 +28,9 @@
 MAX_ABANDONED_BYTES = 65_536
 """Body bytes that are still read if nobody needs the reply: more cost more than a handshake."""
 
+SMALL_CHUNK_BYTES = 1024
+"""Smaller chunks of a body are joined as they arrive: an object for each takes some 50 bytes."""
+
 ReplyDecoder = Callable[[int, list[tuple[str, str]], bytes, bool], Reply | PartsReply]
 
 
@@ -39,6 +42,7 @@
     """
     A response, possibly not yet received in full.
 
+    :param body: pieces of the body, of which the small ones are joined
     :param head_bytes: size of the headers and trailers received so far
     """
 
@@ -56,13 +60,23 @@
     def __init__(self):
         self.status = 0
         self.headers: list[tuple[str, str]] = []
-        self.body: list[bytes] = []
+        self.body: list[bytes | bytearray] = []
         self.body_bytes = 0
         self.head_bytes = 0
         self.has_head = False
         self.is_framed = False
         self.is_kept_alive = False
 
+    def add_chunk(self, chunk: bytes) -> None:
+        """Add a chunk of the body."""
+        pieces = self.body
+        if not pieces or len(chunk) >= SMALL_CHUNK_BYTES:
+            pieces.append(chunk)
+        elif isinstance(pieces[-1], bytearray):
+            pieces[-1] += chunk
+        else:
+            pieces.append(bytearray(chunk))
+
 
 class ReplyMemory:
     """
@@ -248,7 +262,7 @@
         current.body_bytes += len(body)
         if current.body_bytes > self.body_limit_bytes:
             raise OversizedError
-        current.body.append(body)
+        current.add_chunk(body)
         self.kept_bytes += len(body)
         self.memory.hold(len(body))
 
--- a/tests/test_reply_limits.py
+++ b/tests/test_reply_limits.py
@@ -2,11 +2,17 @@
 
 import asyncio
 import itertools
+import sys
 import unittest
 
 from nose2.tools import params
 
-from beechbridge.daemon.client_connection import MAX_ABANDONED_BYTES, MAX_HEAD_BYTES
+from beechbridge.daemon.client_connection import (
+    MAX_ABANDONED_BYTES,
+    MAX_HEAD_BYTES,
+    ClientConnection,
+    ReplyMemory,
+)
 from beechbridge.daemon.exchanges import Codec, ExchangeClient
 from beechbridge.failures import Executed, Failure, Reason
 from beechbridge.gateway.actions import (
@@ -91,6 +97,25 @@
     asyncio.run(run())
 
 
+class FakeTransport:
+    """Transport that drops what is written."""
+
+    def write(self, data):
+        pass
+
+    def abort(self):
+        pass
+
+
+def start_connection(events, limit_bytes=1 << 40):
+    """Return a connection without a socket that waits for the reply to request q1."""
+    memory = ReplyMemory(limit_bytes, lambda: None)
+    connection = ClientConnection(1, events.append, read_reply, memory)
+    connection.transport = FakeTransport()
+    connection.send(1, 'q1', b'', limit_bytes)
+    return connection
+
+
 class EndlessReplyTest(unittest.TestCase):
     # A replica that sends without end must not fill the memory of every VM that calls it.
     @params(
@@ -119,6 +144,23 @@
 
         run_endless(pieces, scenario)
 
+    # A body in chunks of a few bytes held some 25 times its size, above all limits on memory.
+    @params((1,), (2,), (1, 700), (1500, 1), (1500, 1, 1))
+    def test_small_chunks_are_held_in_little_more_than_their_size(self, *sizes):
+        connection = start_connection(events := [])
+        connection.data_received(CHUNKED)
+        sent = []
+        for size in itertools.islice(itertools.cycle(sizes), 5000):
+            chunk = (len(sent) % 256).to_bytes(1, 'big') * size
+            sent.append(chunk)
+            connection.data_received(b'%x\r\n%s\r\n' % (size, chunk))
+        body = b''.join(sent)
+        held = connection.current.body
+        held_bytes = sys.getsizeof(held) + sum(sys.getsizeof(piece) for piece in held)
+        self.assertLessEqual(held_bytes, 1.3 * len(body) + 512)
+        connection.data_received(b'0\r\n\r\n')
+        self.assertEqual(events[0].result.body, body)
+
     def test_reply_at_the_limit_is_complete(self):
         body = b'x' * LIMIT_BYTES
         head = OK + SIGNED + b'Content-Length: %d\r\n\r\n' % len(body)
