Keep nothing of a caller that left while it waited

A VM's memory grew with each caller that closed its connection before its answer came, by the request's size and more, for as long as the process ran.

When such a connection closed, an answer was stored for it so that waitress would finish the request. But waitress doesn't call the application for a closed connection, so nobody took the answer out of `FrontApp.answers`, which kept the connection and its request. The same happened to an answer that was stored just after its caller had left.

The connection is now passed to a worker thread without an answer, and once a request has been served on a connection that is closed, an answer that was not taken is dropped. Every answer is stored before its connection is passed on, so none can come after that.

--- a/beechbridge/daemon/front.py
+++ b/beechbridge/daemon/front.py
@@ -22,7 +22,7 @@
 from waitress.task import ThreadedTaskDispatcher, WSGITask
 from waitress.utilities import Error
 
-from ..failures import Failure, Reason, unknown
+from ..failures import Failure
 from ..gateway.events import CallerDisconnected, RequestMalformed
 from ..gateway.models import Answer
 from ..gateway.routes import CallerLimits
@@ -129,6 +129,8 @@
         if self.app.is_leaving() and len(self.requests) == 1:
             self.requests[0].headers['CONNECTION'] = 'close'
         super().service()
+        if not self.connected:
+            self.app.drop_answer(self)
 
     def handle_close(self) -> None:
         """Notify the application of the disconnection."""
@@ -289,15 +291,20 @@
         self.answers[caller.channel] = (caller.endpoint, answer, caller.request_id)
         self.dispatch(caller.channel)
 
+    def drop_answer(self, channel: CallerChannel) -> None:
+        """Drop the answer that a closed connection did not take."""
+        self.answers.pop(channel, None)
+
     def handle_disconnect(self, channel: CallerChannel) -> None:
         """End the request of a caller that closed its connection."""
-        self.answers.pop(channel, None)
+        self.drop_answer(channel)
         key = self.keys_by_channel.pop(channel, None)
         if key is None:
             return
         self.post(CallerDisconnected(key))
         # waitress still has to finish the request that it started.
-        self.deliver(key, unknown(Reason.CONNECTION_LOST, 'the caller disconnected'))
+        if self.waiting.pop(key, None) is not None:
+            self.dispatch(channel)
 
 
 def create_front(app: FrontApp, addresses: list[Address]) -> BaseWSGIServer:
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -66,6 +66,24 @@
     def connect(self, port=None):
         return socket.create_connection(('127.0.0.1', port or self.port), timeout=WAIT_S)
 
+    def serve_without_threads(self):
+        """Serve a channel as soon as it is dispatched; return a semaphore released by each."""
+        served = threading.Semaphore(0)
+
+        def serve(channel):
+            channel.service()
+            served.release()
+
+        self.app.dispatch = serve
+        return served
+
+    def run_in_server(self, call):
+        """Run a call in the server's thread, and wait for its end."""
+        ended = threading.Event()
+        self.listeners[0].trigger.pull_trigger(lambda: (call(), ended.set()))
+        if not ended.wait(WAIT_S):
+            raise AssertionError('the server did not run the call')
+
     def close(self):
         self.server.task_dispatcher.shutdown(timeout=WAIT_S)
         self.server.close()
@@ -127,6 +145,36 @@
         self.front.app.deliver(key, ANSWER)
         self.assertFalse(self.front.app.waiting)
 
+    # Each caller that left while its request waited was kept for good, with its request.
+    def test_nothing_is_kept_of_callers_that_left(self):
+        served = self.front.serve_without_threads()
+        for _ in range(3):
+            sock = self.front.connect()
+            sock.sendall((HEAD + '\r\n').encode())
+            key = self.front.next_event().key
+            channel = self.front.app.waiting[key].channel
+            sock.close()
+            self.assertEqual(self.front.next_event(), CallerDisconnected(key))
+            self.assertTrue(served.acquire(timeout=WAIT_S))
+            self.assertEqual(channel.requests, [])
+        self.assertFalse(self.front.app.answers)
+        self.assertFalse(self.front.app.keys_by_channel)
+        self.assertFalse(self.front.app.waiting)
+
+    # An answer that was stored just after its caller left was kept for good.
+    def test_answer_that_comes_as_its_caller_leaves_is_not_kept(self):
+        app = self.front.app
+        with self.front.connect() as sock:
+            sock.sendall((HEAD + '\r\n').encode())
+            key = self.front.next_event().key
+            channel = app.waiting[key].channel
+            self.front.serve_without_threads()
+            # `deliver` has begun, and has not stored the answer yet.
+            del app.keys_by_channel[channel]
+            self.front.run_in_server(channel.handle_close)
+            app.deliver(key, ANSWER)
+        self.assertFalse(app.answers)
+
     def test_chunked_body_is_reassembled(self):
         with self.front.connect() as sock:
             head = HEAD.replace('GET', 'POST') + 'Transfer-Encoding: chunked\r\n\r\n'
