Read no port of more than five digits

Callers saw no VM get ready after all had been started again, beside one entry of another writer whose port has 5,000 digits: `decode_entry` passes the port to `int`, which raises ValueError above 4,300 digits. Nothing catches it below the driver, which drops the whole event; the copy of the store already has all items of the event by then, so that the routing table behind the entry is never applied.

The address is now matched as a whole: a port has one to five ASCII digits. The test delivers 21 values that name no replica in a listing, a change, a pull and the listing of a restored store, each alone and all together, in front of a table and an entry.

--- a/beechbridge/platform/items.py
+++ b/beechbridge/platform/items.py
@@ -1,5 +1,7 @@
 """Decoding of the platform's store items into routing tables and replica entries."""
 
+import re
+
 import msgspec
 
 from ..failures import Failure, InputFailure
@@ -10,6 +12,8 @@
 READY = 'ready'
 DRAINING = 'draining'
 IDEMPOTENT = 'idempotent'
+ADDRESS = re.compile(r'(?P<host>.+):(?P<port>[0-9]{1,5})')
+MAX_PORT = 65_535
 
 
 class SplitPart(msgspec.Struct):
@@ -149,14 +153,14 @@
         return InputFailure(key, 'value', str(error), 'a replica entry')
     if item.state not in (READY, DRAINING):
         return InputFailure(key, 'state', item.state, f'{READY} or {DRAINING}')
-    host, _, port = item.addr.rpartition(':')
-    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+    address = ADDRESS.fullmatch(item.addr)
+    if address is None or not 0 < int(address['port']) <= MAX_PORT:
         return InputFailure(key, 'addr', item.addr, 'host:port')
     return ReplicaEntry(
         replica_id=key[len(REPLICAS_PREFIX) :],
         service=item.service,
-        host=host,
-        port=int(port),
+        host=address['host'],
+        port=int(address['port']),
         zone=item.zone,
         slots=item.slots,
         is_draining=item.state == DRAINING,
--- /dev/null
+++ b/tests/odd_items.py
@@ -0,0 +1,83 @@
+"""Items of the store, and values of another writer that cannot be read."""
+
+import msgspec
+
+from beechbridge.platform.names import REPLICAS_PREFIX
+
+ENTRY = {
+    'service': 's',
+    'addr': '10.0.0.9:8080',
+    'zone': 'brum-a',
+    'version': 'v1',
+    'slots': 2,
+    'state': 'ready',
+    'coldLeftMs': 0,
+    'seq': 4,
+    'born': 17,
+}
+TABLE = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r',
+            'host': 'h.example',
+            'prefix': '/a/',
+            'kind': 'idempotent',
+            'timeoutMs': 800,
+            'goalMs': 86,
+            'priority': 2,
+            'service': 's',
+            'attempts': 2,
+        }
+    ],
+    'services': [
+        {'name': 's', 'healthPath': '/healthz', 'maxConns': 26, 'proto': 'h1', 'tls': False}
+    ],
+    'limits': {'headerBytes': 16384, 'bodyBytes': 262144, 'headerMs': 3000, 'idleMs': 15000},
+}
+
+
+def encode(value, **changes):
+    """Return the bytes of an item, with some fields changed."""
+    return msgspec.json.encode({**value, **changes})
+
+
+def encode_raw(value, field, text):
+    """Return the bytes of an item of which one field is any text."""
+    return msgspec.json.encode({**value, field: msgspec.Raw(text)})
+
+
+def nest(depth):
+    """Return an array in arrays."""
+    return b'[' * depth + b']' * depth
+
+
+UNREADABLE_ENTRIES = [
+    encode(ENTRY, addr='10.0.0.9:' + '9' * 5_000),
+    encode(ENTRY, addr='10.0.0.9:65536'),
+    encode(ENTRY, addr='10.0.0.9:0'),
+    encode(ENTRY, addr='10.0.0.9:-1'),
+    encode(ENTRY, addr='10.0.0.9:'),
+    encode(ENTRY, addr='10.0.0.9'),
+    encode(ENTRY, addr=':8080'),
+    encode(ENTRY, state='odd'),
+    encode(ENTRY, service=None),
+    encode_raw(ENTRY, 'later', nest(100_000)),
+    encode_raw(ENTRY, 'coldLeftMs', b'1e999'),
+    encode_raw(ENTRY, 'coldLeftMs', b'NaN'),
+    encode_raw(ENTRY, 'slots', b'9' * 5_000),
+    nest(100_000),
+    nest(1),
+    b'9' * 5_000,
+    b'null',
+    b'"text"',
+    b'{}',
+    b'',
+    b'\xff\xfe\x00',
+]
+"""Values of entries that name no replica."""
+
+
+def name_entry(number):
+    """Return the key of the entry of another writer; it sorts before those of replicas."""
+    return f'{REPLICAS_PREFIX}i-0-{number:02}'
--- /dev/null
+++ b/tests/test_odd_items.py
@@ -0,0 +1,99 @@
+"""Items of other writers that cannot be read, beside a routing table and entries of replicas."""
+
+import unittest
+
+from nose2.tools import params
+
+from beechbridge.gateway.actions import PullChanges, WriteLine
+from beechbridge.gateway.events import ChangesReceived, PullEnded
+from beechbridge.gateway.models import Item
+from beechbridge.platform.items import decode_item
+from beechbridge.platform.names import REPLICAS_PREFIX, TABLE_KEY
+from beechbridge.wire.fleet import decode_changes, encode_changes
+
+from .odd_items import ENTRY, TABLE, UNREADABLE_ENTRIES, encode, name_entry
+from .test_store_updates import EmptyReader
+
+KEY = f'{REPLICAS_PREFIX}i-1'
+LATE_KEY = f'{REPLICAS_PREFIX}i-2'
+PREFIXES = (REPLICAS_PREFIX, TABLE_KEY)
+
+
+class PlatformReader(EmptyReader):
+    """One gateway that reads the platform's items; the test supplies its events."""
+
+    def __init__(self):
+        self.lines = []
+        super().__init__()
+
+    def decode(self, key, value):
+        return decode_item(key, value)
+
+    def deliver(self, event):
+        actions = super().deliver(event)
+        self.lines += [action for action in actions if isinstance(action, WriteLine)]
+        return actions
+
+    def make_items(self, values):
+        """Return items with rising revisions from pairs of key and value."""
+        items = []
+        for key, value in values:
+            self.revision += 1
+            items.append(Item(key, value, self.revision))
+        return items
+
+    def change(self, values):
+        """Deliver changes of the store."""
+        self.deliver(ChangesReceived(self.make_items(values), self.revision))
+
+    def list(self, values):
+        """Deliver a listing of the store."""
+        self.deliver(ChangesReceived(self.make_items(values), self.revision, PREFIXES))
+
+    def pull(self, values):
+        """Deliver what another VM sends."""
+        event = ChangesReceived(self.make_items(values), self.revision)
+        pulled = decode_changes(encode_changes(event))
+        self.deliver(PullEnded(PullChanges('vm-1', 0, 0, None), pulled, 1, 1.0))
+
+    def restore(self, values):
+        """Deliver the listing of a store that was restored from a copy."""
+        epoch = self.gateway.view.epoch + 1
+        self.deliver(
+            ChangesReceived(self.make_items(values), self.revision, PREFIXES, epoch=epoch)
+        )
+
+    def find_lines(self, subject):
+        """Return the fields of the log lines with a subject."""
+        return [line.fields for line in self.lines if line.subject == subject]
+
+
+def surround(odd_values):
+    """Return items of which the odd ones come first: a table and an entry stand behind them."""
+    values = [(name_entry(number), value) for number, value in enumerate(odd_values)]
+    return [*values, (KEY, encode(ENTRY)), (TABLE_KEY, encode(TABLE))]
+
+
+WAYS = ['list', 'change', 'pull', 'restore']
+CASES = [(way, [value]) for way in WAYS for value in UNREADABLE_ENTRIES]
+CASES += [(way, UNREADABLE_ENTRIES) for way in WAYS]
+
+
+class UnreadableEntryTest(unittest.TestCase):
+    # Guards against VMs that start and never get ready, because an entry of another writer ends
+    # the event that brings the routing table behind it.
+    @params(*CASES)
+    def test_items_behind_an_unreadable_entry_are_applied_at_a_start(self, way, odd_values):
+        reader = PlatformReader()
+        getattr(reader, way)(surround(odd_values))
+        self.assertTrue(reader.gateway.is_ready())
+        self.assertEqual(set(reader.gateway.replica_by_key), {KEY})
+
+    # Guards against VMs that run and stop following the list beside such an entry.
+    @params(*CASES)
+    def test_items_behind_an_unreadable_entry_are_applied_later(self, way, odd_values):
+        reader = PlatformReader()
+        reader.list([(KEY, encode(ENTRY)), (TABLE_KEY, encode(TABLE))])
+        behind = [(LATE_KEY, encode(ENTRY, addr='10.0.0.8:80'))]
+        getattr(reader, way)([*surround(odd_values), *behind])
+        self.assertEqual(set(reader.gateway.replica_by_key), {KEY, LATE_KEY})
