Let an exception for one store item cost only this item

An exception while one item is decoded or applied ended the event that brought it, a listing of all items included. The copy of the store has the items of the event by then, so that they are not delivered again: a VM that starts would never be ready, one that runs would keep what it had.

Each item is decoded and applied on its own now. An exception is counted as a defect and logged with the item's key and the line of code (`item_failed`); an item that cannot be decoded is treated as an unreadable one. The tests raise an exception in the decoder and in the handler, in front of a table, in a listing, a change, a pull and a restored store.

--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -11,6 +11,7 @@
 
 from waitress.server import MultiSocketServer
 
+from ..defects import describe_defect
 from ..failures import Failure, Reason
 from ..gateway.actions import (
     AbandonExchange,
@@ -72,7 +73,7 @@
     describe_unsent,
     list_listeners,
 )
-from .log_lines import LineHandler, describe_defect, write_line
+from .log_lines import LineHandler, write_line
 from .pages import GatewayPages
 from .pulls import pull_changes
 from .store_reader import StoreReader
--- a/beechbridge/daemon/log_lines.py
+++ b/beechbridge/daemon/log_lines.py
@@ -3,7 +3,6 @@
 import sys
 import threading
 import time
-import traceback
 from collections import deque
 
 import logbook
@@ -17,8 +16,6 @@
 
 FLUSH_INTERVAL_S = 0.25
 
-MAX_DETAIL_CHARACTERS = 200
-
 logger = logbook.Logger('gateway')
 
 
@@ -88,15 +85,6 @@
         self.thread.join(FLUSH_INTERVAL_S)
 
 
-def describe_defect(error: BaseException) -> dict[str, str]:
-    """Return log fields that name an unexpected exception and the line that raised it."""
-    fields = {'error': type(error).__name__, 'detail': str(error)[:MAX_DETAIL_CHARACTERS]}
-    frames = traceback.extract_tb(error.__traceback__)
-    if frames:
-        fields['at'] = f'{frames[-1].filename}:{frames[-1].lineno}'
-    return fields
-
-
 def write_line(subject: str, fields: dict) -> None:
     """Log one structured line."""
     logger.info(subject, extra={'fields': fields})
--- a/beechbridge/daemon/store_reader.py
+++ b/beechbridge/daemon/store_reader.py
@@ -3,12 +3,13 @@
 import threading
 from collections.abc import Callable
 
+from ..defects import describe_defect
 from ..failures import PlatformFailure, Reason
 from ..gateway.events import ChangesReceived, StoreFailed
 from ..gateway.models import Item
 from ..platform.store import HistoryLost, Page, StoreClient
 from ..record import Record
-from .log_lines import describe_defect, write_line
+from .log_lines import write_line
 
 WATCH_TIMEOUT_MS = 2_500
 """Long-poll timeout of one watch; a dead connection is detected only after this time."""
--- a/beechbridge/gateway/replicas/restoration.py
+++ b/beechbridge/gateway/replicas/restoration.py
@@ -15,6 +15,7 @@
 from ..interface import GatewayInterface
 from ..models import Item, ReplicaEntry
 from ..routes import RoutingTable
+from .decoding import decode
 
 MAX_REMOVED_REPLICAS = 4_000
 """Replicas remembered after their removal, the latest ones."""
@@ -91,7 +92,7 @@
     held_keys = []
     changes = []
     for item in event.changes:
-        decoded = None if item.value is None else gateway.decode_item(item.key, item.value)
+        decoded = None if item.value is None else decode(item, gateway)
         if is_outdated(decoded, item.key, gateway):
             kept_keys.append(item.key)
             changes.append(Item(item.key, view.items[item.key].value, item.revision))
--- a/beechbridge/gateway/replicas/store_updates.py
+++ b/beechbridge/gateway/replicas/store_updates.py
@@ -10,6 +10,7 @@
 from ..models import Item, ReplicaEntry
 from ..requests.evidence import REMOVED, confirm_end
 from ..routes import RoutingTable
+from .decoding import decode, report_defect
 from .restoration import ConfirmationTimer, start_epoch
 from .upstreams import ReplicaState
 
@@ -119,16 +120,24 @@
 
 def apply_item(item: Item, gateway: GatewayInterface, is_listing: bool = False) -> None:
     """
-    Apply one changed store item to the routing table or a replica.
+    Apply one changed store item; a defect costs this item, not those beside it.
 
     :param is_listing: whether a new replica is one of many, which are logged together
     """
+    try:
+        apply_change(item, gateway, is_listing)
+    except Exception as error:
+        report_defect(item.key, error, gateway)
+
+
+def apply_change(item: Item, gateway: GatewayInterface, is_listing: bool) -> None:
+    """Apply one changed store item to the routing table or a replica."""
     if item.value is None:
         state = gateway.replica_by_key.get(item.key)
         if state is not None:
             apply_entry_removal(item.key, state, gateway)
         return
-    decoded = gateway.decode_item(item.key, item.value)
+    decoded = decode(item, gateway)
     if decoded is None:
         return
     if isinstance(decoded, RoutingTable):
--- a/tests/test_defects.py
+++ b/tests/test_defects.py
@@ -7,8 +7,8 @@
 from nose2.tools import params
 
 from beechbridge.daemon.gateway import log_loop_error
-from beechbridge.daemon.log_lines import describe_defect
 from beechbridge.daemon.store_reader import StoreReader
+from beechbridge.defects import describe_defect
 from beechbridge.failures import Executed, Failure, Reason, unknown
 from beechbridge.gateway.actions import AnswerRequest, WriteLine
 from beechbridge.gateway.events import OrderReceived, RequestReceived, StoreFailed, TimerDue
--- a/tests/test_odd_items.py
+++ b/tests/test_odd_items.py
@@ -7,6 +7,7 @@
 from beechbridge.gateway.actions import PullChanges, WriteLine
 from beechbridge.gateway.events import ChangesReceived, PullEnded
 from beechbridge.gateway.models import Item
+from beechbridge.gateway.replicas.notices import NoticeBook
 from beechbridge.platform.items import decode_item
 from beechbridge.platform.names import REPLICAS_PREFIX, TABLE_KEY
 from beechbridge.wire.fleet import decode_changes, encode_changes
@@ -97,3 +98,55 @@
         behind = [(LATE_KEY, encode(ENTRY, addr='10.0.0.8:80'))]
         getattr(reader, way)([*surround(odd_values), *behind])
         self.assertEqual(set(reader.gateway.replica_by_key), {KEY, LATE_KEY})
+
+
+class DefectiveReader(PlatformReader):
+    """A reader whose decoder raises an exception for one key."""
+
+    def decode(self, key, value):
+        if key == name_entry(0):
+            raise ZeroDivisionError('division by zero')
+        return super().decode(key, value)
+
+
+class DefectiveNotices(NoticeBook):
+    """Notices that raise an exception for one replica."""
+
+    __slots__ = ()
+
+    def find(self, entry):
+        if entry.replica_id == 'i-0-00':
+            raise ZeroDivisionError('division by zero')
+        return super().find(entry)
+
+
+class DefectTest(unittest.TestCase):
+    # Guards against an exception in the decoder that costs all items of an event: none of them
+    # would ever be applied, since the copy of the store already has them.
+    @params(*WAYS)
+    def test_exception_for_one_item_costs_this_item_only(self, way):
+        reader = DefectiveReader()
+        getattr(reader, way)(surround([b'{}']))
+        self.assertTrue(reader.gateway.is_ready())
+        self.assertEqual(set(reader.gateway.replica_by_key), {KEY})
+        self.assertEqual(reader.gateway.counters.get('defects', 'ZeroDivisionError'), 1)
+        (line,) = reader.find_lines('item_failed')
+        self.assertEqual((line['key'], line['error']), (name_entry(0), 'ZeroDivisionError'))
+
+    # The same in the handler that applies a decoded item.
+    def test_exception_while_one_item_is_applied_costs_this_item_only(self):
+        reader = PlatformReader()
+        reader.gateway.notices = DefectiveNotices()
+        reader.list(surround([encode(ENTRY)]))
+        self.assertTrue(reader.gateway.is_ready())
+        self.assertEqual(set(reader.gateway.replica_by_key), {KEY})
+        self.assertEqual(reader.find_lines('item_failed')[0]['key'], name_entry(0))
+
+    # An entry that was applied before and whose change then fails must not be used on.
+    def test_replica_whose_new_entry_fails_is_dropped(self):
+        reader = PlatformReader()
+        reader.list(surround([encode(ENTRY)]))
+        self.assertIn(name_entry(0), reader.gateway.replica_by_key)
+        reader.gateway.decode_item = DefectiveReader().decode
+        reader.change([(name_entry(0), encode(ENTRY, state='draining'))])
+        self.assertEqual(set(reader.gateway.replica_by_key), {KEY})
