Fail answers that end inside their head or a chunk size

Operators of similar systems saw 200s with an empty or short body, framed as whole, after a server had stopped inside the head of its answer.

The blocking clients are not safe: `http.client` takes the end of the connection for the end of a line, and of the head. `platform.get` returned an empty document for an answer cut in its head, and pulls, pages and watches accepted a body whose last chunk size was cut. What they read is decoded afterwards, which hides most of it, but a chunk size such as `010` that is cut to `0` ends a body early.

The reader of these clients now raises an error for a line that is cut, unless nothing of the answer has arrived, which is an error already.

--- a/beechbridge/wire/bounded_http.py
+++ b/beechbridge/wire/bounded_http.py
@@ -18,6 +18,10 @@
     """A response is larger than its limit."""
 
 
+class BrokenResponseError(http.client.HTTPException):
+    """A response ended inside its head, a chunk size or a trailer."""
+
+
 class LimitedReader(io.RawIOBase):
     """
     Reads a response from a socket.
@@ -90,15 +94,35 @@
     return b''.join(read_chunks(response))
 
 
+class LineReader(io.BufferedReader):
+    """
+    Reads a response by lines, none of which may be cut.
+
+    `http.client` takes the end of a connection for the end of the line and of the head, so that
+    an answer that breaks off there looks like one with a short body.
+    """
+
+    def readline(self, size: int = -1) -> bytes:
+        """
+        Read a line, or as much of it as fits into a size.
+
+        :raises BrokenResponseError: if the response ends before the line does
+        """
+        line = super().readline(size)
+        if not line.endswith(b'\n') and len(line) != size and self.raw.received_bytes:
+            raise BrokenResponseError(f'the response ended after {self.raw.received_bytes} bytes')
+        return line
+
+
 class LimitedSource:
     """The side of a socket that `http.client` reads a response from."""
 
     def __init__(self, reader: LimitedReader):
         self.reader = reader
 
-    def makefile(self, mode: str) -> io.BufferedReader:
+    def makefile(self, mode: str) -> LineReader:
         """Return the reader with a buffer."""
-        return io.BufferedReader(self.reader)
+        return LineReader(self.reader)
 
 
 class LimitedConnection(http.client.HTTPConnection):
