Require every field of an entry, within bounds

Callers got answers of a replica of another service: an entry of another writer under the ID of a replica, without version, slots, coldLeftMs, seq and born, was taken for the replica's own, since only service, addr and state had to be there and the others were filled in.

All fields are required now, of their type and within bounds; a number too large for the messages between VMs is no number.

--- a/beechbridge/gateway/models.py
+++ b/beechbridge/gateway/models.py
@@ -10,7 +10,8 @@
     """
     Registration entry that a replica publishes in the store.
 
-    :param started_ms: start time in Unix milliseconds; distinguishes incarnations with the same ID
+    :param started_ms: start time in Unix milliseconds; distinguishes incarnations with the same
+        ID; 0 if the entry does not say
     :param cold_left_ms: remaining warm-up time in milliseconds when the entry was written
     """
 
--- a/beechbridge/platform/items.py
+++ b/beechbridge/platform/items.py
@@ -1,17 +1,32 @@
-"""Decoding of the platform's store items into routing tables and replica entries."""
+"""
+Decoding of the platform's store items into routing tables and replica entries.
+
+Anybody may have written an entry, so each of its fields has a type and a bound. A field that the
+pages name is required; none is filled in. What differs from that names nothing.
+"""
 
 import re
+from typing import Annotated, Literal
 
 import msgspec
+from msgspec import UNSET, Meta, UnsetType
 
 from ..failures import Failure, InputFailure
 from ..gateway.models import ReplicaEntry
 from ..gateway.routes import CallerLimits, Route, RoutingTable, ServiceRules
 from .names import REPLICAS_PREFIX, TABLE_KEY
 
-READY = 'ready'
 DRAINING = 'draining'
 IDEMPOTENT = 'idempotent'
+MAX_EXACT = 2**53
+"""Greatest count up to which every whole number has a JSON number of its own."""
+
+MAX_DURATION_MS = 86_400_000.0
+"""One day: no warm-up is longer."""
+
+Name = Annotated[str, Meta(min_length=1, max_length=200)]
+Count = Annotated[int, Meta(ge=0, le=MAX_EXACT)]
+Duration = Annotated[float, Meta(ge=0, le=MAX_DURATION_MS)]
 ADDRESS = re.compile(r'(?P<host>.+):(?P<port>[0-9]{1,5})')
 MAX_PORT = 65_535
 
@@ -75,14 +90,21 @@
 class EntryItem(msgspec.Struct):
     """Registration entry that a replica publishes."""
 
-    service: str
-    addr: str
-    state: str
-    zone: str = ''
-    slots: int = 1
-    cold_left_ms: float = msgspec.field(name='coldLeftMs', default=0.0)
-    born: int = 0
-    """Start time in Unix milliseconds; the ID in the key may be reused after a restart."""
+    service: Name
+    addr: Name
+    zone: Name
+    version: Annotated[str, Meta(max_length=200)]
+    slots: Annotated[int, Meta(ge=0, le=1_000_000)]
+    state: Literal['ready', 'draining']
+    cold_left_ms: Duration = msgspec.field(name='coldLeftMs')
+    seq: Count
+    born: Annotated[int, Meta(ge=1, le=MAX_EXACT)] | UnsetType = UNSET
+    """
+    Start time in Unix milliseconds; the ID in the key may be reused after a restart.
+
+    Not required: there are installations whose replicas have a new ID after each start and do not
+    say it.
+    """
 
 
 TABLE_DECODER = msgspec.json.Decoder(TableItem)
@@ -151,8 +173,6 @@
         item = ENTRY_DECODER.decode(value)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         return InputFailure(key, 'value', str(error), 'a replica entry')
-    if item.state not in (READY, DRAINING):
-        return InputFailure(key, 'state', item.state, f'{READY} or {DRAINING}')
     address = ADDRESS.fullmatch(item.addr)
     if address is None or not 0 < int(address['port']) <= MAX_PORT:
         return InputFailure(key, 'addr', item.addr, 'host:port')
@@ -165,5 +185,5 @@
         slots=item.slots,
         is_draining=item.state == DRAINING,
         cold_left_ms=item.cold_left_ms,
-        started_ms=item.born,
+        started_ms=0 if item.born is UNSET else item.born,
     )
--- a/tests/odd_items.py
+++ b/tests/odd_items.py
@@ -1,5 +1,7 @@
 """Items of the store, and values of another writer that cannot be read."""
 
+import json
+
 import msgspec
 
 from beechbridge.platform.names import REPLICAS_PREFIX
@@ -47,12 +49,36 @@
     return msgspec.json.encode({**value, field: msgspec.Raw(text)})
 
 
+def encode_any(value, field, changed):
+    """Return the bytes of an item of which one field is any value of the library `json`."""
+    return json.dumps({**value, field: changed}).encode()
+
+
 def nest(depth):
     """Return an array in arrays."""
     return b'[' * depth + b']' * depth
 
 
+def omit(value, field):
+    """Return the bytes of an item without one of its fields."""
+    return msgspec.json.encode({name: value[name] for name in value if name != field})
+
+
+REQUIRED_FIELDS = [name for name in ENTRY if name != 'born']
+WRONG_VALUES = [
+    ('service', [7, None, '', 's' * 201, ['s'], {}]),
+    ('addr', [7, None, '', ['h:80'], '10.0.0.9:80:', '10.0.0.9:8080\n', '10.0.0.9:\u0668']),
+    ('zone', [7, None, '', 'z' * 201]),
+    ('version', [7, None, 'v' * 201]),
+    ('slots', ['2', None, 2.5, -1, True, 10**7, 10**30, 1e300]),
+    ('state', [1, None, '', 'READY', 'gone', ['ready']]),
+    ('coldLeftMs', ['0', None, -1, False, 10**9, 10**30, 1e300, [0]]),
+    ('seq', ['4', None, -1, 4.5, True, 2**63, 10**30]),
+    ('born', ['17', None, 0, -1, 17.5, True, 2**63, 10**30, [17]]),
+]
 UNREADABLE_ENTRIES = [
+    *[omit(ENTRY, name) for name in REQUIRED_FIELDS],
+    *[encode_any(ENTRY, name, value) for name, values in WRONG_VALUES for value in values],
     encode(ENTRY, addr='10.0.0.9:' + '9' * 5_000),
     encode(ENTRY, addr='10.0.0.9:65536'),
     encode(ENTRY, addr='10.0.0.9:0'),
--- a/tests/test_odd_items.py
+++ b/tests/test_odd_items.py
@@ -1,7 +1,9 @@
 """Items of other writers that cannot be read, beside a routing table and entries of replicas."""
 
+import itertools
 import unittest
 
+import msgspec
 from nose2.tools import params
 
 from beechbridge.gateway.actions import PullChanges, WriteLine
@@ -12,7 +14,15 @@
 from beechbridge.platform.names import REPLICAS_PREFIX, TABLE_KEY
 from beechbridge.wire.fleet import decode_changes, encode_changes
 
-from .odd_items import ENTRY, TABLE, UNREADABLE_ENTRIES, encode, name_entry
+from .odd_items import (
+    ENTRY,
+    REQUIRED_FIELDS,
+    TABLE,
+    UNREADABLE_ENTRIES,
+    encode,
+    name_entry,
+    omit,
+)
 from .test_store_updates import EmptyReader
 
 KEY = f'{REPLICAS_PREFIX}i-1'
@@ -43,18 +53,22 @@
             items.append(Item(key, value, self.revision))
         return items
 
+    def make_event(self, values, prefixes=()):
+        """Return the event that brings items in the store's epoch."""
+        items = self.make_items(values)
+        return ChangesReceived(items, self.revision, prefixes, epoch=self.gateway.view.epoch)
+
     def change(self, values):
         """Deliver changes of the store."""
-        self.deliver(ChangesReceived(self.make_items(values), self.revision))
+        self.deliver(self.make_event(values))
 
     def list(self, values):
         """Deliver a listing of the store."""
-        self.deliver(ChangesReceived(self.make_items(values), self.revision, PREFIXES))
+        self.deliver(self.make_event(values, PREFIXES))
 
     def pull(self, values):
         """Deliver what another VM sends."""
-        event = ChangesReceived(self.make_items(values), self.revision)
-        pulled = decode_changes(encode_changes(event))
+        pulled = decode_changes(encode_changes(self.make_event(values)))
         self.deliver(PullEnded(PullChanges('vm-1', 0, 0, None), pulled, 1, 1.0))
 
     def restore(self, values):
@@ -100,6 +114,42 @@
         self.assertEqual(set(reader.gateway.replica_by_key), {KEY, LATE_KEY})
 
 
+class OverwrittenEntryTest(unittest.TestCase):
+    # Guards against requests that run at a replica of another service, since another writer wrote
+    # an entry under its ID that lacks fields.
+    @params(*[(way, name) for way in ('change', 'pull') for name in REQUIRED_FIELDS])
+    def test_entry_that_lacks_a_field_names_no_replica(self, way, name):
+        reader = PlatformReader()
+        reader.list([(KEY, encode(ENTRY, service='other')), (TABLE_KEY, encode(TABLE))])
+        getattr(reader, way)([(KEY, omit(ENTRY, name))])
+        self.assertEqual(reader.usable_count, 0)
+        self.assertEqual(reader.gateway.upstreams.usable('other'), [])
+        getattr(reader, way)([(KEY, encode(ENTRY, service='other'))])
+        self.assertEqual(len(reader.gateway.upstreams.usable('other')), 1)
+
+    # A replica that has named its start names it in all that it says of itself.
+    @params(*itertools.product(('list', 'change', 'pull', 'restore'), (1, 2)))
+    def test_entry_that_no_longer_names_its_start_names_no_replica(self, way, count):
+        reader = PlatformReader()
+        reader.list([(KEY, encode(ENTRY)), (TABLE_KEY, encode(TABLE))])
+        for _ in range(count):
+            values = [(KEY, omit(ENTRY, 'born')), (TABLE_KEY, encode(TABLE))]
+            getattr(reader, way)(values)
+            self.assertEqual(reader.gateway.replica_by_key, {})
+        self.assertEqual(reader.find_lines('item_unreadable')[0]['key'], KEY)
+        reader.change([(KEY, encode(ENTRY))])
+        self.assertEqual(reader.usable_count, 1)
+
+    # There are installations whose replicas do not name it, as they have a new ID at each start.
+    @params('list', 'change', 'pull')
+    def test_replicas_that_never_name_their_start_are_used(self, way):
+        reader = PlatformReader()
+        for state in ('ready', 'draining', 'ready'):
+            value = msgspec.json.decode(omit(ENTRY, 'born'))
+            getattr(reader, way)([(KEY, encode(value, state=state)), (TABLE_KEY, encode(TABLE))])
+            self.assertEqual(reader.usable_count, int(state == 'ready'))
+
+
 class DefectiveReader(PlatformReader):
     """A reader whose decoder raises an exception for one key."""
 
