Put no routing table in force that lacks a field

The sample tables of the tests and of the soak lacked `goalMs`, `priority` or `attempts` in some routes; they have them now, with the values that were filled in before.

--- a/beechbridge/platform/items.py
+++ b/beechbridge/platform/items.py
@@ -1,8 +1,8 @@
 """
 Decoding of the platform's store items into routing tables and replica entries.
 
-Anybody may have written an entry, so each of its fields has a type and a bound. A field that the
-pages name is required; none is filled in. What differs from that names nothing.
+Anybody may have written an item, so each field has a type and a bound. A field that the pages name
+is required; none is filled in. What differs from that names nothing.
 """
 
 import re
@@ -22,11 +22,14 @@
 """Greatest count up to which every whole number has a JSON number of its own."""
 
 MAX_DURATION_MS = 86_400_000.0
-"""One day: no warm-up is longer."""
+"""One day: no time-out or warm-up is longer."""
 
 Name = Annotated[str, Meta(min_length=1, max_length=200)]
 Count = Annotated[int, Meta(ge=0, le=MAX_EXACT)]
+Amount = Annotated[int, Meta(ge=1, le=1_000_000)]
+ByteCount = Annotated[int, Meta(ge=1, le=2**31)]
 Duration = Annotated[float, Meta(ge=0, le=MAX_DURATION_MS)]
+PositiveDuration = Annotated[float, Meta(gt=0, le=MAX_DURATION_MS)]
 ADDRESS = re.compile(r'(?P<host>.+):(?P<port>[0-9]{1,5})')
 MAX_PORT = 65_535
 
@@ -34,57 +37,71 @@
 class SplitPart(msgspec.Struct):
     """One service of a split route and its traffic share."""
 
-    service: str
-    weight: float
+    service: Name
+    weight: Annotated[float, Meta(ge=0, le=1e9)]
 
 
 class RouteItem(msgspec.Struct):
-    """A route as written by the operator."""
+    """A route as written by the operator; it names a service, a split or shards to gather."""
 
-    name: str
-    host: str
-    prefix: str
-    kind: str
-    """`idempotent` or `non_idempotent`: whether a request may be retried or hedged."""
+    name: Name
+    host: Name
+    prefix: Annotated[str, Meta(max_length=2_000, pattern=r'\A/([^\r\n]*/)?\Z')]
+    kind: Literal['idempotent', 'non_idempotent']
+    """Whether a request may be retried or hedged."""
 
-    timeout_ms: float = msgspec.field(name='timeoutMs')
-    goal_ms: float | None = msgspec.field(name='goalMs', default=None)
-    attempts: int = 1
+    timeout_ms: PositiveDuration = msgspec.field(name='timeoutMs')
+    goal_ms: PositiveDuration = msgspec.field(name='goalMs')
+    attempts: Amount
     """Maximum number of replicas of one service that may run one attempt of a caller; not a number
     of consecutive tries."""
 
-    priority: int = 0
-    service: str | None = None
-    split: list[SplitPart] | None = None
-    gather: list[str] | None = None
-    top_k: int = msgspec.field(name='topK', default=0)
-    min_share: float = msgspec.field(name='minShare', default=1.0)
+    priority: Count
+    service: Name | UnsetType = UNSET
+    split: Annotated[list[SplitPart], Meta(min_length=1)] | UnsetType = UNSET
+    gather: Annotated[list[Name], Meta(min_length=1)] | UnsetType = UNSET
+    top_k: Amount | UnsetType = msgspec.field(name='topK', default=UNSET)
+    min_share: Annotated[float, Meta(ge=0, le=1)] | UnsetType = msgspec.field(
+        name='minShare', default=UNSET
+    )
+
+    def __post_init__(self) -> None:
+        """
+        Check which fields are there together.
+
+        :raises ValueError: if it is unclear where requests go, or what a gather returns
+        """
+        targets = [one for one in (self.service, self.split, self.gather) if one is not UNSET]
+        if len(targets) != 1:
+            raise ValueError('Expected one of `service`, `split` and `gather`')
+        if self.gather is not UNSET and UNSET in (self.top_k, self.min_share):
+            raise ValueError('Expected `topK` and `minShare` beside `gather`')
 
 
 class ServiceItem(msgspec.Struct):
     """A service as written by the operator."""
 
-    name: str
-    max_conns: int = msgspec.field(name='maxConns', default=1)
+    name: Name
+    max_conns: Amount = msgspec.field(name='maxConns')
     """Maximum number of connections to each replica from all clients together."""
 
 
 class LimitsItem(msgspec.Struct):
     """Size and time limits for callers' requests."""
 
-    header_bytes: int = msgspec.field(name='headerBytes', default=16_384)
-    body_bytes: int = msgspec.field(name='bodyBytes', default=262_144)
-    header_ms: float = msgspec.field(name='headerMs', default=3_000.0)
-    idle_ms: float = msgspec.field(name='idleMs', default=15_000.0)
+    header_bytes: ByteCount = msgspec.field(name='headerBytes')
+    body_bytes: ByteCount = msgspec.field(name='bodyBytes')
+    header_ms: PositiveDuration = msgspec.field(name='headerMs')
+    idle_ms: PositiveDuration = msgspec.field(name='idleMs')
 
 
 class TableItem(msgspec.Struct):
     """The complete routing configuration."""
 
-    version: int
+    version: Count
     routes: list[RouteItem]
     services: list[ServiceItem]
-    limits: LimitsItem = msgspec.field(default_factory=LimitsItem)
+    limits: LimitsItem
 
 
 class EntryItem(msgspec.Struct):
@@ -141,14 +158,17 @@
 
 def to_route(item: RouteItem) -> Route:
     """Convert a route item to a route."""
-    services: tuple[str, ...] = ()
     weights: tuple[float, ...] = (1.0,)
-    if item.gather is not None:
+    top_records = 0
+    min_share = 1.0
+    if item.gather is not UNSET:
         services = tuple(item.gather)
-    elif item.split:
+        top_records = item.top_k
+        min_share = item.min_share
+    elif item.split is not UNSET:
         services = tuple(part.service for part in item.split)
         weights = tuple(part.weight for part in item.split)
-    elif item.service is not None:
+    else:
         services = (item.service,)
     return Route(
         name=item.name,
@@ -156,14 +176,14 @@
         prefix=item.prefix,
         services=services,
         weights=weights,
-        is_gather=item.gather is not None,
+        is_gather=item.gather is not UNSET,
         is_idempotent=item.kind == IDEMPOTENT,
-        attempts=max(1, item.attempts),
+        attempts=item.attempts,
         timeout_ms=item.timeout_ms,
-        objective_ms=item.timeout_ms if item.goal_ms is None else item.goal_ms,
+        objective_ms=item.goal_ms,
         priority=item.priority,
-        top_records=item.top_k,
-        min_share=item.min_share,
+        top_records=top_records,
+        min_share=min_share,
     )
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -173,7 +173,8 @@
             },
         ]
         for name in self.added_routes:
-            routes.append({**read, 'name': name, 'prefix': f'/{name}/', 'timeoutMs': 1200})
+            times = {'timeoutMs': 1200, 'goalMs': 1200}
+            routes.append({**read, 'name': name, 'prefix': f'/{name}/', **times})
         for route in routes[1:]:
             route['service'] = 'register'
         services = [{'name': name, 'maxConns': 40} for name in (*shards, 'register')]
--- a/tests/odd_items.py
+++ b/tests/odd_items.py
@@ -104,6 +104,63 @@
 """Values of entries that name no replica."""
 
 
+ROUTE = TABLE['routes'][0]
+GATHER = {**{name: ROUTE[name] for name in ROUTE if name != 'service'}, 'gather': ['s', 't']}
+WRONG_ROUTE_VALUES = [
+    ('name', [7, None, '']),
+    ('host', [7, None, '']),
+    ('prefix', [7, None, '', 'a/', '/a', '/a/\n']),
+    ('kind', [7, None, 'odd']),
+    ('timeoutMs', ['800', None, 0, -1, 1e300, 10**400, True]),
+    ('goalMs', ['86', None, 0, -1, 1e300]),
+    ('attempts', ['2', None, 0, -1, 1.5, 10**30, True]),
+    ('priority', ['2', None, -1, 10**30]),
+    ('service', [7, None, '']),
+    ('split', [None, [], [{}], [{'service': 's'}], [{'service': 's', 'weight': -1}]]),
+    ('gather', [None, [], [7], 's']),
+]
+WRONG_ROUTES = [
+    *[{k: ROUTE[k] for k in ROUTE if k != name} for name in ROUTE],
+    *[{**ROUTE, name: value} for name, values in WRONG_ROUTE_VALUES for value in values],
+    {**ROUTE, 'split': [{'service': 's', 'weight': 1}]},
+    {**ROUTE, 'gather': ['s'], 'topK': 5, 'minShare': 0.5},
+    {**GATHER, 'topK': 5},
+    {**GATHER, 'minShare': 0.5},
+    {**GATHER, 'topK': 10**30, 'minShare': 0.5},
+    {**GATHER, 'topK': 5, 'minShare': 1.5},
+    {**GATHER, 'topK': 5, 'minShare': -1},
+    {**GATHER, 'topK': 5, 'minShare': None},
+    7,
+    None,
+]
+WRONG_LIMITS = [
+    {name: value for name, value in TABLE['limits'].items() if name != 'idleMs'},
+    {**TABLE['limits'], 'headerBytes': 10**30},
+    {**TABLE['limits'], 'bodyBytes': -1},
+    {**TABLE['limits'], 'headerMs': 0},
+    {**TABLE['limits'], 'idleMs': 1e300},
+    None,
+    [],
+]
+WRONG_SERVICES = [None, {}, [7], [{}], [{'name': 's'}], [{'maxConns': 3}]]
+WRONG_SERVICES += [[{'name': 's', 'maxConns': value}] for value in ('3', 0, -1, 1.5, 10**30)]
+UNREADABLE_TABLES = [
+    *[omit(TABLE, name) for name in TABLE],
+    *[encode_any(TABLE, 'version', value) for value in ('8', None, -1, 8.5, 2**63, 10**30)],
+    *[encode_any(TABLE, 'routes', [ROUTE, route]) for route in WRONG_ROUTES],
+    *[encode_any(TABLE, 'services', services) for services in WRONG_SERVICES],
+    *[encode_any(TABLE, 'limits', limits) for limits in WRONG_LIMITS],
+    encode_raw(TABLE, 'version', b'9' * 5_000),
+    encode_raw(TABLE, 'later', nest(100_000)),
+    nest(100_000),
+    b'null',
+    b'{}',
+    b'',
+    b'\xff',
+]
+"""Values of the routing table that cannot be in force."""
+
+
 def name_entry(number):
     """Return the key of the entry of another writer; it sorts before those of replicas."""
     return f'{REPLICAS_PREFIX}i-0-{number:02}'
--- a/tests/test_odd_items.py
+++ b/tests/test_odd_items.py
@@ -19,6 +19,7 @@
     REQUIRED_FIELDS,
     TABLE,
     UNREADABLE_ENTRIES,
+    UNREADABLE_TABLES,
     encode,
     name_entry,
     omit,
@@ -150,6 +151,30 @@
             self.assertEqual(reader.usable_count, int(state == 'ready'))
 
 
+class UnreadableTableTest(unittest.TestCase):
+    # Guards against a table that can be read in part, and then fails the requests of its routes or
+    # the messages to other VMs that name its version.
+    @params(*itertools.product(WAYS, UNREADABLE_TABLES))
+    def test_unreadable_table_leaves_the_one_in_force_and_the_entries(self, way, value):
+        reader = PlatformReader()
+        reader.list([(KEY, encode(ENTRY)), (TABLE_KEY, encode(TABLE))])
+        behind = [(LATE_KEY, encode(ENTRY, addr='10.0.0.8:80'))]
+        getattr(reader, way)([(KEY, encode(ENTRY)), (TABLE_KEY, value), *behind])
+        self.assertEqual(reader.gateway.table.version, TABLE['version'])
+        self.assertEqual(set(reader.gateway.replica_by_key), {KEY, LATE_KEY})
+        reader.change([(TABLE_KEY, encode(TABLE, version=9))])
+        self.assertEqual(reader.gateway.table.version, 9)
+
+    @params(*itertools.product(WAYS, UNREADABLE_TABLES))
+    def test_vm_that_starts_with_an_unreadable_table_waits_for_the_next(self, way, value):
+        reader = PlatformReader()
+        getattr(reader, way)([(KEY, encode(ENTRY)), (TABLE_KEY, value)])
+        self.assertFalse(reader.gateway.is_ready())
+        self.assertEqual(set(reader.gateway.replica_by_key), {KEY})
+        reader.change([(TABLE_KEY, encode(TABLE))])
+        self.assertTrue(reader.gateway.is_ready())
+
+
 class DefectiveReader(PlatformReader):
     """A reader whose decoder raises an exception for one key."""
 
