Take no replica from an ID or host that cannot be sent to

The ID in an entry's key goes into a header of each request to the replica, and its host into the lookup of the address; neither was checked. An ID with a line break added headers of another writer to requests of callers; one beyond Latin-1, or a host with a label of over 63 characters, raised an exception below the gateway, so that each request sent there hung until its deadline. The exchange client caught OSError only, and a host that cannot be looked up is a ValueError.

An ID is printable ASCII without spaces now, and a host a name of labels or an IPv4 address; other entries name no replica.

--- a/beechbridge/daemon/exchanges.py
+++ b/beechbridge/daemon/exchanges.py
@@ -95,7 +95,8 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await self.loop.create_connection(lambda: connection, host, port)
-        except (OSError, TimeoutError) as error:
+        except (OSError, ValueError) as error:
+            # A host that cannot be looked up at all is a ValueError.
             self.connections.pop(connection.connection_id, None)
             if not connection.is_dropped and connection.exchange_id is not None:
                 is_refused = isinstance(error, ConnectionRefusedError)
@@ -117,7 +118,7 @@
                 )
             is_open = True
             transport.abort()
-        except (OSError, TimeoutError) as error:
+        except (OSError, ValueError) as error:
             is_refused = isinstance(error, ConnectionRefusedError)
         self.post(ProbeEnded(action.probe_id, is_open, is_refused))
 
--- a/beechbridge/platform/items.py
+++ b/beechbridge/platform/items.py
@@ -30,7 +30,12 @@
 ByteCount = Annotated[int, Meta(ge=1, le=2**31)]
 Duration = Annotated[float, Meta(ge=0, le=MAX_DURATION_MS)]
 PositiveDuration = Annotated[float, Meta(gt=0, le=MAX_DURATION_MS)]
-ADDRESS = re.compile(r'(?P<host>.+):(?P<port>[0-9]{1,5})')
+REPLICA_ID = re.compile(r'[!-~]{1,200}')
+"""What the header with the expected replica can carry."""
+
+ADDRESS = re.compile(
+    r'(?P<host>(?=.{1,253}:)[0-9A-Za-z_-]{1,63}(\.[0-9A-Za-z_-]{1,63})*):(?P<port>[0-9]{1,5})'
+)
 MAX_PORT = 65_535
 
 
@@ -189,6 +194,9 @@
 
 def decode_entry(key: str, value: bytes) -> ReplicaEntry | Failure:
     """Decode a replica's entry; return a failure if it has another format."""
+    replica_id = key[len(REPLICAS_PREFIX) :]
+    if REPLICA_ID.fullmatch(replica_id) is None:
+        return InputFailure(key, 'ID', replica_id, 'printable ASCII')
     try:
         item = ENTRY_DECODER.decode(value)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
@@ -197,7 +205,7 @@
     if address is None or not 0 < int(address['port']) <= MAX_PORT:
         return InputFailure(key, 'addr', item.addr, 'host:port')
     return ReplicaEntry(
-        replica_id=key[len(REPLICAS_PREFIX) :],
+        replica_id=replica_id,
         service=item.service,
         host=address['host'],
         port=int(address['port']),
--- a/tests/odd_items.py
+++ b/tests/odd_items.py
@@ -104,6 +104,27 @@
 """Values of entries that name no replica."""
 
 
+UNREADABLE_HOSTS = [
+    '10.0.0.9\r\nHost: x',
+    '10.0.0.9 ',
+    ' 10.0.0.9',
+    '10.0.0.9\0',
+    'h' * 64,
+    'h.' * 127 + 'h',
+    'h..example',
+    '.h',
+    'h\u00fc',
+    'user@h',
+    'h/path',
+    'h:80',
+    '[::1]',
+    '::1',
+]
+"""Hosts to which no connection can be opened, or that the address of an entry does not name."""
+
+UNREADABLE_IDS = ['', 'i 1', 'i\r\nX-Own: 1', 'i\n', '\ti', 'i\0', 'i\u00fc', 'i\u20ac', 'i' * 201]
+"""IDs that the header with the expected replica cannot carry."""
+
 ROUTE = TABLE['routes'][0]
 GATHER = {**{name: ROUTE[name] for name in ROUTE if name != 'service'}, 'gather': ['s', 't']}
 WRONG_ROUTE_VALUES = [
--- a/tests/test_odd_items.py
+++ b/tests/test_odd_items.py
@@ -19,6 +19,8 @@
     REQUIRED_FIELDS,
     TABLE,
     UNREADABLE_ENTRIES,
+    UNREADABLE_HOSTS,
+    UNREADABLE_IDS,
     UNREADABLE_TABLES,
     encode,
     name_entry,
@@ -151,6 +153,29 @@
             self.assertEqual(reader.usable_count, int(state == 'ready'))
 
 
+class UnsendableReplicaTest(unittest.TestCase):
+    # Guards against requests that fail with an exception, or carry headers of another writer,
+    # since the ID or the host of an entry cannot be written or connected to.
+    @params(*itertools.product(WAYS, UNREADABLE_HOSTS))
+    def test_entry_with_an_unusable_host_names_no_replica(self, way, host):
+        reader = PlatformReader()
+        getattr(reader, way)(surround([encode(ENTRY, addr=f'{host}:8080')]))
+        self.assertEqual(set(reader.gateway.replica_by_key), {KEY})
+
+    @params(*itertools.product(WAYS, UNREADABLE_IDS))
+    def test_entry_with_an_id_that_no_header_carries_names_no_replica(self, way, replica_id):
+        reader = PlatformReader()
+        values = [(REPLICAS_PREFIX + replica_id, encode(ENTRY, addr='10.0.0.8:80'))]
+        getattr(reader, way)([*values, *surround([])])
+        self.assertEqual(set(reader.gateway.replica_by_key), {KEY})
+        self.assertTrue(reader.gateway.is_ready())
+
+    @params('10.0.0.9', 'localhost', 'r-1.svc.example', 'h' * 63, 'a_b')
+    def test_usual_hosts_are_read(self, host):
+        entry = decode_item(KEY, encode(ENTRY, addr=f'{host}:8080'))
+        self.assertEqual((entry.host, entry.port), (host, 8080))
+
+
 class UnreadableTableTest(unittest.TestCase):
     # Guards against a table that can be read in part, and then fails the requests of its routes or
     # the messages to other VMs that name its version.
--- a/tests/test_replica_link.py
+++ b/tests/test_replica_link.py
@@ -9,8 +9,8 @@
 from nose2.tools import params
 
 from beechbridge.daemon.exchanges import Codec, ExchangeClient
-from beechbridge.gateway.actions import DropConnection, SendRequest
-from beechbridge.gateway.events import ConnectionEnded, ExchangeEnded, RequestSent
+from beechbridge.gateway.actions import DropConnection, ProbeReplica, SendRequest
+from beechbridge.gateway.events import ConnectionEnded, ExchangeEnded, ProbeEnded, RequestSent
 from beechbridge.gateway.models import CallerRequest, LinkFailure, LinkFault, Reply
 from beechbridge.platform.replicas import read_reply, write_request
 
@@ -74,9 +74,9 @@
         self.client = ExchangeClient(loop, self.events.put_nowait, codecs)
         self.port = port
 
-    def send(self, number, is_new=True):
+    def send(self, number, is_new=True, host='127.0.0.1'):
         request = CallerRequest(f'q{number}', 'GET', '/x', 'h', '/x', [('Host', 'h')])
-        action = SendRequest(number, 1, is_new, '127.0.0.1', self.port, 'i-1', request, 500.0)
+        action = SendRequest(number, 1, is_new, host, self.port, 'i-1', request, 500.0)
         self.client.send(action, self.port)
 
     async def next_event(self):
@@ -129,6 +129,21 @@
         pieces = [head, b'4\r\nabcd\r\n', b'0\r\n\r\n']
         self.check([pieces], lambda reply: self.assertEqual(reply.body, b'abcd'))
 
+    # Guards against requests that hang until their deadline since their connection was never
+    # opened: the name of such a host cannot even be looked up.
+    @params('h' * 64, 'h..example', 'h\0', '\udc80')
+    def test_host_that_cannot_be_looked_up_is_a_failure(self, host):
+        async def scenario(harness, replica):
+            harness.send(1, host=host)
+            event = await harness.next_event()
+            failure = LinkFailure(LinkFault.CONNECT_FAILED, was_sent=False)
+            self.assertEqual(event, ExchangeEnded(1, failure))
+            harness.client.probe(ProbeReplica(4, host, 80))
+            event = await harness.next_event()
+            self.assertEqual(event, ProbeEnded(4, is_open=False, is_refused=False))
+
+        run_script([], scenario)
+
     @params(
         ([response('q1')[:-3], CLOSE], LinkFault.LOST),
         ([response('q1')[:-3], RESET], LinkFault.LOST),
