Say that nothing has run only on the driver's word

A connection opens, the request leaves, and the gateway hears of it with an event; but it fires all timers that are due before it handles an event. If the deadline was among them, the exchange counted as never sent. It was aborted, which is too late, and the answer promised that nothing had run.

What the gateway believes is now not enough. Before it says so it withdraws what it takes for unsent, and waits: the driver drops a request whose connection is not open and says so (`ExchangeWithdrawn`), or says that it was sent (`RequestSent`). The driver decides and reports in one step, between two callbacks of its loop, so that the order of events, timers and freezes no longer matters. The same path serves single requests, hedges, gathers and their canaries, requests that wait for permits, relays and requests of other VMs. At rest nothing is withdrawn.

--- a/beechbridge/daemon/client_connection.py
+++ b/beechbridge/daemon/client_connection.py
@@ -173,6 +173,13 @@
             return
         self.transport.write(data)
 
+    def withdraw(self, exchange_id: int) -> bool:
+        """Never send the request of an exchange; return False if any byte may have left."""
+        if self.exchange_id != exchange_id or self.transport is not None:
+            return False
+        self.drop()
+        return True
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Send the pending request."""
         self.transport = transport
--- a/beechbridge/daemon/exchanges.py
+++ b/beechbridge/daemon/exchanges.py
@@ -16,8 +16,9 @@
     SendOrder,
     SendRelay,
     SendRequest,
+    WithdrawExchange,
 )
-from ..gateway.events import ExchangeEnded, ProbeEnded
+from ..gateway.events import ExchangeEnded, ExchangeWithdrawn, ProbeEnded, RequestSent
 from ..gateway.models import LinkFailure, LinkFault
 from ..gateway.settings import DEFAULT_REPLY_MEMORY_BYTES
 from ..record import Record
@@ -134,6 +135,15 @@
         if connection is not None:
             connection.abandon()
 
+    def withdraw(self, action: WithdrawExchange) -> None:
+        """Never send a request, unless that has begun; report which."""
+        connection = self.connections.get(action.connection_id)
+        event = RequestSent(action.exchange_id)
+        if connection is not None and connection.withdraw(action.exchange_id):
+            del self.connections[action.connection_id]
+            event = ExchangeWithdrawn(action.exchange_id)
+        self.loop.call_soon(self.post, event)
+
     def schedule_relief(self) -> None:
         """Free memory once the parser that is running has returned."""
         if self.relief is None:
--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -29,6 +29,7 @@
     SendRequest,
     SendSuspects,
     SetCallerLimits,
+    WithdrawExchange,
     WriteLine,
 )
 from ..gateway.events import (
@@ -354,6 +355,12 @@
     process.exchanges.abandon(action)
 
 
+@perform.register
+def perform_withdraw_exchange(action: WithdrawExchange, process: GatewayProcess) -> None:
+    """Never send a request, unless that has begun."""
+    process.exchanges.withdraw(action)
+
+
 @perform.register
 def perform_answer_request(action: AnswerRequest, process: GatewayProcess) -> None:
     """Deliver the answer to a caller."""
--- a/beechbridge/gateway/actions.py
+++ b/beechbridge/gateway/actions.py
@@ -152,6 +152,21 @@
         self.connection_id = connection_id
 
 
+class WithdrawExchange(Record):
+    """
+    Never send the request of an exchange, unless any byte of it has left.
+
+    The driver reports which: with `ExchangeWithdrawn` that none has and none will, or with
+    `RequestSent`, once more if need be.
+    """
+
+    __slots__ = ('connection_id', 'exchange_id')
+
+    def __init__(self, exchange_id: int, connection_id: int):
+        self.exchange_id = exchange_id
+        self.connection_id = connection_id
+
+
 class AnswerRequest(Record):
     """Send a caller its final answer."""
 
@@ -304,6 +319,7 @@
     | SendRelay
     | DropConnection
     | AbandonExchange
+    | WithdrawExchange
     | AnswerRequest
     | SetCallerLimits
     | WriteLine
--- a/beechbridge/gateway/events.py
+++ b/beechbridge/gateway/events.py
@@ -98,6 +98,15 @@
         self.exchange_id = exchange_id
 
 
+class ExchangeWithdrawn(Record):
+    """No byte of an exchange's request has left, and none will: its connection was closed."""
+
+    __slots__ = ('exchange_id',)
+
+    def __init__(self, exchange_id: int):
+        self.exchange_id = exchange_id
+
+
 class ExchangeEnded(Record):
     """An exchange with a replica or another VM ended with a complete reply or a failure."""
 
--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -14,6 +14,7 @@
     ChangesReceived,
     ConnectionEnded,
     ExchangeEnded,
+    ExchangeWithdrawn,
     HeartbeatReceived,
     OrderReceived,
     PauseDetected,
@@ -103,6 +104,7 @@
 from .requests.reach_checks import fire_reach_check, handle_probe_ended
 from .requests.splits import Splits
 from .requests.suspicion import SuspicionBook
+from .requests.withdrawal import handle_exchange_withdrawn
 from .requests.works import CanaryTimer, CheckTimer, DeadlineTimer, RetryTimer, Work
 from .routes import RoutingTable
 
@@ -399,6 +401,7 @@
     RelayReceived: handle_relay_received,
     RequestSent: handle_request_sent,
     ExchangeEnded: handle_exchange_ended,
+    ExchangeWithdrawn: handle_exchange_withdrawn,
     ConnectionEnded: handle_connection_ended,
     ChangesReceived: handle_changes_received,
     PullEnded: handle_pull_ended,
--- a/beechbridge/gateway/replicas/connections.py
+++ b/beechbridge/gateway/replicas/connections.py
@@ -14,7 +14,9 @@
     :param kind: why it was sent, see `SendKind`
     :param is_alone: whether its request was sent to no other replica at the time
     :param round_number: round of its request
-    :param was_sent: whether the request may have reached the replica
+    :param was_sent: whether the request may have reached the replica; until the driver has said
+        that it was not sent, False only means that the driver has not reported it yet
+    :param is_withdrawn: whether the driver was asked not to send the request any more
     :param stalled_at_ms: time in milliseconds from which the replica is suspect if it has not
         answered
     """
@@ -25,6 +27,7 @@
         'is_abandoned',
         'is_alone',
         'is_new',
+        'is_withdrawn',
         'kind',
         'owner',
         'replica',
@@ -57,6 +60,7 @@
         self.stalled_at_ms = stalled_at_ms
         self.is_abandoned = False
         self.was_sent = not is_new
+        self.is_withdrawn = False
 
 
 class IdleConnection:
--- a/beechbridge/gateway/requests/admission.py
+++ b/beechbridge/gateway/requests/admission.py
@@ -415,7 +415,7 @@
 
 def launch_work(work: Work, gateway: GatewayInterface) -> None:
     """Send the request's tasks to replicas or, as orders, to other VMs."""
-    if work.is_relayed_on:
+    if not work.may_send:
         return
     if needs_trial(work, gateway):
         gateway.timers.arm(gateway.now_ms + 1.0, CheckTimer(work.key))
--- a/beechbridge/gateway/requests/answers.py
+++ b/beechbridge/gateway/requests/answers.py
@@ -15,7 +15,6 @@
     retry_once_open_ms,
     service_opens_in_ms,
 )
-from .sending import abort_exchange
 from .suspicion import Verdict
 from .works import GatherWork, OrderedWork, SingleWork, Work
 
@@ -115,9 +114,6 @@
     detail = f'{work.answered_count} of {total} services answered'
     is_stopping = gateway.stopping.is_closed
     if not work.may_have_run:
-        # Nothing has been sent yet; aborting the exchanges ensures that nothing will be.
-        for exchange in [*work.in_flight(), *work.relay_exchanges()]:
-            abort_exchange(exchange, gateway)
         if is_stopping:
             detail = 'this VM exits before a replica has accepted the request'
             return not_run(Reason.STOPPING, detail, STOPPED_RETRY_MS)
@@ -145,6 +141,11 @@
     return unknown(reason, detail)
 
 
+def is_refusal(answer: Answer) -> bool:
+    """Return whether an answer says that nothing has run."""
+    return isinstance(answer, Failure) and answer.executed is Executed.NOT_RUN
+
+
 @singledispatch
 def record_end(work: Work, answer: Answer, gateway: GatewayInterface) -> None:
     """Record the latency and outcome of a request, and log its end."""
--- a/beechbridge/gateway/requests/canaries.py
+++ b/beechbridge/gateway/requests/canaries.py
@@ -126,7 +126,7 @@
 def fire_canary(timer: CanaryTimer, gateway: GatewayInterface) -> None:
     """Go on with a gather whose first answer has arrived, or all of whose sends were lost."""
     work = gateway.works.get(timer.key)
-    if work is None or work.is_relayed_on or isinstance(work, SingleWork):
+    if work is None or not work.may_send or isinstance(work, SingleWork):
         return
     if work.is_vindicated:
         release_tasks(work, gateway)
--- a/beechbridge/gateway/requests/hedges.py
+++ b/beechbridge/gateway/requests/hedges.py
@@ -98,7 +98,7 @@
     A gather is answered with the parts that have arrived once waiting no longer helps its caller.
     """
     work = gateway.works.get(timer.key)
-    if work is None or work.is_relayed_on:
+    if work is None or not work.may_send:
         return
     now_ms = gateway.now_ms
     next_ms = work.soft_at_ms if now_ms < work.soft_at_ms else work.hard_at_ms
--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -11,9 +11,10 @@
 from ..replicas.limits import is_available, start_bucket
 from ..replicas.notices import apply_notice
 from ..replicas.upstreams import AGGREGATOR_DISTANCE, ReplicaState
-from .answers import build_answer, record_end, trim_part
+from .answers import build_answer, is_refusal, record_end, trim_part
 from .evidence import REFUSED, acquit, confirm_end, record_loss
 from .sending import abandon_exchange, abort_exchange, dispatch_task, end_exchange
+from .withdrawal import settle_withdrawal, withdraw_unsent
 from .works import CanaryTimer, DeadlineTimer, GatherWork, RetryTimer, SingleWork, Task, Work
 
 SUSPECT_WAIT_FACTOR = 2.0
@@ -30,18 +31,20 @@
         return
     if isinstance(event.result, LinkFailure):
         handle_failure(exchange.owner, exchange, event.result, gateway)
-        return
-    handle_result(exchange.owner, exchange, event.result, gateway)
+    else:
+        handle_result(exchange.owner, exchange, event.result, gateway)
+    settle_withdrawal(exchange.owner.work, gateway)
 
 
 def handle_request_sent(event: RequestSent, gateway: GatewayInterface) -> None:
     """Record that a replica may be processing a request from now on."""
     exchange = gateway.upstreams.exchanges.get(event.exchange_id)
-    if exchange is None:
+    if exchange is None or exchange.was_sent:
         return
     exchange.was_sent = True
     if exchange.replica.distance != AGGREGATOR_DISTANCE:
         gateway.reach.record_connection(gateway.now_ms)
+    settle_withdrawal(exchange.owner.work, gateway)
 
 
 @singledispatch
@@ -218,7 +221,7 @@
 
 def resume_task(task: Task, gateway: GatewayInterface, may_retry: bool) -> None:
     """Retry a task elsewhere after a failure, or close it if nothing else is pending."""
-    if not task.is_open or task.work.is_finished or task.work.is_relayed_on:
+    if not task.is_open or not task.work.may_send:
         return
     if may_retry:
         dispatch_task(task, gateway)
@@ -315,9 +318,18 @@
 
 
 def answer_work(work: Work, gateway: GatewayInterface) -> None:
-    """Send the answer that follows from what has arrived."""
-    if not work.is_finished:
-        end_work(work, build_answer(work, gateway), gateway)
+    """
+    Send the answer that follows from what has arrived.
+
+    That nothing has run is said once the driver has said that nothing was sent.
+    """
+    if work.is_finished:
+        return
+    answer = build_answer(work, gateway)
+    if is_refusal(answer) and withdraw_unsent(work, gateway):
+        work.when_withdrawn = answer_work
+        return
+    end_work(work, answer, gateway)
 
 
 def end_work(work: Work, answer: Answer, gateway: GatewayInterface) -> None:
@@ -380,3 +392,4 @@
             continue
         failure = LinkFailure(LinkFault.TIMED_OUT, was_sent=True)
         handle_failure(exchange.owner, exchange, failure, gateway)
+        settle_withdrawal(exchange.owner.work, gateway)
--- a/beechbridge/gateway/requests/relays.py
+++ b/beechbridge/gateway/requests/relays.py
@@ -7,12 +7,13 @@
 told so. Without a VM that reaches replicas the request is rejected at once.
 """
 
-from ...failures import Executed, Failure, Reason
+from ...failures import Reason
 from ..actions import SendRelay
 from ..interface import GatewayInterface
 from ..models import Answer, LinkFailure, RelayReply, RequestRelay
 from ..replicas.connections import Exchange
 from ..replicas.upstreams import NON_IDEMPOTENT_IDLE_MS, ReplicaState
+from .answers import is_refusal
 from .progress import (
     answer_work,
     end_work,
@@ -222,11 +223,6 @@
     settle_relay(work, state, reply.answer, gateway)
 
 
-def is_refusal(answer: Answer) -> bool:
-    """Return whether an answer says that nothing has run."""
-    return isinstance(answer, Failure) and answer.executed is Executed.NOT_RUN
-
-
 def settle_relay(
     work: Work, state: ReplicaState, answer: Answer, gateway: GatewayInterface
 ) -> None:
--- a/beechbridge/gateway/requests/sending.py
+++ b/beechbridge/gateway/requests/sending.py
@@ -65,9 +65,9 @@
 def is_worth_sending(task: Task, gateway: GatewayInterface) -> bool:
     """Return whether a task is open, can be sent by this VM in time, and ends no replica."""
     work = task.work
-    if not task.is_open or work.is_finished or is_convicted(task, gateway):
+    if not task.is_open or not work.may_send or is_convicted(task, gateway):
         return False
-    if gateway.reach.is_silent or work.is_relayed_on:
+    if gateway.reach.is_silent:
         return False
     if work.hard_at_ms - gateway.now_ms < MIN_TIME_LEFT_MS:
         return False
--- a/beechbridge/gateway/requests/works.py
+++ b/beechbridge/gateway/requests/works.py
@@ -1,6 +1,7 @@
 """Requests in progress: a `Work` for each request, with a `Task` for each service involved."""
 
 import math
+from collections.abc import Callable
 
 from ...record import Record
 from ..models import CallerRequest, LinkFault, Reply
@@ -33,6 +34,8 @@
     :param relay: its latest relay to another VM
     :param relay_targets: names of the VMs that it was relayed to
     :param may_have_run_elsewhere: whether it was relayed and nothing is known of it
+    :param when_withdrawn: goes on with it once the driver has said what it has not sent, None if
+        that is not waited for
     """
 
     __slots__ = (
@@ -66,6 +69,7 @@
         'tasks',
         'trial_task',
         'was_launched',
+        'when_withdrawn',
     )
 
     def __init__(
@@ -107,10 +111,20 @@
         self.relay: object | None = None
         self.relay_targets: set[str] = set()
         self.may_have_run_elsewhere = False
+        self.when_withdrawn: Callable[[Work, object], None] | None = None
+
+    @property
+    def may_send(self) -> bool:
+        """Return whether this VM may still send it to a replica."""
+        return not (self.is_finished or self.is_relayed_on or self.when_withdrawn is not None)
 
     @property
     def may_have_run(self) -> bool:
-        """Return whether a replica may have processed the request, or may still do so."""
+        """
+        Return whether a replica may have processed the request, or may still do so.
+
+        False is certain only once no exchange is left that may be sent, see `withdrawal`.
+        """
         if self.may_have_run_elsewhere or any(
             exchange.was_sent for exchange in self.relay_exchanges()
         ):
@@ -122,6 +136,11 @@
         """Return the exchange with the VM that it was relayed to, if that has not ended."""
         return self.relay.exchanges if self.relay is not None else []
 
+    def unsent_exchanges(self) -> list[Exchange]:
+        """Return the exchanges that the driver has not reported to be sent."""
+        exchanges = [*self.in_flight(), *self.relay_exchanges()]
+        return [exchange for exchange in exchanges if not exchange.was_sent]
+
     def in_flight(self) -> list[Exchange]:
         """Return the exchanges of all tasks that have not ended."""
         return [exchange for task in self.tasks for exchange in task.exchanges]
--- a/measure/emulated_actions.py
+++ b/measure/emulated_actions.py
@@ -21,10 +21,12 @@
     SendRequest,
     SendSuspects,
     SetCallerLimits,
+    WithdrawExchange,
     WriteLine,
 )
 from beechbridge.gateway.events import (
     CallerDisconnected,
+    ExchangeWithdrawn,
     HeartbeatReceived,
     PermitsReceived,
     ProbeEnded,
@@ -70,9 +72,8 @@
         delay_ms = 3 * delay_ms + HANDSHAKE_MS
         replica.open_connections.add((vm.gateway.fleet.own.name, action.connection_id))
         opened_ms = 2 * emulator.delay_ms(vm, replica.entry.zone) + HANDSHAKE_MS
-        event = RequestSent(action.exchange_id)
         if not replica.spec.is_dark:
-            emulator.schedule(opened_ms, lambda: emulator.deliver_event(vm, event))
+            emulator.schedule(opened_ms, lambda: emulator.open_connection(job))
     emulator.schedule(delay_ms, lambda: emulator.handle_arrival(job))
 
 
@@ -109,6 +110,17 @@
     job.replica.open_connections.discard((name, action.connection_id))
 
 
+@perform.register(WithdrawExchange)
+def perform_withdraw(action: WithdrawExchange, vm: EmulatedVm, emulator: 'Emulator') -> None:
+    """Cancel a request or order unless it was sent, and report which."""
+    event = RequestSent(action.exchange_id)
+    sent = vm.jobs.get(action.connection_id) or vm.sent_orders.get(action.connection_id)
+    if sent is not None and not sent.is_sent:
+        perform_drop(DropConnection(action.connection_id), vm, emulator)
+        event = ExchangeWithdrawn(action.exchange_id)
+    emulator.schedule(0.0, lambda: emulator.deliver_event(vm, event))
+
+
 @perform.register(AnswerRequest)
 def perform_answer(action: AnswerRequest, vm: EmulatedVm, emulator: 'Emulator') -> None:
     """Store a caller's answer, or return that of an order or relay to the VM that asked."""
--- a/measure/emulator.py
+++ b/measure/emulator.py
@@ -419,6 +419,12 @@
                     self.lose_job(job)
                 self.deliver_event(vm, ConnectionEnded(number))
 
+    def open_connection(self, job: Job) -> None:
+        """Let a request leave over its new connection, unless that was closed."""
+        if not job.is_cancelled:
+            job.is_sent = True
+            self.deliver_event(job.vm, RequestSent(job.action.exchange_id))
+
     def lose_request(self, job: Job) -> None:
         """Let a request that a VM sends while it is cut off fail as its connection does."""
         if job.vm.cut is Cut.REFUSED:
@@ -510,6 +516,7 @@
                 event = ExchangeEnded(order.action.exchange_id, failure)
                 self.deliver_event(order.vm, event)
             return
+        order.is_sent = True
         order.target.received_orders[order.key] = order
         self.deliver_event(order.vm, RequestSent(order.action.exchange_id))
         self.deliver_event(order.target, receive_order(order.action, order.key))
--- a/measure/stand_ins.py
+++ b/measure/stand_ins.py
@@ -124,15 +124,20 @@
 
 
 class Job:
-    """One request sent to a replica."""
+    """
+    One request sent to a replica.
+
+    :param is_sent: whether its connection is open
+    """
 
-    __slots__ = ('action', 'is_cancelled', 'replica', 'vm')
+    __slots__ = ('action', 'is_cancelled', 'is_sent', 'replica', 'vm')
 
     def __init__(self, action: SendRequest, vm: 'EmulatedVm', replica: EmulatedReplica):
         self.action = action
         self.vm = vm
         self.replica = replica
         self.is_cancelled = False
+        self.is_sent = not action.is_new
 
 
 class EmulatedOrder:
@@ -140,9 +145,10 @@
     One order or relay between two VMs.
 
     :param key: identifies it at the VM that receives it
+    :param is_sent: whether its connection is open
     """
 
-    __slots__ = ('action', 'is_cancelled', 'key', 'target', 'vm')
+    __slots__ = ('action', 'is_cancelled', 'is_sent', 'key', 'target', 'vm')
 
     def __init__(
         self, action: SendOrder | SendRelay, vm: 'EmulatedVm', target: 'EmulatedVm', key: int
@@ -152,6 +158,7 @@
         self.target = target
         self.key = key
         self.is_cancelled = False
+        self.is_sent = not action.is_new
 
 
 class Cut(enum.Enum):
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -1,8 +1,15 @@
 """Deployments for the gateway tests, in the emulator's virtual time."""
 
-from beechbridge.gateway.actions import AnswerRequest, ProbeReplica, SendOrder, SendRequest
+from beechbridge.gateway.actions import (
+    AnswerRequest,
+    ProbeReplica,
+    SendOrder,
+    SendRequest,
+    WithdrawExchange,
+)
 from beechbridge.gateway.events import (
     ExchangeEnded,
+    ExchangeWithdrawn,
     ProbeEnded,
     RequestReceived,
     RequestSent,
@@ -158,6 +165,8 @@
                 self.end_probe(action)
             if isinstance(action, SendOrder):
                 self.orders.append(action)
+            if isinstance(action, WithdrawExchange):
+                self.deliver(ExchangeWithdrawn(action.exchange_id))
             if isinstance(action, AnswerRequest):
                 self.answers.append(action.answer)
 
--- a/tests/test_replica_link.py
+++ b/tests/test_replica_link.py
@@ -9,8 +9,19 @@
 from nose2.tools import params
 
 from beechbridge.daemon.exchanges import Codec, ExchangeClient
-from beechbridge.gateway.actions import DropConnection, ProbeReplica, SendRequest
-from beechbridge.gateway.events import ConnectionEnded, ExchangeEnded, ProbeEnded, RequestSent
+from beechbridge.gateway.actions import (
+    DropConnection,
+    ProbeReplica,
+    SendRequest,
+    WithdrawExchange,
+)
+from beechbridge.gateway.events import (
+    ConnectionEnded,
+    ExchangeEnded,
+    ExchangeWithdrawn,
+    ProbeEnded,
+    RequestSent,
+)
 from beechbridge.gateway.models import CallerRequest, LinkFailure, LinkFault, Reply
 from beechbridge.platform.replicas import read_reply, write_request
 
@@ -235,6 +246,34 @@
 
         run_script([[response('q1')]], scenario)
 
+    # A request that was said not to have been sent must not leave once its connection opens.
+    def test_withdrawn_request_is_not_sent(self):
+        async def scenario(harness, replica):
+            harness.send(1)
+            harness.client.withdraw(WithdrawExchange(1, 1))
+            self.assertTrue(harness.events.empty())
+            event = await asyncio.wait_for(harness.events.get(), WAIT_S)
+            self.assertEqual(event, ExchangeWithdrawn(1))
+            await asyncio.sleep(0.1)
+            self.assertTrue(harness.events.empty())
+            self.assertEqual(replica.request_count, 0)
+
+        run_script([[response('q1')]], scenario)
+
+    # A request that has left must not be said not to have been sent.
+    @params((1, 1), (2, 1), (1, 2))
+    def test_request_that_may_have_been_sent_is_not_withdrawn(self, exchange_id, connection_id):
+        async def scenario(harness, replica):
+            harness.send(1)
+            await asyncio.wait_for(harness.events.get(), WAIT_S)
+            harness.client.withdraw(WithdrawExchange(exchange_id, connection_id))
+            events = [await asyncio.wait_for(harness.events.get(), WAIT_S) for _ in range(2)]
+            self.assertIn(RequestSent(exchange_id), events)
+            ended = [event for event in events if isinstance(event, ExchangeEnded)]
+            self.assertEqual([event.result.status for event in ended], [200])
+
+        run_script([[response('q1')]], scenario)
+
     def test_dropped_exchange_posts_no_event(self):
         async def scenario(harness, replica):
             harness.send(1)
