Read each item of a store's list on its own

A VM could stop following the store, or read nothing of it at a start: a page or watch was decoded as a whole, so that one odd item in it made the call fail, and the next one, for as long as the item stood there. A page without `hasMore` ended the listing, one without `currentRev` had revision 0; a value that was no Base64 was used as it stood; a `Store-Era` of 5,000 digits raised an exception at each call; and changes of more than 8 MiB, as after some large entries at once, were asked for again and again.

Items are decoded one by one now, each field of the pages typed and bounded (revisions, which go into messages between VMs, up to 2^53). An item of which only the key can be read has an empty value, which names nothing: in its place the replica of an earlier value would have stayed in use. One without a key is logged and counted. A page ends the listing only if it says so; an epoch that is no number is a failed call; and after changes that are too large the store is listed, which comes in pages. Changes of keys that no VM uses are left out.

--- a/beechbridge/daemon/store_reader.py
+++ b/beechbridge/daemon/store_reader.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from ..defects import describe_defect
-from ..failures import PlatformFailure, Reason
+from ..failures import Failure, PlatformFailure, Reason
 from ..gateway.events import ChangesReceived, StoreFailed
 from ..gateway.models import Item
 from ..platform.store import HistoryLost, Page, StoreClient
@@ -28,14 +28,16 @@
     :param prefixes: prefixes that are not yet listed in full
     :param after: last key read under the first of them
     :param revision: revision of the oldest page: later changes may be missing
+    :param unreadable: failures of items whose keys cannot be read
     """
 
-    __slots__ = ('after', 'epoch', 'items', 'prefixes', 'revision')
+    __slots__ = ('after', 'epoch', 'items', 'prefixes', 'revision', 'unreadable')
 
     def __init__(self, prefixes: tuple[str, ...]):
         self.prefixes = list(prefixes)
         self.after = ''
         self.items: list[Item] = []
+        self.unreadable: list[Failure] = []
         self.revision: int | None = None
         self.epoch: int | None = None
 
@@ -54,8 +56,9 @@
         self.epoch = page.epoch
         self.revision = min(page.revision, self.revision or page.revision)
         self.items.extend(page.items)
-        if page.has_more and page.items:
-            self.after = page.items[-1].key
+        self.unreadable.extend(page.unreadable)
+        if page.last_key:
+            self.after = page.last_key
             return
         self.prefixes.pop(0)
         self.after = ''
@@ -163,7 +166,13 @@
         self.epoch = listing.epoch
         self.revision = listing.revision
         self.post(
-            ChangesReceived(listing.items, listing.revision, self.prefixes, epoch=listing.epoch)
+            ChangesReceived(
+                listing.items,
+                listing.revision,
+                self.prefixes,
+                epoch=listing.epoch,
+                unreadable=listing.unreadable,
+            )
         )
         return None
 
@@ -172,6 +181,9 @@
         revision = self.revision
         changes = self.client.watch(self.watched_prefix, revision, WATCH_TIMEOUT_MS)
         if isinstance(changes, PlatformFailure):
+            if changes.reason is Reason.TOO_LARGE and self.revision == revision:
+                # The same changes would be too large again; a listing comes in pages.
+                self.revision = None
             return changes
         if isinstance(changes, HistoryLost) or changes.epoch != self.epoch:
             # After a restoration the store counts its revisions anew, so that it may have this one
@@ -182,7 +194,14 @@
         if self.revision == revision:
             # Otherwise `follow` has set another revision in the meantime.
             self.revision = new_revision
-        self.post(ChangesReceived(changes.items, new_revision, epoch=changes.epoch))
+        self.post(
+            ChangesReceived(
+                changes.items,
+                new_revision,
+                epoch=changes.epoch,
+                unreadable=changes.unreadable,
+            )
+        )
         if changes.items:
             self.stopped.wait(BATCH_DELAY_S)
         return None
--- a/beechbridge/gateway/events.py
+++ b/beechbridge/gateway/events.py
@@ -1,5 +1,7 @@
 """Events that the driver reports to the gateway."""
 
+from collections.abc import Sequence
+
 from ..failures import Failure
 from ..record import Record
 from .actions import PullChanges
@@ -133,9 +135,17 @@
     :param listed_prefixes: prefixes that are listed in full, empty for an incremental update
     :param is_from_store: False if another VM forwarded them
     :param epoch: epoch of the store that the revision belongs to
+    :param unreadable: failures of items whose keys cannot be read
     """
 
-    __slots__ = ('changes', 'epoch', 'is_from_store', 'listed_prefixes', 'revision')
+    __slots__ = (
+        'changes',
+        'epoch',
+        'is_from_store',
+        'listed_prefixes',
+        'revision',
+        'unreadable',
+    )
 
     def __init__(
         self,
@@ -144,12 +154,14 @@
         listed_prefixes: tuple[str, ...] = (),
         is_from_store: bool = True,
         epoch: int = 0,
+        unreadable: Sequence[Failure] = (),
     ):
         self.changes = changes
         self.revision = revision
         self.listed_prefixes = listed_prefixes
         self.is_from_store = is_from_store
         self.epoch = epoch
+        self.unreadable = unreadable
 
 
 class PullEnded(Record):
--- a/beechbridge/gateway/replicas/store_updates.py
+++ b/beechbridge/gateway/replicas/store_updates.py
@@ -104,6 +104,9 @@
     is_listing = len(applied) > MAX_SINGLE_LINES
     for item in applied:
         apply_item(item, gateway, is_listing)
+    for failure in event.unreadable:
+        gateway.counters.add('items_unreadable')
+        gateway.act(WriteLine('item_unreadable', {'key': None, 'detail': failure.detail}))
     if is_listing:
         log_listing(len(applied), len(gateway.upstreams.by_id) - known_count, gateway)
     if gateway.is_ready() and not was_ready:
--- a/beechbridge/platform/items.py
+++ b/beechbridge/platform/items.py
@@ -135,11 +135,18 @@
 
 def decode_item(key: str, value: bytes) -> RoutingTable | ReplicaEntry | Failure | None:
     """Decode an item according to its key; return None if the gateway does not use it."""
+    if not is_used(key):
+        return None
+    if not value:
+        return InputFailure(key, 'value', '', 'a value that can be read')
     if key == TABLE_KEY:
         return decode_table(value)
-    if key.startswith(REPLICAS_PREFIX):
-        return decode_entry(key, value)
-    return None
+    return decode_entry(key, value)
+
+
+def is_used(key: str) -> bool:
+    """Return whether the gateway uses an item with this key."""
+    return key == TABLE_KEY or key.startswith(REPLICAS_PREFIX)
 
 
 def decode_table(value: bytes) -> RoutingTable | Failure:
--- a/beechbridge/platform/store.py
+++ b/beechbridge/platform/store.py
@@ -3,52 +3,83 @@
 import base64
 import binascii
 import http.client
+import re
+from typing import Annotated
 from urllib.parse import urlencode
 
 import msgspec
+from msgspec import UNSET, Meta, UnsetType
 
-from ..failures import PlatformFailure, Reason
+from ..failures import InputFailure, PlatformFailure, Reason
 from ..gateway.models import Item
 from ..gateway.settings import Address
 from ..record import Record
-from ..wire.bounded_http import LimitedConnection, read_body
+from ..wire.bounded_http import LimitedConnection, OversizedResponseError, read_body
+from .items import MAX_EXACT, Count, is_used
 from .names import STORE_EPOCH
 
 HISTORY_LOST_STATUS = 410
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 """Largest response: a page has about 1 MB, the changes of a burst several."""
 
+EPOCH = re.compile(r'[0-9]{1,15}')
 ANSWER_TIME_FACTOR = 5.0
 """Multiple of the timeout within which a response that has begun must end."""
 
 
+Revision = Annotated[int, Meta(ge=1, le=MAX_EXACT)]
+Key = Annotated[str, Meta(min_length=1, max_length=200)]
+
+
 class ItemBody(msgspec.Struct):
-    """Wire format of one item or its deletion."""
+    """Wire format of one item, or of its deletion, which has a key and a revision only."""
 
-    key: str
-    rev: int
-    value: str = ''
+    key: Key
+    rev: Revision
+    value: str | UnsetType = UNSET
     """The item's bytes, Base64-encoded."""
 
+    created: Revision | UnsetType = UNSET
+    lease: Count | UnsetType = UNSET
     tombstone: bool = False
     """Whether the item was deleted at `rev`."""
 
+    def __post_init__(self) -> None:
+        """
+        Check which fields are there together.
+
+        :raises ValueError: if it is neither an item as it was written nor a deletion
+        """
+        if not self.tombstone and UNSET in (self.value, self.created, self.lease):
+            raise ValueError('Expected `value`, `created` and `lease`, or `tombstone`')
+
+
+class KeyBody(msgspec.Struct):
+    """The key of an item of which nothing else can be read."""
+
+    key: Key
+
 
 class RangeBody(msgspec.Struct):
-    """Wire format of a page of items."""
+    """Wire format of a page of items, which are decoded one by one."""
 
-    items: list[ItemBody] = []
-    current_rev: int = msgspec.field(name='currentRev', default=0)
+    items: list[msgspec.Raw]
+    current_rev: Revision = msgspec.field(name='currentRev')
     """Revision of the store, not of these items."""
 
-    has_more: bool = msgspec.field(name='hasMore', default=False)
+    has_more: bool = msgspec.field(name='hasMore')
 
 
 class WatchBody(msgspec.Struct):
-    """Wire format of the changes after a revision."""
+    """Wire format of the changes after a revision, which are decoded one by one."""
+
+    events: list[msgspec.Raw]
+    current_rev: Revision = msgspec.field(name='currentRev')
 
-    events: list[ItemBody] = []
-    current_rev: int = msgspec.field(name='currentRev', default=0)
+
+DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
+ITEM_DECODER = msgspec.json.Decoder(ItemBody)
+KEY_DECODER = msgspec.json.Decoder(KeyBody)
 
 
 class StoreAnswer(Record):
@@ -72,27 +103,47 @@
     Some of the items under a prefix.
 
     :param revision: revision of the store when it sent them
-    :param has_more: whether further items follow
+    :param last_key: key after which further items follow, empty if there are none
+    :param unreadable: failures of items whose keys cannot be read
     """
 
-    __slots__ = ('epoch', 'has_more', 'items', 'revision')
+    __slots__ = ('epoch', 'items', 'last_key', 'revision', 'unreadable')
 
-    def __init__(self, items: list[Item], revision: int, epoch: int, has_more: bool):
+    def __init__(
+        self,
+        items: list[Item],
+        revision: int,
+        epoch: int,
+        last_key: str = '',
+        unreadable: list[InputFailure] | None = None,
+    ):
         self.items = items
         self.revision = revision
         self.epoch = epoch
-        self.has_more = has_more
+        self.last_key = last_key
+        self.unreadable = unreadable or []
 
 
 class Changes(Record):
-    """Changes up to a revision, in one epoch of the store."""
+    """
+    Changes up to a revision, in one epoch of the store.
 
-    __slots__ = ('epoch', 'items', 'revision')
+    :param unreadable: failures of changes whose keys cannot be read
+    """
+
+    __slots__ = ('epoch', 'items', 'revision', 'unreadable')
 
-    def __init__(self, items: list[Item], revision: int, epoch: int = 0):
+    def __init__(
+        self,
+        items: list[Item],
+        revision: int,
+        epoch: int = 0,
+        unreadable: list[InputFailure] | None = None,
+    ):
         self.items = items
         self.revision = revision
         self.epoch = epoch
+        self.unreadable = unreadable or []
 
 
 class HistoryLost(Record):
@@ -126,8 +177,11 @@
         body = decode_body(answer, RangeBody)
         if isinstance(body, PlatformFailure):
             return body
-        items = [to_item(item) for item in body.items]
-        return Page(items, body.current_rev, answer.epoch, body.has_more)
+        items, unreadable = read_items(body.items, body.current_rev)
+        last_key = items[-1].key if items and body.has_more else ''
+        if body.has_more and not last_key:
+            return PlatformFailure(Reason.INVALID_DOCUMENT, detail='a page without a key')
+        return Page(items, body.current_rev, answer.epoch, last_key, unreadable)
 
     def watch(
         self, prefix: str, revision: int, wait_ms: int
@@ -142,8 +196,9 @@
         found = decode_body(answer, WatchBody)
         if isinstance(found, PlatformFailure):
             return found
-        events = [to_item(event) for event in found.events]
-        return Changes(events, found.current_rev, answer.epoch)
+        items, unreadable = read_items(found.events, found.current_rev)
+        changes = [item for item in items if is_used(item.key)]
+        return Changes(changes, found.current_rev, answer.epoch, unreadable)
 
     def call(self, path: str, parameters: dict, wait_s: float) -> StoreAnswer | PlatformFailure:
         """Send one request; a connection that failed is closed and not reused."""
@@ -160,12 +215,17 @@
             connection.request('GET', f'{path}?{urlencode(parameters)}')
             response = connection.getresponse()
             body = read_body(response)
+        except OversizedResponseError as error:
+            self.close()
+            return PlatformFailure(Reason.TOO_LARGE, detail=type(error).__name__)
         except (OSError, http.client.HTTPException) as error:
             self.close()
             return PlatformFailure(Reason.PLATFORM_UNAVAILABLE, detail=type(error).__name__)
         if response.will_close:
             self.close()
         epoch = read_epoch(response.getheader(STORE_EPOCH))
+        if epoch is None:
+            return PlatformFailure(Reason.INVALID_DOCUMENT, detail=f'unreadable {STORE_EPOCH}')
         return StoreAnswer(response.status, body, epoch)
 
     def close(self) -> None:
@@ -175,9 +235,11 @@
             self.connection = None
 
 
-def read_epoch(text: str | None) -> int:
-    """Return the epoch in a response header, 0 if the store sends none."""
-    return int(text) if text is not None and text.isdecimal() else 0
+def read_epoch(text: str | None) -> int | None:
+    """Return the epoch in a response header: 0 if there is none, None if it is no number."""
+    if text is None:
+        return 0
+    return int(text) if EPOCH.fullmatch(text) else None
 
 
 def decode_body(answer: StoreAnswer, body_type: type) -> object | PlatformFailure:
@@ -187,20 +249,48 @@
         return PlatformFailure(Reason.PLATFORM_UNAVAILABLE, detail=f'status {answer.status}')
     try:
         return msgspec.json.decode(answer.body, type=body_type)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         return PlatformFailure(Reason.INVALID_DOCUMENT, detail=str(error))
 
 
-def to_item(body: ItemBody) -> Item:
+def read_items(bodies: list[msgspec.Raw], revision: int) -> tuple[list[Item], list[InputFailure]]:
     """
-    Convert a wire item to a store item.
+    Decode the items of a list, each on its own.
 
-    A value that is not valid Base64 is kept as it is; decoding the item reports it later.
+    :param revision: revision of the store when it sent them
+    :return: the items, and failures of those whose keys cannot be read
     """
+    items = []
+    unreadable = []
+    for body in bodies:
+        item = read_item(body, revision)
+        if isinstance(item, InputFailure):
+            unreadable.append(item)
+            continue
+        items.append(item)
+    return items, unreadable
+
+
+def read_item(body: msgspec.Raw, revision: int) -> Item | InputFailure:
+    """Decode one item; one of which only the key can be read has an empty value."""
+    try:
+        item = ITEM_DECODER.decode(body)
+    except DECODE_ERRORS as error:
+        cause = str(error)
+    else:
+        return to_item(item)
+    try:
+        return Item(KEY_DECODER.decode(body).key, b'', revision)
+    except DECODE_ERRORS:
+        return InputFailure('store', 'item', cause, 'an item or its deletion')
+
+
+def to_item(body: ItemBody) -> Item:
+    """Convert a wire item to a store item; a value that is not valid Base64 is empty."""
     if body.tombstone:
         return Item(body.key, None, body.rev)
     try:
         value = base64.b64decode(body.value, validate=True)
     except (binascii.Error, ValueError):
-        value = body.value.encode()
+        value = b''
     return Item(body.key, value, body.rev)
--- a/tests/test_defects.py
+++ b/tests/test_defects.py
@@ -72,7 +72,7 @@
         self.call_count += 1
         if self.call_count == 1:
             divide_by_zero()
-        return Page([], 5, 1, has_more=False)
+        return Page([], 5, 1)
 
     def watch(self, prefix, revision, wait_ms):
         return Failure(Reason.PLATFORM_UNAVAILABLE)
