Log an unreadable item once, and show it to operators

An entry of another writer that is written at each beat took a log line at each beat, and the line had the whole value of a field: a state of 100,000 characters made one of that size. Operators could not see what is unreadable now, only what had been once.

An item is logged once for each reason, also if two writers take turns, in at most 300 characters, and at most 40 items of one event have lines of their own. The latest 2,000 reasons are remembered; the state dump has the number of the items that cannot be read now and 50 of them, the metrics the number.

--- a/beechbridge/daemon/metrics.py
+++ b/beechbridge/daemon/metrics.py
@@ -49,6 +49,7 @@
         'store_reached': int(core.store.is_reached),
         'members': core.fleet.size,
         'replicas': len(core.upstreams.by_id),
+        'unreadable_items': len(core.unreadable.current),
     }
     for name, value in gauges.items():
         Gauge(METRIC_PREFIX + name, name, registry=registry).set({}, value)
--- a/beechbridge/gateway/interface.py
+++ b/beechbridge/gateway/interface.py
@@ -17,6 +17,7 @@
     from .fleet.stopping import Stopping
     from .latencies import CallerTimeouts, Histogram
     from .models import ReplicaEntry
+    from .replicas.decoding import UnreadableItems
     from .replicas.limits import Limits
     from .replicas.notices import NoticeBook
     from .replicas.reach import Reach
@@ -54,6 +55,7 @@
     table: 'RoutingTable | None'
     view: 'StoreView'
     store: 'StoreStatus'
+    unreadable: 'UnreadableItems'
     upstreams: 'Upstreams'
     reach: 'Reach'
     replica_by_key: 'dict[str, ReplicaState]'
--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -54,6 +54,7 @@
     handle_settings_reloaded,
 )
 from .models import Member, ReplicaEntry
+from .replicas.decoding import UnreadableItems
 from .replicas.limits import Limits
 from .replicas.notices import NoticeBook
 from .replicas.reach import Reach, ReachTimer
@@ -168,6 +169,7 @@
         'suspicions',
         'table',
         'timers',
+        'unreadable',
         'upstreams',
         'view',
         'waiting',
@@ -209,6 +211,7 @@
         self.table: RoutingTable | None = None
         self.view = StoreView()
         self.store = StoreStatus()
+        self.unreadable = UnreadableItems()
         self.upstreams = Upstreams()
         self.reach = Reach()
         self.replica_by_key: dict[str, ReplicaState] = {}
@@ -368,6 +371,7 @@
             'exchanges': len(self.upstreams.exchanges),
             'members': self.fleet.describe(self.now_ms),
             'limits': self.limits.describe(),
+            'unreadable': self.unreadable.describe(),
             'suspects': self.suspicions.describe(self.now_ms),
             'replicas': replicas,
             'counters': {
--- a/beechbridge/gateway/replicas/store_updates.py
+++ b/beechbridge/gateway/replicas/store_updates.py
@@ -10,7 +10,7 @@
 from ..models import Item, ReplicaEntry
 from ..requests.evidence import REMOVED, confirm_end
 from ..routes import RoutingTable
-from .decoding import decode, report_defect
+from .decoding import decode, log_unreadable, note_unreadable, report_defect
 from .restoration import ConfirmationTimer, start_epoch
 from .upstreams import ReplicaState
 
@@ -105,8 +105,10 @@
     for item in applied:
         apply_item(item, gateway, is_listing)
     for failure in event.unreadable:
-        gateway.counters.add('items_unreadable')
-        gateway.act(WriteLine('item_unreadable', {'key': None, 'detail': failure.detail}))
+        note_unreadable(failure, failure.source, gateway)
+        # Without a key nobody could tell when it can be read.
+        gateway.unreadable.remove(failure.source)
+    log_unreadable(gateway)
     if is_listing:
         log_listing(len(applied), len(gateway.upstreams.by_id) - known_count, gateway)
     if gateway.is_ready() and not was_ready:
@@ -136,6 +138,7 @@
 def apply_change(item: Item, gateway: GatewayInterface, is_listing: bool) -> None:
     """Apply one changed store item to the routing table or a replica."""
     if item.value is None:
+        gateway.unreadable.remove(item.key)
         state = gateway.replica_by_key.get(item.key)
         if state is not None:
             apply_entry_removal(item.key, state, gateway)
@@ -143,16 +146,16 @@
     decoded = decode(item, gateway)
     if decoded is None:
         return
-    if isinstance(decoded, RoutingTable):
-        apply_table(decoded, gateway)
-        return
     state = gateway.replica_by_key.get(item.key)
     if isinstance(decoded, Failure):
-        gateway.counters.add('items_unreadable')
-        gateway.act(WriteLine('item_unreadable', {'key': item.key, 'detail': decoded.detail}))
+        note_unreadable(decoded, item.key, gateway)
         if state is not None:
             drop_replica(item.key, state, 'entry unreadable', gateway)
         return
+    gateway.unreadable.remove(item.key)
+    if isinstance(decoded, RoutingTable):
+        apply_table(decoded, gateway)
+        return
     apply_entry(item.key, decoded, state, gateway, is_listing)
 
 
@@ -242,6 +245,7 @@
         return
     for item in gateway.view.apply_changes([timer.item], gateway.view.revision):
         apply_item(item, gateway)
+    log_unreadable(gateway)
 
 
 def drop_replica(key: str, state: ReplicaState, cause: str, gateway: GatewayInterface) -> None:
--- a/tests/test_odd_items.py
+++ b/tests/test_odd_items.py
@@ -6,9 +6,16 @@
 import msgspec
 from nose2.tools import params
 
+from beechbridge.daemon.metrics import render_gateway
 from beechbridge.gateway.actions import PullChanges, WriteLine
 from beechbridge.gateway.events import ChangesReceived, PullEnded
 from beechbridge.gateway.models import Item
+from beechbridge.gateway.replicas.decoding import (
+    MAX_REASON_CHARACTERS,
+    MAX_REMEMBERED,
+    MAX_SHOWN,
+    MAX_SINGLE_LINES,
+)
 from beechbridge.gateway.replicas.notices import NoticeBook
 from beechbridge.platform.items import decode_item
 from beechbridge.platform.names import REPLICAS_PREFIX, TABLE_KEY
@@ -250,3 +257,62 @@
         reader.gateway.decode_item = DefectiveReader().decode
         reader.change([(name_entry(0), encode(ENTRY, state='draining'))])
         self.assertEqual(set(reader.gateway.replica_by_key), {KEY})
+
+
+class ReportTest(unittest.TestCase):
+    # Guards against a log that one writer fills with the same line at each of its beats.
+    def test_item_is_logged_once_with_its_reason(self):
+        reader = PlatformReader()
+        for _ in range(5):
+            reader.change([(KEY, encode(ENTRY, state='odd'))])
+        (line,) = reader.find_lines('item_unreadable')
+        self.assertEqual(line['key'], KEY)
+        self.assertIn('odd', line['detail'])
+        self.assertEqual(reader.gateway.counters.get('items_unreadable'), 5)
+        reader.change([(KEY, omit(ENTRY, 'zone'))])
+        self.assertEqual(len(reader.find_lines('item_unreadable')), 2)
+
+    def test_writers_that_take_turns_are_logged_once(self):
+        reader = PlatformReader()
+        for _ in range(5):
+            reader.change([(KEY, encode(ENTRY))])
+            reader.change([(KEY, omit(ENTRY, 'zone'))])
+        self.assertEqual(len(reader.find_lines('item_unreadable')), 1)
+
+    @params(encode(ENTRY), None)
+    def test_operators_see_what_cannot_be_read_now(self, after):
+        reader = PlatformReader()
+        reader.change([(KEY, omit(ENTRY, 'zone')), (LATE_KEY, b'\xff')])
+        described = reader.gateway.describe()['unreadable']
+        self.assertEqual(described['count'], 2)
+        self.assertEqual(set(described['items']), {KEY, LATE_KEY})
+        self.assertIn('zone', described['items'][KEY])
+        reader.change([(KEY, after)])
+        self.assertEqual(set(reader.gateway.describe()['unreadable']['items']), {LATE_KEY})
+        self.assertIn(b'beechbridge_unreadable_items', render_gateway(reader.gateway)[1])
+
+    @params(*WAYS)
+    def test_thousands_of_items_take_few_lines_and_little_memory(self, way):
+        reader = PlatformReader()
+        values = [(f'{KEY}-{number}', b'') for number in range(5_000)]
+        getattr(reader, way)([*values, *surround([])])
+        self.assertLessEqual(len(reader.find_lines('item_unreadable')), MAX_SINGLE_LINES)
+        (line,) = reader.find_lines('items_unreadable')
+        self.assertEqual(line['items'], 5_000)
+        described = reader.gateway.describe()['unreadable']
+        self.assertEqual(described['count'], MAX_REMEMBERED)
+        self.assertLessEqual(len(described['items']), MAX_SHOWN)
+        self.assertTrue(reader.gateway.is_ready())
+
+    # Guards against a line of a megabyte: an item may have that many bytes.
+    @params(
+        (KEY, encode(ENTRY, state='s' * 100_000)),
+        (KEY, encode(ENTRY, addr='h' * 100_000)),
+        (KEY, encode(ENTRY, addr='10.0.0.9:' + '\u0000' * 150)),
+        (REPLICAS_PREFIX + '\u20ac' * 190, encode(ENTRY)),
+    )
+    def test_reason_is_short(self, key, value):
+        reader = PlatformReader()
+        reader.change([(key, value)])
+        (line,) = reader.find_lines('item_unreadable')
+        self.assertLessEqual(len(line['detail']), MAX_REASON_CHARACTERS)
--- a/tests/test_store_lists.py
+++ b/tests/test_store_lists.py
@@ -155,6 +155,7 @@
         self.assertEqual(set(reader.gateway.replica_by_key), {BEHIND_KEY})
         self.assertEqual(reader.gateway.counters.get('items_unreadable'), 1)
         self.assertEqual(len(reader.find_lines('item_unreadable')), 1)
+        self.assertEqual(reader.gateway.describe()['unreadable']['count'], 0)
 
     # Keys that no VM uses are not kept: anybody may write large values there.
     def test_changes_of_unused_keys_are_left_out(self):
