--- a/soak/standins.py
+++ b/soak/standins.py
@@ -193,8 +193,12 @@
 
     def put(self, key: str, value: object) -> float:
         """Write an item; return the time of the acknowledgement."""
+        return self.put_bytes(key, json.dumps(value).encode())
+
+    def put_bytes(self, key: str, value: bytes) -> float:
+        """Write an item with a value of any bytes; return the time of the acknowledgement."""
         self.revision += 1
-        text = base64.b64encode(json.dumps(value).encode()).decode()
+        text = base64.b64encode(value).decode()
         item = {'key': key, 'rev': self.revision, 'value': text, 'created': 1, 'lease': 0}
         self.items[key] = item
         return self.notify_watches(item)
