Keep only the start of entries that are too large

An entry of another writer may have a megabyte. Each VM kept a copy of every one, forwarded it to each VM that starts, and took it for a dictionary: four entries of 2 KB or more were enough to replace the last table there, after which a successor of that table crosses the links whole.

Entries of over 16 KiB name nothing, and only so much of them is kept that they still are too large. Only tables become dictionaries, when they are applied: `StoreView` does not know what an item is, so the gateway adds them. One test of pulls has a view without a gateway and adds its table itself now; what it checks is unchanged.

--- a/beechbridge/gateway/replicas/dictionaries.py
+++ b/beechbridge/gateway/replicas/dictionaries.py
@@ -1,4 +1,4 @@
-"""Large values of the store that two VMs both have, as dictionaries to compress newer ones."""
+"""Large tables of the store that two VMs both have, as dictionaries to compress newer ones."""
 
 import hashlib
 
@@ -24,7 +24,7 @@
 
 
 class Dictionaries:
-    """Latest large values of a VM's copy of the store, the newest last."""
+    """Latest large tables of a VM's copy of the store, the newest last."""
 
     __slots__ = ('entries',)
 
--- a/beechbridge/gateway/replicas/store_updates.py
+++ b/beechbridge/gateway/replicas/store_updates.py
@@ -154,6 +154,8 @@
         return
     gateway.unreadable.remove(item.key)
     if isinstance(decoded, RoutingTable):
+        # Anybody may write a large entry, and no later one resembles it.
+        gateway.view.dictionaries.add(item.value)
         apply_table(decoded, gateway)
         return
     apply_entry(item.key, decoded, state, gateway, is_listing)
--- a/beechbridge/gateway/replicas/store_view.py
+++ b/beechbridge/gateway/replicas/store_view.py
@@ -59,7 +59,6 @@
                 continue
             self.tombstones.pop(change.key, None)
             self.items[change.key] = change
-            self.dictionaries.add(change.value)
         self.revision = max(self.revision, revision)
         while len(self.tombstones) > MAX_TOMBSTONES:
             self.tombstones.pop(next(iter(self.tombstones)))
--- a/beechbridge/platform/items.py
+++ b/beechbridge/platform/items.py
@@ -21,6 +21,9 @@
 MAX_EXACT = 2**53
 """Greatest count up to which every whole number has a JSON number of its own."""
 
+MAX_ENTRY_BYTES = 16_384
+"""Largest entry; one of the pages has some 150 bytes. Of a larger one not all has to be kept."""
+
 MAX_DURATION_MS = 86_400_000.0
 """One day: no time-out or warm-up is longer."""
 
@@ -204,6 +207,8 @@
     replica_id = key[len(REPLICAS_PREFIX) :]
     if REPLICA_ID.fullmatch(replica_id) is None:
         return InputFailure(key, 'ID', replica_id, 'printable ASCII')
+    if len(value) > MAX_ENTRY_BYTES:
+        return InputFailure(key, 'value', 'too large', f'{MAX_ENTRY_BYTES} bytes')
     try:
         item = ENTRY_DECODER.decode(value)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
--- a/beechbridge/platform/store.py
+++ b/beechbridge/platform/store.py
@@ -15,8 +15,8 @@
 from ..gateway.settings import Address
 from ..record import Record
 from ..wire.bounded_http import LimitedConnection, OversizedResponseError, read_body
-from .items import MAX_EXACT, Count, is_used
-from .names import STORE_EPOCH
+from .items import MAX_ENTRY_BYTES, MAX_EXACT, Count, is_used
+from .names import STORE_EPOCH, TABLE_KEY
 
 HISTORY_LOST_STATUS = 410
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
@@ -286,11 +286,18 @@
 
 
 def to_item(body: ItemBody) -> Item:
-    """Convert a wire item to a store item; a value that is not valid Base64 is empty."""
+    """
+    Convert a wire item to a store item.
+
+    A value that is not valid Base64 is empty. Of an entry that is too large only so much is kept
+    that it still is: each VM has a copy.
+    """
     if body.tombstone:
         return Item(body.key, None, body.rev)
     try:
         value = base64.b64decode(body.value, validate=True)
     except (binascii.Error, ValueError):
         value = b''
+    if body.key != TABLE_KEY:
+        value = value[: MAX_ENTRY_BYTES + 1]
     return Item(body.key, value, body.rev)
--- a/tests/test_pulls.py
+++ b/tests/test_pulls.py
@@ -129,6 +129,8 @@
     def setUp(self):
         self.view = StoreView()
         self.view.apply_changes([Item('table', DOCUMENT, 5), Item('other', b'bytes', 6)], 6)
+        # As the gateway does with each table.
+        self.view.dictionaries.add(DOCUMENT)
         core = SimpleNamespace(view=self.view, counters=Counters())
         loop = asyncio.new_event_loop()
         self.pages = GatewayPages(core, loop, None)
--- a/tests/test_store_lists.py
+++ b/tests/test_store_lists.py
@@ -15,7 +15,9 @@
 from beechbridge.failures import PlatformFailure, Reason
 from beechbridge.gateway.events import ChangesReceived
 from beechbridge.gateway.models import Item
+from beechbridge.gateway.replicas.dictionaries import Dictionary
 from beechbridge.platform import store
+from beechbridge.platform.items import MAX_ENTRY_BYTES
 from beechbridge.platform.names import REPLICAS_PREFIX, TABLE_KEY
 from beechbridge.platform.store import Changes, Page, StoreAnswer, StoreClient
 from beechbridge.wire.fleet import decode_changes, encode_changes
@@ -220,6 +222,48 @@
         self.assertEqual(events[0].revision, REVISION)
 
 
+class LargeItemTest(unittest.TestCase):
+    # Guards against entries of a megabyte, of which each VM keeps a copy, and which all have to be
+    # pulled by a VM that starts.
+    @params('items', 'events')
+    def test_of_a_large_entry_only_the_start_is_kept(self, name):
+        odd = encode(ENTRY, later='x' * 1_000_000)
+        found = read_list(name, [body_of(ODD_KEY, odd), GOOD])
+        self.assertEqual([item.key for item in found.items], [ODD_KEY, BEHIND_KEY])
+        self.assertLessEqual(len(found.items[0].value), MAX_ENTRY_BYTES + 1)
+        reader = PlatformReader()
+        reader.list([(ODD_KEY, encode(ENTRY)), (TABLE_KEY, encode(TABLE))])
+        reader.deliver(ChangesReceived(found.items, found.revision))
+        self.assertEqual(set(reader.gateway.replica_by_key), {BEHIND_KEY})
+        (line,) = reader.find_lines('item_unreadable')
+        self.assertIn(str(MAX_ENTRY_BYTES), line['detail'])
+
+    @params((0, 1), (1, 0))
+    def test_entry_is_limited_to_the_byte(self, excess_bytes, expected):
+        plain = encode(ENTRY, later='')
+        value = encode(ENTRY, later='x' * (MAX_ENTRY_BYTES + excess_bytes - len(plain)))
+        found = read_list('items', [body_of(ODD_KEY, value)])
+        reader = PlatformReader()
+        reader.deliver(ChangesReceived(found.items, found.revision))
+        self.assertEqual(len(reader.gateway.replica_by_key), expected)
+
+    def test_large_table_is_kept_whole(self):
+        value = encode(TABLE, later='x' * 900_000)
+        found = read_list('items', [body_of(TABLE_KEY, value)])
+        self.assertEqual(found.items[0].value, value)
+
+    # Guards against tables that cross a narrow link whole since odd entries have taken the place
+    # of the last table as the dictionary.
+    def test_only_tables_are_dictionaries(self):
+        reader = PlatformReader()
+        table = encode(TABLE, later='x' * 5_000)
+        reader.list([(TABLE_KEY, table)])
+        reader.change([(f'{ODD_KEY}{n}', encode(ENTRY, later='x' * 5_000)) for n in range(9)])
+        reader.change([(f'{ODD_KEY}{n}', b'x' * 5_000) for n in range(9)])
+        reader.change([(TABLE_KEY, b'x' * 5_000)])
+        self.assertEqual(reader.gateway.view.dictionaries.latest, Dictionary(table))
+
+
 class HeaderTest(unittest.TestCase):
     # Guards against a store that is no longer followed: the number of its epoch is converted
     # outside of any check.
