Drop an answer once all of it was sent

A VM whose callers keep their connections open held the last answer of each: 60 connections with answers of 4 MB, all received, took a process over the 300 MB that it may have.

waitress keeps the buffer of an answer that was sent until a later one is sent over the same connection, or the connection closes.

The buffer is now replaced by an empty one as soon as nothing of it is left to send, under the lock under which waitress appends to it. It is replaced in place, and only if it is the one buffer of its connection, so the server's thread, which sends without that lock while no request is in hand, never finds the list changed.

--- a/beechbridge/daemon/front.py
+++ b/beechbridge/daemon/front.py
@@ -16,6 +16,7 @@
 
 import waitress
 from waitress.adjustments import Adjustments
+from waitress.buffers import OverflowableBuffer
 from waitress.channel import HTTPChannel
 from waitress.parser import HTTPRequestParser
 from waitress.server import BaseWSGIServer
@@ -131,6 +132,19 @@
         super().service()
         if not self.connected:
             self.app.drop_answer(self)
+        self.drop_sent()
+
+    def handle_write(self) -> None:
+        """Send more of an answer that its caller did not take at once."""
+        super().handle_write()
+        self.drop_sent()
+
+    def drop_sent(self) -> None:
+        """Drop an answer that was sent in full: waitress keeps it until it sends another one."""
+        with self.outbuf_lock:
+            if not self.total_outbufs_len and len(self.outbufs) == 1:
+                self.outbufs[0] = OverflowableBuffer(self.adj.outbuf_overflow)
+                self.current_outbuf_count = 0
 
     def handle_close(self) -> None:
         """Notify the application of the disconnection."""
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import http.client
+import io
 import re
 import socket
 import threading
@@ -175,6 +176,22 @@
             app.deliver(key, ANSWER)
         self.assertFalse(app.answers)
 
+    # A connection that stayed open kept its last answer, though all of it had been sent.
+    @params((100_000,), (8_000_000,))
+    def test_answer_is_not_kept_once_it_is_sent(self, body_bytes):
+        self.front.serve_without_threads()
+        with self.front.connect() as sock:
+            for _ in range(2):
+                sock.sendall((HEAD + '\r\n').encode())
+                key = self.front.next_event().key
+                channel = self.front.app.waiting[key].channel
+                self.front.app.deliver(key, MergedAnswer(b'x' * body_bytes, ['s1'], 0))
+                self.assertEqual(len(read_response(sock)[1]), body_bytes)
+                # What the server's thread sends last, it drops before it runs a call.
+                self.front.run_in_server(lambda: None)
+                held = [one.getfile().seek(0, io.SEEK_END) for one in channel.outbufs]
+                self.assertEqual(sum(held), 0)
+
     def test_chunked_body_is_reassembled(self):
         with self.front.connect() as sock:
             head = HEAD.replace('GET', 'POST') + 'Transfer-Encoding: chunked\r\n\r\n'
