Play the end of a planned stop against every event of a driver

The timer that ends a stop answers what is in hand, some of it as not run. It is now due at any moment of the plays of test_withdrawal, before and after each event is heard; no request that was sent is said not to have run.

--- a/tests/test_withdrawal.py
+++ b/tests/test_withdrawal.py
@@ -308,6 +308,13 @@
     return min(driver.gateway.permit_requests.batches, default=0)
 
 
+def end_stop(driver):
+    """Return the timer that answers all requests, since the time for them in a stop is over."""
+    stopping = driver.gateway.stopping
+    stopping.asked_ms = driver.now_ms - stopping.grace_ms
+    return ExitTimer()
+
+
 TIMERS = {
     'deadline': lambda driver: DeadlineTimer(KEY),
     'check': lambda driver: CheckTimer(KEY),
@@ -320,7 +327,7 @@
     'removal': lambda driver: RemovalTimer('replica/register-0', 0.0),
     'confirmation': lambda driver: ConfirmationTimer(Item('replica/register-0', None, 1), 0),
     'close': lambda driver: CloseTimer(),
-    'exit': lambda driver: ExitTimer(driver.now_ms + 10_000.0),
+    'exit': end_stop,
 }
 
 
