Make the soak find requests that planned stops cut off

The soak did not find the requests that planned stops cut off, since replicas worked for a few milliseconds, stops came one at a time, callers left a VM as soon as the directory dropped it, and nearly every run had unplanned faults, which excuse what is lost.

New kinds are long_work, tiny_chunks, stop_series, stop_again, stop_amid_changes and odd_entry. `--planned` draws only kinds that excuse nothing, so that requests that are aborted count without a time limit as well; `--nohabits` has the callers and replicas of earlier seeds.

`check_lost` reports requests that were sent 0.2 s before their connection ended and reached no replica. The report of an aborted request says when it was sent and ended after the SIGTERM, and whether its replica was at work.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,7 +8,7 @@
 
 from .callers import Caller
 from .fleet import GRACE_S, Vm
-from .ledger import LIMIT_STABLE_S, NamedLimit
+from .ledger import LIMIT_STABLE_S, NamedLimit, Stop
 from .standins import DEADLY, ENDLESS_REPLIES
 
 FAULT_GAP_S = (0.3, 2.0)
@@ -41,9 +41,37 @@
     'leaving_replica',
     'babbling_replica',
     'deadly_request',
+    'long_work',
+    'tiny_chunks',
+    'stop_series',
+    'stop_again',
+    'stop_amid_changes',
+    'odd_entry',
 )
 """Further kinds, drawn only if named, so that the faults of earlier seeds stay the same."""
 
+PLANNED = (
+    'stop_vm',
+    'reload_vm',
+    'slow_replica',
+    'drain_replica',
+    'change_table',
+    'reshard',
+    'long_work',
+    'tiny_chunks',
+    'stop_series',
+    'stop_again',
+    'stop_amid_changes',
+)
+"""Kinds that excuse nothing: planned work, and what replicas do by right."""
+
+SERIES_GAP_S = 1.0
+UNTIMED_GRACE_S = 60.0
+"""Time for a stop whose time limit is not checked."""
+
+ODD_PORTS = (0, -1, 65_536, '9' * 5_000, 'x', '')
+NESTING_DEPTH = 2_000
+
 COPY_AGE_S = 2.0
 DEADLY_S = 8.0
 """Least time for which a request that ends replicas comes again."""
@@ -111,19 +139,57 @@
 
     async def stop_vm(self, duration_s: float) -> None:
         """Stop a process gracefully and restart it."""
-        vm = self.pick_vm()
+        await self.stop(self.pick_vm())
+
+    async def stop(self, vm: Vm) -> None:
+        """Stop a process gracefully and restart it, unless it is being stopped."""
         if vm.is_stopping:
             return
         vm.is_stopping = True
         vm.signal(signal.SIGTERM)
-        signalled_s = time.monotonic()
-        if not await vm.wait_exited(GRACE_S):
-            is_excused = self.soak.ledger.had_fault(vm.name, signalled_s, time.monotonic())
-            if self.soak.include_timing and not is_excused:
+        stop = Stop(time.monotonic())
+        self.soak.ledger.stops[vm.name].append(stop)
+        include_timing = self.soak.include_timing
+        if not await vm.wait_exited(GRACE_S if include_timing else UNTIMED_GRACE_S):
+            is_excused = self.soak.ledger.had_fault(vm.name, stop.signalled_s, time.monotonic())
+            if not is_excused:
                 self.soak.violations.append(f'{vm.name} did not exit within its grace period')
             vm.kill()
+        stop.exited_s = time.monotonic()
         vm.start()
 
+    async def stop_series(self, duration_s: float) -> None:
+        """Stop each process in turn, without waiting for the one before."""
+        tasks = []
+        for vm in list(self.soak.vms):
+            tasks.append(asyncio.create_task(self.stop(vm)))
+            await asyncio.sleep(SERIES_GAP_S)
+        await asyncio.gather(*tasks)
+
+    async def stop_again(self, duration_s: float) -> None:
+        """Stop a process by several requests."""
+        vm = self.pick_vm()
+        if vm.is_stopping:
+            return
+        task = asyncio.create_task(self.stop(vm))
+        while not task.done():
+            await asyncio.sleep(self.rng.uniform(0.0, duration_s / 2.0))
+            if not task.done():
+                vm.signal(signal.SIGTERM)
+        await task
+
+    async def stop_amid_changes(self, duration_s: float) -> None:
+        """Stop a process while settings are reloaded and the configuration changes."""
+        vm = self.pick_vm()
+        for change in (None, self.soak.publish, None):
+            if change is not None:
+                task = asyncio.create_task(self.stop(vm))
+                change()
+            await asyncio.sleep(self.rng.uniform(0.0, duration_s / 2.0))
+            for other in self.soak.vms:
+                other.signal(signal.SIGHUP)
+        await task
+
     async def reload_vm(self, duration_s: float) -> None:
         """Make a process reload its settings."""
         self.pick_vm().signal(signal.SIGHUP)
@@ -164,6 +230,41 @@
         await asyncio.sleep(duration_s)
         replica.slowdown = 1.0
 
+    async def long_work(self, duration_s: float) -> None:
+        """Make a replica work long on some requests, up to the time limit of their callers."""
+        service = self.rng.choice(('register', self.soak.shards()[0]))
+        replica = self.rng.choice([one for one in self.soak.replicas if one.service == service])
+        usual_share = replica.long_share
+        replica.long_share = self.rng.uniform(0.05, 0.4)
+        await asyncio.sleep(2.0 * duration_s)
+        replica.long_share = usual_share
+
+    async def tiny_chunks(self, duration_s: float) -> None:
+        """Make a replica send its replies in tiny chunks."""
+        replica = self.rng.choice(self.soak.replicas)
+        replica.chunk_bytes = self.rng.randint(1, 3)
+        await asyncio.sleep(duration_s)
+        replica.chunk_bytes = 0
+
+    async def odd_entry(self, duration_s: float) -> None:
+        """Put an entry into the store that is not one of a replica."""
+        store = self.soak.store
+        entry = dict(self.rng.choice(self.soak.replicas).entry)
+        kind = self.rng.choice(('field', 'port', 'nested', 'bytes'))
+        if kind == 'field':
+            del entry[self.rng.choice(('service', 'addr', 'state', 'zone'))]
+        if kind == 'port':
+            entry['addr'] = f'127.9.0.1:{self.rng.choice(ODD_PORTS)}'
+        value = json.dumps(entry).encode()
+        if kind == 'nested':
+            value = b'[' * NESTING_DEPTH + b']' * NESTING_DEPTH
+        if kind == 'bytes':
+            value = self.rng.randbytes(64)
+        key = f'servers/odd-{len(self.applied)}'
+        store.put_bytes(key, value)
+        await asyncio.sleep(duration_s)
+        store.remove(key)
+
     async def lossy_replica(self, duration_s: float) -> None:
         """Make a replica lose responses, reject requests, or respond twice."""
         replica = self.rng.choice(self.soak.replicas)
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -1,5 +1,7 @@
 """Recorded traffic of callers and replicas, and the checks of what the product promises."""
 
+import hashlib
+import math
 from collections import Counter, defaultdict
 
 DRAIN_S = 3.0
@@ -22,12 +24,37 @@
 MAX_DEADLY_ARRIVALS = 3
 QUARANTINED = b'"quarantined"'
 LIMIT_EXTRA = 5
+LOSS_SLACK_S = 0.2
+"""Age from which a request counts as read."""
+
+CONDENSED_BYTES = 65_536
+"""Size above which only the hash of a body is kept."""
+
+
+def condense(body: bytes) -> bytes:
+    """Return a body, or its hash if it is large."""
+    return body if len(body) <= CONDENSED_BYTES else hashlib.sha256(body).digest()
+
+
+class Stop:
+    """A planned stop of a VM."""
+
+    __slots__ = ('exited_s', 'signalled_s')
+
+    def __init__(self, signalled_s: float, exited_s: float = math.inf):
+        self.signalled_s = signalled_s
+        self.exited_s = exited_s
 
 
 class Arrival:
-    """A request that reached a replica; `has_run` is false if the replica rejected it."""
+    """
+    A request that reached a replica.
+
+    :param has_run: whether the replica did not reject it
+    :param ended_s: when the replica had done its work, infinity if it broke off
+    """
 
-    __slots__ = ('at_s', 'has_run', 'replica', 'request_id', 'service', 'vm')
+    __slots__ = ('at_s', 'ended_s', 'has_run', 'replica', 'request_id', 'service', 'vm')
 
     def __init__(
         self, at_s: float, request_id: str, replica: str, service: str, vm: str, has_run: bool
@@ -38,6 +65,7 @@
         self.service = service
         self.vm = vm
         self.has_run = has_run
+        self.ended_s = math.inf
 
 
 class Part:
@@ -48,7 +76,7 @@
     def __init__(self, request_id: str, service: str, body: bytes):
         self.request_id = request_id
         self.service = service
-        self.body = body
+        self.body = condense(body)
 
 
 class NamedLimit:
@@ -64,9 +92,29 @@
 
 
 class CallerRequest:
-    """A request of a caller and its response; `status` is None if there was no response."""
+    """
+    A request of a caller and its response; `status` is None if there was no whole response.
 
-    __slots__ = ('body', 'ended_s', 'headers', 'kind', 'request_id', 'sent_s', 'status', 'vm')
+    :param sent_s: when the caller began to connect or to send
+    :param written_s: when all of the request was sent, infinity if it never was
+    :param read_s: time over which the caller reads the body of the response
+    :param has_left: whether the caller closed the connection while it waited
+    """
+
+    __slots__ = (
+        'body',
+        'ended_s',
+        'has_left',
+        'headers',
+        'kind',
+        'read_s',
+        'request_id',
+        'sent_s',
+        'status',
+        'timeout_s',
+        'vm',
+        'written_s',
+    )
 
     def __init__(self, request_id: str, kind: str, vm: str, sent_s: float):
         self.request_id = request_id
@@ -74,6 +122,10 @@
         self.vm = vm
         self.sent_s = sent_s
         self.ended_s = sent_s
+        self.written_s = math.inf
+        self.timeout_s = math.inf
+        self.read_s = 0.0
+        self.has_left = False
         self.status: int | None = None
         self.headers: dict[str, str] = {}
         self.body = b''
@@ -88,6 +140,7 @@
     :param left_s: when a replica first said that it leaves, by replica id
     :param deadly_arrivals: time and VM of each arrival of a request that ends replicas, by target
     :param deadly_ends: times at which replicas ended under a request, by target
+    :param stops: planned stops by the VM's name
     :param vm_count: number of VMs; each learns what a replica says only from a reply to itself
     :param withdrawn_s: when the store acknowledged a replica's draining or removal, by replica id
     :param fault_spans: spans in which an unplanned fault affected a VM, by its name or `all`
@@ -104,6 +157,7 @@
         self.deadly_arrivals: dict[str, list[tuple[float, str]]] = defaultdict(list)
         self.deadly_ends: dict[str, list[float]] = defaultdict(list)
         self.vm_count = 1
+        self.stops: dict[str, list[Stop]] = defaultdict(list)
         self.fault_spans: dict[str, list[tuple[float, float]]] = defaultdict(list)
         self.table_acknowledged_s: dict[str, float] = {}
         self.min_share = 1.0
@@ -130,13 +184,15 @@
         violations.extend(self.check_budget())
         violations.extend(self.check_denied())
         violations.extend(self.check_quarantined())
+        if include_timing or not self.fault_spans:
+            violations.extend(self.check_aborted())
+            violations.extend(self.check_lost())
         if include_timing:
             violations.extend(self.check_withdrawn())
             violations.extend(self.check_limits())
             violations.extend(self.check_left())
             violations.extend(self.check_deadly())
             violations.extend(self.check_routes())
-            violations.extend(self.check_aborted())
         return violations
 
     def check_gather(self, request: CallerRequest) -> list[str]:
@@ -333,14 +389,54 @@
     def check_aborted(self) -> list[str]:
         """Check that no VM without an unplanned fault aborts requests that it has forwarded."""
         violations = []
-        forwarded_ids = {arrival.request_id for arrival in self.arrivals}
+        ended_s = self.map_work_ends()
         for request in self.requests:
-            if request.status is not None or request.request_id not in forwarded_ids:
+            if request.status is not None or request.request_id not in ended_s:
+                continue
+            is_too_slow = request.read_s and request.ended_s > request.sent_s + request.timeout_s
+            if request.has_left or is_too_slow:
                 continue
             if not self.had_fault(request.vm, request.sent_s, request.ended_s):
+                has_ended = ended_s[request.request_id] < request.ended_s
+                work = 'had done its work' if has_ended else 'was at work'
                 violations.append(
                     f'{request.kind} {request.request_id} was forwarded '
-                    f'but aborted by {request.vm}'
+                    f'but aborted by {request.vm}, {self.describe_times(request)}; '
+                    f'the replica {work}'
+                )
+        return violations
+
+    def map_work_ends(self) -> dict[str, float]:
+        """Return when a replica first had done its work, by the request's id."""
+        ended_s: dict[str, float] = {}
+        for arrival in self.arrivals:
+            earlier_s = ended_s.get(arrival.request_id, math.inf)
+            ended_s[arrival.request_id] = min(arrival.ended_s, earlier_s)
+        return ended_s
+
+    def describe_times(self, request: CallerRequest) -> str:
+        """Return when a request was sent and ended, after the latest SIGTERM of its VM."""
+        stops = [one for one in self.stops[request.vm] if one.signalled_s <= request.ended_s]
+        if not stops:
+            return f'{request.ended_s - request.sent_s:.2f} s after it was sent'
+        times = (request.sent_s, request.ended_s, stops[-1].exited_s)
+        sent_s, ended_s, exited_s = (at_s - stops[-1].signalled_s for at_s in times)
+        return f'sent {sent_s:.2f}, ended {ended_s:.2f}, exit {exited_s:.2f} s after SIGTERM'
+
+    def check_lost(self) -> list[str]:
+        """Check that requests that a VM must have read end with a response, forwarded or not."""
+        violations = []
+        forwarded_ids = {arrival.request_id for arrival in self.arrivals}
+        for request in self.requests:
+            if request.status is not None or request.request_id in forwarded_ids:
+                continue
+            is_read = request.ended_s > request.written_s + LOSS_SLACK_S
+            if not is_read or request.has_left:
+                continue
+            if not self.had_fault(request.vm, request.sent_s, request.ended_s):
+                violations.append(
+                    f'{request.kind} {request.request_id} was sent but not answered by '
+                    f'{request.vm}, {self.describe_times(request)}'
                 )
         return violations
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,9 +10,9 @@
 
 from beechbridge.status import ExitStatus
 
-from .callers import HOST, Caller
-from .faults import DRILLS, KINDS, Faults
-from .fleet import MEMORY_MB, Vm, check_addresses, make_folder
+from .callers import HOST, TIMEOUT_MS, Caller, Habits
+from .faults import DRILLS, KINDS, PLANNED, Faults
+from .fleet import GRACE_S, MEMORY_MB, Vm, check_addresses, make_folder
 from .ledger import Ledger
 from .proxy import Proxy
 from .standins import Replica, Store
@@ -22,6 +22,7 @@
 MIN_SHARE = 0.5
 TOP_RECORDS = 5
 START_TIMEOUT_S = 20.0
+LONG_SHARES = (0.0, 0.02, 0.1, 0.2)
 REPLICA_RESTART_S = 3.0
 SETTLE_S = 5.0
 MIN_SERVED_SHARE = 0.5
@@ -37,6 +38,7 @@
 
     def __init__(self, seed: int, vm_count: int, shard_count: int, include_timing: bool):
         self.rng = random.Random(seed)
+        self.habits_rng = random.Random(f'habits of {seed}')
         self.include_timing = include_timing
         self.ledger = Ledger()
         self.ledger.min_share = MIN_SHARE
@@ -70,7 +72,7 @@
                 await self.start_replica(service, zone)
         self.publish()
         proxy = await self.start_proxy(self.store.port)
-        hosts = [f'127.9.1.{number + 1}' for number in range(self.vm_count)]
+        hosts = [f'127.9.{FLAGS.network}.{number + 1}' for number in range(self.vm_count)]
         check_addresses(hosts)
         for number in range(self.vm_count):
             vm = Vm(number, hosts, f'{STAND_IN_HOST}:{proxy.port}', self.folder)
@@ -80,6 +82,10 @@
             rng = random.Random(self.rng.getrandbits(64))
             mix = ('gather', 'gather', 'lookup', 'filing')
             self.callers.append(Caller(number, self.vms, self.ledger, rng, mix))
+        for number in range(2 * self.vm_count if FLAGS.habits else 0):
+            rng = random.Random(self.habits_rng.getrandbits(64))
+            habits = Habits(rng)
+            self.callers.append(Caller(4000 + number, self.vms, self.ledger, rng, mix, habits))
         await self.wait_served()
 
     async def wait_served(self) -> None:
@@ -107,6 +113,10 @@
         self.next_replica += 1
         rng = random.Random(self.rng.getrandbits(64))
         replica = Replica(STAND_IN_HOST, f'i-{self.next_replica}', service, self.ledger, rng)
+        longest_s = TIMEOUT_MS['lookup' if service == 'register' else 'gather'] / 1000.0
+        replica.long_s = (min(GRACE_S, longest_s) / 3.0, longest_s)
+        if FLAGS.habits and service == 'register':
+            replica.long_share = self.habits_rng.choice(LONG_SHARES)
         await replica.start()
         proxy = await self.start_proxy(replica.port)
         replica.end = lambda: self.end_replica(replica, proxy)
@@ -270,7 +280,9 @@
     async def run() -> None:
         try:
             await soak.start()
-            await soak.run_with_faults(FLAGS.seconds, tuple(FLAGS.faults))
+            await soak.run_with_faults(
+                FLAGS.seconds, PLANNED if FLAGS.planned else tuple(FLAGS.faults)
+            )
         finally:
             soak.stop()
 
@@ -306,5 +318,8 @@
     flags.DEFINE_multi_enum(
         'faults', KINDS, (*KINDS, *DRILLS), 'kind of fault to draw from; may be repeated'
     )
+    flags.DEFINE_boolean('planned', False, 'draw only kinds that excuse no lost request')
+    flags.DEFINE_boolean('habits', True, 'add callers that stay, leave, hurry or read slowly')
+    flags.DEFINE_integer('network', 1, "third byte of the VMs' addresses; runs at once need two")
     flags.DEFINE_boolean('timed', True, 'also check promises with a time limit')
     sys.exit(app.run(main))
--- a/soak/standins.py
+++ b/soak/standins.py
@@ -10,8 +10,8 @@
 from collections.abc import Awaitable, Callable
 from urllib.parse import parse_qs, urlsplit
 
-from .http11 import Message, read_message, write_message
-from .ledger import Arrival, Ledger, Part
+from .http11 import Message, read_message, write_chunked, write_message
+from .ledger import RECORD_BYTES, Arrival, Ledger, Part
 from .listener import Listener
 
 SERVICE_TIME_S = 0.006
@@ -32,6 +32,11 @@
 DEADLY = 'deadly'
 """In the target of each request that ends the replicas that run it."""
 
+LARGE = 'large'
+"""In the target of each request for a large answer."""
+
+LARGE_RECORDS = 262_144
+
 REASONS = {200: 'OK', 404: 'Not Found', 410: 'Gone', 421: 'Misdirected', 503: 'Unavailable'}
 
 
@@ -77,9 +82,14 @@
         raise NotImplementedError
 
 
-def respond(status: int, headers: dict[str, str], body: bytes = b'') -> bytes:
-    """Encode a response."""
-    return write_message(f'HTTP/1.1 {status} {REASONS[status]}', headers, body)
+def respond(
+    status: int, headers: dict[str, str], body: bytes = b'', chunk_bytes: int = 0
+) -> bytes:
+    """Encode a response, in chunks of a size unless that is 0."""
+    first_line = f'HTTP/1.1 {status} {REASONS[status]}'
+    if chunk_bytes:
+        return write_chunked(first_line, headers, body, chunk_bytes)
+    return write_message(first_line, headers, body)
 
 
 async def send_without_end(kind: str, writer: asyncio.StreamWriter) -> None:
@@ -96,6 +106,8 @@
     A replica of a service.
 
     :param slowdown: factor applied to the service time
+    :param long_share: share of the requests that it works on for a time out of `long_s`
+    :param chunk_bytes: size of the chunks in which it sends small replies, 0 if with a length
     :param lose_share: share of the requests that run but get no response
     :param reject_share: share of the requests that are rejected
     :param late_share: share of the responses that are sent a second time, ahead of the next one
@@ -111,6 +123,9 @@
         self.ledger = ledger
         self.rng = rng
         self.slowdown = 1.0
+        self.long_share = 0.0
+        self.long_s = (0.0, 0.0)
+        self.chunk_bytes = 0
         self.lose_share = 0.0
         self.reject_share = 0.0
         self.late_share = 0.0
@@ -127,11 +142,10 @@
         is_misdirected = headers.get('beechbridge-expect-instance') != self.replica_id
         is_rejected = is_misdirected or self.rng.random() < self.reject_share
         vm = headers.get('x-entry-vm', '')
-        self.ledger.arrivals.append(
-            Arrival(
-                time.monotonic(), request_id, self.replica_id, self.service, vm, not is_rejected
-            )
+        arrival = Arrival(
+            time.monotonic(), request_id, self.replica_id, self.service, vm, not is_rejected
         )
+        self.ledger.arrivals.append(arrival)
         target = message.first_line.split()[1]
         if DEADLY in target and not is_rejected:
             self.ledger.deadly_arrivals[target].append((time.monotonic(), vm))
@@ -142,7 +156,10 @@
             return respond(503, {'Beechbridge-Not-Run': '1', **echo})
         self.run_count += 1
         signature = f'{self.replica_id}.{self.run_count}'
-        await asyncio.sleep(SERVICE_TIME_S * self.slowdown * self.rng.uniform(0.5, 2.0))
+        work_s = SERVICE_TIME_S * self.slowdown * self.rng.uniform(0.5, 2.0)
+        if self.long_share and self.rng.random() < self.long_share:
+            work_s = self.rng.uniform(*self.long_s)
+        await asyncio.sleep(work_s)
         if DEADLY in target:
             self.ledger.deadly_ends[target].append(time.monotonic())
             self.end()
@@ -151,7 +168,10 @@
             return functools.partial(send_without_end, self.endless_kind)
         if self.rng.random() < self.lose_share:
             return None
+        arrival.ended_s = time.monotonic()
         body = self.rng.randbytes(16 * self.rng.randrange(0, 8) + self.rng.randrange(0, 3))
+        if LARGE in target:
+            body = self.rng.randbytes(RECORD_BYTES) * LARGE_RECORDS
         self.ledger.parts[signature] = Part(request_id, self.service, body)
         answer = respond(
             200,
@@ -161,6 +181,7 @@
                 'Keep-Alive': f'timeout={KEEP_ALIVE_S}',
             },
             body,
+            0 if LARGE in target else self.chunk_bytes,
         )
         late, self.late = self.late, b''
         if self.rng.random() < self.late_share:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -4,7 +4,7 @@
 
 from nose2.tools import params
 
-from soak.ledger import Arrival, CallerRequest, Ledger, NamedLimit, Part
+from soak.ledger import Arrival, CallerRequest, Ledger, NamedLimit, Part, Stop, condense
 
 RECORD_A, RECORD_B = b'a' * 16, b'b' * 16
 
@@ -112,6 +112,58 @@
         ledger.arrivals.extend(make_arrival(100.0 + number) for number in range(count))
         self.assertEqual(len(ledger.check_left()), expected_count)
 
+    # A stop at 97 s; the request is sent at 100 s and its connection ends at 102 s.
+    @params(
+        ('forwarded', {}, 'aborted by vm-0, sent 3.00, ended 5.00, exit 5.10 s after SIGTERM'),
+        ('forwarded', {'has_left': True}, ''),
+        ('forwarded', {'read_s': 1.0, 'timeout_s': 3.0}, 'but aborted by'),
+        ('forwarded', {'read_s': 1.0, 'timeout_s': 1.9}, ''),
+        ('forwarded', {'timeout_s': 1.9}, 'but aborted by'),
+        ('read', {'written_s': 101.7}, 'was sent but not answered by vm-0'),
+        ('read', {'written_s': 101.9}, ''),
+        ('read', {}, ''),
+        ('read', {'written_s': 101.7, 'has_left': True}, ''),
+    )
+    def test_request_that_a_stop_cuts_off_is_reported(self, reached, fields, expected):
+        ledger = make_ledger()
+        request = make_request('filing', None)
+        request.ended_s = 102.0
+        for name, value in fields.items():
+            setattr(request, name, value)
+        ledger.requests.append(request)
+        ledger.stops['vm-0'].append(Stop(97.0, 102.1))
+        if reached == 'forwarded':
+            ledger.arrivals.append(make_arrival())
+        violations = ledger.check(include_timing=False)
+        self.assertEqual(len(violations), 1 if expected else 0)
+        self.assertIn(expected, ''.join(violations))
+
+    @params((101.9, 'had done its work'), (102.1, 'was at work'))
+    def test_report_says_whether_the_replica_was_at_work(self, work_ended_s, expected):
+        ledger = make_ledger()
+        request = make_request('filing', None)
+        request.ended_s = 102.0
+        ledger.requests.append(request)
+        ledger.arrivals.append(make_arrival())
+        ledger.arrivals[0].ended_s = work_ended_s
+        self.assertIn(expected, ledger.check_aborted()[0])
+
+    @params((RECORD_A * 262_144, 0), (RECORD_A * 262_143 + RECORD_B, 1), (RECORD_A * 9, 1))
+    def test_large_response_is_compared_whole(self, body, expected_count):
+        ledger = make_ledger()
+        ledger.parts['large'] = Part('q', 's1', RECORD_A * 262_144)
+        request = make_request('lookup', beechbridge_server_stamp='large', body=condense(body))
+        self.assertEqual(len(ledger.check_response(request)), expected_count)
+
+    # Without an unplanned fault there is no time in which a request may be aborted.
+    @params((False, 0), (True, 1))
+    def test_untimed_run_with_faults_does_not_judge_aborted_requests(self, timed, expected_count):
+        ledger = make_ledger()
+        ledger.requests.append(make_request('filing', None))
+        ledger.arrivals.append(make_arrival())
+        ledger.fault_spans['vm-1'].append((99.0, 100.5))
+        self.assertEqual(len(ledger.check(include_timing=timed)), expected_count)
+
     def test_fault_on_the_vm_excuses_an_aborted_request(self):
         ledger = make_ledger()
         ledger.requests.append(make_request('filing', None))
