Check that late in a stop no request is taken that is then given up

`check_taken_late` reports requests that a VM took later than 3.5 s after its SIGTERM and answered 502 while their replica was at work; those that may be repeated count only while another VM serves. Four mutants are for the checks of planned stops.

A SIGTERM to the soak ends its processes.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -63,7 +63,7 @@
     'stop_again',
     'stop_amid_changes',
 )
-"""Kinds that excuse nothing: planned work, and what replicas do by right."""
+"""Kinds that excuse nothing: planned work, and what replicas do by right. Seeds depend on them."""
 
 SERIES_GAP_S = 1.0
 UNTIMED_GRACE_S = 60.0
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -27,6 +27,12 @@
 LOSS_SLACK_S = 0.2
 """Age from which a request counts as read."""
 
+LONG_REQUEST_S = 3.0
+LONG_REQUEST_SLACK_S = 0.5
+"""Time after a SIGTERM until which a VM may take requests that outlast it, and its tolerance."""
+
+RESTART_S = 5.0
+
 CONDENSED_BYTES = 65_536
 """Size above which only the hash of a body is kept."""
 
@@ -193,6 +199,7 @@
             violations.extend(self.check_left())
             violations.extend(self.check_deadly())
             violations.extend(self.check_routes())
+            violations.extend(self.check_taken_late())
         return violations
 
     def check_gather(self, request: CallerRequest) -> list[str]:
@@ -414,6 +421,42 @@
             ended_s[arrival.request_id] = min(arrival.ended_s, earlier_s)
         return ended_s
 
+    def is_alone(self, vm: str, at_s: float) -> bool:
+        """Return whether all other VMs were stopping or starting at a time."""
+        for number in range(self.vm_count):
+            other = f'vm-{number}'
+            spans = [(one.signalled_s, one.exited_s + RESTART_S) for one in self.stops[other]]
+            if other != vm and not any(start_s <= at_s <= end_s for start_s, end_s in spans):
+                return False
+        return True
+
+    def check_taken_late(self) -> list[str]:
+        """Check that late in a stop no request is taken that the VM then gives up."""
+        violations = []
+        ended_s = self.map_work_ends()
+        for request in self.requests:
+            if request.status != 502 or request.ended_s > request.sent_s + request.timeout_s:
+                continue
+            work_ended_s = ended_s.get(request.request_id, 0.0)
+            if not request.ended_s < work_ended_s < math.inf:
+                continue
+            for stop in self.stops[request.vm]:
+                since_s = stop.signalled_s + LONG_REQUEST_S + LONG_REQUEST_SLACK_S
+                if not since_s < request.sent_s < stop.exited_s:
+                    continue
+                # Requests that may be repeated are taken while no other VM serves.
+                may_outlast = request.kind != 'filing' and self.is_alone(
+                    request.vm, request.sent_s
+                )
+                if not may_outlast and not self.had_fault(
+                    request.vm, stop.signalled_s, request.ended_s
+                ):
+                    violations.append(
+                        f'{request.kind} {request.request_id} was given up by {request.vm} while '
+                        f'its replica was at work, {self.describe_times(request)}'
+                    )
+        return violations
+
     def describe_times(self, request: CallerRequest) -> str:
         """Return when a request was sent and ended, after the latest SIGTERM of its VM."""
         stops = [one for one in self.stops[request.vm] if one.signalled_s <= request.ended_s]
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -54,6 +54,7 @@
 NO_OPTIONS = ()
 LIMITED = ('--shards=2', '--faults=limited_replica', '--seconds=30')
 LEAVING = ('--shards=2', '--faults=leaving_replica', '--seconds=30')
+STOPS = ('--faults=stop_series', '--faults=long_work', '--seconds=25')
 DEADLY = ('--shards=2', '--faults=deadly_request', '--seconds=20')
 
 
@@ -211,10 +212,43 @@
         Edit(
             f'{GATEWAY}/fleet/stopping.py',
             "    gateway.act(WriteLine('stop_asked'",
-            "    gateway.act(ExitProcess())\n    gateway.act(WriteLine('stop_asked'",
+            "    gateway.act(ExitProcess(0.0))\n    gateway.act(WriteLine('stop_asked'",
         ),
         Edit('beechbridge/daemon/gateway.py', 'EXIT_DELAY_S = 0.15', 'EXIT_DELAY_S = 0.0'),
     ),
+    SoakMutant(
+        'the exit drops what is in flight',
+        'the replica was at work',
+        STOPS,
+        Edit(f'{GATEWAY}/fleet/stopping.py', 'answer_work(work, gateway)', 'pass'),
+    ),
+    SoakMutant(
+        'the exit drops answers that are being sent',
+        'the replica had done its work',
+        STOPS,
+        Edit('beechbridge/daemon/front.py', 'if is_sent or', 'if True or'),
+    ),
+    SoakMutant(
+        'requests that a stopping VM rejects get no answer',
+        'was sent but not answered by',
+        STOPS,
+        Edit(
+            'beechbridge/daemon/front.py',
+            'if caller is None:\n            return\n        self.keys_by_channel',
+            "if caller is None or getattr(answer, 'reason', None) is Reason.STOPPING:\n"
+            '            return\n        self.keys_by_channel',
+        ),
+    ),
+    SoakMutant(
+        'work is taken until the end of a stop',
+        'was given up by',
+        STOPS,
+        Edit(
+            f'{GATEWAY}/fleet/stopping.py',
+            'return now_ms >= self.at_ms(LONG_REQUEST_SHARE) and',
+            'return False and',
+        ),
+    ),
 )
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import shutil
+import signal
 import sys
 import time
 
@@ -312,6 +313,8 @@
 
 def main(arguments: list[str]) -> ExitStatus:
     """Run the seeds in sequence; fail if a promise was broken."""
+    # Like Ctrl-C, so that no process of the soak is left behind.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     failed = []
     first = FLAGS.first_seed or int(time.time())
     for seed in range(first, first + FLAGS.seeds):
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -138,6 +138,43 @@
         self.assertEqual(len(violations), 1 if expected else 0)
         self.assertIn(expected, ''.join(violations))
 
+    # A stop at 96 s, of vm-0 or all, whose VM gives the request up at 102 s.
+    @params(
+        ('filing', 99.6, {}, 1),
+        ('filing', 99.4, {}, 0),
+        ('filing', 99.6, {'status': 504}, 0),
+        ('filing', 99.6, {'timeout_s': 2.3}, 0),
+        ('lookup', 99.6, {}, 1),
+    )
+    def test_request_that_is_taken_late_and_given_up_is_reported(
+        self, kind, sent_s, fields, expected_count
+    ):
+        ledger = make_ledger()
+        ledger.vm_count = 2
+        request = make_request(kind, 502)
+        request.sent_s, request.ended_s = sent_s, 102.0
+        for name, value in fields.items():
+            setattr(request, name, value)
+        ledger.requests.append(request)
+        ledger.arrivals.append(make_arrival(sent_s))
+        ledger.arrivals[0].ended_s = 103.0
+        ledger.stops['vm-0'].append(Stop(96.0, 102.1))
+        self.assertEqual(len(ledger.check()), expected_count)
+
+    # The other VM stops, starts, or serves.
+    @params(('lookup', 100.0, 0), ('lookup', 95.0, 0), ('lookup', 94.0, 1), ('filing', 100.0, 1))
+    def test_idempotent_request_may_outlast_the_only_vm(self, kind, exited_s, expected_count):
+        ledger = make_ledger()
+        ledger.vm_count = 2
+        request = make_request(kind, 502)
+        request.sent_s, request.ended_s = 99.6, 102.0
+        ledger.requests.append(request)
+        ledger.arrivals.append(make_arrival(99.6))
+        ledger.arrivals[0].ended_s = 103.0
+        ledger.stops['vm-0'].append(Stop(96.0, 102.1))
+        ledger.stops['vm-1'].append(Stop(90.0, exited_s))
+        self.assertEqual(len(ledger.check_taken_late()), expected_count)
+
     @params((101.9, 'had done its work'), (102.1, 'was at work'))
     def test_report_says_whether_the_replica_was_at_work(self, work_ended_s, expected):
         ledger = make_ledger()
