--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -484,7 +484,9 @@
         return violations
 
     def summary(self) -> str:
-        """Return the number of arrivals and of responses by kind and status."""
+        """Return the numbers of arrivals, of stops, and of responses by kind and status."""
         statuses = Counter(f'{one.kind} {one.status}' for one in self.requests)
         counts = ', '.join(f'{name}: {count}' for name, count in sorted(statuses.items()))
-        return f'{len(self.arrivals)} arrivals; {counts}'
+        stops = [one.exited_s - one.signalled_s for spans in self.stops.values() for one in spans]
+        took = f'{len(stops)} stops, {max(stops, default=0.0):.2f} s at most'
+        return f'{len(self.arrivals)} arrivals; {took}; {counts}'
