Reload no process whose interpreter still starts

No program can do so earlier. The soak now passes such a process over, for 0.3 s at most if promises with a time limit are checked: one that handles reloads late is still ended, as tests/test_early_reload.py wants.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -187,12 +187,17 @@
                 change()
             await asyncio.sleep(self.rng.uniform(0.0, duration_s / 2.0))
             for other in self.soak.vms:
-                other.signal(signal.SIGHUP)
+                self.reload(other)
         await task
 
     async def reload_vm(self, duration_s: float) -> None:
         """Make a process reload its settings."""
-        self.pick_vm().signal(signal.SIGHUP)
+        self.reload(self.pick_vm())
+
+    def reload(self, vm: Vm) -> None:
+        """Make a process reload its settings, unless its interpreter still starts."""
+        if not vm.is_booting(self.soak.include_timing):
+            vm.signal(signal.SIGHUP)
 
     async def reset_links(self, duration_s: float) -> None:
         """Reset the connections to a replica or to the store."""
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -49,6 +49,10 @@
 ZONES = ('brum-a', 'notts-a', 'wolves-a')
 
 
+BOOT_S = 0.3
+"""Time after which a process has run its own first lines, unless the machine is busy."""
+
+
 class AddressInUseError(Exception):
     """An address of a VM is in use."""
 
@@ -83,6 +87,7 @@
         self.settings_path = folder / f'{self.name}.toml'
         self.process: subprocess.Popen | None = None
         self.is_stopping = False
+        self.started_s = 0.0
         seeds = ', '.join(f'"{host}:{PORTS["control"]}"' for host in hosts[:3])
         text = SETTINGS.format(
             name=self.name,
@@ -110,6 +115,7 @@
             stderr=log,
         )
         log.close()
+        self.started_s = time.monotonic()
         self.is_stopping = False
 
     def signal(self, number: signal.Signals) -> None:
@@ -117,6 +123,20 @@
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
+    def is_booting(self, include_timing: bool) -> bool:
+        """
+        Return whether a reload would end the process since its interpreter still starts.
+
+        :param include_timing: whether the process must be ready for a reload by `BOOT_S`
+        """
+        if self.process is None or self.process.poll() is not None:
+            return False
+        status = Path(f'/proc/{self.process.pid}/status').read_text()
+        handled = [int(mask, 16) for mask in re.findall(r'Sig(?:Ign|Cgt):\s+(\w+)', status)]
+        is_handling = any(mask >> (signal.SIGHUP - 1) & 1 for mask in handled)
+        is_due = include_timing and time.monotonic() > self.started_s + BOOT_S
+        return not is_handling and not is_due
+
     async def wait_exited(self, limit_s: float) -> bool:
         """Wait for the process to exit; return whether it did within the limit."""
         limit_s += time.monotonic()
