Relay a request only once the driver has said that it was not sent

A VM that loses its links lets other VMs serve what is under way. What it took for unsent it aborted and relayed at once. If the connection had opened and the event was still to be heard, a request that must not run twice had left for a replica and went to a second VM too, and other requests were relayed with fewer attempts counted than were made, so that they could get more than their route allows.

The exchanges are now withdrawn, and the request moves once the driver has said of each whether it was sent. If it was and must not run twice, it stays here and its reply is waited for. A request whose deadline passes meanwhile is answered, not relayed.

--- a/beechbridge/gateway/requests/relays.py
+++ b/beechbridge/gateway/requests/relays.py
@@ -20,9 +20,11 @@
     handle_failure,
     handle_result,
     is_suspicious,
+    resume_task,
     suspect_replica,
 )
 from .sending import FOREVER_MS, abort_exchange, begin_exchange, drop_idle, end_exchange
+from .withdrawal import withdraw_unsent
 from .works import GatherWork, OrderedWork, Work
 
 MAX_RELAYS = 3
@@ -68,7 +70,8 @@
     now_ms = gateway.now_ms
     work.is_relayed_on = True
     state = None
-    if len(work.relay_targets) < MAX_RELAYS and work.hard_at_ms - now_ms >= MIN_RELAY_MS:
+    may_relay = len(work.relay_targets) < MAX_RELAYS and work.when_withdrawn is None
+    if may_relay and work.hard_at_ms - now_ms >= MIN_RELAY_MS:
         state = gateway.aggregators.choose_relay(work.relay_targets, gateway)
     if state is None:
         gateway.counters.add('relays_unplaced')
@@ -130,17 +133,35 @@
         return
     relayed = []
     for work in list(gateway.works.values()):
-        if work.is_relayed_on or is_bound(work) or is_going_on(work, gateway):
+        if not work.may_send or is_bound(work) or is_going_on(work, gateway):
             continue
         work.is_relayed_on = True
         relayed.append(work)
     for work in relayed:
-        withdraw_exchanges(work, gateway)
+        abort_sent_exchanges(work, gateway)
     for work in relayed:
-        if isinstance(work, OrderedWork) or work.is_from_vm or not may_run_again(work):
-            answer_work(work, gateway)
+        if withdraw_unsent(work, gateway):
+            work.when_withdrawn = move_work
             continue
-        relay_work(work, gateway)
+        move_work(work, gateway)
+
+
+def move_work(work: Work, gateway: GatewayInterface) -> None:
+    """
+    Let another VM serve a request of which nothing is under way here, or end it.
+
+    The driver may have said that what must not be sent again was sent: then it stays here.
+    """
+    if is_bound(work):
+        work.is_relayed_on = False
+        for task in work.tasks:
+            resume_task(task, gateway, may_retry=False)
+        return
+    abort_sent_exchanges(work, gateway)
+    if isinstance(work, OrderedWork) or work.is_from_vm or not may_run_again(work):
+        answer_work(work, gateway)
+        return
+    relay_work(work, gateway)
 
 
 def is_bound(work: Work) -> bool:
@@ -159,13 +180,10 @@
     return all(task.exchanges or not task.is_open or task in ordered for task in work.tasks)
 
 
-def withdraw_exchanges(work: Work, gateway: GatewayInterface) -> None:
-    """Abort the exchanges of a request; those that were not sent do not count as attempts."""
-    for task in work.tasks:
-        for exchange in list(task.exchanges):
-            if not exchange.was_sent:
-                task.run_count -= 1
-                task.delivery_count -= 1
+def abort_sent_exchanges(work: Work, gateway: GatewayInterface) -> None:
+    """Abort the exchanges of a request that may be sent again, except those not sent yet."""
+    for exchange in work.in_flight():
+        if exchange.was_sent:
             abort_exchange(exchange, gateway)
     for order in work.orders:
         for exchange in list(order.exchanges):
--- a/tests/test_withdrawal.py
+++ b/tests/test_withdrawal.py
@@ -54,7 +54,7 @@
 from beechbridge.gateway.requests.budgets import BudgetRules
 from beechbridge.gateway.requests.identity import compute_digest
 from beechbridge.gateway.requests.permission import PermitTimer
-from beechbridge.gateway.requests.reach_checks import PROBE_WAIT_MS
+from beechbridge.gateway.requests.reach_checks import PROBE_WAIT_MS, doubt_reach
 from beechbridge.gateway.requests.suspicion import ReplicaEnd
 from beechbridge.gateway.requests.works import CanaryTimer, CheckTimer, DeadlineTimer, RetryTimer
 from measure.emulator import HOST, Emulator
@@ -244,6 +244,10 @@
     return driver
 
 
+def doubt_links(gateway, request):
+    doubt_reach([], gateway, wants_connection=False)
+
+
 def lose_links(gateway, request):
     gateway.reach.is_lost = True
     gateway.reach.round_ms = gateway.now_ms
@@ -289,6 +293,8 @@
     'gather': lambda: receive(SWEEP),
     'canary': lambda: receive(SWEEP, prepare=suspect_request),
     'write that needs a permit': lambda: receive(WRITE, 2, limit_replicas),
+    'write while links are doubted': lambda: receive(WRITE, 2, doubt_links),
+    'lookup while links are doubted': lambda: receive(LOOKUP, 2, doubt_links),
     'relayed write': lambda: receive(WRITE, 3, lose_links),
     'write of another VM': take_relay,
 }
