Specify the withdrawal of a request, with mutants

Eight mutants of the code are noticed by test_withdrawal and test_replica_link. Two were missed at first: that nothing is sent while the driver is asked, and that the word on all exchanges is waited for, have tests now.

--- a/model/check.py
+++ b/model/check.py
@@ -16,6 +16,7 @@
     shares,
     stopping,
     tickets,
+    withdrawal,
 )
 from .spec import Spec, find_trace, format_trace, prove
 
@@ -32,6 +33,7 @@
         orders,
         permits,
         relays,
+        withdrawal,
     )
     return [module.build_spec() for module in modules]
 
--- a/model/mutants.py
+++ b/model/mutants.py
@@ -64,8 +64,68 @@
 AGGREGATORS = 'beechbridge/gateway/fleet/aggregators.py'
 MEMBERS = 'beechbridge/gateway/fleet/members.py'
 ORDERS = 'beechbridge/gateway/requests/orders.py'
+PROGRESS = 'beechbridge/gateway/requests/progress.py'
+WITHDRAWAL = 'beechbridge/gateway/requests/withdrawal.py'
+WORKS = 'beechbridge/gateway/requests/works.py'
+CLIENT_CONNECTION = 'beechbridge/daemon/client_connection.py'
 
 MUTANTS = (
+    Mutant(
+        'not run is said without the word of the driver',
+        PROGRESS,
+        'if is_refusal(answer) and withdraw_unsent(work, gateway):',
+        'if False:',
+        ('test_withdrawal',),
+    ),
+    Mutant(
+        'not run is said on the word on one of several exchanges',
+        WITHDRAWAL,
+        ' or work.is_finished or work.unsent_exchanges():',
+        ' or work.is_finished:',
+        ('test_withdrawal',),
+    ),
+    Mutant(
+        'what was withdrawn is sent again',
+        WORKS,
+        ' or self.is_relayed_on or self.when_withdrawn is not None)',
+        ' or self.is_relayed_on)',
+        ('test_withdrawal',),
+    ),
+    Mutant(
+        'what was withdrawn counts as run',
+        WITHDRAWAL,
+        '    owner.run_count -= 1\n',
+        '',
+        ('test_withdrawal',),
+    ),
+    Mutant(
+        'relays do not wait for the word of the driver',
+        RELAYS,
+        '        if withdraw_unsent(work, gateway):\n',
+        '        if False:\n',
+        ('test_withdrawal',),
+    ),
+    Mutant(
+        'what had been sent after all is relayed',
+        RELAYS,
+        '    if is_bound(work):\n',
+        '    if False:\n',
+        ('test_withdrawal',),
+    ),
+    Mutant(
+        'a request that has left is withdrawn',
+        CLIENT_CONNECTION,
+        'if self.exchange_id != exchange_id or self.transport is not None:',
+        'if self.exchange_id != exchange_id:',
+        ('test_replica_link',),
+    ),
+    Mutant(
+        'a request that was withdrawn leaves',
+        CLIENT_CONNECTION,
+        '        self.drop()\n        return True\n',
+        '        return True\n',
+        ('test_replica_link',),
+    ),
     Mutant(
         'links are believed lost without probes',
         REACH_CHECKS,
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -4,14 +4,14 @@
 
 from nose2.tools import params
 
-from model import configuration, drain, permits, relays, shares, stopping, tickets
+from model import configuration, drain, permits, relays, shares, stopping, tickets, withdrawal
 from model.spec import find_trace, format_trace, prove
 
 QUICK_MUTANTS = (tickets, stopping, drain, shares, permits)
 
 
 class ModelTest(unittest.TestCase):
-    @params(tickets, configuration, stopping, drain, shares, permits, relays)
+    @params(tickets, configuration, stopping, drain, shares, permits, relays, withdrawal)
     def test_specification_is_proved(self, module):
         self.assertTrue(prove(module.build_spec()))
 
--- a/tests/test_withdrawal.py
+++ b/tests/test_withdrawal.py
@@ -456,6 +456,34 @@
         driver.perform(actions)
         self.assertEqual(driver.answers[0].reply.status, 200)
 
+    # A gather that was about to be said not to have run was sent to one more replica.
+    def test_nothing_is_sent_while_the_driver_is_asked(self):
+        driver = receive(sweep_route(SHARDS, min_share=1.0))
+        gateway = driver.gateway
+        sent = set(driver.opening)
+        for state in gateway.upstreams.usable('shard-0'):
+            gateway.forget_replica(state, 'gone')
+        driver.happen('refused')
+        withheld = gateway.handle(driver.unheard.popleft(), driver.now_ms)
+        withdrawn = [one for one in withheld if isinstance(one, WithdrawExchange)]
+        self.assertEqual(len(withdrawn), SHARDS - 1)
+        driver.happen('refused')
+        driver.hear_all()
+        self.assertLessEqual(set(driver.opening), sent)
+        driver.perform(withheld)
+        driver.hear_all()
+        self.assertIs(driver.answers[0].executed, Executed.NOT_RUN)
+
+    # A gather was relayed with attempts that were not made, so that it failed there.
+    def test_gather_is_relayed_once_all_of_its_exchanges_are_withdrawn(self):
+        driver = receive(SWEEP, 2, doubt_links)
+        driver.now_ms += SOON_MS
+        move_check(driver.gateway, driver.now_ms)
+        driver.perform(driver.gateway.handle(TimerDue(), driver.now_ms))
+        self.assertEqual(len(driver.unheard), SHARDS)
+        driver.hear_all()
+        self.assertEqual(driver.relays, [(0, 0)])
+
 
 class InterleavingTest(unittest.TestCase):
     # A timer that was due fired before the gateway heard that a request had been sent, and its
