Test what the product's own interface says of late reports

The core of the product's own interface counts a message as sent once it is handed to the driver, so that no timer can come before the report of it. No fault was found; four mutants of the code are noticed.

--- a/model/mutants.py
+++ b/model/mutants.py
@@ -65,6 +65,8 @@
 MEMBERS = 'beechbridge/gateway/fleet/members.py'
 ORDERS = 'beechbridge/gateway/requests/orders.py'
 PROGRESS = 'beechbridge/gateway/requests/progress.py'
+HEDGING = 'beechbridge/core/requests/hedging.py'
+UPSTREAM_CLIENT = 'beechbridge/daemon/upstream_client.py'
 WITHDRAWAL = 'beechbridge/gateway/requests/withdrawal.py'
 WORKS = 'beechbridge/gateway/requests/works.py'
 CLIENT_CONNECTION = 'beechbridge/daemon/client_connection.py'
@@ -126,6 +128,34 @@
         '        return True\n',
         ('test_replica_link',),
     ),
+    Mutant(
+        'a run that was handed over is said not to have run',
+        TICKETS,
+        '    if attempt is not None and attempt.sent_ms is not None:\n',
+        '    if False:\n',
+        ('test_hand_over',),
+    ),
+    Mutant(
+        'a query that was handed over is said not to have run',
+        HEDGING,
+        '    owner.plan.was_sent = True\n',
+        '',
+        ('test_hand_over',),
+    ),
+    Mutant(
+        'a run that was not sent by its deadline is sent after it',
+        UPSTREAMS,
+        '        attempt.abandoned = True\n        if attempt.sent_ms is None:\n',
+        '        if attempt.sent_ms is None:\n',
+        ('test_hand_over',),
+    ),
+    Mutant(
+        'what was sent over a connection that is closed counts as not sent',
+        UPSTREAM_CLIENT,
+        'return AttemptFailure(Reason.CONNECTION_LOST, Executed.UNKNOWN, type(error).__name__)',
+        'return AttemptFailure(Reason.CONNECTION_LOST, Executed.NOT_RUN, type(error).__name__)',
+        ('test_hand_over',),
+    ),
     Mutant(
         'links are believed lost without probes',
         REACH_CHECKS,
