Check a decoded item within the guard of its decoder

What contradicts earlier items is found right after an item is decoded; an exception there would have ended the event as well. No such exception is known.

--- a/beechbridge/gateway/replicas/decoding.py
+++ b/beechbridge/gateway/replicas/decoding.py
@@ -85,11 +85,10 @@
 def decode(item: Item, gateway: GatewayInterface) -> RoutingTable | ReplicaEntry | Failure | None:
     """Decode an item with a value; return a failure if that raises an exception."""
     try:
-        decoded = gateway.decode_item(item.key, item.value)
+        return check(gateway.decode_item(item.key, item.value), item.key, gateway)
     except Exception as error:
         report_defect(item.key, error, gateway)
         return InputFailure(item.key, 'value', type(error).__name__, 'an item that can be decoded')
-    return check(decoded, item.key, gateway)
 
 
 @singledispatch
