--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -225,7 +225,7 @@
     SoakMutant(
         'the exit drops answers that are being sent',
         'the replica had done its work',
-        STOPS,
+        (*STOPS, '--first_seed=1'),
         Edit('beechbridge/daemon/front.py', 'if is_sent or', 'if True or'),
     ),
     SoakMutant(
@@ -235,8 +235,10 @@
         Edit(
             'beechbridge/daemon/front.py',
             'if caller is None:\n            return\n        self.keys_by_channel',
-            "if caller is None or getattr(answer, 'reason', None) is Reason.STOPPING:\n"
-            '            return\n        self.keys_by_channel',
+            "is_lost = getattr(answer, 'retry_after_ms', None) == 0 and caller is not None\n"
+            '        is_lost = is_lost and caller.channel.server.adj is self.callers_adjustments\n'
+            '        if caller is None or is_lost:\n            return\n'
+            '        self.keys_by_channel',
         ),
     ),
     SoakMutant(
