Free a request and its replies with its answer

A VM held the replies that it had passed on, and the requests, for as long as the garbage collector did not run: some 25 answers of 4 MB after 60 requests, one after another. A dump of a process found 20 replies of 4 MB that one run of the collector freed.

A work, its tasks and their exchanges refer to each other. Works that live for some 100 ms outlast the young generations, and the oldest one is collected by the number of objects, not by their bytes.

Once a work has ended, its request keeps only what recognizes a late reply and is logged, and each reply gives place to a shared one without a body: whether a task has a reply is still looked at by loops that were under way when the answer came. Actions that are still to be performed have the request itself.

--- a/beechbridge/gateway/models.py
+++ b/beechbridge/gateway/models.py
@@ -89,6 +89,12 @@
         self.body = body
         self.timeout_ms = timeout_ms
 
+    def without_payload(self) -> 'CallerRequest':
+        """Return a copy that only serves to recognize the request and log its end."""
+        return CallerRequest(
+            self.request_id, self.method, '', self.host, '', [], timeout_ms=self.timeout_ms
+        )
+
 
 class Notice(Record):
     """
--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -340,6 +340,7 @@
         abandon_exchange(exchange, gateway)
     gateway.act(AnswerRequest(work.key, answer))
     record_end(work, answer, gateway)
+    work.finish()
 
 
 def fire_deadline(timer: DeadlineTimer, gateway: GatewayInterface) -> None:
@@ -370,6 +371,7 @@
         'stopped': stopped_count,
     }
     gateway.act(WriteLine('caller_left', fields))
+    work.finish()
 
 
 def handle_connection_ended(event: ConnectionEnded, gateway: GatewayInterface) -> None:
--- a/beechbridge/gateway/requests/works.py
+++ b/beechbridge/gateway/requests/works.py
@@ -9,6 +9,9 @@
 from ..replicas.upstreams import ReplicaState
 from ..routes import Route
 
+FORGOTTEN_REPLY = Reply(0, [], b'')
+"""In place of a reply that has been passed on."""
+
 
 class Work:
     """
@@ -141,6 +144,21 @@
         exchanges = [*self.in_flight(), *self.relay_exchanges()]
         return [exchange for exchange in exchanges if not exchange.was_sent]
 
+    def finish(self) -> None:
+        """
+        Drop what arrived of the request and its replies, since nothing is sent any more.
+
+        The work, its tasks and their exchanges refer to each other, so that they are freed only
+        when the garbage collector runs, which may take minutes.
+        """
+        self.is_finished = True
+        self.request = self.request.without_payload()
+        for task in self.tasks:
+            if task.reply is not None:
+                task.reply = FORGOTTEN_REPLY
+            if task.failed_reply is not None:
+                task.failed_reply = FORGOTTEN_REPLY
+
     def in_flight(self) -> list[Exchange]:
         """Return the exchanges of all tasks that have not ended."""
         return [exchange for task in self.tasks for exchange in task.exchanges]
