Bound the answers that wait for slow callers

Callers that read their answers slowly, or not at all, could fill a VM's memory until its process was killed: 65 of them with answers of 4 MB took it over the 300 MB that it may have.

Nothing counted the answers that waitress holds for its connections. Nor could waitress close such a connection: it does so when it can be written to, which is never the case while its caller reads nothing.

Answers that are not taken at once are counted now, by the memory of their buffers, and all together may take a quarter of `memoryMb`. Beyond that the one is given up that has taken the most memory for the longest time: few suffice, and its caller's time is the most likely to be over. A line names it (`answer_given_up`). Its connection is shut down, after which the server's loop closes it whether or not it is read. An answer that is taken at once, as ordinary ones are, costs one comparison more.

Without the shutdown, or without giving up, the new test of the server fails.

--- a/beechbridge/daemon/front.py
+++ b/beechbridge/daemon/front.py
@@ -6,11 +6,13 @@
 """
 
 import asyncio
+import contextlib
 import copy
 import itertools
 import logging
 import math
 import socket
+import sys
 import time
 from collections.abc import Callable
 
@@ -27,10 +29,12 @@
 from ..gateway.events import CallerDisconnected, RequestMalformed
 from ..gateway.models import Answer
 from ..gateway.routes import CallerLimits
-from ..gateway.settings import Address
+from ..gateway.settings import DEFAULT_ANSWER_MEMORY_BYTES, Address
 from ..record import Record
 from ..wire.http import HttpResponse
 from .clock import read_clock_ms
+from .log_lines import write_line
+from .unsent_answers import UnsentAnswers
 
 WORKER_THREADS = 4
 """Worker threads, which write answers and serve requests that need no waiting."""
@@ -79,12 +83,14 @@
     :cvar app: application that serves the connection
     :param timed_part: request, and whether its headers are complete, whose rest has a deadline
     :param deadline_s: deadline for the current headers or body, in seconds of the monotonic clock
+    :param answered_id: ID of the request whose answer was written last
     """
 
     task_class = CallerTask
     app: 'FrontApp'
     timed_part: tuple[HTTPRequestParser, bool] | None = None
     deadline_s = math.inf
+    answered_id = ''
 
     def received(self, data: bytes) -> bool:
         """Process received data; set a deadline for incomplete headers or an incomplete body."""
@@ -107,6 +113,10 @@
         """Return whether to read more data; called in each iteration of the server's loop."""
         if time.monotonic() > self.deadline_s:
             self.reject_late_request()
+        if self.will_close and self.total_outbufs_len:
+            # waitress closes a connection once it can be written to, which may be never.
+            with contextlib.suppress(OSError):
+                self.socket.shutdown(socket.SHUT_RDWR)
         return super().readable()
 
     def reject_late_request(self) -> None:
@@ -133,11 +143,29 @@
         if not self.connected:
             self.app.drop_answer(self)
         self.drop_sent()
+        if self.total_outbufs_len:
+            self.app.hold_unsent(self)
 
     def handle_write(self) -> None:
         """Send more of an answer that its caller did not take at once."""
         super().handle_write()
-        self.drop_sent()
+        if not self.total_outbufs_len:
+            self.drop_sent()
+            self.app.unsent.release(self)
+
+    def held_bytes(self) -> int:
+        """Return the memory of the buffers, which keep what was sent until all of it is."""
+        with self.outbuf_lock:
+            held = 0
+            for buffer in self.outbufs:
+                # Not by its position: the server's thread may be sending from it.
+                held += sys.getsizeof(buffer.strbuf if buffer.buf is None else buffer.buf.file)
+            return max(held, self.total_outbufs_len)
+
+    def break_off(self) -> None:
+        """Close the connection, whether or not its caller takes more of its answer."""
+        self.will_close = True
+        self.server.pull_trigger()
 
     def drop_sent(self) -> None:
         """Drop an answer that was sent in full: waitress keeps it until it sends another one."""
@@ -212,6 +240,7 @@
     :param header_timeout_s: timeout in seconds for receiving the headers of a request
     :param body_timeout_s: timeout in seconds for receiving the body of a request
     :param dispatch: passes a connection to a worker thread
+    :param unsent: answers that their callers do not take as fast as they are written
     """
 
     __slots__ = (
@@ -227,10 +256,16 @@
         'keys',
         'keys_by_channel',
         'post',
+        'unsent',
         'waiting',
     )
 
-    def __init__(self, post: Callable[[object], None], is_leaving: Callable[[], bool]):
+    def __init__(
+        self,
+        post: Callable[[object], None],
+        is_leaving: Callable[[], bool],
+        answer_memory_bytes: int = DEFAULT_ANSWER_MEMORY_BYTES,
+    ):
         self.post = post
         self.is_leaving = is_leaving
         self.endpoints: dict[int, tuple[Endpoint, ...]] = {}
@@ -244,15 +279,17 @@
         self.waiting: dict[int, WaitingCaller] = {}
         self.keys_by_channel: dict[CallerChannel, int] = {}
         self.answers: dict[CallerChannel, tuple[Endpoint, Answer, str]] = {}
+        self.unsent = UnsentAnswers(answer_memory_bytes)
 
     def __call__(self, environ: dict, start_response: Callable) -> list[bytes]:
         """Write the available answer, or call the port's handler."""
         port = int(environ['SERVER_PORT'])
-        answer = self.answers.pop(environ[CHANNEL_KEY], None)
-        if answer is None:
+        channel = environ[CHANNEL_KEY]
+        stored = self.answers.pop(channel, None)
+        if stored is None:
             return self.handlers[port](environ, start_response)
-        endpoint, *parts = answer
-        wire = endpoint.encode(*parts)
+        endpoint, answer, channel.answered_id = stored
+        wire = endpoint.encode(answer, channel.answered_id)
         wire.headers.append(('Content-Length', str(len(wire.body))))
         start_response(wire.status, wire.headers)
         return [wire.body]
@@ -309,8 +346,26 @@
         """Drop the answer that a closed connection did not take."""
         self.answers.pop(channel, None)
 
+    def hold_unsent(self, channel: CallerChannel) -> None:
+        """Count an answer that its caller did not take at once; break off others if necessary."""
+        now_ms = read_clock_ms()
+        for other, unsent in self.unsent.hold(channel, channel.held_bytes(), now_ms):
+            fields = {
+                'request': other.answered_id,
+                'bytes': unsent.byte_count,
+                'unsent': other.total_outbufs_len,
+                'ms': round(now_ms - unsent.since_ms),
+                'limit_bytes': self.unsent.limit_bytes,
+            }
+            write_line('answer_given_up', fields)
+            other.break_off()
+        if not channel.total_outbufs_len:
+            # It was sent, or its connection closed, before it was counted.
+            self.unsent.release(channel)
+
     def handle_disconnect(self, channel: CallerChannel) -> None:
         """End the request of a caller that closed its connection."""
+        self.unsent.release(channel)
         self.drop_answer(channel)
         key = self.keys_by_channel.pop(channel, None)
         if key is None:
--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -135,7 +135,9 @@
         self.exchanges = ExchangeClient(
             self.loop, self.handle, codecs, settings.reply_memory_bytes
         )
-        self.front = FrontApp(self.post, lambda: self.core.stopping.is_leaving)
+        self.front = FrontApp(
+            self.post, lambda: self.core.stopping.is_leaving, settings.answer_memory_bytes
+        )
         self.pages = GatewayPages(self.core, self.loop, settings)
         self.server = self.open_server()
         self.listeners = list_listeners(self.server)
--- a/beechbridge/gateway/settings.py
+++ b/beechbridge/gateway/settings.py
@@ -5,6 +5,7 @@
 from .requests.budgets import BudgetRules
 
 DEFAULT_REPLY_MEMORY_BYTES = 64 * 1024 * 1024
+DEFAULT_ANSWER_MEMORY_BYTES = 64 * 1024 * 1024
 
 
 class Address(Record):
@@ -33,10 +34,12 @@
     :param max_ttl_s: maximum lifetime of a directory answer in seconds
     :param max_reply_bytes: largest reply of a replica that is forwarded to a caller
     :param reply_memory_bytes: memory for the replies that are being received
+    :param answer_memory_bytes: memory for the answers that callers have not taken yet
     :param is_first_start: whether the whole system starts for the first time
     """
 
     __slots__ = (
+        'answer_memory_bytes',
         'budget',
         'callers',
         'capacity_millicores',
@@ -76,6 +79,7 @@
         capacity_millicores: int = 1000,
         max_reply_bytes: int = MAX_REPLY_BYTES,
         reply_memory_bytes: int = DEFAULT_REPLY_MEMORY_BYTES,
+        answer_memory_bytes: int = DEFAULT_ANSWER_MEMORY_BYTES,
         is_first_start: bool = True,
     ):
         self.is_first_start = is_first_start
@@ -96,3 +100,4 @@
         self.capacity_millicores = capacity_millicores
         self.max_reply_bytes = max_reply_bytes
         self.reply_memory_bytes = reply_memory_bytes
+        self.answer_memory_bytes = answer_memory_bytes
--- a/beechbridge/platform/settings.py
+++ b/beechbridge/platform/settings.py
@@ -22,6 +22,9 @@
 """Fraction of the process's memory for replies that are being received: the rest is for the
 interpreter, the store's items, callers and what is copied on the way."""
 
+ANSWER_MEMORY_FRACTION = 0.25
+"""Fraction of the process's memory for answers that callers have not taken yet."""
+
 MAX_REPLY_VARIABLE = 'BEECHBRIDGE_MAX_REPLY_BYTES'
 
 
@@ -123,6 +126,7 @@
         max_reply_bytes=max_reply_bytes,
         is_first_start=file.bootstrap,
         reply_memory_bytes=int(REPLY_MEMORY_FRACTION * file.limits.memory_mb * BYTES_PER_MB),
+        answer_memory_bytes=int(ANSWER_MEMORY_FRACTION * file.limits.memory_mb * BYTES_PER_MB),
     )
 
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -9,6 +9,7 @@
 import time
 import unittest
 
+import logbook
 from nose2.tools import params
 
 from beechbridge.daemon.clock import read_clock_ms
@@ -40,11 +41,11 @@
 class Front:
     """A running server; the test takes the place of the gateway."""
 
-    def __init__(self):
+    def __init__(self, **options):
         self.events = []
         self.is_leaving = False
         self.arrived = threading.Semaphore(0)
-        self.app = FrontApp(self.post, lambda: self.is_leaving)
+        self.app = FrontApp(self.post, lambda: self.is_leaving, **options)
         self.port, other_port = free_port(), free_port()
         self.app.callers_port = self.port
         self.app.endpoints[self.port] = (Endpoint(RequestReceived, read_request, write_answer),)
@@ -107,6 +108,63 @@
 """More than the buffers of both sockets take."""
 
 
+LARGE_ANSWER = MergedAnswer(b'0123456789abcdef' * 500_000, ['s1'], 0)
+
+
+class SlowCallersTest(unittest.TestCase):
+    def setUp(self):
+        self.front = Front(answer_memory_bytes=20_000_000)
+        self.addCleanup(self.front.close)
+        self.front.serve_without_threads()
+        self.handler = logbook.TestHandler()
+        self.handler.push_application()
+        self.addCleanup(self.handler.pop_application)
+
+    def start_answer(self, request_id, answer=LARGE_ANSWER):
+        """Send a request, let its answer be written, and return its connection, not read yet."""
+        sock = socket.socket()
+        self.addCleanup(sock.close)
+        sock.settimeout(WAIT_S)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.connect(('127.0.0.1', self.front.port))
+        sock.sendall((HEAD.replace('q1', request_id) + '\r\n').encode())
+        self.front.app.deliver(self.front.next_event().key, answer)
+        return sock
+
+    # Answers that callers took slowly, or not at all, filled the memory of a VM.
+    def test_oldest_answer_is_given_up_if_all_together_exceed_the_memory(self):
+        socks = [self.start_answer('q1')]
+        channel = next(iter(self.front.app.unsent.by_channel))
+        socks.extend(self.start_answer(f'q{number}') for number in (2, 3))
+        # The second call runs in the round of the server's loop that closes it, or in a later one.
+        for _ in range(3):
+            self.front.run_in_server(lambda: None)
+        self.assertFalse(channel.connected)
+        with self.assertRaises(http.client.IncompleteRead):
+            read_response(socks[0])
+        for sock in socks[1:]:
+            self.assertEqual(len(read_response(sock)[1]), len(LARGE_ANSWER.body))
+        [line] = [one.extra['fields'] for one in self.handler.records]
+        self.assertEqual((line['request'], line['limit_bytes']), ('q1', 20_000_000))
+        self.assertGreaterEqual(line['bytes'], len(LARGE_ANSWER.body))
+        self.front.run_in_server(lambda: None)
+        self.assertEqual(self.front.app.unsent.held_bytes, 0)
+
+    # Answers that are taken at once, and those of closed connections, are not counted.
+    def test_only_answers_that_wait_are_counted(self):
+        unsent = self.front.app.unsent
+        self.start_answer('q1', ANSWER)
+        self.assertEqual(unsent.held_bytes, 0)
+        sock = self.start_answer('q2')
+        channel = next(iter(unsent.by_channel))
+        self.assertGreaterEqual(unsent.held_bytes, len(LARGE_ANSWER.body))
+        self.front.run_in_server(channel.handle_close)
+        self.assertEqual(unsent.held_bytes, 0)
+        self.front.app.hold_unsent(channel)
+        self.assertEqual(unsent.held_bytes, 0)
+        sock.close()
+
+
 class FrontTest(unittest.TestCase):
     def setUp(self):
         self.front = Front()
--- a/tests/test_platform_items.py
+++ b/tests/test_platform_items.py
@@ -162,6 +162,13 @@
         self.assertEqual(settings.budget.window_ms, 10_000.0)
         self.assertEqual(settings.capacity_millicores, 1000)
 
+    # Uses of the memory must leave something for the interpreter and what is copied on the way.
+    def test_memory_is_shared_out(self):
+        text = SETTINGS.replace('[limits]\n', '[limits]\nmemoryMb = 300\n')
+        settings = parse_settings(text, 'file')
+        self.assertEqual(settings.reply_memory_bytes, 75 * 1024 * 1024)
+        self.assertEqual(settings.answer_memory_bytes, 75 * 1024 * 1024)
+
     @params(
         ('nodeName = "front-1"', '', 'nodeName'),
         ('ip = "10.1.0.9"', 'ip = 7', 'ip'),
