Hold only what a caller has not taken yet of a large answer

Of 65 callers that read answers of 4 MB over 3.5 s, 46 lost theirs, though some 0.4 MB of each was left to send.

waitress frees the buffer of an answer as a whole, so that each took its 4 MB until its last byte was sent.

An answer of more than 256 KiB is now put into several buffers, which waitress frees one by one, and what is counted for its caller shrinks with them. A worker thread would have waited at 16 MB of unsent bytes of one connection, which the last buffer of an answer could now reach with a higher `BEECHBRIDGE_MAX_REPLY_BYTES`; it waits for no caller any more.

--- a/beechbridge/daemon/front.py
+++ b/beechbridge/daemon/front.py
@@ -53,6 +53,12 @@
 BODY_TIMEOUT_S = 30.0
 """Time within which the whole body of a request must arrive, however steadily it does."""
 
+BUFFER_BYTES = 256 * 1024
+"""Size of the buffers of a large answer, which are freed one by one as they are sent."""
+
+WRITER_WAIT_BYTES = 1024 * 1024 * 1024
+"""Unsent bytes of a connection for which a worker thread waits: more than there ever are."""
+
 CONNECTION_LIMIT = 2_000
 BACKLOG = 512
 SENT_CHECK_INTERVAL_S = 0.02
@@ -149,12 +155,25 @@
     def handle_write(self) -> None:
         """Send more of an answer that its caller did not take at once."""
         super().handle_write()
-        if not self.total_outbufs_len:
-            self.drop_sent()
-            self.app.unsent.release(self)
+        if self.total_outbufs_len:
+            self.app.unsent.shrink(self, self.held_bytes())
+            return
+        self.drop_sent()
+        self.app.unsent.release(self)
+
+    def write_soon(self, data: bytes) -> int:
+        """Send data, or keep it until it can be sent; a lot of it in several buffers."""
+        if len(data) <= BUFFER_BYTES:
+            return super().write_soon(data)
+        view = memoryview(data)
+        for start in range(0, len(data), BUFFER_BYTES):
+            # waitress begins another buffer.
+            self.current_outbuf_count = self.adj.outbuf_high_watermark
+            super().write_soon(view[start : start + BUFFER_BYTES])
+        return len(data)
 
     def held_bytes(self) -> int:
-        """Return the memory of the buffers, which keep what was sent until all of it is."""
+        """Return the memory of the buffers, each of which is kept until all of it is sent."""
         with self.outbuf_lock:
             held = 0
             for buffer in self.outbufs:
@@ -395,6 +414,7 @@
         max_request_body_size=MAX_BODY_BYTES,
         inbuf_overflow=MAX_BODY_BYTES + 1,
         outbuf_overflow=64 * 1024 * 1024,
+        outbuf_high_watermark=WRITER_WAIT_BYTES,
         ident=None,
     )
     channel_class = type('FrontChannel', (CallerChannel,), {'app': app})
--- a/beechbridge/daemon/unsent_answers.py
+++ b/beechbridge/daemon/unsent_answers.py
@@ -59,6 +59,14 @@
                 given_up.append((costliest, self.remove(costliest)))
         return given_up
 
+    def shrink(self, channel: object, byte_count: int) -> None:
+        """Count less for a connection that has taken some of its answers, if it is counted."""
+        with self.lock:
+            answer = self.by_channel.get(channel)
+            if answer is not None:
+                self.held_bytes -= answer.byte_count - byte_count
+                answer.byte_count = byte_count
+
     def release(self, channel: object) -> None:
         """Stop counting a connection whose answers were sent, or that is closed."""
         with self.lock:
--- a/tests/test_unsent_answers.py
+++ b/tests/test_unsent_answers.py
@@ -28,6 +28,14 @@
         left = {channel: count for channel, count, _ in (*held, last) if channel not in expected}
         self.assertEqual(unsent.held_bytes, sum(left.values()))
 
+    def test_answers_that_were_sent_in_part_count_less(self):
+        unsent = UnsentAnswers(100)
+        unsent.hold('a', 90, 0)
+        unsent.shrink('a', 30)
+        unsent.shrink('b', 30)
+        self.assertEqual((unsent.held_bytes, len(unsent.by_channel)), (30, 1))
+        self.assertEqual(unsent.hold('b', 70, 10), [])
+
     def test_answers_that_were_sent_are_not_counted(self):
         unsent = UnsentAnswers(100)
         unsent.hold('a', 60, 0)
