--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -192,7 +192,6 @@
         violations.extend(self.check_quarantined())
         if include_timing or not self.fault_spans:
             violations.extend(self.check_aborted())
-            violations.extend(self.check_lost())
         if include_timing:
             violations.extend(self.check_withdrawn())
             violations.extend(self.check_limits())
@@ -394,23 +393,29 @@
         return violations
 
     def check_aborted(self) -> list[str]:
-        """Check that no VM without an unplanned fault aborts requests that it has forwarded."""
+        """
+        Check that requests get a response if they were forwarded, or if their VM has read them.
+
+        No unplanned fault may have affected the VM.
+        """
         violations = []
-        ended_s = self.map_work_ends()
+        work_ends_s = self.map_work_ends()
         for request in self.requests:
-            if request.status is not None or request.request_id not in ended_s:
+            if request.status is not None or request.has_left:
                 continue
-            is_too_slow = request.read_s and request.ended_s > request.sent_s + request.timeout_s
-            if request.has_left or is_too_slow:
+            if self.had_fault(request.vm, request.sent_s, request.ended_s):
                 continue
-            if not self.had_fault(request.vm, request.sent_s, request.ended_s):
-                has_ended = ended_s[request.request_id] < request.ended_s
-                work = 'had done its work' if has_ended else 'was at work'
-                violations.append(
-                    f'{request.kind} {request.request_id} was forwarded '
-                    f'but aborted by {request.vm}, {self.describe_times(request)}; '
-                    f'the replica {work}'
-                )
+            name = f'{request.kind} {request.request_id}'
+            place = f'by {request.vm}, {self.describe_times(request)}'
+            work_ended_s = work_ends_s.get(request.request_id)
+            if work_ended_s is None:
+                if request.ended_s > request.written_s + LOSS_SLACK_S:
+                    violations.append(f'{name} was sent but not answered {place}')
+                continue
+            if request.read_s and request.ended_s > request.sent_s + request.timeout_s:
+                continue
+            work = 'had done its work' if work_ended_s < request.ended_s else 'was at work'
+            violations.append(f'{name} was forwarded but aborted {place}; the replica {work}')
         return violations
 
     def map_work_ends(self) -> dict[str, float]:
@@ -440,23 +445,25 @@
             work_ended_s = ended_s.get(request.request_id, 0.0)
             if not request.ended_s < work_ended_s < math.inf:
                 continue
-            for stop in self.stops[request.vm]:
-                since_s = stop.signalled_s + LONG_REQUEST_S + LONG_REQUEST_SLACK_S
-                if not since_s < request.sent_s < stop.exited_s:
-                    continue
-                # Requests that may be repeated are taken while no other VM serves.
-                may_outlast = request.kind != 'filing' and self.is_alone(
-                    request.vm, request.sent_s
-                )
-                if not may_outlast and not self.had_fault(
-                    request.vm, stop.signalled_s, request.ended_s
-                ):
-                    violations.append(
-                        f'{request.kind} {request.request_id} was given up by {request.vm} while '
-                        f'its replica was at work, {self.describe_times(request)}'
-                    )
+            if not self.has_taken_late(request):
+                continue
+            violations.append(
+                f'{request.kind} {request.request_id} was given up by {request.vm} while '
+                f'its replica was at work, {self.describe_times(request)}'
+            )
         return violations
 
+    def has_taken_late(self, request: CallerRequest) -> bool:
+        """Return whether a VM without a fault took a request that it should have rejected."""
+        # Requests that may be repeated are taken while no other VM serves.
+        if request.kind != 'filing' and self.is_alone(request.vm, request.sent_s):
+            return False
+        for stop in self.stops[request.vm]:
+            since_s = stop.signalled_s + LONG_REQUEST_S + LONG_REQUEST_SLACK_S
+            if since_s < request.sent_s < stop.exited_s:
+                return not self.had_fault(request.vm, stop.signalled_s, request.ended_s)
+        return False
+
     def describe_times(self, request: CallerRequest) -> str:
         """Return when a request was sent and ended, after the latest SIGTERM of its VM."""
         stops = [one for one in self.stops[request.vm] if one.signalled_s <= request.ended_s]
@@ -466,23 +473,6 @@
         sent_s, ended_s, exited_s = (at_s - stops[-1].signalled_s for at_s in times)
         return f'sent {sent_s:.2f}, ended {ended_s:.2f}, exit {exited_s:.2f} s after SIGTERM'
 
-    def check_lost(self) -> list[str]:
-        """Check that requests that a VM must have read end with a response, forwarded or not."""
-        violations = []
-        forwarded_ids = {arrival.request_id for arrival in self.arrivals}
-        for request in self.requests:
-            if request.status is not None or request.request_id in forwarded_ids:
-                continue
-            is_read = request.ended_s > request.written_s + LOSS_SLACK_S
-            if not is_read or request.has_left:
-                continue
-            if not self.had_fault(request.vm, request.sent_s, request.ended_s):
-                violations.append(
-                    f'{request.kind} {request.request_id} was sent but not answered by '
-                    f'{request.vm}, {self.describe_times(request)}'
-                )
-        return violations
-
     def summary(self) -> str:
         """Return the numbers of arrivals, of stops, and of responses by kind and status."""
         statuses = Counter(f'{one.kind} {one.status}' for one in self.requests)
