Take percentiles from the standard library

hdrhistogram has no wheel for arm64, so that the demo needed a C compiler there. The demo passes with it.

--- a/demo/run.py
+++ b/demo/run.py
@@ -1,11 +1,10 @@
 """Demonstration of both example deployments on loopback, with three VMs each."""
 
+import statistics
 import sys
 import time
 from pathlib import Path
 
-from hdrh.histogram import HdrHistogram
-
 from .fleet import Fleet, call
 
 EXAMPLES = Path(__file__).parent.parent / 'examples'
@@ -63,7 +62,7 @@
 
 def show_queries(fleet: Fleet, example: Example) -> None:
     """Send queries in sequence and show their latency and coverage."""
-    histogram = HdrHistogram(1, 60_000_000, 3)
+    latencies_ms = []
     complete = 0
     answer = {}
     for number in range(QUERIES):
@@ -71,13 +70,13 @@
         body = {'back_end': example.back_end, 'class': example.query_class, 'limit': 1000}
         start_s = time.perf_counter()
         _, answer = call(port, 'POST', '/v1/query', body)
-        histogram.record_value(int((time.perf_counter() - start_s) * 1e6))
+        latencies_ms.append((time.perf_counter() - start_s) * 1000)
         complete += answer.get('coverage', {}).get('complete', False)
     coverage = answer['coverage']
     show('last query', f'{len(answer["rows"])} rows from snapshot {answer["snapshot"]}')
     show('query coverage', f'{coverage["shards_answered"]} of {coverage["shards_total"]} shards')
-    p50_ms = histogram.get_value_at_percentile(50) / 1000
-    p99_ms = histogram.get_value_at_percentile(99) / 1000
+    percentiles_ms = statistics.quantiles(latencies_ms, n=100, method='inclusive')
+    p50_ms, p99_ms = percentiles_ms[49], percentiles_ms[98]
     show(f'{QUERIES} queries', f'{complete} complete, p50 {p50_ms:.1f} ms, p99 {p99_ms:.1f} ms')
 
 
--- a/measure/run.py
+++ b/measure/run.py
@@ -6,6 +6,7 @@
 
 import itertools
 import random
+import statistics
 import subprocess
 import sys
 import time
@@ -13,7 +14,6 @@
 
 import msgspec
 from absl import app, flags
-from hdrh.histogram import HdrHistogram
 from tabulate import tabulate
 
 from beechbridge.models import Vm
@@ -102,10 +102,11 @@
 
 def percentile_ms(results: list[Result], percentile: float) -> float:
     """Return a percentile of the latency of answered calls."""
-    histogram = HdrHistogram(1, 600_000_000, 3)
-    for result in results:
-        histogram.record_value(max(1, int(result.latency_ms * 1000)))
-    return histogram.get_value_at_percentile(percentile) / 1000
+    latencies_ms = [result.latency_ms for result in results]
+    if len(latencies_ms) == 1:
+        return latencies_ms[0]
+    cut_points_ms = statistics.quantiles(latencies_ms, n=1000, method='inclusive')
+    return cut_points_ms[round(percentile * 10) - 1]
 
 
 def allowed_weight(results: list[Result], scenario: Scenario) -> float:
