Expose metrics with prometheus_client

aioprometheus needs quantile-python, which has no wheel on any system. prometheus_client is one pure wheel without dependencies; names, labels, types and the default content type stay, values are written as floats (1.0 instead of 1), and the operations address offers OpenMetrics to those who ask for it.

--- a/beechbridge/daemon/metrics.py
+++ b/beechbridge/daemon/metrics.py
@@ -1,46 +1,78 @@
-"""Metrics of the gateway, copied into `aioprometheus` collectors on each request."""
+"""Metrics of the gateway, copied into `prometheus_client` families on each request."""
 
-from ..core.counters import Counters
 from ..gateway.latencies import BUCKETS_MS, Histogram
 from ..gateway.node import Gateway
 
 METRIC_PREFIX = 'beechbridge_'
-ACCEPTED_TYPES = ('text/plain',)
 
 
-def add_counters(counters: Counters, registry) -> None:
-    """Copy counters into a registry, with one collector per name and one label per kind."""
-    from aioprometheus import Counter
+class Families:
+    """
+    Collector of metric families, in the order in which they are added.
 
-    collectors: dict[str, Counter] = {}
-    for (name, label), value in sorted(counters.values.items()):
-        collector = collectors.get(name)
-        if collector is None:
-            metric_name = f'{METRIC_PREFIX}{name}_total'
-            collector = collectors[name] = Counter(metric_name, name, registry=registry)
-        collector.set({'kind': label} if label else {}, value)
+    `prometheus_client` is imported on first use because the import would double the startup time.
 
+    :param families: the families to be exposed
+    """
 
-def add_histogram(name: str, histogram: Histogram, registry) -> None:
-    """Copy a histogram into a registry, as cumulative counts per upper bound."""
-    from aioprometheus import Gauge
+    __slots__ = ('families',)
 
-    buckets = Gauge(f'{METRIC_PREFIX}{name}_bucket', name, registry=registry)
-    cumulative_count = 0
-    for bound, count in zip((*BUCKETS_MS, '+Inf'), histogram.counts, strict=True):
-        cumulative_count += count
-        buckets.set({'le': str(bound)}, cumulative_count)
-    Gauge(f'{METRIC_PREFIX}{name}_sum', name, registry=registry).set({}, histogram.sum_ms)
-    Gauge(f'{METRIC_PREFIX}{name}_count', name, registry=registry).set({}, cumulative_count)
+    def __init__(self):
+        self.families: list = []
+
+    def collect(self) -> list:
+        """Return the families; the exposition formats call this."""
+        return self.families
+
+    def add_gauge(self, name: str, value: float) -> None:
+        """Add a gauge without labels."""
+        from prometheus_client.core import GaugeMetricFamily
+
+        self.families.append(GaugeMetricFamily(METRIC_PREFIX + name, name, value=value))
+
+    def add_counters(self, values: dict[tuple[str, str], float]) -> None:
+        """Add counters, with one family per name and one label per kind."""
+        from prometheus_client.core import CounterMetricFamily
+
+        by_name: dict[str, CounterMetricFamily] = {}
+        for (name, label), value in sorted(values.items()):
+            family = by_name.get(name)
+            if family is None:
+                metric_name = f'{METRIC_PREFIX}{name}_total'
+                family = by_name[name] = CounterMetricFamily(metric_name, name, labels=['kind'])
+                self.families.append(family)
+            family.add_metric([label] if label else [], value)
+
+    def add_histogram(self, name: str, histogram: Histogram) -> None:
+        """Add a histogram, as cumulative counts per upper bound."""
+        from prometheus_client.core import GaugeMetricFamily
+
+        buckets = GaugeMetricFamily(f'{METRIC_PREFIX}{name}_bucket', name, labels=['le'])
+        self.families.append(buckets)
+        cumulative_count = 0
+        for bound, count in zip((*BUCKETS_MS, '+Inf'), histogram.counts, strict=True):
+            cumulative_count += count
+            buckets.add_metric([str(bound)], cumulative_count)
+        self.add_gauge(f'{name}_sum', histogram.sum_ms)
+        self.add_gauge(f'{name}_count', cumulative_count)
+
+
+def render_families(families: Families, accepted: str = '') -> tuple[str, bytes]:
+    """
+    Return the content type and body of metric families.
+
+    :param accepted: the client's `Accept` header
+    """
+    from prometheus_client.exposition import choose_encoder
+
+    encode, content_type = choose_encoder(accepted)
+    return content_type, encode(families)
 
 
 def render_gateway(core: Gateway) -> tuple[str, bytes]:
     """Return the content type and body of the gateway's metrics."""
-    # Imported on first use because the import would double the startup time.
-    from aioprometheus import Gauge, Registry, render
-
-    registry = Registry()
-    add_counters(core.counters, registry)
+    families = Families()
+    families.add_counters(core.counters.values)
     gauges = {
         'active_requests': len(core.works),
         'exchanges': len(core.upstreams.exchanges),
@@ -52,12 +84,11 @@
         'unreadable_items': len(core.unreadable.current),
     }
     for name, value in gauges.items():
-        Gauge(METRIC_PREFIX + name, name, registry=registry).set({}, value)
+        families.add_gauge(name, value)
     for name, histogram in (
         ('exchange_latency_ms', core.latencies),
         ('request_latency_ms', core.request_latencies),
         ('pull_latency_ms', core.pull_latencies),
     ):
-        add_histogram(name, histogram, registry)
-    body, headers = render(registry, ACCEPTED_TYPES)
-    return headers['Content-Type'], body
+        families.add_histogram(name, histogram)
+    return render_families(families)
--- a/beechbridge/daemon/operations.py
+++ b/beechbridge/daemon/operations.py
@@ -1,11 +1,9 @@
 """WSGI application for operators: metrics, state dump and health check."""
 
 import msgspec
-from aioprometheus import Counter, Gauge, Registry, render
 
 from .driver import Driver
-
-METRIC_PREFIX = 'beechbridge_'
+from .metrics import Families, render_families
 
 
 class OperationsApp:
@@ -52,13 +50,12 @@
 
     def show_metrics(self, environ: dict) -> tuple[str, str, bytes]:
         """Return the counters and gauges in the format that the client accepts."""
-        accepted = tuple(environ.get('HTTP_ACCEPT', 'text/plain').split(','))
-        body, headers = render(self.build_registry(), accepted)
-        return '200 OK', headers['Content-Type'], body
+        accepted = environ.get('HTTP_ACCEPT', '')
+        content_type, body = render_families(self.collect_families(), accepted)
+        return '200 OK', content_type, body
 
-    def build_registry(self) -> Registry:
-        """Copy the core's counters and gauges to a new metrics registry."""
-        registry = Registry()
+    def collect_families(self) -> Families:
+        """Copy the core's counters and gauges to new metric families."""
         with self.driver.lock:
             core = self.driver.core
             values = dict(core.counters.values)
@@ -76,16 +73,11 @@
                 ),
                 'vms_serving': len(core.membership.serving_names(core.now_ms)),
             }
-        counters: dict[str, Counter] = {}
-        for (name, label), value in sorted(values.items()):
-            metric_name = f'{METRIC_PREFIX}{name}_total'
-            counter = counters.get(name)
-            if counter is None:
-                counter = counters[name] = Counter(metric_name, name, registry=registry)
-            counter.set({'kind': label} if label else {}, value)
+        families = Families()
+        families.add_counters(values)
         for name, value in gauges.items():
-            Gauge(METRIC_PREFIX + name, name, registry=registry).set({}, value)
-        return registry
+            families.add_gauge(name, value)
+        return families
 
 
 HANDLERS = {
