--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Set-up of the development environment; needs nothing but the standard library and pip."""
