--- a/tests/test_replica_link.py
+++ b/tests/test_replica_link.py
@@ -48,12 +48,19 @@
         self.script = list(script)
         self.request_count = 0
         self.server = None
+        self.writers = []
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, '127.0.0.1', 0)
         return self.server.sockets[0].getsockname()[1]
 
+    def close(self):
+        self.server.close()
+        for writer in self.writers:
+            writer.close()
+
     async def serve(self, reader, writer):
+        self.writers.append(writer)
         with contextlib.suppress(asyncio.IncompleteReadError, asyncio.CancelledError, OSError):
             await self.play_script(reader, writer)
 
@@ -107,7 +114,7 @@
             await scenario(harness, replica)
         finally:
             harness.client.close()
-            replica.server.close()
+            replica.close()
 
     asyncio.run(run())
 
