Take no unreadable entry for the end of its replica

A request that had lost its connections to replicas within 5 s could be convicted, and be turned away for ten minutes, because another writer had overwritten the entries of these replicas: the removal of a replica from the list confirms that it has ended, and an entry that cannot be read removes it as well. It says nothing about the process, so it confirms nothing now. The removal and the replacement of an entry do as before.

`drop_replica` confirmed the end twice; the second call found nothing left.

--- a/beechbridge/gateway/replicas/store_updates.py
+++ b/beechbridge/gateway/replicas/store_updates.py
@@ -150,7 +150,7 @@
     if isinstance(decoded, Failure):
         note_unreadable(decoded, item.key, gateway)
         if state is not None:
-            drop_replica(item.key, state, 'entry unreadable', gateway)
+            drop_replica(item.key, state, 'entry unreadable', gateway, is_end=False)
         return
     gateway.unreadable.remove(item.key)
     if isinstance(decoded, RoutingTable):
@@ -250,12 +250,18 @@
     log_unreadable(gateway)
 
 
-def drop_replica(key: str, state: ReplicaState, cause: str, gateway: GatewayInterface) -> None:
-    """Remove a replica and close its idle connections; exchanges in flight continue."""
+def drop_replica(
+    key: str, state: ReplicaState, cause: str, gateway: GatewayInterface, is_end: bool = True
+) -> None:
+    """
+    Remove a replica and close its idle connections; exchanges in flight continue.
+
+    :param is_end: whether its process has ended or is about to
+    """
     gateway.replica_by_key.pop(key, None)
     gateway.removed_replicas.add(key, state.entry)
     for connection_id in gateway.upstreams.remove(state):
         gateway.drop_connection(connection_id)
     log_replica(state.entry, cause, gateway)
-    confirm_end(state, REMOVED, gateway)
-    confirm_end(state, REMOVED, gateway)
+    if is_end:
+        confirm_end(state, REMOVED, gateway)
--- a/tests/test_odd_items.py
+++ b/tests/test_odd_items.py
@@ -2,6 +2,7 @@
 
 import itertools
 import unittest
+from types import SimpleNamespace
 
 import msgspec
 from nose2.tools import params
@@ -17,6 +18,7 @@
     MAX_SINGLE_LINES,
 )
 from beechbridge.gateway.replicas.notices import NoticeBook
+from beechbridge.gateway.requests.evidence import Loss, incarnation_of
 from beechbridge.platform.items import decode_item
 from beechbridge.platform.names import REPLICAS_PREFIX, TABLE_KEY
 from beechbridge.wire.fleet import decode_changes, encode_changes
@@ -259,6 +261,23 @@
         self.assertEqual(set(reader.gateway.replica_by_key), {KEY})
 
 
+class EvidenceTest(unittest.TestCase):
+    # Guards against requests that are rejected for ten minutes as those that end replicas, since
+    # another writer has overwritten entries: that ends no replica.
+    @params((omit(ENTRY, 'zone'), False), (b'\xff', False), (None, True))
+    def test_unreadable_entry_is_no_end_of_its_replica(self, value, is_end):
+        reader = PlatformReader()
+        reader.list([(KEY, encode(ENTRY)), (TABLE_KEY, encode(TABLE))])
+        reader.wait(4_000.0)
+        gateway = reader.gateway
+        route = gateway.table.find_route('h.example', '/a/')
+        work = SimpleNamespace(is_vindicated=False, digest='d', route=route)
+        loss = Loss(work, 'q1:0', reader.now_ms, True)
+        gateway.evidence.losses[incarnation_of(gateway.replica_by_key[KEY])] = [loss]
+        reader.change([(KEY, value)])
+        self.assertEqual('d' in gateway.suspicions.by_digest, is_end)
+
+
 class ReportTest(unittest.TestCase):
     # Guards against a log that one writer fills with the same line at each of its beats.
     def test_item_is_logged_once_with_its_reason(self):
