Count no restarts from an entry without a start time

After a loss of power gathers are sent to one shard first if replicas of their route seem to have started again. The oldest start was taken from all entries; one without `born` counted as started in 1970, so that a single one made all others look restarted, and each gather waited for its first answer. Such an entry is left out.

--- a/beechbridge/gateway/requests/evidence.py
+++ b/beechbridge/gateway/requests/evidence.py
@@ -211,9 +211,10 @@
     Count the replicas that have started again, as their entries say.
 
     The entries outlive this fleet's memory: without restarts no request can have ended replicas.
+    One that does not name its start says nothing about it.
     """
     gateway.evidence.restarts.clear()
-    states = list(gateway.upstreams.by_id.values())
+    states = [state for state in gateway.upstreams.by_id.values() if state.entry.started_ms]
     if not states:
         return
     oldest_ms = min(state.entry.started_ms for state in states)
--- a/measure/emulator.py
+++ b/measure/emulator.py
@@ -64,6 +64,9 @@
 WATCH_TIMEOUT_MS = 2_500.0
 RECORDS_PER_PART = 12
 TABLE_KEY = 'table'
+FIRST_START_MS = 1
+"""Start time of a replica that has not been restarted: 0 would be none."""
+
 ENTRY_PREFIX = 'replica/'
 HOST = 'search.example'
 BASE64_FACTOR = 4 / 3
@@ -200,7 +203,7 @@
         self, replica_id: str, service: str, zone: str, spec: ReplicaSpec | None = None
     ) -> EmulatedReplica:
         """Start a replica and publish its entry."""
-        entry = ReplicaEntry(replica_id, service, replica_id, 80, zone)
+        entry = ReplicaEntry(replica_id, service, replica_id, 80, zone, started_ms=FIRST_START_MS)
         replica = EmulatedReplica(entry, spec or ReplicaSpec(), self.rng.uniform(0, 10_000))
         self.replicas[replica_id] = replica
         self.publish_entry(entry)
--- a/tests/test_odd_items.py
+++ b/tests/test_odd_items.py
@@ -18,7 +18,7 @@
     MAX_SINGLE_LINES,
 )
 from beechbridge.gateway.replicas.notices import NoticeBook
-from beechbridge.gateway.requests.evidence import Loss, incarnation_of
+from beechbridge.gateway.requests.evidence import Loss, count_restarts, incarnation_of
 from beechbridge.platform.items import decode_item
 from beechbridge.platform.names import REPLICAS_PREFIX, TABLE_KEY
 from beechbridge.wire.fleet import decode_changes, encode_changes
@@ -277,6 +277,19 @@
         reader.change([(KEY, value)])
         self.assertEqual('d' in gateway.suspicions.by_digest, is_end)
 
+    # Guards against gathers that are held back after a start since all replicas seem to have
+    # started again: an entry that does not name its start is no older than the others.
+    @params(0, 3)
+    def test_entry_without_a_start_is_not_the_oldest(self, later_count):
+        reader = PlatformReader()
+        odd = [(f'{KEY}-odd', omit(ENTRY, 'born'))]
+        for number in range(5):
+            born = 1_780_000_000_000 + (60_000 if number < later_count else 0)
+            odd.append((f'{KEY}-{number}', encode(ENTRY, born=born)))
+        reader.list([*odd, (TABLE_KEY, encode(TABLE))])
+        count_restarts(reader.gateway)
+        self.assertEqual(reader.gateway.evidence.restarts['s'], later_count)
+
 
 class ReportTest(unittest.TestCase):
     # Guards against a log that one writer fills with the same line at each of its beats.
