Bound what VMs hand each other of the store

A pull's position could be negative or beyond 2^53, after which no change of the store would be new any more, and an item's revision could be one that no JSON number has. A request for changes after a revision of 5,000 digits raised an exception in the thread that serves other VMs.

Positions out of bounds fail the pull; an item with an odd key or revision is left out, logged and counted, and the others are applied. Numbers in requests have at most 16 ASCII digits, anything else asks for all changes. The fuzz test of changes delivers them to a gateway now, from a message with a table and a readable entry; those of items start from these as well.

--- a/beechbridge/gateway/replicas/store_view.py
+++ b/beechbridge/gateway/replicas/store_view.py
@@ -7,6 +7,10 @@
 MAX_TOMBSTONES = 4_000
 """Deletions kept so that an older copy from another VM cannot restore a deleted item."""
 
+MAX_REVISION = 2**53
+"""Greatest revision and epoch: JSON numbers are exact up to here, and messages carry them."""
+
+MAX_KEY_LENGTH = 200
 ALL_PREFIXES = ('',)
 """Listed prefixes of a copy of all items."""
 
--- a/beechbridge/platform/store.py
+++ b/beechbridge/platform/store.py
@@ -12,10 +12,11 @@
 
 from ..failures import InputFailure, PlatformFailure, Reason
 from ..gateway.models import Item
+from ..gateway.replicas.store_view import MAX_KEY_LENGTH, MAX_REVISION
 from ..gateway.settings import Address
 from ..record import Record
 from ..wire.bounded_http import LimitedConnection, OversizedResponseError, read_body
-from .items import MAX_ENTRY_BYTES, MAX_EXACT, Count, is_used
+from .items import MAX_ENTRY_BYTES, Count, is_used
 from .names import STORE_EPOCH, TABLE_KEY
 
 HISTORY_LOST_STATUS = 410
@@ -27,8 +28,8 @@
 """Multiple of the timeout within which a response that has begun must end."""
 
 
-Revision = Annotated[int, Meta(ge=1, le=MAX_EXACT)]
-Key = Annotated[str, Meta(min_length=1, max_length=200)]
+Revision = Annotated[int, Meta(ge=1, le=MAX_REVISION)]
+Key = Annotated[str, Meta(min_length=1, max_length=MAX_KEY_LENGTH)]
 
 
 class ItemBody(msgspec.Struct):
--- a/beechbridge/wire/changes.py
+++ b/beechbridge/wire/changes.py
@@ -1,5 +1,6 @@
 """HTTP messages of a pull: the request for store changes, and the changes."""
 
+import re
 from collections.abc import Mapping
 from urllib.parse import parse_qsl, urlencode
 
@@ -21,6 +22,7 @@
 from .fleet import decode_changes, encode_changes
 from .http import HttpResponse
 
+COUNT = re.compile(r'[0-9]{1,16}')
 CHANGES_PATH = '/v1/changes'
 ACCEPTED_HEADER = 'Accept-Encoding'
 DICTIONARY_HEADER = 'Available-Dictionary'
@@ -78,7 +80,7 @@
 
 def read_count(text: str) -> int:
     """Return a non-negative number from a query string, 0 if it is none."""
-    return int(text) if text.isdecimal() else 0
+    return int(text) if COUNT.fullmatch(text) else 0
 
 
 def write_changes(
--- a/beechbridge/wire/fleet.py
+++ b/beechbridge/wire/fleet.py
@@ -19,7 +19,7 @@
     PartsReply,
 )
 from ..gateway.permits import PermitMessage, PermitsAnswered, PermitsWanted
-from ..gateway.replicas.store_view import ALL_PREFIXES
+from ..gateway.replicas.store_view import ALL_PREFIXES, MAX_KEY_LENGTH, MAX_REVISION
 from ..gateway.suspects import EndReport, SuspectReport, SuspectsReport
 from .frames import DECODE_ERRORS, decode_struct, encode_struct
 from .http import HttpResponse
@@ -195,10 +195,24 @@
     frame = decode(data, ttypes.StoreChanges)
     if isinstance(frame, Failure):
         return frame
-    changes = [Item(item.key, item.value, item.revision) for item in frame.items]
-    listed_prefixes = ALL_PREFIXES if frame.is_complete else ()
+    for field, number in (('revision', frame.revision), ('epoch', frame.epoch)):
+        if not 0 <= number <= MAX_REVISION:
+            return InputFailure('peer changes', field, number, f'0 to {MAX_REVISION}')
+    changes = []
+    unreadable = []
+    for item in frame.items:
+        if 0 < len(item.key) <= MAX_KEY_LENGTH and 0 <= item.revision <= MAX_REVISION:
+            changes.append(Item(item.key, item.value, item.revision))
+            continue
+        name = f'{item.key[:MAX_KEY_LENGTH]!r} at {item.revision}'
+        unreadable.append(InputFailure('peer item', 'key or revision', name, 'within bounds'))
     return ChangesReceived(
-        changes, frame.revision, listed_prefixes, is_from_store=False, epoch=frame.epoch
+        changes,
+        frame.revision,
+        ALL_PREFIXES if frame.is_complete else (),
+        is_from_store=False,
+        epoch=frame.epoch,
+        unreadable=tuple(unreadable),
     )
 
 
--- a/tests/test_fuzz_gateway.py
+++ b/tests/test_fuzz_gateway.py
@@ -15,6 +15,7 @@
 from beechbridge.failures import Failure
 from beechbridge.gateway.actions import (
     AnswerRequest,
+    PullChanges,
     SendHeartbeat,
     SendPermits,
     SendRelay,
@@ -25,6 +26,7 @@
     ExchangeEnded,
     HeartbeatReceived,
     PermitsReceived,
+    PullEnded,
     RelayReceived,
     SuspectsReceived,
     TimerDue,
@@ -38,12 +40,14 @@
     PartsOrder,
     PartsReply,
     RelayReply,
+    ReplicaEntry,
     Reply,
     RequestRelay,
 )
 from beechbridge.gateway.permits import PermitsAnswered, PermitsWanted
 from beechbridge.gateway.replicas.dictionaries import Dictionary
 from beechbridge.gateway.requests.suspicion import MAX_NAME_LENGTH
+from beechbridge.gateway.routes import RoutingTable
 from beechbridge.gateway.settings import GatewaySettings
 from beechbridge.gateway.suspects import EndReport, SuspectReport, SuspectsReport
 from beechbridge.platform.callers import read_request
@@ -75,13 +79,23 @@
 from measure.emulator import HOST
 
 from .gateways import single_route, start_register
+from .odd_items import ENTRY, TABLE, encode
+from .test_odd_items import PlatformReader
 from .utils import FUZZ
 
 BODY_LIMIT_BYTES = 256
 MEMBERS = [Member(f'v{number}', '127.0.0.1', 'brum-a', 5, 7) for number in range(3)]
 HEARTBEAT = encode_heartbeat(SendHeartbeat([], MEMBERS, 3, 44, True, 1))
 CHANGES = encode_changes(
-    ChangesReceived([Item('servers/a', b'{}', 4), Item('servers/b', None, 5)], 5, epoch=1)
+    ChangesReceived(
+        [
+            Item('servers/a', encode(ENTRY), 4),
+            Item('servers/b', None, 5),
+            Item(TABLE_KEY, encode(TABLE), 5),
+        ],
+        5,
+        epoch=1,
+    )
 )
 PERMITS_WANTED = encode_permits(
     SendPermits('vm-1', MEMBERS[0], PermitsWanted(7, [('r-0', 1.5), ('r-1', 20.0)], 1, 0.5))
@@ -191,7 +205,12 @@
     @FUZZ
     @given(mutations(CHANGES))
     def test_changes(self, data):
-        self.assertIsInstance(decode_changes(data), ChangesReceived | Failure)
+        changes = decode_changes(data)
+        self.assertIsInstance(changes, ChangesReceived | Failure)
+        reader = PlatformReader()
+        reader.deliver(PullEnded(PullChanges('vm-1', 0, 0, None), changes, 1, 1.0))
+        self.assertEqual(reader.find_lines('item_failed'), [])
+        self.assertIsInstance(encode_changes(reader.gateway.view.forward_changes(0, 0)), bytes)
 
     @FUZZ
     @given(st.data(), st.sampled_from([IDENTITY, ZSTD, DICTIONARY_ZSTD, 'br']))
@@ -259,10 +278,11 @@
     @FUZZ
     @given(
         st.sampled_from([TABLE_KEY, REPLICAS_PREFIX + 'r-1', 'other/key']),
-        mutations(b'{"service":"a","addr":"127.0.0.1:80","zone":"z","state":"ready","born":5}'),
+        st.one_of(mutations(encode(ENTRY)), mutations(encode(TABLE))),
     )
     def test_items_of_the_store(self, key, value):
-        decode_item(key, value)
+        decoded = decode_item(key, value)
+        self.assertIsInstance(decoded, RoutingTable | ReplicaEntry | Failure | None)
 
     @FUZZ
     @given(
--- a/tests/test_odd_items.py
+++ b/tests/test_odd_items.py
@@ -3,11 +3,13 @@
 import itertools
 import unittest
 from types import SimpleNamespace
+from urllib.parse import quote
 
 import msgspec
 from nose2.tools import params
 
 from beechbridge.daemon.metrics import render_gateway
+from beechbridge.failures import Failure
 from beechbridge.gateway.actions import PullChanges, WriteLine
 from beechbridge.gateway.events import ChangesReceived, PullEnded
 from beechbridge.gateway.models import Item
@@ -21,6 +23,7 @@
 from beechbridge.gateway.requests.evidence import Loss, count_restarts, incarnation_of
 from beechbridge.platform.items import decode_item
 from beechbridge.platform.names import REPLICAS_PREFIX, TABLE_KEY
+from beechbridge.wire.changes import read_pull
 from beechbridge.wire.fleet import decode_changes, encode_changes
 
 from .odd_items import (
@@ -348,3 +351,43 @@
         reader.change([(key, value)])
         (line,) = reader.find_lines('item_unreadable')
         self.assertLessEqual(len(line['detail']), MAX_REASON_CHARACTERS)
+
+
+class PeerTest(unittest.TestCase):
+    # Guards against changes of another VM that cannot be handed on, or after which no change of
+    # the store is new any more.
+    @params(
+        {'revision': -1},
+        {'revision': 2**53 + 1},
+        {'epoch': -1},
+        {'epoch': 2**63 - 1},
+    )
+    def test_changes_out_of_bounds_are_a_failed_pull(self, fields):
+        values = {'changes': [Item(KEY, encode(ENTRY), 3)], 'revision': 4, 'epoch': 1, **fields}
+        found = decode_changes(encode_changes(ChangesReceived(**values)))
+        self.assertIsInstance(found, Failure)
+        reader = PlatformReader()
+        reader.deliver(PullEnded(PullChanges('vm-1', 0, 0, None), found, 1, 1.0))
+        self.assertEqual(reader.gateway.view.position, (0, 0))
+
+    # An odd item costs itself, not the pull that a VM needs to get ready.
+    @params(
+        Item(LATE_KEY, encode(ENTRY), -1),
+        Item(LATE_KEY, encode(ENTRY), 2**53 + 1),
+        Item('', encode(ENTRY), 3),
+        Item(LATE_KEY + 'i' * 200, encode(ENTRY), 3),
+    )
+    def test_item_out_of_bounds_costs_no_other_item(self, odd):
+        items = [odd, Item(KEY, encode(ENTRY), 9), Item(TABLE_KEY, encode(TABLE), 2)]
+        # A listing may have items that are newer than its first page.
+        found = decode_changes(encode_changes(ChangesReceived(items, 4, epoch=1)))
+        reader = PlatformReader()
+        reader.deliver(PullEnded(PullChanges('vm-1', 0, 0, None), found, 1, 1.0))
+        self.assertEqual(set(reader.gateway.replica_by_key), {KEY})
+        self.assertTrue(reader.gateway.is_ready())
+        self.assertEqual(len(reader.find_lines('item_unreadable')), 1)
+
+    @params(*itertools.product(('after', 'epoch'), ('9' * 5_000, '-1', 'x', '1e3', '\u0669', '')))
+    def test_request_with_an_odd_position_asks_for_all_changes(self, name, value):
+        request = read_pull(f'{name}={quote(value)}', {})
+        self.assertEqual((request.revision, request.epoch), (0, 0))
