Bound the bodies of requests that come in, wait or run

Callers whose requests came in slowly, each within `bodyBytes`, could fill a VM's memory until its process was killed: 900 bodies of 250 KB took it to 634 MB where 300 are allowed.

Only single requests had a limit, not all of them together; and a body is held as it was received, as part of the request, and until it is sent.

Bodies of more than 8 KiB, what is read at once, are counted until their requests are answered, three times their size, and may take a quarter of `memoryMb`. Beyond that the incomplete one is rejected that has taken the most for the longest time: 503 with `Retry-After`, which is true, since it was never handed to the gateway, and a line (`request_unread`). Complete ones are counted and not rejected. Answers that wait are counted by the same class, which has a name for both now.

Without the counting both new tests of the server fail, and the second one if complete requests are rejected.

--- a/beechbridge/daemon/front.py
+++ b/beechbridge/daemon/front.py
@@ -29,12 +29,16 @@
 from ..gateway.events import CallerDisconnected, RequestMalformed
 from ..gateway.models import Answer
 from ..gateway.routes import CallerLimits
-from ..gateway.settings import DEFAULT_ANSWER_MEMORY_BYTES, Address
+from ..gateway.settings import (
+    DEFAULT_ANSWER_MEMORY_BYTES,
+    DEFAULT_REQUEST_MEMORY_BYTES,
+    Address,
+)
 from ..record import Record
 from ..wire.http import HttpResponse
 from .clock import read_clock_ms
+from .held_memory import HeldMemory
 from .log_lines import write_line
-from .unsent_answers import UnsentAnswers
 
 WORKER_THREADS = 4
 """Worker threads, which write answers and serve requests that need no waiting."""
@@ -53,6 +57,14 @@
 BODY_TIMEOUT_S = 30.0
 """Time within which the whole body of a request must arrive, however steadily it does."""
 
+SINGLE_READ_BYTES = 8_192
+"""Bodies up to this size are not counted: what waitress reads at once."""
+
+REQUEST_COPIES = 3
+"""A body is held as it was received, as part of the request, and to be sent to a replica."""
+
+MEMORY_RETRY_S = '1'
+
 BUFFER_BYTES = 256 * 1024
 """Size of the buffers of a large answer, which are freed one by one as they are sent."""
 
@@ -72,6 +84,18 @@
     reason = 'Request Timeout'
 
 
+class RequestMemoryError(Error):
+    """There is no memory for the rest of a request; it has not been executed."""
+
+    code = 503
+    reason = 'Service Unavailable'
+
+    def to_response(self, ident: str | None = None) -> tuple[str, list, bytes]:
+        """Return status, headers and body, with the time at which to try again."""
+        status, headers, body = super().to_response(ident)
+        return status, [*headers, ('Retry-After', MEMORY_RETRY_S)], body
+
+
 class CallerTask(WSGITask):
     """Makes the channel available to the application."""
 
@@ -109,8 +133,17 @@
         if part != self.timed_part:
             self.timed_part = part
             self.deadline_s = time.monotonic() + self.part_timeout_s(request)
+        if request.body_bytes_received > SINGLE_READ_BYTES:
+            self.app.hold_request(self)
         return is_open
 
+    def received_bytes(self) -> int:
+        """Return the memory that the bodies of the requests in hand need until they are sent."""
+        byte_count = sum(request.body_bytes_received for request in list(self.requests))
+        if self.request is not None:
+            byte_count += self.request.body_bytes_received
+        return REQUEST_COPIES * byte_count
+
     def part_timeout_s(self, request: HTTPRequestParser) -> float:
         """Return how long the headers or the body of a request may take."""
         return self.app.body_timeout_s if request.headers_finished else self.app.header_timeout_s
@@ -127,14 +160,19 @@
 
     def reject_late_request(self) -> None:
         """Answer a request that is late with an error; do not read the rest of it."""
+        part = 'body' if self.request.headers_finished else 'headers'
+        timeout_s = self.part_timeout_s(self.request)
+        self.reject_request(LateRequestError(f'{part} incomplete after {timeout_s} s'))
+
+    def reject_request(self, error: Error) -> None:
+        """Answer an incomplete request with an error; call in the server's thread."""
         self.deadline_s = math.inf
         with self.requests_lock:
             request, self.request = self.request, None
-            part = 'body' if request.headers_finished else 'headers'
-            timeout_s = self.part_timeout_s(request)
             if not request.headers_finished:
                 request.parse_header(b'GET / HTTP/1.0\r\n')
-            request.error = LateRequestError(f'{part} incomplete after {timeout_s} s')
+            request.close()
+            request.error = error
             request.completed = True
             self.requests.append(request)
             is_first = len(self.requests) == 1
@@ -148,6 +186,8 @@
         super().service()
         if not self.connected:
             self.app.drop_answer(self)
+        if self in self.app.received.by_channel:
+            self.app.recount_request(self)
         self.drop_sent()
         if self.total_outbufs_len:
             self.app.hold_unsent(self)
@@ -259,6 +299,7 @@
     :param header_timeout_s: timeout in seconds for receiving the headers of a request
     :param body_timeout_s: timeout in seconds for receiving the body of a request
     :param dispatch: passes a connection to a worker thread
+    :param received: requests that are too large for a single read
     :param unsent: answers that their callers do not take as fast as they are written
     """
 
@@ -275,6 +316,7 @@
         'keys',
         'keys_by_channel',
         'post',
+        'received',
         'unsent',
         'waiting',
     )
@@ -284,6 +326,7 @@
         post: Callable[[object], None],
         is_leaving: Callable[[], bool],
         answer_memory_bytes: int = DEFAULT_ANSWER_MEMORY_BYTES,
+        request_memory_bytes: int = DEFAULT_REQUEST_MEMORY_BYTES,
     ):
         self.post = post
         self.is_leaving = is_leaving
@@ -298,7 +341,9 @@
         self.waiting: dict[int, WaitingCaller] = {}
         self.keys_by_channel: dict[CallerChannel, int] = {}
         self.answers: dict[CallerChannel, tuple[Endpoint, Answer, str]] = {}
-        self.unsent = UnsentAnswers(answer_memory_bytes)
+        self.unsent = HeldMemory(answer_memory_bytes)
+        # What was received in full may be running: it is counted, but not given up.
+        self.received = HeldMemory(request_memory_bytes, lambda one: one.request is not None)
 
     def __call__(self, environ: dict, start_response: Callable) -> list[bytes]:
         """Write the available answer, or call the port's handler."""
@@ -365,6 +410,27 @@
         """Drop the answer that a closed connection did not take."""
         self.answers.pop(channel, None)
 
+    def hold_request(self, channel: CallerChannel) -> None:
+        """Count a request that comes in; reject others that do if there is too little memory."""
+        now_ms = read_clock_ms()
+        for other, holding in self.received.hold(channel, channel.received_bytes(), now_ms):
+            fields = {
+                'caller': other.addr[0],
+                'bytes': holding.byte_count,
+                'ms': round(now_ms - holding.since_ms),
+                'limit_bytes': self.received.limit_bytes,
+            }
+            write_line('request_unread', fields)
+            other.reject_request(RequestMemoryError('no memory for the rest of the request'))
+
+    def recount_request(self, channel: CallerChannel) -> None:
+        """Count what is left once a request was served."""
+        byte_count = channel.received_bytes()
+        if byte_count and channel.connected:
+            self.received.shrink(channel, byte_count)
+            return
+        self.received.release(channel)
+
     def hold_unsent(self, channel: CallerChannel) -> None:
         """Count an answer that its caller did not take at once; break off others if necessary."""
         now_ms = read_clock_ms()
@@ -385,6 +451,7 @@
     def handle_disconnect(self, channel: CallerChannel) -> None:
         """End the request of a caller that closed its connection."""
         self.unsent.release(channel)
+        self.received.release(channel)
         self.drop_answer(channel)
         key = self.keys_by_channel.pop(channel, None)
         if key is None:
--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -136,7 +136,10 @@
             self.loop, self.handle, codecs, settings.reply_memory_bytes
         )
         self.front = FrontApp(
-            self.post, lambda: self.core.stopping.is_leaving, settings.answer_memory_bytes
+            self.post,
+            lambda: self.core.stopping.is_leaving,
+            settings.answer_memory_bytes,
+            settings.request_memory_bytes,
         )
         self.pages = GatewayPages(self.core, self.loop, settings)
         self.server = self.open_server()
--- a/beechbridge/gateway/settings.py
+++ b/beechbridge/gateway/settings.py
@@ -6,6 +6,7 @@
 
 DEFAULT_REPLY_MEMORY_BYTES = 64 * 1024 * 1024
 DEFAULT_ANSWER_MEMORY_BYTES = 64 * 1024 * 1024
+DEFAULT_REQUEST_MEMORY_BYTES = 64 * 1024 * 1024
 
 
 class Address(Record):
@@ -34,6 +35,7 @@
     :param max_ttl_s: maximum lifetime of a directory answer in seconds
     :param max_reply_bytes: largest reply of a replica that is forwarded to a caller
     :param reply_memory_bytes: memory for the replies that are being received
+    :param request_memory_bytes: memory for the bodies of requests that come in and wait
     :param answer_memory_bytes: memory for the answers that callers have not taken yet
     :param is_first_start: whether the whole system starts for the first time
     """
@@ -55,6 +57,7 @@
         'readiness',
         'regions',
         'reply_memory_bytes',
+        'request_memory_bytes',
         'seeds',
         'store',
         'zone',
@@ -80,6 +83,7 @@
         max_reply_bytes: int = MAX_REPLY_BYTES,
         reply_memory_bytes: int = DEFAULT_REPLY_MEMORY_BYTES,
         answer_memory_bytes: int = DEFAULT_ANSWER_MEMORY_BYTES,
+        request_memory_bytes: int = DEFAULT_REQUEST_MEMORY_BYTES,
         is_first_start: bool = True,
     ):
         self.is_first_start = is_first_start
@@ -101,3 +105,4 @@
         self.max_reply_bytes = max_reply_bytes
         self.reply_memory_bytes = reply_memory_bytes
         self.answer_memory_bytes = answer_memory_bytes
+        self.request_memory_bytes = request_memory_bytes
--- a/beechbridge/platform/settings.py
+++ b/beechbridge/platform/settings.py
@@ -25,6 +25,9 @@
 ANSWER_MEMORY_FRACTION = 0.25
 """Fraction of the process's memory for answers that callers have not taken yet."""
 
+REQUEST_MEMORY_FRACTION = 0.25
+"""Fraction of the process's memory for the bodies of requests that come in and wait."""
+
 MAX_REPLY_VARIABLE = 'BEECHBRIDGE_MAX_REPLY_BYTES'
 
 
@@ -126,6 +129,7 @@
         max_reply_bytes=max_reply_bytes,
         is_first_start=file.bootstrap,
         reply_memory_bytes=int(REPLY_MEMORY_FRACTION * file.limits.memory_mb * BYTES_PER_MB),
+        request_memory_bytes=int(REQUEST_MEMORY_FRACTION * file.limits.memory_mb * BYTES_PER_MB),
         answer_memory_bytes=int(ANSWER_MEMORY_FRACTION * file.limits.memory_mb * BYTES_PER_MB),
     )
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -15,6 +15,7 @@
 from beechbridge.daemon.clock import read_clock_ms
 from beechbridge.daemon.front import (
     BUFFER_BYTES,
+    REQUEST_COPIES,
     Endpoint,
     FrontApp,
     call_when_sent,
@@ -186,6 +187,63 @@
         sock.close()
 
 
+class LargeRequestsTest(unittest.TestCase):
+    def setUp(self):
+        self.front = Front(request_memory_bytes=REQUEST_COPIES * 250_000)
+        self.addCleanup(self.front.close)
+        self.front.serve_without_threads()
+        self.handler = logbook.TestHandler()
+        self.handler.push_application()
+        self.addCleanup(self.handler.pop_application)
+
+    def start_request(self, body_bytes=100_000):
+        """Send a request but for its last byte, and return its connection."""
+        received = self.front.app.received
+        expected = received.held_bytes + REQUEST_COPIES * (body_bytes - 1)
+        sock = self.front.connect()
+        self.addCleanup(sock.close)
+        head = HEAD.replace('GET', 'POST') + f'Content-Length: {body_bytes}\r\n\r\n'
+        sock.sendall(head.encode() + b'x' * (body_bytes - 1))
+        # The server reads 8 KiB of a connection in each round of its loop.
+        for _ in range(10_000):
+            if received.held_bytes == expected or self.handler.records:
+                return sock
+            self.front.run_in_server(lambda: None)
+        raise AssertionError('the request was not counted')
+
+    # Requests that came in slowly filled the memory of a VM, each within its limit.
+    def test_oldest_incomplete_request_is_rejected_if_all_exceed_the_memory(self):
+        socks = [self.start_request() for _ in range(3)]
+        response, _ = read_response(socks[0])
+        self.assertEqual((response.status, response.getheader('Retry-After')), (503, '1'))
+        self.assertEqual(type(self.front.next_event()), RequestMalformed)
+        [line] = [one.extra['fields'] for one in self.handler.records]
+        self.assertGreater(line['bytes'], REQUEST_COPIES * 90_000)
+        for sock in socks[1:]:
+            sock.sendall(b'x')
+            event = self.front.next_event()
+            self.assertEqual(len(event.request.body), 100_000)
+            self.front.app.deliver(event.key, ANSWER)
+            self.assertEqual(read_response(sock)[0].status, 200)
+        self.assertEqual(self.front.app.received.held_bytes, 0)
+
+    # A request that was handed to the gateway may run, and must not be answered as not run.
+    def test_complete_request_is_counted_until_it_is_answered(self):
+        first = self.start_request()
+        first.sendall(b'x')
+        event = self.front.next_event()
+        self.assertGreater(self.front.app.received.held_bytes, 0)
+        second = self.start_request()
+        self.start_request()
+        self.assertEqual(read_response(second)[0].status, 503)
+        self.assertEqual(type(self.front.next_event()), RequestMalformed)
+        self.front.app.deliver(event.key, ANSWER)
+        self.assertEqual(read_response(first)[0].status, 200)
+        for channel in list(self.front.app.received.by_channel):
+            self.front.run_in_server(channel.handle_close)
+        self.assertEqual(self.front.app.received.held_bytes, 0)
+
+
 class FrontTest(unittest.TestCase):
     def setUp(self):
         self.front = Front()
--- a/tests/test_platform_items.py
+++ b/tests/test_platform_items.py
@@ -168,6 +168,7 @@
         settings = parse_settings(text, 'file')
         self.assertEqual(settings.reply_memory_bytes, 75 * 1024 * 1024)
         self.assertEqual(settings.answer_memory_bytes, 75 * 1024 * 1024)
+        self.assertEqual(settings.request_memory_bytes, 75 * 1024 * 1024)
 
     @params(
         ('nodeName = "front-1"', '', 'nodeName'),
