Let the soak judge nothing that happened while it was frozen itself

On a machine whose load rose to 32 on 8 cores, the soak got no processor for up to 8 s. `had_fault` no longer adds VMs without a fault to the spans.

--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -149,6 +149,7 @@
     :param stops: planned stops by the VM's name
     :param vm_count: number of VMs; each learns what a replica says only from a reply to itself
     :param withdrawn_s: when the store acknowledged a replica's draining or removal, by replica id
+    :param frozen_spans: spans in which the soak itself got no processor and saw nothing in time
     :param fault_spans: spans in which an unplanned fault affected a VM, by its name or `all`
     """
 
@@ -165,13 +166,15 @@
         self.vm_count = 1
         self.stops: dict[str, list[Stop]] = defaultdict(list)
         self.fault_spans: dict[str, list[tuple[float, float]]] = defaultdict(list)
+        self.frozen_spans: list[tuple[float, float]] = []
         self.table_acknowledged_s: dict[str, float] = {}
         self.min_share = 1.0
         self.top_records = 0
 
     def had_fault(self, vm: str, since_s: float, until_s: float) -> bool:
         """Return whether a fault affected a VM during a span or shortly before it."""
-        for start_s, end_s in (*self.fault_spans[vm], *self.fault_spans['all']):
+        faults = [*self.fault_spans.get(vm, ()), *self.fault_spans.get('all', ())]
+        for start_s, end_s in (*faults, *self.frozen_spans):
             if start_s - SLACK_S <= until_s and since_s <= end_s + APPLY_S + SLACK_S:
                 return True
         return False
@@ -190,7 +193,7 @@
         violations.extend(self.check_budget())
         violations.extend(self.check_denied())
         violations.extend(self.check_quarantined())
-        if include_timing or not self.fault_spans:
+        if include_timing or not any(self.fault_spans.values()):
             violations.extend(self.check_aborted())
         if include_timing:
             violations.extend(self.check_withdrawn())
@@ -283,7 +286,7 @@
 
     def has_any_fault(self, since_s: float, until_s: float) -> bool:
         """Return whether a fault affected some VM during a span or shortly before it."""
-        return any(self.had_fault(vm, since_s, until_s) for vm in list(self.fault_spans))
+        return any(self.had_fault(vm, since_s, until_s) for vm in ('all', *self.fault_spans))
 
     def check_limits(self) -> list[str]:
         """Check the limits that replicas named, in sliding windows; first requests are free."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,7 +14,7 @@
 from .callers import HOST, TIMEOUT_MS, Caller, Habits
 from .faults import DRILLS, KINDS, PLANNED, Faults
 from .fleet import GRACE_S, MEMORY_MB, Vm, check_addresses, make_folder
-from .ledger import Ledger
+from .ledger import SLACK_S, Ledger
 from .proxy import Proxy
 from .standins import Replica, Store
 
@@ -244,12 +244,14 @@
         self.withdraw_replica(old, with_drain)
 
     async def watch_delay(self) -> None:
-        """Keep how late the soak itself has been: its machine may be busy."""
+        """Keep how late the soak was: while it is frozen, callers give up what was answered."""
         while True:
             started_s = time.monotonic()
             await asyncio.sleep(DELAY_CHECK_S)
             late_s = time.monotonic() - started_s - DELAY_CHECK_S
             self.max_delay_s = max(self.max_delay_s, late_s)
+            if late_s > SLACK_S:
+                self.ledger.frozen_spans.append((started_s, time.monotonic()))
 
     async def run_with_faults(self, seconds: float, kinds: tuple[str, ...]) -> None:
         """Run callers under faults, let the deployment recover, then check all promises."""
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -201,6 +201,17 @@
         ledger.fault_spans['vm-1'].append((99.0, 100.5))
         self.assertEqual(len(ledger.check(include_timing=timed)), expected_count)
 
+    # The soak saw nothing from 99 to 101 s; the slack after a fault is 4 s.
+    @params((100.0, 0), (104.9, 0), (105.1, 1))
+    def test_frozen_soak_does_not_judge_what_it_saw_late(self, sent_s, expected_count):
+        ledger = make_ledger()
+        request = make_request('filing', None)
+        request.sent_s, request.ended_s = sent_s, sent_s + 1.0
+        ledger.requests.append(request)
+        ledger.arrivals.append(make_arrival(sent_s))
+        ledger.frozen_spans.append((99.0, 101.0))
+        self.assertEqual(len(ledger.check(include_timing=False)), expected_count)
+
     def test_fault_on_the_vm_excuses_an_aborted_request(self):
         ledger = make_ledger()
         ledger.requests.append(make_request('filing', None))
