Wait for no overdue response in a soak without time limits

Such requests are still reported by runs that check time limits; without them only connections count that the VM has closed.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -138,6 +138,7 @@
             message = await asyncio.wait_for(self.exchange(request, path), wait_s)
         except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
             request.has_left = will_leave and isinstance(error, TimeoutError)
+            request.is_overdue = not will_leave and isinstance(error, TimeoutError)
             request.ended_s = time.monotonic()
             self.close()
             self.hosts = [host for host in self.hosts if host != self.host]
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -105,6 +105,7 @@
     :param written_s: when all of the request was sent, infinity if it never was
     :param read_s: time over which the caller reads the body of the response
     :param has_left: whether the caller closed the connection while it waited
+    :param is_overdue: whether it did so only long after its time limit
     """
 
     __slots__ = (
@@ -112,6 +113,7 @@
         'ended_s',
         'has_left',
         'headers',
+        'is_overdue',
         'kind',
         'read_s',
         'request_id',
@@ -132,6 +134,7 @@
         self.timeout_s = math.inf
         self.read_s = 0.0
         self.has_left = False
+        self.is_overdue = False
         self.status: int | None = None
         self.headers: dict[str, str] = {}
         self.body = b''
@@ -194,7 +197,7 @@
         violations.extend(self.check_denied())
         violations.extend(self.check_quarantined())
         if include_timing or not any(self.fault_spans.values()):
-            violations.extend(self.check_aborted())
+            violations.extend(self.check_aborted(include_timing))
         if include_timing:
             violations.extend(self.check_withdrawn())
             violations.extend(self.check_limits())
@@ -395,17 +398,21 @@
                 )
         return violations
 
-    def check_aborted(self) -> list[str]:
+    def check_aborted(self, include_timing: bool = True) -> list[str]:
         """
         Check that requests get a response if they were forwarded, or if their VM has read them.
 
         No unplanned fault may have affected the VM.
+
+        :param include_timing: whether responses count as missing that are overdue
         """
         violations = []
         work_ends_s = self.map_work_ends()
         for request in self.requests:
             if request.status is not None or request.has_left:
                 continue
+            if request.is_overdue and not include_timing:
+                continue
             if self.had_fault(request.vm, request.sent_s, request.ended_s):
                 continue
             name = f'{request.kind} {request.request_id}'
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -201,6 +201,15 @@
         ledger.fault_spans['vm-1'].append((99.0, 100.5))
         self.assertEqual(len(ledger.check(include_timing=timed)), expected_count)
 
+    @params((True, 1), (False, 0))
+    def test_overdue_response_is_missing_only_in_a_timed_run(self, timed, expected_count):
+        ledger = make_ledger()
+        request = make_request('filing', None)
+        request.is_overdue = True
+        ledger.requests.append(request)
+        ledger.arrivals.append(make_arrival())
+        self.assertEqual(len(ledger.check(include_timing=timed)), expected_count)
+
     # The soak saw nothing from 99 to 101 s; the slack after a fault is 4 s.
     @params((100.0, 0), (104.9, 0), (105.1, 1))
     def test_frozen_soak_does_not_judge_what_it_saw_late(self, sent_s, expected_count):
