Write the lines that are queued during the last write of a process

The last lines of a process were lost if it exited while others were being written: `ended`, and what it had said of the requests that it answered at the end of a planned stop. The thread that writes lines looked after each write whether it was to end, and left what had been queued meanwhile.

In a test with an output that takes its time 1 of 3 lines was written. The thread writes once more before it ends.

--- a/beechbridge/daemon/log_lines.py
+++ b/beechbridge/daemon/log_lines.py
@@ -60,6 +60,8 @@
         while not self.is_closed:
             self.close_event.wait(FLUSH_INTERVAL_S)
             self.flush()
+        # Lines may have been queued during the last write.
+        self.flush()
 
     def flush(self) -> None:
         """Write the queued lines and the number of dropped ones."""
--- a/tests/test_log_lines.py
+++ b/tests/test_log_lines.py
@@ -3,11 +3,28 @@
 import io
 import json
 import os
+import threading
 import unittest
 
 from beechbridge.daemon import log_lines
 from beechbridge.daemon.log_lines import MAX_LINES_PER_S, LineHandler, write_line
 
+WAIT_S = 5.0
+
+
+class SlowStream(io.StringIO):
+    """Output whose first write takes until the test lets it go on."""
+
+    def __init__(self):
+        super().__init__()
+        self.is_writing = threading.Event()
+        self.may_go_on = threading.Event()
+
+    def write(self, text):
+        self.is_writing.set()
+        self.may_go_on.wait(WAIT_S)
+        return super().write(text)
+
 
 class LineTest(unittest.TestCase):
     def write(self, handler, count):
@@ -51,3 +68,16 @@
                 break
         self.assertLessEqual(len(handler.lines), log_lines.MAX_QUEUED_LINES)
         self.assertGreater(handler.dropped_count, 0)
+
+    # Lines of the last answers before an exit were lost if others were just being written.
+    def test_lines_queued_during_the_last_write_are_written(self):
+        stream = SlowStream()
+        handler = LineHandler(stream)
+        self.write(handler, 1)
+        self.assertTrue(stream.is_writing.wait(WAIT_S))
+        self.write(handler, 2)
+        handler.is_closed = True
+        stream.may_go_on.set()
+        handler.close()
+        handler.thread.join(WAIT_S)
+        self.assertEqual(len(stream.getvalue().splitlines()), 3)
