Keep the grace period of a stop in progress

If `graceS` grew while a VM was stopping, its stop became longer, too, but not the time until the kill, which whoever asked for the stop counts from then. Callers whose requests were in hand would have got no answer.

A VM that is leaving keeps the grace period that held when it was asked to.

--- a/beechbridge/gateway/maintenance.py
+++ b/beechbridge/gateway/maintenance.py
@@ -33,7 +33,9 @@
     gateway.max_reply_bytes = settings.max_reply_bytes
     for budget in gateway.budgets.values():
         budget.rules = settings.budget
-    gateway.stopping.grace_ms = settings.grace_ms
+    if not gateway.stopping.is_leaving:
+        # Whoever has asked for a stop counts from then, by the period that held then.
+        gateway.stopping.grace_ms = settings.grace_ms
     gateway.fleet.seeds = settings.seeds
     gateway.fleet.regions.update(settings.regions)
     gateway.fleet.own.capacity_millicores = settings.capacity_millicores
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -2,7 +2,9 @@
 
 import unittest
 
-from beechbridge.gateway.events import SettingsReloaded
+from nose2.tools import params
+
+from beechbridge.gateway.events import SettingsReloaded, StopRequested
 from beechbridge.platform.settings import parse_settings
 
 from .gateways import start_sweeps
@@ -24,5 +26,16 @@
         subjects = [line.subject for line in emulator.vms[0].lines]
         self.assertIn('reloaded', subjects)
 
+    # A VM whose grace period grew during its stop was killed before it had answered.
+    @params(2, 12)
+    def test_grace_period_of_a_stop_in_progress_does_not_change(self, grace_s):
+        emulator = start_sweeps(2, zones=('brum-a',))
+        vm = emulator.vms[0]
+        stopping = vm.gateway.stopping
+        text = SETTINGS.replace('graceS = 6', f'graceS = {grace_s}')
+        emulator.deliver_event(vm, StopRequested())
+        emulator.deliver_event(vm, SettingsReloaded(parse_settings(text, 'file')))
+        self.assertEqual(stopping.at_ms(1.0) - stopping.asked_ms, 6_000.0)
+
     def test_settings_compare_by_value(self):
         self.assertEqual(parse_settings(SETTINGS, 'file'), parse_settings(SETTINGS, 'file'))
