Spare the lines on the life of a process the rate limit

At the end of the time for answers a stopping VM answers all requests that are left, each with a line. Beyond 300 the limit dropped the next lines of that second: `stopped`, `answers_unsent` and `ended`. To operators, who look for `stopped` before the next `started`, the planned stop was a crash.

These five subjects are few, so the limit doesn't apply to them. Lines of requests beyond the limit are still dropped and counted.

--- a/beechbridge/daemon/log_lines.py
+++ b/beechbridge/daemon/log_lines.py
@@ -14,6 +14,9 @@
 MAX_LINES_PER_S = 300
 """Rate limit that keeps an overload from filling the on-call engineers' log storage."""
 
+UNLIMITED_SUBJECTS = frozenset(('started', 'stop_asked', 'stopped', 'answers_unsent', 'ended'))
+"""Lines on the life of the process: without them a stop looks like a crash."""
+
 FLUSH_INTERVAL_S = 0.25
 
 logger = logbook.Logger('gateway')
@@ -45,7 +48,9 @@
             self.current_second = int(now_s)
             self.lines_this_second = 0
         self.lines_this_second += 1
-        if self.lines_this_second > MAX_LINES_PER_S or len(self.lines) >= MAX_QUEUED_LINES:
+        is_limited = record.message not in UNLIMITED_SUBJECTS
+        is_over_limit = is_limited and self.lines_this_second > MAX_LINES_PER_S
+        if is_over_limit or len(self.lines) >= MAX_QUEUED_LINES:
             self.dropped_count += 1
             return
         line = {'time': round(now_s, 4), 'level': record.level_name.lower()}
--- a/tests/test_log_lines.py
+++ b/tests/test_log_lines.py
@@ -6,6 +6,8 @@
 import threading
 import unittest
 
+from nose2.tools import params
+
 from beechbridge.daemon import log_lines
 from beechbridge.daemon.log_lines import MAX_LINES_PER_S, LineHandler, write_line
 
@@ -69,6 +71,20 @@
         self.assertLessEqual(len(handler.lines), log_lines.MAX_QUEUED_LINES)
         self.assertGreater(handler.dropped_count, 0)
 
+    # A stop with many requests in hand looked like a crash: the limit dropped its last lines.
+    @params('started', 'stop_asked', 'stopped', 'answers_unsent', 'ended')
+    def test_rate_limit_spares_the_life_of_the_process(self, subject):
+        stream = io.StringIO()
+        handler = LineHandler(stream)
+        # The writes may span two seconds, each with its own limit.
+        self.write(handler, 3 * MAX_LINES_PER_S)
+        with handler.applicationbound():
+            write_line(subject, {})
+        handler.close()
+        handler.thread.join(WAIT_S)
+        subjects = {json.loads(line)['subject'] for line in stream.getvalue().splitlines()}
+        self.assertIn(subject, subjects)
+
     # Lines of the last answers before an exit were lost if others were just being written.
     def test_lines_queued_during_the_last_write_are_written(self):
         stream = SlowStream()
