Answer all pipelined requests before a leaving daemon closes a connection

The product's own interface had what the gateway had: of two requests sent at once a leaving VM read both, closed the connection after the first answer, and dropped the second one. In the test 1 of 2 was answered.

The connection is closed after the answer of the last request that was read. None is read while another one is served, so which one is the last is certain when its answer is written.

--- a/beechbridge/daemon/callers.py
+++ b/beechbridge/daemon/callers.py
@@ -9,6 +9,8 @@
 from urllib.parse import parse_qs
 
 import msgspec
+from waitress.channel import HTTPChannel
+from waitress.task import WSGITask
 
 from ..events import EntryRequested, Event, QueryReceived, TicketedRequestReceived, TicketRequested
 from ..failures import Failure, InputFailure, Reason, not_run, unknown
@@ -29,6 +31,23 @@
 """Threads reserved for rejecting requests while all the others are busy."""
 
 BUSY_RETRY_AFTER_MS = 100
+IS_LAST_KEY = 'beechbridge.is_last'
+
+
+class CallerTask(WSGITask):
+    """Tells the application whether no other request of the connection was read."""
+
+    def get_environment(self) -> dict:
+        """Return the WSGI environment; nothing more is read while a request is served."""
+        environ = super().get_environment()
+        environ[IS_LAST_KEY] = len(self.channel.requests) == 1
+        return environ
+
+
+class CallerChannel(HTTPChannel):
+    """A caller's connection."""
+
+    task_class = CallerTask
 
 
 class CallersApp:
@@ -89,7 +108,7 @@
             headers = [('Content-Type', 'application/json'), ('X-Request-Id', request_id)]
             if retry_after_ms is not None:
                 headers.append(('Retry-After', str(-(-retry_after_ms // 1000))))
-            if not self.is_leaving():
+            if not (self.is_leaving() and environ[IS_LAST_KEY]):
                 headers.append(('Content-Length', str(len(body))))
                 start_response(status, headers)
                 return [body]
--- a/beechbridge/daemon/server.py
+++ b/beechbridge/daemon/server.py
@@ -24,7 +24,7 @@
 from ..core.policy import CURRENT, Policy
 from ..events import StopRequested
 from ..models import VmIdentity
-from .callers import CallersApp
+from .callers import CallerChannel, CallersApp
 from .driver import Driver
 from .operations import OperationsApp
 from .peers import PeerLink
@@ -110,6 +110,7 @@
             connection_limit=MAX_CALLER_CONNECTIONS,
             ident=None,
         )
+        self.caller_server.channel_class = CallerChannel
         self.operations_server = waitress.create_server(
             OperationsApp(self.driver, self.peers.counts),
             host=vm.host,
--- a/tests/test_daemon_stop.py
+++ b/tests/test_daemon_stop.py
@@ -1,6 +1,7 @@
 """Graceful stop over real sockets: callers that follow the entry answers lose no request."""
 
 import http.client
+import socket
 import threading
 import unittest
 
@@ -8,6 +9,7 @@
 
 from .deployment import HOST, Deployment, call, wait_for
 
+WAIT_S = 30
 QUERY = msgspec.json.encode({'back_end': 'b', 'class': 'c'})
 
 
@@ -60,3 +62,17 @@
             caller.join(60)
             self.assertFalse(caller.is_alive())
             self.assertEqual(set(caller.statuses), {200})
+
+    # The second of two requests sent at once was read, and dropped with the first answer.
+    def test_pipelined_requests_are_all_answered_while_leaving(self):
+        deployment = Deployment(('v1', 'v2'))
+        self.addCleanup(deployment.close)
+        daemon = deployment.daemons['v1']
+        daemon.request_stop()
+        wait_for(lambda: daemon.core.stopping.is_leaving)
+        head = f'POST /v1/query HTTP/1.1\r\nHost: h\r\nContent-Length: {len(QUERY)}\r\n\r\n'
+        with socket.create_connection((HOST, daemon.caller_port), timeout=WAIT_S) as sock:
+            sock.sendall(2 * (head.encode() + QUERY))
+            received = b''.join(iter(lambda: sock.recv(65_536), b''))
+        self.assertEqual(received.count(b'HTTP/1.1 200 OK'), 2)
+        self.assertEqual(received.count(b'Connection: close'), 1)
