Wait for requests half received before a stopping process exits

A stopping VM accepts connections for 0.62 of the grace period and exits as soon as nothing is in flight. Requests of which a part had arrived didn't count: after 4 s of 6 s a caller that was sending its body got a closed connection, even if it had just been told to go on with `100 Continue`. It could not tell that from a request that has run.

The exit waits for the rest of such requests as for those that were read, at the latest until 0.97 of the grace period.

--- a/beechbridge/daemon/front.py
+++ b/beechbridge/daemon/front.py
@@ -518,13 +518,17 @@
 
 
 def describe_unsent(listeners: list[BaseWSGIServer]) -> dict[str, int]:
-    """Return log fields that count the answers still being written and their unsent bytes."""
+    """
+    Return log fields that count the answers still being written and their unsent bytes.
+
+    Requests that were received in part count as unanswered.
+    """
     counts = {'connections': 0, 'bytes': 0, 'unanswered': 0}
     for listener in listeners:
         for channel in list(listener.active_channels.values()):
             counts['connections'] += bool(channel.total_outbufs_len)
             counts['bytes'] += channel.total_outbufs_len
-            counts['unanswered'] += bool(channel.requests)
+            counts['unanswered'] += bool(channel.requests) or channel.request is not None
     return counts
 
 
@@ -537,6 +541,8 @@
     """
     Call back once all requests that were read are answered and the answers are sent.
 
+    The rest of a request that was received in part is waited for, too.
+
     :param deadline_ms: time in milliseconds at which to call back in any case
     """
     counts = describe_unsent(listeners)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -541,6 +541,26 @@
             self.wait_sent(read_clock_ms() + 60_000.0, lambda: self.front.app.deliver(key, ANSWER))
             self.assertEqual(read_response(sock)[1], ANSWER.body)
 
+    # A process that had answered all others exited while a request was half received.
+    @params('GET /a/x HTTP/1.1\r\n', f'{HEAD}Content-Length: 4\r\n\r\n12')
+    def test_exit_waits_for_requests_half_received(self, start):
+        with self.front.connect() as sock:
+            sock.sendall(start.encode())
+            channels = self.front.listeners[0].active_channels
+            while not any(channel.request for channel in list(channels.values())):
+                time.sleep(0.01)
+            rest = '34' if 'Content-Length' in start else HEAD.partition('\r\n')[2] + '\r\n'
+
+            def send_rest():
+                sock.sendall(rest.encode())
+                self.front.app.deliver(self.front.next_event().key, ANSWER)
+
+            sender = threading.Thread(target=send_rest)
+            self.wait_sent(read_clock_ms() + 60_000.0, sender.start)
+            self.assertIsNotNone(sender.ident)
+            sender.join(WAIT_S)
+            self.assertEqual(read_response(sock)[1], ANSWER.body)
+
     # Callers that read nothing must not keep a process for ever.
     def test_exit_waits_until_its_deadline(self):
         self.request_long_answer()
