--- a/soak/run.py
+++ b/soak/run.py
@@ -88,8 +88,6 @@
         for number in range(2 * self.vm_count if FLAGS.habits else 0):
             rng = random.Random(self.habits_rng.getrandbits(64))
             habits = Habits(rng)
-            if not FLAGS.hurry:
-                habits.max_timeout_ms = max(TIMEOUT_MS.values())
             self.callers.append(Caller(4000 + number, self.vms, self.ledger, rng, mix, habits))
         await self.wait_served()
 
@@ -339,7 +337,6 @@
     )
     flags.DEFINE_boolean('planned', False, 'draw only kinds that excuse no lost request')
     flags.DEFINE_boolean('habits', True, 'add callers that stay, leave, hurry or read slowly')
-    flags.DEFINE_boolean('hurry', True, 'let some of these callers set time limits of 30 ms')
     flags.DEFINE_integer('network', 1, "third byte of the VMs' addresses; runs at once need two")
     flags.DEFINE_boolean('timed', True, 'also check promises with a time limit')
     sys.exit(app.run(main))
