Let a defect in one answer cost neither the others nor the exit

At the end of the time for answers one timer answered all requests that were left, and then let the process exit. An exception in the answer to one of them would have cost all later ones theirs, and the process would have run into the kill. No such exception is known; the test makes one, after which the third of three requests got no answer and no exit was asked for.

The exit is asked for first, and each request is answered by a timer of its own, like at its deadline. The driver goes on with the others after an exception. The two mutants of this place remove the new lines.

--- a/beechbridge/gateway/fleet/stopping.py
+++ b/beechbridge/gateway/fleet/stopping.py
@@ -14,8 +14,8 @@
 from ..events import StopRequested
 from ..interface import GatewayInterface
 from ..models import CallerRequest
-from ..requests.progress import answer_work
 from ..requests.retry_times import defer_retry_ms
+from ..requests.works import DeadlineTimer
 from .gossip import send_heartbeat
 
 LONG_REQUEST_SHARE = 0.5
@@ -132,8 +132,8 @@
         gateway.timers.arm(due_ms, timer)
         return
     stopping.is_closed = True
-    left = list(gateway.works.values())
-    for work in left:
-        answer_work(work, gateway)
-    gateway.act(WriteLine('stopped', {'in_flight': len(left)}))
+    gateway.act(WriteLine('stopped', {'in_flight': len(gateway.works)}))
     gateway.act(ExitProcess(stopping.at_ms(EXIT_SHARE)))
+    for key in gateway.works:
+        # With its own timer, a defect in the answer to one request costs only that one.
+        gateway.timers.arm(gateway.now_ms, DeadlineTimer(key))
--- a/model/mutants.py
+++ b/model/mutants.py
@@ -561,8 +561,8 @@
     Mutant(
         'a gateway exits without answering what is in flight',
         GATEWAY_STOPPING,
-        'for work in left:\n        answer_work(work, gateway)',
-        'for work in ():\n        answer_work(work, gateway)',
+        'for key in gateway.works:',
+        'for key in ():',
         ('test_planned_stops',),
     ),
     Mutant(
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -220,7 +220,11 @@
         'the exit drops what is in flight',
         'the replica was at work',
         STOPS,
-        Edit(f'{GATEWAY}/fleet/stopping.py', 'answer_work(work, gateway)', 'pass'),
+        Edit(
+            f'{GATEWAY}/fleet/stopping.py',
+            'gateway.timers.arm(gateway.now_ms, DeadlineTimer(key))',
+            'pass',
+        ),
     ),
     SoakMutant(
         'the exit drops answers that are being sent',
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -4,8 +4,11 @@
 
 from nose2.tools import params
 
+from beechbridge.defects import describe_defect
 from beechbridge.failures import Executed, Reason
-from beechbridge.gateway.events import OrderReceived, RelayReceived, StopRequested
+from beechbridge.gateway.actions import AnswerRequest, ExitProcess
+from beechbridge.gateway.events import OrderReceived, RelayReceived, StopRequested, TimerDue
+from beechbridge.gateway.fleet.stopping import ANSWER_SHARE
 from beechbridge.gateway.models import (
     CallerRequest,
     PartsAnswer,
@@ -133,6 +136,26 @@
         self.assertLessEqual(answered_ms, vm.exited_ms)
         self.assertIsInstance(answer, PartsAnswer)
 
+    # An exception for one request at the end cost all others their answers, and the exit.
+    def test_defect_in_one_answer_costs_neither_the_others_nor_the_exit(self):
+        emulator, path, method = start_slow('lookup')
+        vm = stop(emulator, 0.4 * GRACE_MS)
+        keys = [emulator.send_request(0, path, LONG_MS, method) for _ in range(3)]
+        emulator.run(100.0)
+        gateway = vm.gateway
+        gateway.works[keys[1]].route = None
+        end_ms = gateway.stopping.at_ms(ANSWER_SHARE)
+        actions = []
+        while (gateway.timers.next_due_ms() or end_ms + 1.0) <= end_ms:
+            now_ms = gateway.timers.next_due_ms()
+            try:
+                actions.extend(gateway.handle(TimerDue(), now_ms))
+            except AttributeError as error:
+                actions.extend(gateway.recover(TimerDue(), describe_defect(error)))
+        answered = {action.key for action in actions if isinstance(action, AnswerRequest)}
+        self.assertLessEqual({keys[0], keys[2]}, answered)
+        self.assertTrue(any(isinstance(action, ExitProcess) for action in actions))
+
 
 class ServedRequestTest(unittest.TestCase):
     # Rejecting more than that would turn callers away who still know the address of this VM.
