--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -64,16 +64,9 @@
 )
 from ..wire.relays import read_relay, read_relay_reply, write_relay, write_relay_answer
 from .clock import read_clock_ms
+from .closing import call_when_sent, close_idle_channels, describe_unsent, list_listeners
 from .exchanges import Codec, ExchangeClient
-from .front import (
-    Endpoint,
-    FrontApp,
-    call_when_sent,
-    close_idle_channels,
-    create_front,
-    describe_unsent,
-    list_listeners,
-)
+from .front import Endpoint, FrontApp, create_front
 from .log_lines import LineHandler, write_line
 from .pages import GatewayPages
 from .pulls import pull_changes
--- a/model/mutants.py
+++ b/model/mutants.py
@@ -574,7 +574,7 @@
     ),
     Mutant(
         'an exit does not wait for answers being sent',
-        'beechbridge/daemon/front.py',
+        'beechbridge/daemon/closing.py',
         "is_sent = not counts['connections'] and not counts['unanswered']",
         'is_sent = True',
         ('test_front',),
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -230,7 +230,7 @@
         'the exit drops answers that are being sent',
         'the replica had done its work',
         (*STOPS, '--first_seed=1'),
-        Edit('beechbridge/daemon/front.py', 'if is_sent or', 'if True or'),
+        Edit('beechbridge/daemon/closing.py', 'if is_sent or', 'if True or'),
     ),
     SoakMutant(
         'requests that a stopping VM rejects get no answer',
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -13,15 +13,13 @@
 from nose2.tools import params
 
 from beechbridge.daemon.clock import read_clock_ms
+from beechbridge.daemon.closing import call_when_sent, close_idle_channels, list_listeners
 from beechbridge.daemon.front import (
     BUFFER_BYTES,
     REQUEST_COPIES,
     Endpoint,
     FrontApp,
-    call_when_sent,
-    close_idle_channels,
     create_front,
-    list_listeners,
 )
 from beechbridge.failures import Reason, not_run
 from beechbridge.gateway.events import CallerDisconnected, RequestMalformed, RequestReceived
