Guard requests that leave at their deadline by a test of their own

The test opens real connections while the process is late: past the deadline, past the end of a planned stop, or with the timer due at the moment at which the connection opens.

--- /dev/null
+++ b/tests/test_false_refusals.py
@@ -0,0 +1,135 @@
+"""
+Statuses that say that nothing has run (503, 429, 421, 408), beside work that has run.
+
+docs/incidents/liftwatch-false-refusals.md tells what callers saw.
+"""
+
+import asyncio
+import unittest
+from types import SimpleNamespace
+
+from nose2.tools import params
+
+from beechbridge.daemon.exchanges import Codec, ExchangeClient
+from beechbridge.daemon.gateway import perform
+from beechbridge.failures import Executed
+from beechbridge.gateway.actions import SendRequest
+from beechbridge.gateway.events import ChangesReceived, RequestReceived, StopRequested
+from beechbridge.gateway.models import CallerRequest, Item
+from beechbridge.gateway.requests.works import DeadlineTimer
+from beechbridge.platform.callers import write_answer
+from beechbridge.platform.items import decode_item
+from beechbridge.platform.names import REPLICAS_PREFIX, TABLE_KEY
+from beechbridge.platform.replicas import read_reply, write_request
+
+from .odd_items import ENTRY, TABLE, encode
+from .test_store_updates import EmptyReader
+
+KEY = 7
+TIME_LEFT_MS = 26.0
+"""What callers of review/1 still wait: 18 to 34 ms."""
+
+GIVE_UP_S = 20.0
+"""Time after which a request that does not reach the replica is taken for unsent."""
+
+PERFORMED = (
+    'SendRequest',
+    'WithdrawExchange',
+    'AbandonExchange',
+    'DropConnection',
+    'AnswerRequest',
+)
+"""Names of the actions that concern requests."""
+
+
+class StandInReplica(asyncio.Protocol):
+    """A replica that notes the bytes of requests, and never answers."""
+
+    def __init__(self):
+        self.received = b''
+
+    def data_received(self, data):
+        self.received += data
+
+
+class PlayedGateway(EmptyReader):
+    """A gateway whose connections are real, and whose clock the test sets."""
+
+    def __init__(self, kind, port):
+        super().__init__()
+        codecs = {SendRequest: Codec(write_request, read_reply)}
+        self.exchanges = ExchangeClient(asyncio.get_running_loop(), self.handle, codecs)
+        self.answers = []
+        self.front = SimpleNamespace(deliver=lambda key, answer: self.answers.append(answer))
+        route = {**TABLE['routes'][0], 'kind': kind, 'attempts': 1}
+        values = [
+            (f'{REPLICAS_PREFIX}i-1', encode(ENTRY, addr=f'127.0.0.1:{port}')),
+            (TABLE_KEY, encode(TABLE, routes=[route])),
+        ]
+        items = [Item(key, value, number) for number, (key, value) in enumerate(values, 1)]
+        self.handle(ChangesReceived(items, 2, (REPLICAS_PREFIX, TABLE_KEY)))
+        self.wait(5_000.0)
+
+    def decode(self, key, value):
+        return decode_item(key, value)
+
+    def handle(self, event):
+        """Pass an event to the gateway and perform what concerns requests, as the driver does."""
+        for action in self.deliver(event):
+            if type(action).__name__ in PERFORMED:
+                perform(action, self)
+
+    def take_request(self):
+        request = CallerRequest(
+            'q', 'POST', '/a/1', 'h.example', '/a/1', [], b'x', timeout_ms=TIME_LEFT_MS
+        )
+        self.handle(RequestReceived(KEY, request))
+
+
+def pass_deadline(played):
+    """Let the process be so late that the request's time is over before it does anything more."""
+    played.now_ms += TIME_LEFT_MS + 1.0
+
+
+def end_stop(played):
+    """Let the process be so late that the time for a planned stop is over."""
+    played.handle(StopRequested())
+    played.now_ms += played.gateway.stopping.grace_ms
+
+
+def defer_deadline(played):
+    """Let the timer of the request be due at the same moment as the event of its connection."""
+    played.gateway.timers.arm(played.now_ms, DeadlineTimer(KEY))
+
+
+LATENESS = [pass_deadline, end_stop, defer_deadline]
+KINDS = ['non_idempotent', 'idempotent']
+
+
+async def play(kind, be_late):
+    """Let a connection open while the process is late; return the answer and what was sent."""
+    loop = asyncio.get_running_loop()
+    replica = StandInReplica()
+    server = await loop.create_server(lambda: replica, '127.0.0.1', 0)
+    played = PlayedGateway(kind, server.sockets[0].getsockname()[1])
+    played.take_request()
+    be_late(played)
+    try:
+        async with asyncio.timeout(GIVE_UP_S):
+            while not (played.answers and replica.received):
+                await asyncio.sleep(0.001)
+    finally:
+        played.exchanges.close()
+        server.close()
+    return played.answers[0], replica.received
+
+
+class OpeningConnectionTest(unittest.TestCase):
+    # Guards against review/1: a request whose connection opens when its time is over is answered
+    # 503, "has not run", although its bytes have left and the replica runs it.
+    @params(*((kind, be_late) for kind in KINDS for be_late in LATENESS))
+    def test_request_that_left_at_its_deadline_is_not_said_not_to_have_run(self, kind, be_late):
+        answer, received = asyncio.run(play(kind, be_late))
+        self.assertIn(b'POST /a/1', received)
+        self.assertIs(answer.executed, Executed.UNKNOWN)
+        self.assertIn(write_answer(answer, 'q').status[:3], ('502', '504'))
--- a/tests/test_withdrawal.py
+++ b/tests/test_withdrawal.py
@@ -2,6 +2,8 @@
 A request is said not to have run only on the driver's word, whatever is heard late.
 
 A played driver knows what has left; the gateway hears of it later, after timers that were due.
+That is the fault of review/1 in all its forms; test_false_refusals has the case itself, on real
+connections.
 """
 
 import functools
