Pass on no refusal that its replica does not prove

Callers whose requests must not run twice got a replica's own 503, 429 or 408 as it came, also if the replica had run the request: to them these statuses promise that it has not, and they send it again.

The last step before an answer now replaces such a reply by a 502 of this VM's own, whether it came from a replica or through another VM.

--- a/beechbridge/gateway/models.py
+++ b/beechbridge/gateway/models.py
@@ -5,6 +5,9 @@
 from ..failures import Failure
 from ..record import Record
 
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+"""Statuses from which a caller concludes that its request has not run and never will."""
+
 
 class ReplicaEntry(Record):
     """
@@ -182,6 +185,11 @@
         """Return whether this is a successful reply that is signed and not encoded."""
         return 200 <= self.status < 300 and bool(self.signature) and not self.is_encoded
 
+    @property
+    def is_unproven_refusal(self) -> bool:
+        """Return whether its status says that nothing has run, and the replica does not."""
+        return self.status in NOT_RUN_STATUSES and not self.is_rejected
+
 
 class LinkFault(enum.Enum):
     """Why an exchange with a replica ended without a complete reply."""
--- a/beechbridge/gateway/requests/answers.py
+++ b/beechbridge/gateway/requests/answers.py
@@ -141,6 +141,27 @@
     return unknown(reason, detail)
 
 
+@singledispatch
+def withhold_unproven(answer: Answer, work: Work) -> Answer:
+    """Return an answer, or another one if it says without proof that nothing has run."""
+    return answer
+
+
+@withhold_unproven.register
+def withhold_unproven_refusal(answer: ForwardedAnswer, work: Work) -> Answer:
+    """
+    Pass on a replica's refusal of a request that must not run twice only if it has not run.
+
+    A replica says so apart from the status, which its own work may also end with. The caller sees
+    only the status, and would send the request again.
+    """
+    reply = answer.reply
+    if work.route.is_idempotent or not reply.is_unproven_refusal:
+        return answer
+    detail = f'the replica answered {reply.status}, but not that the request has not run'
+    return unknown(Reason.UPSTREAM_ERROR, detail)
+
+
 def is_refusal(answer: Answer) -> bool:
     """Return whether an answer says that nothing has run."""
     return isinstance(answer, Failure) and answer.executed is Executed.NOT_RUN
--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -11,7 +11,7 @@
 from ..replicas.limits import is_available, start_bucket
 from ..replicas.notices import apply_notice
 from ..replicas.upstreams import AGGREGATOR_DISTANCE, ReplicaState
-from .answers import build_answer, is_refusal, record_end, trim_part
+from .answers import build_answer, is_refusal, record_end, trim_part, withhold_unproven
 from .evidence import REFUSED, acquit, confirm_end, record_loss
 from .sending import abandon_exchange, abort_exchange, dispatch_task, end_exchange
 from .withdrawal import settle_withdrawal, withdraw_unsent
@@ -334,6 +334,7 @@
 
 def end_work(work: Work, answer: Answer, gateway: GatewayInterface) -> None:
     """Send the final answer, and abandon the exchanges still in flight."""
+    answer = withhold_unproven(answer, work)
     work.is_finished = True
     gateway.works.pop(work.key, None)
     for exchange in work.exchanges:
--- a/tests/test_false_refusals.py
+++ b/tests/test_false_refusals.py
@@ -12,18 +12,24 @@
 
 from beechbridge.daemon.exchanges import Codec, ExchangeClient
 from beechbridge.daemon.gateway import perform
-from beechbridge.failures import Executed
+from beechbridge.failures import Executed, Failure
 from beechbridge.gateway.actions import SendRequest
-from beechbridge.gateway.events import ChangesReceived, RequestReceived, StopRequested
-from beechbridge.gateway.models import CallerRequest, Item
+from beechbridge.gateway.events import (
+    ChangesReceived,
+    ExchangeEnded,
+    RequestReceived,
+    StopRequested,
+)
+from beechbridge.gateway.models import CallerRequest, ForwardedAnswer, Item, RelayReply
 from beechbridge.gateway.requests.works import DeadlineTimer
 from beechbridge.platform.callers import write_answer
 from beechbridge.platform.items import decode_item
-from beechbridge.platform.names import REPLICAS_PREFIX, TABLE_KEY
+from beechbridge.platform.names import REJECTED, REPLICAS_PREFIX, REQUEST_ID, SIGNATURE, TABLE_KEY
 from beechbridge.platform.replicas import read_reply, write_request
 
 from .odd_items import ENTRY, TABLE, encode
 from .test_store_updates import EmptyReader
+from .test_withdrawal import LOOKUP, WRITE, lose_links, receive
 
 KEY = 7
 TIME_LEFT_MS = 26.0
@@ -133,3 +139,74 @@
         self.assertIn(b'POST /a/1', received)
         self.assertIs(answer.executed, Executed.UNKNOWN)
         self.assertIn(write_answer(answer, 'q').status[:3], ('502', '504'))
+
+
+def read_refusal(status, is_proven=False):
+    """Return a replica's reply with a status that says that nothing has run."""
+    headers = [(REQUEST_ID, 'q'), (SIGNATURE, 's'), ('Retry-After', '0.2')]
+    if is_proven:
+        headers.append((REJECTED, '1'))
+    return read_reply(status, headers, b'busy', False)
+
+
+def reply_from_replica(route, reply):
+    """Return the answer to a request whose only replica answers with a reply."""
+    driver = receive(route)
+    while not driver.answers:
+        driver.happen('opened')
+        driver.hear_all()
+        for exchange_id in list(driver.running):
+            del driver.running[exchange_id]
+            driver.unheard.append(ExchangeEnded(exchange_id, reply))
+        driver.hear_all()
+        driver.pass_time()
+    return driver.answers[0]
+
+
+def reply_from_relay(route, reply):
+    """Return the answer to a request of which another VM passes on the reply of a replica."""
+    driver = receive(route, 3, lose_links)
+    driver.happen('opened')
+    driver.hear_all()
+    relayed = RelayReply(ForwardedAnswer(reply), 'q', is_closing=False)
+    driver.unheard.append(ExchangeEnded(driver.running.popitem()[0], relayed))
+    driver.hear_all()
+    return driver.answers[0]
+
+
+UNPROVEN_STATUSES = [408, 429, 503]
+"""Not 421: a replica answers so only to what was meant for another one."""
+
+
+class ReplicaRefusalTest(unittest.TestCase):
+    # Guards against a replica's own 503, which says nothing of whether the request has run, being
+    # passed on as the promise that it has not: callers send it again, and it runs twice.
+    @params(
+        *(
+            (reply, status)
+            for reply in (reply_from_replica, reply_from_relay)
+            for status in UNPROVEN_STATUSES
+        )
+    )
+    def test_unproven_refusal_of_what_must_not_run_twice_is_not_passed_on(self, get, status):
+        answer = get(WRITE, read_refusal(status))
+        self.assertIsInstance(answer, Failure)
+        self.assertIs(answer.executed, Executed.UNKNOWN)
+        wire = write_answer(answer, 'q')
+        self.assertEqual(wire.status[:3], '502')
+        self.assertNotIn(SIGNATURE, dict(wire.headers))
+
+    # Guards against more being withheld than callers could misread.
+    @params(*((LOOKUP, status) for status in UNPROVEN_STATUSES), (WRITE, 500), (WRITE, 404))
+    def test_other_failures_of_a_replica_are_passed_on_unchanged(self, route, status):
+        answer = reply_from_relay(route, read_refusal(status))
+        wire = write_answer(answer, 'q')
+        self.assertEqual(wire.status[:3], str(status))
+        self.assertEqual((dict(wire.headers)[SIGNATURE], wire.body), ('s', b'busy'))
+
+    # Guards against a proven refusal being withheld: it has not run, and its caller may know.
+    @params(429, 503)
+    def test_proven_refusal_is_a_promise(self, status):
+        answer = reply_from_replica(WRITE, read_refusal(status, is_proven=True))
+        self.assertIs(answer.executed, Executed.NOT_RUN)
+        self.assertEqual(write_answer(answer, 'q').status[:3], '503')
--- a/tests/test_withdrawal.py
+++ b/tests/test_withdrawal.py
@@ -179,6 +179,11 @@
         while self.unheard:
             self.hear()
 
+    def pass_time(self):
+        """Let time pass until the next timer of the gateway is due."""
+        self.now_ms = max(self.now_ms, self.gateway.timers.next_due_ms())
+        self.perform(self.gateway.handle(TimerDue(), self.now_ms))
+
     def run_out(self, opens):
         """
         Let time pass until the request must have been answered.
@@ -191,8 +196,7 @@
             if not gateway.works and not gateway.upstreams.exchanges:
                 # Nothing is left that could be sent.
                 break
-            self.now_ms = max(self.now_ms, gateway.timers.next_due_ms())
-            self.perform(gateway.handle(TimerDue(), self.now_ms))
+            self.pass_time()
             self.hear_all()
             while opens and self.happen('opened'):
                 self.hear_all()
@@ -283,8 +287,7 @@
     """Return the driver of a lookup that was sent to a second replica since the first is late."""
     driver = receive(LOOKUP)
     while len(driver.opening) < 2:
-        driver.now_ms = driver.gateway.timers.next_due_ms()
-        driver.perform(driver.gateway.handle(TimerDue(), driver.now_ms))
+        driver.pass_time()
     return driver
 
 
