Give no failure that is unknown the status of a refusal

Callers of the product's own interface whose request had been sent when the VM stopped got 503 with the outcome 'unknown': the status was chosen by the reason alone. Whoever goes by the status, as proxies and HTTP clients do, takes 503 for 'not run' and sends the request under a new ticket.

A failure after which the request may have run now gets 504 if its reason stands for 503. OwnInterfaceTest goes over all reasons: 11 rows failed before, and the refusals, which are true, keep their 503.

--- a/beechbridge/daemon/bodies.py
+++ b/beechbridge/daemon/bodies.py
@@ -6,7 +6,7 @@
 import msgspec
 from msgspec import Meta
 
-from ..failures import CoverageFailure, Failure, InputFailure, Reason
+from ..failures import CoverageFailure, Executed, Failure, InputFailure, Reason
 from ..fields import convert, decode_json
 from ..models import (
     Answer,
@@ -62,6 +62,9 @@
     deadline_ms: DurationMs = DEFAULT_REQUEST_DEADLINE_MS
 
 
+NOT_RUN_STATUS = '503 Service Unavailable'
+"""Status from which callers conclude that nothing has run, whatever the body says."""
+
 STATUS_BY_REASON = {
     Reason.INVALID_INPUT: '400 Bad Request',
     Reason.TICKET_BACK_END: '400 Bad Request',
@@ -73,17 +76,17 @@
     Reason.DUPLICATE_REQUEST: '409 Conflict',
     Reason.TOO_LARGE: '413 Content Too Large',
     Reason.INTERNAL: '500 Internal Server Error',
-    Reason.NOT_READY: '503 Service Unavailable',
-    Reason.STOPPING: '503 Service Unavailable',
-    Reason.OVERLOADED: '503 Service Unavailable',
-    Reason.WOULD_BE_LATE: '503 Service Unavailable',
-    Reason.TICKET_TABLE_FULL: '503 Service Unavailable',
-    Reason.NO_REPLICA: '503 Service Unavailable',
-    Reason.SHED: '503 Service Unavailable',
-    Reason.DRAINING: '503 Service Unavailable',
-    Reason.QUEUE_FULL: '503 Service Unavailable',
-    Reason.SNAPSHOT_NOT_YET: '503 Service Unavailable',
-    Reason.CONNECT_FAILED: '503 Service Unavailable',
+    Reason.NOT_READY: NOT_RUN_STATUS,
+    Reason.STOPPING: NOT_RUN_STATUS,
+    Reason.OVERLOADED: NOT_RUN_STATUS,
+    Reason.WOULD_BE_LATE: NOT_RUN_STATUS,
+    Reason.TICKET_TABLE_FULL: NOT_RUN_STATUS,
+    Reason.NO_REPLICA: NOT_RUN_STATUS,
+    Reason.SHED: NOT_RUN_STATUS,
+    Reason.DRAINING: NOT_RUN_STATUS,
+    Reason.QUEUE_FULL: NOT_RUN_STATUS,
+    Reason.SNAPSHOT_NOT_YET: NOT_RUN_STATUS,
+    Reason.CONNECT_FAILED: NOT_RUN_STATUS,
 }
 DEFAULT_STATUS = '504 Gateway Timeout'
 
@@ -226,4 +229,7 @@
     """Return the HTTP status line of an answer."""
     if not isinstance(answer, Failure):
         return '200 OK'
-    return STATUS_BY_REASON.get(answer.reason, DEFAULT_STATUS)
+    status = STATUS_BY_REASON.get(answer.reason, DEFAULT_STATUS)
+    if status == NOT_RUN_STATUS and answer.executed is not Executed.NOT_RUN:
+        return DEFAULT_STATUS
+    return status
--- a/tests/test_false_refusals.py
+++ b/tests/test_false_refusals.py
@@ -10,9 +10,10 @@
 
 from nose2.tools import params
 
+from beechbridge.daemon.bodies import status_of
 from beechbridge.daemon.exchanges import Codec, ExchangeClient
 from beechbridge.daemon.gateway import perform
-from beechbridge.failures import Executed, Failure
+from beechbridge.failures import Executed, Failure, Reason, not_run, unknown
 from beechbridge.gateway.actions import SendRequest
 from beechbridge.gateway.events import (
     ChangesReceived,
@@ -20,7 +21,13 @@
     RequestReceived,
     StopRequested,
 )
-from beechbridge.gateway.models import CallerRequest, ForwardedAnswer, Item, RelayReply
+from beechbridge.gateway.models import (
+    NOT_RUN_STATUSES,
+    CallerRequest,
+    ForwardedAnswer,
+    Item,
+    RelayReply,
+)
 from beechbridge.gateway.requests.works import DeadlineTimer
 from beechbridge.platform.callers import write_answer
 from beechbridge.platform.items import decode_item
@@ -210,3 +217,15 @@
         answer = reply_from_replica(WRITE, read_refusal(status, is_proven=True))
         self.assertIs(answer.executed, Executed.NOT_RUN)
         self.assertEqual(write_answer(answer, 'q').status[:3], '503')
+
+
+class OwnInterfaceTest(unittest.TestCase):
+    # Guards against the product's own interface answering 503 to a request that was sent to an
+    # upstream before the VM exits: its body says `unknown`, its status that nothing has run.
+    @params(*Reason)
+    def test_failure_after_which_a_request_may_have_run_has_no_status_of_a_refusal(self, reason):
+        self.assertNotIn(int(status_of(unknown(reason))[:3]), NOT_RUN_STATUSES)
+
+    @params(Reason.STOPPING, Reason.OVERLOADED, Reason.NO_REPLICA)
+    def test_refusal_keeps_its_status(self, reason):
+        self.assertEqual(status_of(not_run(reason))[:3], '503')
