Take only a refusal that names its request for one of an order

A VM that got 503 to an order without the ID of a request took it for 'no part has run', and gave the attempts that it had reserved back: a shard could then get more than the route allows. The HTTP server of a VM writes such a 503 by itself, and so may what answers in its place. Of relays the ID was required already.

Such an answer now counts as one that says nothing.

--- a/beechbridge/gateway/requests/orders.py
+++ b/beechbridge/gateway/requests/orders.py
@@ -223,12 +223,14 @@
     work = owner.work
     latency_ms = now_ms - exchange.sent_ms
     end_exchange(exchange, gateway, not reply.is_closing)
+    # A refusal that names no request may be the answer to something else on the connection.
+    is_refused = reply.answer is None and reply.request_id == work.request.request_id
     if reply.answer is None or not is_answer_to(owner, reply):
-        gateway.counters.add('orders_failed', 'refused' if reply.answer is None else 'malformed')
+        gateway.counters.add('orders_failed', 'refused' if is_refused else 'malformed')
         exchange.replica.record_rejection(True, now_ms)
         if reply.refusal == Reason.UNREACHABLE.value:
             suspect_replica(exchange.replica, reply.refusal, gateway)
-        return_tasks(owner, exchange, LinkFault.MALFORMED, reply.answer is None, gateway)
+        return_tasks(owner, exchange, LinkFault.MALFORMED, is_refused, gateway)
         return
     if reply.answer.signatures:
         record_latency(exchange, work.route.name, latency_ms, gateway)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -47,6 +47,8 @@
     LOST,
     PartsReply(PartsAnswer({}, {}, b'', 1.0), 'q1', False),
     PartsReply(PartsAnswer({'shard-0': 's'}, {}, b'', 1.0), 'other', False),
+    # A 503 without the ID of the order, as the HTTP server of a VM writes on its own.
+    PartsReply(None, '', False),
 )
 """Results of an order after which its shards may have run."""
 
