Read replies beside a keep-alive timeout of any length

A replica whose answers named a Keep-Alive timeout of 5,000 digits, or of 400, served nobody: int raised ValueError, float OverflowError, in the callback that had the whole answer. asyncio closes such a connection, so that the answer counted as lost after the request had run: callers got 502, what may be repeated ran again elsewhere, and the request came under the suspicion of ending replicas.

The timeout has one to nine ASCII digits now, as the other numbers in heads have.

--- a/beechbridge/platform/replicas.py
+++ b/beechbridge/platform/replicas.py
@@ -22,6 +22,7 @@
 MS_PER_SECOND = 1000.0
 LEAVING_VALUE = '1'
 DECIMAL = re.compile(r'[0-9]{1,9}(\.[0-9]{0,30})?|\.[0-9]{1,30}')
+WHOLE_SECONDS = re.compile(r'[0-9]{1,9}')
 
 HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -101,11 +102,17 @@
 
 
 def read_keep_alive_ms(value: str) -> float | None:
-    """Return the timeout of a Keep-Alive header (seconds) in milliseconds, None if it has none."""
+    """
+    Return the timeout of a Keep-Alive header (seconds) in milliseconds.
+
+    None if it has none, or one that is no number or far too long.
+    """
     for part in value.split(','):
         name, _, text = part.strip().partition('=')
-        if name.lower() == 'timeout' and text.strip().isdecimal():
-            return int(text) * MS_PER_SECOND
+        if name.lower() != 'timeout':
+            continue
+        match = WHOLE_SECONDS.fullmatch(text.strip())
+        return int(match[0]) * MS_PER_SECOND if match else None
     return None
 
 
--- /dev/null
+++ b/tests/test_odd_heads.py
@@ -0,0 +1,34 @@
+"""Heads of replies and requests with values that cannot be read, beside all that can."""
+
+import unittest
+
+from nose2.tools import params
+
+from beechbridge.gateway.models import Reply
+from beechbridge.platform.replicas import read_keep_alive_ms
+
+from .test_replica_link import response, run_script
+
+LONG_NUMBERS = ['9' * 5_000, '0' * 5_000 + '7', '9' * 400, '-' + '9' * 5_000, '9' * 5_000 + '.5']
+"""Python converts no text of more than 4,300 digits, and holds no float of 400."""
+
+READ_HEADERS = ['Keep-Alive: timeout=', 'Retry-After: ', 'Server-Limit: ', 'Server-Leaving: ']
+
+
+class OddReplyHeadTest(unittest.TestCase):
+    # Guards against a whole answer of a replica being lost, and its request taken for one that
+    # ends replicas, since a header beside it has a number of thousands of digits.
+    @params(*((header, number) for header in READ_HEADERS for number in LONG_NUMBERS))
+    def test_reply_is_read_beside_a_number_without_end(self, header, number):
+        async def scenario(harness, replica):
+            harness.send(1)
+            event = await harness.next_event()
+            self.assertIsInstance(event.result, Reply)
+            self.assertEqual((event.result.status, len(event.result.body)), (503, 16))
+
+        reply = response('q1', status='503 Busy', extra=f'{header}{number}\r\n')
+        run_script([[reply]], scenario)
+
+    @params('timeout=' + '9' * 10, 'timeout=\u0664', 'timeout=', 'timeout=-1', 'timeout=1.5')
+    def test_unreadable_timeout_of_a_connection_is_none(self, value):
+        self.assertIsNone(read_keep_alive_ms(value))
