Reject a head that cannot be read without closing its connection

A request whose Content-Length has 5,000 digits, or whose target is 'http://[h/', closed its connection without an answer, and with it the request before it that a replica was working on: waitress calls int and urlsplit and handles only its own exceptions, so that its loop closes the channel and prints a traceback.

The parser of both interfaces now takes a ValueError for a malformed head: 400 in its turn, counted and logged as any other (request_malformed).

--- a/beechbridge/daemon/callers.py
+++ b/beechbridge/daemon/callers.py
@@ -23,6 +23,7 @@
     status_of,
     to_json,
 )
+from .request_parser import RequestParser
 
 ANSWER_TIMEOUT_S = 620.0
 """Longer than any deadline; reached only if the core fails to answer because of a bug."""
@@ -47,6 +48,7 @@
 class CallerChannel(HTTPChannel):
     """A caller's connection."""
 
+    parser_class = RequestParser
     task_class = CallerTask
 
 
--- a/beechbridge/daemon/front.py
+++ b/beechbridge/daemon/front.py
@@ -39,6 +39,7 @@
 from .closing import BACKLOG, list_listeners
 from .held_memory import HeldMemory
 from .log_lines import write_line
+from .request_parser import RequestParser
 
 WORKER_THREADS = 4
 """Worker threads, which write answers and serve requests that need no waiting."""
@@ -114,6 +115,7 @@
     :param answered_id: ID of the request whose answer was written last
     """
 
+    parser_class = RequestParser
     task_class = CallerTask
     app: 'FrontApp'
     timed_part: tuple[HTTPRequestParser, bool] | None = None
--- a/tests/test_odd_heads.py
+++ b/tests/test_odd_heads.py
@@ -4,9 +4,11 @@
 
 from nose2.tools import params
 
+from beechbridge.gateway.events import RequestMalformed, RequestReceived
 from beechbridge.gateway.models import Reply
 from beechbridge.platform.replicas import read_keep_alive_ms
 
+from .test_front import ANSWER, HEAD, STATUS_LINE, Front
 from .test_replica_link import response, run_script
 
 LONG_NUMBERS = ['9' * 5_000, '0' * 5_000 + '7', '9' * 400, '-' + '9' * 5_000, '9' * 5_000 + '.5']
@@ -32,3 +34,29 @@
     @params('timeout=' + '9' * 10, 'timeout=\u0664', 'timeout=', 'timeout=-1', 'timeout=1.5')
     def test_unreadable_timeout_of_a_connection_is_none(self, value):
         self.assertIsNone(read_keep_alive_ms(value))
+
+
+ODD_HEADS = [
+    *[f'{HEAD}Content-Length: {number}\r\n' for number in LONG_NUMBERS],
+    HEAD.replace('/a/x', 'http://[h/a/x'),
+    HEAD.replace('/a/x', 'http://h]/a/x'),
+]
+
+
+class OddRequestHeadTest(unittest.TestCase):
+    # Guards against a connection being closed with a request on it that is under way, since the
+    # next one's head has a number of thousands of digits or an address that cannot be read.
+    @params(*ODD_HEADS)
+    def test_odd_head_is_rejected_and_costs_no_request_before_it(self, head):
+        front = Front()
+        self.addCleanup(front.close)
+        with front.connect() as sock:
+            sock.sendall(f'{HEAD}\r\n{head}\r\n'.encode())
+            event = front.next_event()
+            self.assertIsInstance(event, RequestReceived)
+            front.app.deliver(event.key, ANSWER)
+            self.assertIsInstance(front.next_event(), RequestMalformed)
+            received = b''.join(iter(lambda: sock.recv(65_536), b''))
+        answered, rejected = STATUS_LINE.findall(received)
+        self.assertEqual(answered, b'200')
+        self.assertIn(rejected, (b'400', b'413'))
