Let an odd member of a heartbeat cost itself, not the socket

One heartbeat that named a VM whose host holds a zero byte closed the UDP socket of every VM that sent to it: asyncio ends the transport if sendto raises anything but OSError. Such a VM neither hears the others nor is heard until it is started again, and says nothing of it; the record is handed on to all VMs before. Hosts that cannot be looked up cost a blocking lookup for each heartbeat. Positions beyond all that the store has made VMs pull from their sender again and again.

Each member is now checked by itself where it is decoded, with the pattern that entries of replicas have (hosts.py); the others hold. A sender that cannot be answered and a position out of bounds make the datagram unreadable. Both are counted and logged once for each reason, and a socket that a defect closes has a line (datagrams_failed).

--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -33,6 +33,7 @@
     WriteLine,
 )
 from ..gateway.events import (
+    DatagramUnreadable,
     ExchangeEnded,
     OrderReceived,
     PauseDetected,
@@ -309,13 +310,17 @@
         """Decode a heartbeat or a message about permits and pass it to the core."""
         event = decode_datagram(data)
         if isinstance(event, Failure):
-            self.process.core.counters.add('heartbeats_unreadable')
-            return
+            event = DatagramUnreadable(address[0], event)
         self.process.handle(event)
 
     def error_received(self, error: OSError) -> None:
         """Ignore an undeliverable datagram: the silence of its VM is detected anyway."""
 
+    def connection_lost(self, error: Exception | None) -> None:
+        """Log that a defect has closed the socket: this VM is neither heard nor hears others."""
+        if error is not None:
+            write_line('datagrams_failed', describe_defect(error))
+
 
 @singledispatch
 def perform(action: object, process: GatewayProcess) -> None:
--- a/beechbridge/gateway/events.py
+++ b/beechbridge/gateway/events.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-from ..failures import Failure
+from ..failures import Failure, InputFailure
 from ..record import Record
 from .actions import PullChanges
 from .models import (
@@ -202,9 +202,17 @@
     A heartbeat of another VM was received; the sender is the first of its members.
 
     :param wants_members: whether the sender asks for the full member list of this VM
+    :param unreadable: failures of members that cannot be read
     """
 
-    __slots__ = ('epoch', 'members', 'revision', 'table_version', 'wants_members')
+    __slots__ = (
+        'epoch',
+        'members',
+        'revision',
+        'table_version',
+        'unreadable',
+        'wants_members',
+    )
 
     def __init__(
         self,
@@ -213,12 +221,28 @@
         revision: int,
         wants_members: bool = False,
         epoch: int = 0,
+        unreadable: tuple[InputFailure, ...] = (),
     ):
         self.members = members
         self.table_version = table_version
         self.revision = revision
         self.wants_members = wants_members
         self.epoch = epoch
+        self.unreadable = unreadable
+
+
+class DatagramUnreadable(Record):
+    """
+    A datagram was received that cannot be read.
+
+    :param host: host that it came from
+    """
+
+    __slots__ = ('failure', 'host')
+
+    def __init__(self, host: str, failure: Failure):
+        self.host = host
+        self.failure = failure
 
 
 class PermitsReceived(Record):
--- a/beechbridge/gateway/fleet/gossip.py
+++ b/beechbridge/gateway/fleet/gossip.py
@@ -11,9 +11,10 @@
 from ...core.hashing import MAX_RANK_SCORE, rank_score
 from ...record import Record
 from ..actions import FollowStore, SendHeartbeat, WriteLine
-from ..events import HeartbeatReceived
+from ..events import DatagramUnreadable, HeartbeatReceived
 from ..interface import GatewayInterface
 from ..models import Member
+from ..replicas.decoding import log_unreadable_message
 from .pulls import pull_if_behind
 from .suspect_reports import send_all_reports
 
@@ -103,6 +104,9 @@
         return
     fleet = gateway.fleet
     sender = event.members[0]
+    for failure in event.unreadable:
+        gateway.counters.add('members_unreadable')
+        log_unreadable_message(failure, failure.source, gateway)
     for member in event.members:
         fleet.apply_member(member, gateway.now_ms, is_sender=member is sender)
     if event.wants_members:
@@ -112,6 +116,12 @@
     pull_if_behind(event, sender, gateway)
 
 
+def handle_datagram_unreadable(event: DatagramUnreadable, gateway: GatewayInterface) -> None:
+    """Count and log a datagram that cannot be read."""
+    gateway.counters.add('heartbeats_unreadable')
+    log_unreadable_message(event.failure, f'datagram of {event.host}', gateway)
+
+
 def announce_revision(gateway: GatewayInterface) -> None:
     """Send the new revision to the VMs of this data centre without waiting for the heartbeat."""
     send(
--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -13,6 +13,7 @@
     CallerDisconnected,
     ChangesReceived,
     ConnectionEnded,
+    DatagramUnreadable,
     ExchangeEnded,
     ExchangeWithdrawn,
     HeartbeatReceived,
@@ -32,7 +33,13 @@
     TimerDue,
 )
 from .fleet.aggregators import Aggregators
-from .fleet.gossip import Gossip, HeartbeatTimer, fire_heartbeat, handle_heartbeat_received
+from .fleet.gossip import (
+    Gossip,
+    HeartbeatTimer,
+    fire_heartbeat,
+    handle_datagram_unreadable,
+    handle_heartbeat_received,
+)
 from .fleet.members import MAX_MESH_SIZE, Fleet
 from .fleet.placement import Activity, Placement
 from .fleet.pulls import Pulls
@@ -411,6 +418,7 @@
     PullEnded: handle_pull_ended,
     StoreFailed: handle_store_failed,
     HeartbeatReceived: handle_heartbeat_received,
+    DatagramUnreadable: handle_datagram_unreadable,
     StopRequested: handle_stop_requested,
     PauseDetected: handle_pause_detected,
     PermitsReceived: handle_permits_received,
--- a/beechbridge/gateway/replicas/decoding.py
+++ b/beechbridge/gateway/replicas/decoding.py
@@ -72,6 +72,17 @@
     gateway.unreadable.add(key, failure.detail[:MAX_REASON_CHARACTERS])
 
 
+def log_unreadable_message(failure: Failure, name: str, gateway: GatewayInterface) -> None:
+    """
+    Log once for each reason what cannot be read of a message: it is no item that lasts.
+
+    :param name: what it is, and of whom
+    """
+    gateway.unreadable.add(name, failure.detail[:MAX_REASON_CHARACTERS])
+    gateway.unreadable.remove(name)
+    log_unreadable(gateway)
+
+
 def log_unreadable(gateway: GatewayInterface) -> None:
     """Log the items that cannot be read and were not logged with the same reason before."""
     unreadable = gateway.unreadable
--- a/beechbridge/platform/items.py
+++ b/beechbridge/platform/items.py
@@ -14,6 +14,7 @@
 from ..failures import Failure, InputFailure
 from ..gateway.models import ReplicaEntry
 from ..gateway.routes import CallerLimits, Route, RoutingTable, ServiceRules
+from ..hosts import LABELS, MAX_HOST_LENGTH
 from .names import REPLICAS_PREFIX, TABLE_KEY
 
 DRAINING = 'draining'
@@ -36,9 +37,7 @@
 REPLICA_ID = re.compile(r'[!-~]{1,200}')
 """What the header with the expected replica can carry."""
 
-ADDRESS = re.compile(
-    r'(?P<host>(?=.{1,253}:)[0-9A-Za-z_-]{1,63}(\.[0-9A-Za-z_-]{1,63})*):(?P<port>[0-9]{1,5})'
-)
+ADDRESS = re.compile(rf'(?P<host>(?=.{{1,{MAX_HOST_LENGTH}}}:){LABELS}):(?P<port>[0-9]{{1,5}})')
 MAX_PORT = 65_535
 
 
--- a/beechbridge/wire/fleet.py
+++ b/beechbridge/wire/fleet.py
@@ -13,7 +13,6 @@
 from ..gateway.models import (
     CallerRequest,
     Item,
-    Member,
     PartsAnswer,
     PartsOrder,
     PartsReply,
@@ -23,6 +22,7 @@
 from ..gateway.suspects import EndReport, SuspectReport, SuspectsReport
 from .frames import DECODE_ERRORS, decode_struct, encode_struct
 from .http import HttpResponse
+from .members import decode_member, encode_member
 from .peer import ttypes
 
 PARTS_PATH = '/v1/parts'
@@ -51,23 +51,6 @@
         )
 
 
-def encode_member(member: Member) -> ttypes.FleetMember:
-    """Return the Thrift struct of a member."""
-    return ttypes.FleetMember(
-        member.name,
-        member.host,
-        member.zone,
-        member.incarnation,
-        member.heartbeat,
-        member.is_serving,
-        member.capacity_millicores,
-        member.reaches_store,
-        round(member.rate_per_s),
-        member.is_active,
-        member.reaches_replicas,
-    )
-
-
 def encode_heartbeat(action: SendHeartbeat) -> bytes:
     """Encode a heartbeat."""
     members = [encode_member(member) for member in action.members]
@@ -146,7 +129,21 @@
     frame = decode(data, ttypes.Heartbeat)
     if isinstance(frame, Failure):
         return frame
-    members = [decode_member(record) for record in frame.members]
+    for field in ('table_version', 'revision', 'epoch'):
+        number = getattr(frame, field)
+        if not 0 <= number <= MAX_REVISION:
+            return InputFailure('heartbeat', field, number, f'0 to {MAX_REVISION}')
+    members = []
+    unreadable = []
+    for record in frame.members:
+        member = decode_member(record)
+        if not isinstance(member, Failure):
+            members.append(member)
+            continue
+        if record is frame.members[0]:
+            # The rest is worth nothing without its sender.
+            return member
+        unreadable.append(member)
     permits = read_permits(frame)
     if permits is not None and members:
         return PermitsReceived(members[0], permits)
@@ -154,7 +151,12 @@
     if suspects is not None and members:
         return SuspectsReceived(members[0], suspects)
     return HeartbeatReceived(
-        members, frame.table_version, frame.revision, frame.wants_members, frame.epoch
+        members,
+        frame.table_version,
+        frame.revision,
+        frame.wants_members,
+        frame.epoch,
+        tuple(unreadable),
     )
 
 
@@ -170,19 +172,6 @@
     return None
 
 
-def decode_member(record: ttypes.FleetMember) -> Member:
-    """Return the member of a Thrift struct."""
-    member = Member(record.name, record.host, record.zone, record.incarnation, record.heartbeat)
-    member.is_serving = record.serving
-    member.capacity_millicores = record.capacity_millicores
-    member.is_active = record.active
-    member.reaches_store = record.reaches_store
-    member.rate_per_s = float(record.requests_per_s)
-    # A VM that does not say so is one of an earlier release.
-    member.reaches_replicas = record.reaches_replicas is not False
-    return member
-
-
 def encode_changes(event: ChangesReceived) -> bytes:
     """Encode store changes."""
     items = [ttypes.StoreItem(item.key, item.value, item.revision) for item in event.changes]
--- /dev/null
+++ b/beechbridge/wire/members.py
@@ -0,0 +1,59 @@
+"""
+Codec of the records of members that VMs hand each other in heartbeats.
+
+A record travels from VM to VM, so that one that no VM can use must cost itself only.
+"""
+
+from ..failures import Failure, InputFailure
+from ..gateway.models import Member
+from ..hosts import is_host
+from .peer import ttypes
+
+MAX_NAME_LENGTH = 200
+SOURCE = 'member'
+COUNTS = ('incarnation', 'heartbeat', 'capacity_millicores', 'requests_per_s')
+
+
+def encode_member(member: Member) -> ttypes.FleetMember:
+    """Return the Thrift struct of a member."""
+    return ttypes.FleetMember(
+        member.name,
+        member.host,
+        member.zone,
+        member.incarnation,
+        member.heartbeat,
+        member.is_serving,
+        member.capacity_millicores,
+        member.reaches_store,
+        round(member.rate_per_s),
+        member.is_active,
+        member.reaches_replicas,
+    )
+
+
+def decode_member(record: ttypes.FleetMember) -> Member | Failure:
+    """Return the member of a Thrift struct, or a failure if a field is out of its bounds."""
+    for field in ('name', 'zone'):
+        text = getattr(record, field)
+        if not 1 <= len(text) <= MAX_NAME_LENGTH:
+            return refuse(record, field, len(text), f'1 to {MAX_NAME_LENGTH} characters')
+    if not is_host(record.host):
+        return refuse(record, 'host', record.host[:MAX_NAME_LENGTH], 'a host name or address')
+    for field in COUNTS:
+        count = getattr(record, field)
+        if count < 0:
+            return refuse(record, field, count, 'no negative number')
+    member = Member(record.name, record.host, record.zone, record.incarnation, record.heartbeat)
+    member.is_serving = record.serving
+    member.capacity_millicores = record.capacity_millicores
+    member.is_active = record.active
+    member.reaches_store = record.reaches_store
+    member.rate_per_s = float(record.requests_per_s)
+    # A VM that does not say so is one of an earlier release.
+    member.reaches_replicas = record.reaches_replicas is not False
+    return member
+
+
+def refuse(record: ttypes.FleetMember, field: str, value: object, allowed: str) -> InputFailure:
+    """Return the failure of a record, which names the member."""
+    return InputFailure(f'{SOURCE} {record.name[:MAX_NAME_LENGTH]!r}', field, value, allowed)
