Bound the numbers that VMs name to each other

An order could name times of no number or without end: its deadline then never came, so that it kept its place among the requests that a VM takes, or came at once, and in the heap of timers a NaN leaves the others out of their order. An answer that said to have taken less than no time made the way to its data centre endless, and no more orders went there; one with negative attempts gave a shard more than its route allows. A permit with the rank NaN went before all others. Statuses and counts of a relay's answer reached callers as they were.

Only the times of relays and the limits of permits had bounds. Now each number is checked where its message is decoded: an order or relay is rejected as not run, an answer says nothing. By reading; test_odd_messages and test_limit_keepers show what is let in: 33 rows failed before.

--- a/beechbridge/gateway/requests/permission.py
+++ b/beechbridge/gateway/requests/permission.py
@@ -135,7 +135,8 @@
 def handle_wanted(message: PermitsWanted, sender: Member, gateway: GatewayInterface) -> None:
     """Grant another VM what the limits allow."""
     limits = message.limits[:MAX_PERMITS_PER_MESSAGE]
-    if any(not 0.0 <= limit_per_s <= MAX_LIMIT_PER_S for _, limit_per_s in limits):
+    has_odd_limit = any(not 0.0 <= limit_per_s <= MAX_LIMIT_PER_S for _, limit_per_s in limits)
+    if has_odd_limit or not 0.0 <= message.rank <= 1.0:
         gateway.counters.add('permits_unreadable')
         return
     least_count = max(0, min(message.least_count, len(limits)))
--- a/beechbridge/wire/fleet.py
+++ b/beechbridge/wire/fleet.py
@@ -33,6 +33,10 @@
 REFUSAL_HEADER = 'Order-Refusal'
 """Header in the answer to an order: reason for which it was rejected."""
 
+MAX_TIME_MS = 3_600_000.0
+MAX_COUNT = 1_000_000
+"""Limits on what orders and relays name: one that names more is not readable."""
+
 OK_STATUS = 200
 NOT_RUN_STATUS = 503
 """Status with which another VM states that no part of an order has run; any other is no proof."""
@@ -241,6 +245,9 @@
     frame = decode(environ['wsgi.input'].read(), ttypes.PartsOrder)
     if isinstance(frame, Failure):
         return not_run(Reason.INVALID_INPUT, frame.detail)
+    failure = check_times(frame) or check_counts(frame)
+    if failure is not None:
+        return failure
     request = read_caller_request(frame, host='')
     return PartsOrder(
         request,
@@ -255,6 +262,24 @@
     )
 
 
+def check_times(frame: ttypes.PartsOrder | ttypes.RequestRelay) -> Failure | None:
+    """Reject an order or a relay whose times are no times: timers would never be due."""
+    for field in ('soft_ms', 'hard_ms'):
+        time_ms = getattr(frame, field)
+        if not 0.0 <= time_ms <= MAX_TIME_MS:
+            return InputFailure(type(frame).__name__, field, time_ms, f'0 to {MAX_TIME_MS:.0f}')
+    return None
+
+
+def check_counts(frame: ttypes.PartsOrder) -> Failure | None:
+    """Reject an order whose counts are out of bounds."""
+    for field in ('attempts', 'top_records'):
+        count = getattr(frame, field)
+        if not 0 <= count <= MAX_COUNT:
+            return InputFailure(type(frame).__name__, field, count, f'0 to {MAX_COUNT}')
+    return None
+
+
 def read_caller_request(
     frame: ttypes.PartsOrder | ttypes.RequestRelay, host: str
 ) -> CallerRequest:
@@ -302,7 +327,7 @@
     if status == NOT_RUN_STATUS:
         return PartsReply(None, request_id, closes, values.get(REFUSAL_HEADER.lower(), ''))
     frame = decode(body, ttypes.PartsAnswer)
-    if status != OK_STATUS or isinstance(frame, Failure):
+    if status != OK_STATUS or isinstance(frame, Failure) or not is_within_bounds(frame):
         # An answer without parts matches no order, so the gateway rejects it as malformed.
         return PartsReply(PartsAnswer({}, {}, b'', 0.0), request_id, closes)
     signatures = {part.service_name: part.signature for part in frame.parts}
@@ -314,3 +339,10 @@
         request_id,
         closes,
     )
+
+
+def is_within_bounds(frame: ttypes.PartsAnswer) -> bool:
+    """Return whether the numbers of an answer are such that a VM can have measured them."""
+    if not 0.0 <= frame.work_ms <= MAX_TIME_MS:
+        return False
+    return all(0 <= part.run_count <= MAX_COUNT for part in frame.missing)
--- a/beechbridge/wire/relays.py
+++ b/beechbridge/wire/relays.py
@@ -7,8 +7,11 @@
 from ..gateway.models import ForwardedAnswer, MergedAnswer, RelayReply, Reply, RequestRelay
 from .fleet import (
     CONTENT_TYPE_HEADER,
+    MAX_COUNT,
+    MAX_TIME_MS,
     OK_STATUS,
     ORDER_ID_HEADER,
+    check_times,
     decode,
     read_caller_request,
     write_post,
@@ -18,7 +21,8 @@
 from .peer import ttypes
 
 RELAYS_PATH = '/v1/relays'
-MAX_TIME_MS = 3_600_000.0
+STATUSES = range(200, 600)
+"""Statuses of final replies."""
 
 
 def write_relay(action: SendRelay) -> bytes:
@@ -47,9 +51,9 @@
     frame = decode(environ['wsgi.input'].read(), ttypes.RequestRelay)
     if isinstance(frame, Failure):
         return not_run(Reason.INVALID_INPUT, frame.detail)
-    if not all(0.0 <= time_ms <= MAX_TIME_MS for time_ms in (frame.soft_ms, frame.hard_ms)):
-        detail = f'times of a relay are {frame.soft_ms} and {frame.hard_ms} ms'
-        return not_run(Reason.INVALID_INPUT, f'{detail}; allowed: 0 to {MAX_TIME_MS:.0f}')
+    failure = check_times(frame)
+    if failure is not None:
+        return failure
     run_counts = {entry.service_name: entry.run_count for entry in frame.tried}
     request = read_caller_request(frame, frame.host)
     request.timeout_ms = frame.hard_ms
@@ -115,12 +119,16 @@
     """Return the answer of a struct, None if it holds none that this VM knows."""
     if frame.reply is not None:
         reply = frame.reply
+        if reply.status not in STATUSES:
+            return None
         headers = [(header.name, header.value) for header in reply.headers]
         return ForwardedAnswer(
             Reply(reply.status, headers, reply.body, reply.signature, request_id)
         )
     if frame.parts is not None:
         parts = frame.parts
+        if not 0 <= parts.missing_count <= MAX_COUNT:
+            return None
         return MergedAnswer(parts.body, list(parts.signatures), parts.missing_count)
     if frame.failure is None:
         return None
@@ -129,4 +137,7 @@
         reason, executed = Reason(failure.reason), Executed(failure.executed)
     except ValueError:
         return None
-    return Failure(reason, executed, failure.detail, failure.retry_after_ms)
+    retry_after_ms = failure.retry_after_ms
+    if retry_after_ms is not None and not 0 <= retry_after_ms <= MAX_TIME_MS:
+        retry_after_ms = None
+    return Failure(reason, executed, failure.detail, retry_after_ms)
--- a/tests/test_limit_keepers.py
+++ b/tests/test_limit_keepers.py
@@ -209,6 +209,12 @@
         self.start()
         self.assertEqual(self.receive(PermitsWanted(1, limits, least_count)), [])
 
+    # An odd rank would go before all others.
+    @params(math.nan, -0.1, 1.1, math.inf, -math.inf)
+    def test_unreadable_rank_grants_nothing(self, rank):
+        self.start()
+        self.assertEqual(self.receive(PermitsWanted(1, [('r-0', 10.0)], 0, rank)), [])
+
     @params(-5, 0, 1, 2, 1 << 30)
     def test_fewer_permits_than_are_of_use_take_no_token(self, least_count):
         self.start()
--- a/tests/test_odd_messages.py
+++ b/tests/test_odd_messages.py
@@ -1,16 +1,35 @@
 """Messages of other VMs with values that no VM can use, beside all that it can."""
 
 import asyncio
+import math
 import unittest
 from types import SimpleNamespace
 
 from nose2.tools import params
 
 from beechbridge.daemon.gateway import GatewayProcess, HeartbeatProtocol, perform
-from beechbridge.failures import Failure
-from beechbridge.gateway.actions import SendHeartbeat, WriteLine
-from beechbridge.gateway.models import Member
-from beechbridge.wire.fleet import decode_datagram, encode_heartbeat
+from beechbridge.failures import Executed, Failure, Reason, not_run
+from beechbridge.gateway.actions import SendHeartbeat, SendOrder, WriteLine
+from beechbridge.gateway.models import (
+    CallerRequest,
+    ForwardedAnswer,
+    Member,
+    MergedAnswer,
+    PartsAnswer,
+    PartsOrder,
+    Reply,
+)
+from beechbridge.wire.fleet import (
+    PARTS_PATH,
+    decode_datagram,
+    encode_heartbeat,
+    read_order,
+    read_parts,
+    write_order,
+    write_parts,
+)
+from beechbridge.wire.relays import read_relay_reply, write_relay_answer
+from measure.emulator import HOST
 
 from .gateways import single_route, start_register
 
@@ -114,3 +133,86 @@
         event = decode_datagram(data)
         self.assertNotIsInstance(event, Failure)
         self.assertEqual((len(event.members), event.unreadable), (2, ()))
+
+
+class Body:
+    """The input of a WSGI environment."""
+
+    def __init__(self, data):
+        self.data = data
+
+    def read(self):
+        return self.data
+
+
+REQUEST = CallerRequest('q1', 'GET', '/lookup/x', HOST, '/lookup/x', [], b'')
+ODD_TIMES_MS = [math.nan, math.inf, -math.inf, -1.0, 1e300]
+ODD_COUNTS = [-1, 2**31 - 1]
+
+
+def write_odd_order(**changes):
+    """Return the body of an order with some odd fields."""
+    fields = {'attempts': 2, 'top_records': 5, 'soft_ms': 50.0, 'hard_ms': 90.0, **changes}
+    order = PartsOrder(
+        REQUEST,
+        'lookup',
+        1,
+        ('register',),
+        fields['attempts'],
+        fields['top_records'],
+        fields['soft_ms'],
+        fields['hard_ms'],
+        'd',
+    )
+    return write_order(SendOrder(1, 2, True, 'vm-1', order)).partition(b'\r\n\r\n')[2]
+
+
+def read_odd_order(**changes):
+    """Return an order with some odd fields as the VM that gets it reads it."""
+    body = Body(write_odd_order(**changes))
+    return read_order({'PATH_INFO': PARTS_PATH, 'wsgi.input': body})
+
+
+class OddOrderTest(unittest.TestCase):
+    # Guards against orders that never end, which take the place of callers' requests, and against
+    # timers out of their order: a time that is no number spoils it for all others.
+    @params(
+        *((field, time_ms) for field in ('soft_ms', 'hard_ms') for time_ms in ODD_TIMES_MS),
+        *((field, count) for field in ('attempts', 'top_records') for count in ODD_COUNTS),
+    )
+    def test_odd_order_is_rejected(self, field, value):
+        failure = read_odd_order(**{field: value})
+        self.assertIsInstance(failure, Failure)
+        self.assertIs(failure.executed, Executed.NOT_RUN)
+        self.assertIn(field, failure.detail)
+
+    def test_sound_order_is_read(self):
+        self.assertIsInstance(read_odd_order(), PartsOrder)
+
+
+class OddAnswerTest(unittest.TestCase):
+    # Guards against a data centre that gets no orders any more, since one answer said that it had
+    # taken less than no time, and against attempts beyond those of the route.
+    @params(*((time_ms, 1) for time_ms in ODD_TIMES_MS), *((1.0, count) for count in ODD_COUNTS))
+    def test_answer_to_an_order_with_odd_numbers_has_no_parts(self, work_ms, run_count):
+        wire = write_parts(PartsAnswer({'a': 's'}, {'b': run_count}, b'0' * 16, work_ms), 'q1')
+        reply = read_parts(200, wire.headers, wire.body, False)
+        self.assertEqual((reply.answer.signatures, reply.answer.run_counts), ({}, {}))
+
+    # Guards against odd statuses and counts of another VM that reach a caller.
+    @params(
+        ForwardedAnswer(Reply(0, [], b'x', 's')),
+        ForwardedAnswer(Reply(2**31 - 1, [], b'x', 's')),
+        ForwardedAnswer(Reply(100, [], b'x', 's')),
+        MergedAnswer(b'', ['s'], -1),
+        MergedAnswer(b'', ['s'], 2**31 - 1),
+    )
+    def test_odd_answer_to_a_relay_says_nothing(self, answer):
+        wire = write_relay_answer(answer, 'q1')
+        self.assertIsNone(read_relay_reply(200, wire.headers, wire.body, False).answer)
+
+    @params(-1, 2**63 - 1)
+    def test_odd_time_to_wait_is_dropped(self, retry_after_ms):
+        wire = write_relay_answer(not_run(Reason.OVERLOADED, '', retry_after_ms), 'q1')
+        answer = read_relay_reply(200, wire.headers, wire.body, False).answer
+        self.assertEqual((answer.executed, answer.retry_after_ms), (Executed.NOT_RUN, None))
