Bound the settings of the platform's file

A settings file with a number of 5,000 digits, also in a field that is not used, made the reader raise ValueError, which is no TOMLDecodeError: a process that started ended with a traceback, and a reload failed without a line that names the file. 'inf' and 'nan' are numbers in TOML: as a memory they ended the start, as a grace period or a budget they came into force, and a stop then had no end. A seed with a zero byte closed the socket for heartbeats; a port of 99999 was found when it was opened.

All of it has a type and bounds now, as the items of the store have: hosts and ports by pattern, amounts and times by range.

--- a/beechbridge/fields.py
+++ b/beechbridge/fields.py
@@ -36,7 +36,8 @@
     """Decode TOML text as a type; return an instance or a failure."""
     try:
         value = tomllib.loads(text)
-    except (tomllib.TOMLDecodeError, RecursionError) as error:
+    except (ValueError, RecursionError) as error:
+        # Not only a TOMLDecodeError: a number of thousands of digits is a plain ValueError.
         return InputFailure(source, 'file', shorten(text.encode()), f'TOML ({error})')
     return convert(value, target_type, source)
 
--- a/beechbridge/platform/settings.py
+++ b/beechbridge/platform/settings.py
@@ -1,6 +1,7 @@
 """Decoding of the platform's settings file into gateway settings."""
 
 import os
+import re
 from pathlib import Path
 from typing import Annotated
 
@@ -12,9 +13,19 @@
 from ..gateway.actions import MAX_REPLY_BYTES
 from ..gateway.requests.budgets import BudgetRules
 from ..gateway.settings import Address, GatewaySettings
+from ..hosts import LABELS
+from ..wire.members import MAX_NAME_LENGTH
 from .names import SETTINGS_VARIABLE
 
-AddressText = Annotated[str, Meta(pattern=r'^[^:\s]+:[0-9]{1,5}$')]
+PORT = '([0-9]{1,4}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5])'
+AddressText = Annotated[str, Meta(pattern=rf'\A{LABELS}:{PORT}\Z')]
+HostText = Annotated[str, Meta(pattern=rf'\A{LABELS}\Z')]
+Name = Annotated[str, Meta(min_length=1, max_length=MAX_NAME_LENGTH)]
+Port = Annotated[int, Meta(ge=1, le=65_535)]
+Amount = Annotated[float, Meta(ge=0, le=1e9)]
+PositiveAmount = Annotated[float, Meta(gt=0, le=1e9)]
+Seconds = Annotated[float, Meta(ge=0, le=86_400)]
+PositiveSeconds = Annotated[float, Meta(gt=0, le=86_400)]
 MS_PER_SECOND = 1000.0
 MILLICORES_PER_CORE = 1000
 BYTES_PER_MB = 1024 * 1024
@@ -29,6 +40,7 @@
 """Fraction of the process's memory for the bodies of requests that come in and wait."""
 
 MAX_REPLY_VARIABLE = 'BEECHBRIDGE_MAX_REPLY_BYTES'
+BYTE_COUNT = re.compile(r'[1-9][0-9]{0,14}')
 
 
 class Listen(msgspec.Struct):
@@ -43,25 +55,25 @@
 class Bounds(msgspec.Struct):
     """Limits set by the users."""
 
-    grace_s: float = msgspec.field(name='graceS', default=6.0)
-    budget_ratio: float = msgspec.field(name='budgetRatio', default=0.2)
-    budget_window_s: float = msgspec.field(name='budgetWindowS', default=10.0)
-    budget_extra: float = msgspec.field(name='budgetExtra', default=0.0)
+    grace_s: Seconds = msgspec.field(name='graceS', default=6.0)
+    budget_ratio: Amount = msgspec.field(name='budgetRatio', default=0.2)
+    budget_window_s: PositiveSeconds = msgspec.field(name='budgetWindowS', default=10.0)
+    budget_extra: Amount = msgspec.field(name='budgetExtra', default=0.0)
     """Extra attempts that the whole fleet may send in one window in addition to the ratio."""
 
-    directory_ttl_s: float = msgspec.field(name='ttl_max_s', default=5.0)
+    directory_ttl_s: Seconds = msgspec.field(name='ttl_max_s', default=5.0)
 
 
 class Limits(msgspec.Struct):
     """CPU and memory of this process."""
 
-    cpu_share: float = msgspec.field(name='cpuShare', default=1.0)
+    cpu_share: PositiveAmount = msgspec.field(name='cpuShare', default=1.0)
     """Fraction of a core that the process may use."""
 
-    cores: float = 1.0
+    cores: PositiveAmount = 1.0
     """Speed factor of that core, not a number of cores."""
 
-    memory_mb: float = msgspec.field(name='memoryMb', default=256.0)
+    memory_mb: PositiveAmount = msgspec.field(name='memoryMb', default=256.0)
 
 
 class Platform(msgspec.Struct):
@@ -73,11 +85,11 @@
 class SettingsFile(msgspec.Struct):
     """Fields that the gateway uses; all other fields are ignored."""
 
-    node_name: Annotated[str, Meta(min_length=1)] = msgspec.field(name='nodeName')
-    ip: Annotated[str, Meta(min_length=1)]
+    node_name: Name = msgspec.field(name='nodeName')
+    ip: HostText
     zone: str
     region: str
-    peer_ports: Annotated[list[int], Meta(min_length=1)] = msgspec.field(name='peerPortRange')
+    peer_ports: Annotated[list[Port], Meta(min_length=1)] = msgspec.field(name='peerPortRange')
     seeds: list[AddressText]
     zones: dict[str, str]
     listen: Listen
@@ -152,7 +164,7 @@
     """Return the limit on forwarded replies that the environment sets."""
     if text is None:
         return MAX_REPLY_BYTES
-    if not text.isdecimal() or not int(text):
+    if BYTE_COUNT.fullmatch(text) is None:
         allowed = 'a positive number of bytes, or unset for the default'
         return InputFailure('environment', MAX_REPLY_VARIABLE, text, allowed)
     return int(text)
--- a/beechbridge/wire/members.py
+++ b/beechbridge/wire/members.py
@@ -11,6 +11,7 @@
 
 MAX_NAME_LENGTH = 200
 SOURCE = 'member'
+MIN_LENGTHS = {'name': 1, 'zone': 0}
 COUNTS = ('incarnation', 'heartbeat', 'capacity_millicores', 'requests_per_s')
 
 
@@ -33,10 +34,11 @@
 
 def decode_member(record: ttypes.FleetMember) -> Member | Failure:
     """Return the member of a Thrift struct, or a failure if a field is out of its bounds."""
-    for field in ('name', 'zone'):
-        text = getattr(record, field)
-        if not 1 <= len(text) <= MAX_NAME_LENGTH:
-            return refuse(record, field, len(text), f'1 to {MAX_NAME_LENGTH} characters')
+    for field, least_length in MIN_LENGTHS.items():
+        length = len(getattr(record, field))
+        if not least_length <= length <= MAX_NAME_LENGTH:
+            allowed = f'{least_length} to {MAX_NAME_LENGTH} characters'
+            return refuse(record, field, f'{length} characters', allowed)
     if not is_host(record.host):
         return refuse(record, 'host', record.host[:MAX_NAME_LENGTH], 'a host name or address')
     for field in COUNTS:
--- a/tests/test_odd_messages.py
+++ b/tests/test_odd_messages.py
@@ -49,7 +49,8 @@
 ]
 ODD_FIELDS = [
     *[('host', host) for host in ODD_HOSTS],
-    *[(field, text) for field in ('name', 'zone') for text in ('', 'n' * 201)],
+    *[('name', text) for text in ('', 'n' * 201)],
+    ('zone', 'z' * 201),
     *[(field, -1) for field in ('incarnation', 'heartbeat', 'capacity_millicores', 'rate_per_s')],
 ]
 
