Learn nothing of callers' timeouts from one without end

A caller that named a time limit of 400 digits was read as one that waits for ever. The longest limit seen on a route is taken as that of a first attempt, so that from then on, until the process was started again, no caller of the route was taken to have spent any time on earlier attempts: gathers waited for shards longer than their callers' goals allow.

OddTimeoutTest: 2 rows of what is learnt failed before.

--- a/beechbridge/gateway/latencies.py
+++ b/beechbridge/gateway/latencies.py
@@ -22,6 +22,10 @@
         self.counts[-1] += 1
 
 
+MAX_CALLER_TIMEOUT_MS = 60_000.0
+"""Longer timeouts tell nothing of those of other callers, who do not wait a minute."""
+
+
 class CallerTimeouts:
     """Longest timeout seen on each route, taken as the timeout of a caller's first attempt."""
 
@@ -32,6 +36,8 @@
 
     def elapsed_ms(self, route_name: str, timeout_ms: float) -> float:
         """Return how long a caller has already waited, estimated from its remaining timeout."""
+        if timeout_ms > MAX_CALLER_TIMEOUT_MS:
+            return 0.0
         max_timeout_ms = max(self.max_timeout_ms.get(route_name, 0.0), timeout_ms)
         self.max_timeout_ms[route_name] = max_timeout_ms
         return max_timeout_ms - timeout_ms
--- a/beechbridge/platform/callers.py
+++ b/beechbridge/platform/callers.py
@@ -14,6 +14,9 @@
 TIMEOUT_VARIABLE = FORWARDED_PREFIX + TIMEOUT.upper().replace('-', '_')
 REQUEST_ID_VARIABLE = FORWARDED_PREFIX + REQUEST_ID.upper().replace('-', '_')
 
+MAX_TIMEOUT_MS = 86_400_000.0
+"""One day: a caller that names a longer timeout waits as long as it takes."""
+
 NOT_RUN_STATUSES = {
     Reason.NOT_FOUND: '404 Not Found',
     Reason.TOO_LARGE: '413 Content Too Large',
@@ -37,7 +40,7 @@
         if not timeout.strip().isdecimal():
             detail = f'invalid {TIMEOUT} header {timeout!r}: expected integer milliseconds'
             return not_run(Reason.INVALID_INPUT, detail)
-        timeout_ms = float(timeout)
+        timeout_ms = min(float(timeout), MAX_TIMEOUT_MS)
     headers = []
     for name, value in environ.items():
         if name.startswith(FORWARDED_PREFIX) and name not in SKIPPED_VARIABLES:
--- a/tests/test_odd_heads.py
+++ b/tests/test_odd_heads.py
@@ -1,11 +1,14 @@
 """Heads of replies and requests with values that cannot be read, beside all that can."""
 
+import io
 import unittest
 
 from nose2.tools import params
 
 from beechbridge.gateway.events import RequestMalformed, RequestReceived
+from beechbridge.gateway.latencies import CallerTimeouts
 from beechbridge.gateway.models import Reply
+from beechbridge.platform.callers import MAX_TIMEOUT_MS, TIMEOUT_VARIABLE, read_request
 from beechbridge.platform.replicas import read_keep_alive_ms
 
 from .test_front import ANSWER, HEAD, STATUS_LINE, Front
@@ -60,3 +63,31 @@
         answered, rejected = STATUS_LINE.findall(received)
         self.assertEqual(answered, b'200')
         self.assertIn(rejected, (b'400', b'413'))
+
+
+def read_timeout(text):
+    """Return the timeout that a request names, as its VM reads it."""
+    environ = {
+        'HTTP_BEECHBRIDGE_REQUEST_ID': 'q1',
+        TIMEOUT_VARIABLE: text,
+        'REQUEST_URI': '/a/x',
+        'REQUEST_METHOD': 'GET',
+        'wsgi.input': io.BytesIO(),
+    }
+    return read_request(environ).timeout_ms
+
+
+class OddTimeoutTest(unittest.TestCase):
+    @params('9' * 5_000, '9' * 400, '86400001')
+    def test_timeout_without_end_is_a_day(self, text):
+        self.assertEqual(read_timeout(text), MAX_TIMEOUT_MS)
+
+    # Guards against all callers of a route being taken for such that have not waited yet, for as
+    # long as the process lives, since one of them named a timeout of hundreds of digits.
+    @params('9' * 400, '60001')
+    def test_odd_timeout_of_a_caller_does_not_change_what_is_known_of_others(self, text):
+        timeouts = CallerTimeouts()
+        timeouts.elapsed_ms('lookup', 800.0)
+        for _ in range(2):
+            self.assertEqual(timeouts.elapsed_ms('lookup', read_timeout(text)), 0.0)
+        self.assertEqual(timeouts.elapsed_ms('lookup', 500.0), 300.0)
