--- a/beechbridge/daemon/platform.py
+++ b/beechbridge/daemon/platform.py
@@ -3,14 +3,18 @@
 import http.client
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from typing import Protocol
+from typing import Annotated, Protocol
+
+import logbook
+import msgspec
+from msgspec import Meta
 
 from ..actions import ReadConfiguration
 from ..document import Document, decode_document
 from ..events import ConfigurationReceived, Event, VmListReceived
-from ..failures import Failure, PlatformFailure, Reason
-from ..fields import decode_json
-from ..models import VmList
+from ..failures import Failure, InputFailure, PlatformFailure, Reason
+from ..fields import convert, decode_json
+from ..models import Vm, VmList
 from ..wire.bounded_http import LimitedConnection, OversizedResponseError, read_body
 
 CALL_TIMEOUT_S = 2.0
@@ -18,6 +22,12 @@
 MAX_VM_LIST_BYTES = 16 * 1024 * 1024
 MAX_HEAD_BYTES = 65_536
 NOT_MODIFIED = 304
+VM_LIST = 'VM list'
+MAX_VMS = 100_000
+MAX_LOGGED_ENTRIES = 20
+"""Entries of one VM list that cannot be read up to which each has a log line."""
+
+logger = logbook.Logger('platform')
 
 
 class ConfigurationService(Protocol):
@@ -56,14 +66,25 @@
         return document
 
 
+class VmListBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of the VM list; each VM is validated separately."""
+
+    vms: Annotated[list, Meta(max_length=MAX_VMS)]
+
+
 class HttpVmListService:
-    """Client of the VM list service over HTTP."""
+    """
+    Client of the VM list service over HTTP.
 
-    __slots__ = ('host', 'port')
+    :param odd_entries: failures of entries in the last list, which were logged
+    """
+
+    __slots__ = ('host', 'odd_entries', 'port')
 
     def __init__(self, host: str, port: int):
         self.host = host
         self.port = port
+        self.odd_entries: set[str] = set()
 
     def read(self) -> VmList | PlatformFailure:
         """Read the list."""
@@ -75,10 +96,30 @@
             )
         if isinstance(body, PlatformFailure):
             return body
-        vm_list = decode_json(body, VmList, 'VM list')
-        if isinstance(vm_list, Failure):
-            return PlatformFailure(Reason.INVALID_INPUT, detail=vm_list.detail)
-        return vm_list
+        vms, failures = read_vms(body)
+        odd_entries = {failure.detail for failure in failures}
+        for detail in sorted(odd_entries - self.odd_entries)[:MAX_LOGGED_ENTRIES]:
+            logger.warning('an entry of the VM list is left out: {}', detail)
+        self.odd_entries = odd_entries
+        if not vms and failures:
+            return PlatformFailure(Reason.INVALID_INPUT, detail=failures[0].detail)
+        return VmList(tuple(vms))
+
+
+def read_vms(body: bytes) -> tuple[list[Vm], list[InputFailure]]:
+    """Return the VMs of a list, and failures of the entries that name none, or of the list."""
+    vm_list = decode_json(body, VmListBody, VM_LIST)
+    if isinstance(vm_list, Failure):
+        return [], [vm_list]
+    vms = []
+    failures = []
+    for number, value in enumerate(vm_list.vms):
+        vm = convert(value, Vm, VM_LIST, f'vms[{number}]')
+        if isinstance(vm, Failure):
+            failures.append(vm)
+            continue
+        vms.append(vm)
+    return vms, failures
 
 
 def get(
--- a/beechbridge/daemon/settings.py
+++ b/beechbridge/daemon/settings.py
@@ -9,9 +9,8 @@
 from ..core.limits import Limits
 from ..failures import Failure, InputFailure
 from ..fields import decode_toml, describe_read_error
-from ..models import DurationMs, Name
+from ..models import DurationMs, Host, Name
 
-Host = Annotated[str, Meta(min_length=1, max_length=255)]
 AnyPort = Annotated[int, Meta(ge=0, le=65535)]
 ThreadCount = Annotated[int, Meta(ge=10, le=2048)]
 
--- a/beechbridge/models.py
+++ b/beechbridge/models.py
@@ -8,12 +8,14 @@
 from msgspec import Meta
 
 from .failures import Failure, Reason
+from .hosts import HOST_PATTERN
 from .record import Record
 
 KEY_SPACE = 65536
 """Number of positions in the key space, which the shards of a back end divide."""
 
 Name = Annotated[str, Meta(min_length=1, max_length=64, pattern=r'^[A-Za-z0-9][A-Za-z0-9._-]*$')]
+Host = Annotated[str, Meta(pattern=HOST_PATTERN)]
 Port = Annotated[int, Meta(ge=1, le=65535)]
 Count = Annotated[int, Meta(ge=0, le=1_000_000)]
 PositiveCount = Annotated[int, Meta(ge=1, le=1_000_000)]
@@ -38,7 +40,7 @@
 
     replica_id: Name
     place: Name
-    host: Annotated[str, Meta(min_length=1, max_length=255)]
+    host: Host
     port: Port
     slots: PositiveCount
     connection_limit: PositiveCount
@@ -125,7 +127,7 @@
 
     name: Name
     place: Name
-    host: Annotated[str, Meta(min_length=1, max_length=255)]
+    host: Host
     caller_port: Port
     peer_port: Port
     operations_port: Port
--- a/beechbridge/platform/settings.py
+++ b/beechbridge/platform/settings.py
@@ -13,13 +13,12 @@
 from ..gateway.actions import MAX_REPLY_BYTES
 from ..gateway.requests.budgets import BudgetRules
 from ..gateway.settings import Address, GatewaySettings
-from ..hosts import LABELS
+from ..hosts import ADDRESS_PATTERN, HOST_PATTERN
 from ..wire.members import MAX_NAME_LENGTH
 from .names import SETTINGS_VARIABLE
 
-PORT = '([0-9]{1,4}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5])'
-AddressText = Annotated[str, Meta(pattern=rf'\A{LABELS}:{PORT}\Z')]
-HostText = Annotated[str, Meta(pattern=rf'\A{LABELS}\Z')]
+AddressText = Annotated[str, Meta(pattern=ADDRESS_PATTERN)]
+HostText = Annotated[str, Meta(pattern=HOST_PATTERN)]
 Name = Annotated[str, Meta(min_length=1, max_length=MAX_NAME_LENGTH)]
 Port = Annotated[int, Meta(ge=1, le=65_535)]
 Amount = Annotated[float, Meta(ge=0, le=1e9)]
