Show that the HTTP server turns away only what it did not pass on

Incomplete heads and bodies, and chunks that break off after a sound one, are answered so, and the gateway never hears of them. The five rows hold before and after; nothing had to change.

--- a/tests/test_false_refusals.py
+++ b/tests/test_false_refusals.py
@@ -35,6 +35,7 @@
 from beechbridge.platform.replicas import read_reply, write_request
 
 from .odd_items import ENTRY, TABLE, encode
+from .test_front import HEAD, STATUS_LINE, Front
 from .test_store_updates import EmptyReader
 from .test_withdrawal import LOOKUP, WRITE, lose_links, receive
 
@@ -229,3 +230,27 @@
     @params(Reason.STOPPING, Reason.OVERLOADED, Reason.NO_REPLICA)
     def test_refusal_keeps_its_status(self, reason):
         self.assertEqual(status_of(not_run(reason))[:3], '503')
+
+
+INCOMPLETE = [
+    ('GET /a/x HTTP/1.1\r\nHost: h\r\n', '408'),
+    (f'{HEAD}Content-Length: 5\r\n\r\nab', '408'),
+    (f'{HEAD}Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n', '408'),
+    (f'{HEAD}Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\nno size\r\n', '400'),
+    (f'{HEAD}Transfer-Encoding: chunked\r\n\r\n2\r\nabcd\r\n0\r\n\r\n', '400'),
+]
+
+
+class ServerRefusalTest(unittest.TestCase):
+    # Guards against the HTTP server turning a request away, as late or malformed, of which a part
+    # was passed on to the gateway before.
+    @params(*INCOMPLETE)
+    def test_request_that_the_server_turns_away_was_not_passed_on(self, text, status):
+        front = Front()
+        self.addCleanup(front.close)
+        front.app.header_timeout_s = front.app.body_timeout_s = 0.05
+        with front.connect() as sock:
+            sock.sendall(text.encode())
+            received = b''.join(iter(lambda: sock.recv(65_536), b''))
+        self.assertEqual(STATUS_LINE.findall(received), [status.encode()])
+        self.assertFalse([event for event in front.events if isinstance(event, RequestReceived)])
