Let the soak have replicas that refuse what they have run

No replica of the soak answered with a refusal that it did not mean, so that it could not find the 503s that were passed on. refusing_replica answers 503 without Beechbridge-Not-Run to requests that must not run twice, once they have run; it draws numbers only while it lasts, so that earlier seeds stay the same.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -47,6 +47,7 @@
     'stop_again',
     'stop_amid_changes',
     'odd_entry',
+    'refusing_replica',
 )
 """Further kinds, drawn only if named, so that the faults of earlier seeds stay the same."""
 
@@ -278,6 +279,13 @@
         await asyncio.sleep(duration_s)
         setattr(replica, attribute, 0.0)
 
+    async def refusing_replica(self, duration_s: float) -> None:
+        """Make a replica refuse requests that it has run, without saying that it has not."""
+        replica = self.rng.choice([one for one in self.soak.replicas if one.service == 'register'])
+        replica.refuse_share = 0.4
+        await asyncio.sleep(duration_s)
+        replica.refuse_share = 0.0
+
     async def endless_replica(self, duration_s: float) -> None:
         """Make a replica send replies without an end."""
         replica = self.rng.choice(self.soak.replicas)
--- a/soak/standins.py
+++ b/soak/standins.py
@@ -110,6 +110,8 @@
     :param chunk_bytes: size of the chunks in which it sends small replies, 0 if with a length
     :param lose_share: share of the requests that run but get no response
     :param reject_share: share of the requests that are rejected
+    :param refuse_share: share of the requests that must not run twice which are answered 503 once
+        they have run, without saying that they have not
     :param late_share: share of the responses that are sent a second time, ahead of the next one
     :param endless_kind: kind of endless reply that it sends to every request, none if empty
     :param end: called by a request that ends the replica's process
@@ -128,6 +130,7 @@
         self.chunk_bytes = 0
         self.lose_share = 0.0
         self.reject_share = 0.0
+        self.refuse_share = 0.0
         self.late_share = 0.0
         self.endless_kind = ''
         self.notice: dict[str, str] = {}
@@ -169,6 +172,9 @@
         if self.rng.random() < self.lose_share:
             return None
         arrival.ended_s = time.monotonic()
+        is_refused = self.refuse_share and message.first_line.startswith('POST')
+        if is_refused and self.rng.random() < self.refuse_share:
+            return respond(503, {'Beechbridge-Server-Stamp': signature, **echo})
         body = self.rng.randbytes(16 * self.rng.randrange(0, 8) + self.rng.randrange(0, 3))
         if LARGE in target:
             body = self.rng.randbytes(RECORD_BYTES) * LARGE_RECORDS
