Close the daemon's servers in their own threads

It is traced: the daemon closed the listening sockets from another thread; if the server had just listed them and not begun to wait, select raised OSError, the thread ended, and connections that were still open were served no more.

The server is now asked to close itself, through its trigger. Tests that play the front do the same.

--- a/beechbridge/daemon/server.py
+++ b/beechbridge/daemon/server.py
@@ -52,6 +52,9 @@
 """Answers up to this size are buffered in memory, because the VMs have no disks."""
 
 TASK_SHUTDOWN_TIMEOUT_S = 1.0
+CLOSE_TIMEOUT_S = 1.0
+"""Time after which the thread of a server is taken not to run."""
+
 RANDOM_INCARNATION_BITS = 20
 
 logger = logbook.Logger('beechbridged')
@@ -166,13 +169,33 @@
         """Close everything immediately."""
         for server in (self.caller_server, self.operations_server):
             server.task_dispatcher.shutdown(timeout=TASK_SHUTDOWN_TIMEOUT_S)
-            server.close()
+            close_server(server)
         self.driver.close()
         self.peers.close()
         self.upstreams.close()
         self.platform.close()
 
 
+def close_server(server: BaseWSGIServer) -> None:
+    """
+    Close a server in its own thread, if that runs.
+
+    A socket that another thread closes while it is waited for ends the server's thread with an
+    error, and with it the connections that are still open.
+    """
+    if server.socket is None:
+        return
+    closed = threading.Event()
+
+    def close() -> None:
+        server.close()
+        closed.set()
+
+    server.trigger.pull_trigger(close)
+    if not closed.wait(CLOSE_TIMEOUT_S):
+        server.close()
+
+
 def has_pending_answers(server: BaseWSGIServer) -> bool:
     """Return whether a server has answers to send or requests to handle."""
     for channel in list(server.active_channels.values()):
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -88,7 +88,8 @@
 
     def close(self):
         self.server.task_dispatcher.shutdown(timeout=WAIT_S)
-        self.server.close()
+        # Another thread would close sockets that the server is about to wait for.
+        self.run_in_server(self.server.close)
 
 
 def serve_other(environ, start_response):
