Read no relayed request with a deadline that no caller can set

In the product's own interface another VM could name a deadline of any number of milliseconds: a run with one in thousands of years never ends, and the VM that took it has something in flight at each stop until the stop's own limit.

A deadline outside of what the API takes (1 to 600,000 ms) makes the frame unreadable; an odd time to wait in an outcome is dropped, what it says of the run is not. 6 rows of test_odd_messages failed before.

--- a/beechbridge/wire/codec.py
+++ b/beechbridge/wire/codec.py
@@ -16,7 +16,7 @@
     RelayedRequest,
     ReplicaSign,
 )
-from ..models import Done, Outcome, Ticket, TicketedRequest, VmIdentity
+from ..models import MAX_DURATION_MS, Done, Outcome, Ticket, TicketedRequest, VmIdentity
 from ..record import Record
 from .frames import DECODE_ERRORS, decode_struct, encode_struct
 from .peer import ttypes
@@ -204,9 +204,15 @@
 
 
 def relayed_request_from_body(payload: ttypes.RelayedRequest) -> RelayedRequest:
-    """Convert a body to a relayed request."""
+    """
+    Convert a body to a relayed request.
+
+    :raises ValueError: if its deadline is none that a caller can have set
+    """
     request = payload.request
     request.validate()
+    if not 1 <= request.deadline_ms <= MAX_DURATION_MS:
+        raise ValueError('deadline is out of bounds')
     ticket = Ticket(VmIdentity(request.issuer_name, request.issuer_incarnation), request.number)
     inner = TicketedRequest(
         ticket, request.back_end, request.key, request.body, request.deadline_ms
@@ -241,8 +247,11 @@
         return RelayedOutcome(payload.relay_id, Done(done.snapshot, result))
     failure = payload.outcome.failure
     failure.validate()
+    retry_after_ms = failure.retry_after_ms
+    if retry_after_ms is not None and not 0 <= retry_after_ms <= MAX_DURATION_MS:
+        retry_after_ms = None
     outcome = Failure(
-        Reason(failure.reason), Executed(failure.executed), failure.detail, failure.retry_after_ms
+        Reason(failure.reason), Executed(failure.executed), failure.detail, retry_after_ms
     )
     return RelayedOutcome(payload.relay_id, outcome)
 
--- a/tests/test_odd_messages.py
+++ b/tests/test_odd_messages.py
@@ -19,6 +19,9 @@
     PartsOrder,
     Reply,
 )
+from beechbridge.messages import RelayedOutcome, RelayedRequest
+from beechbridge.models import Ticket, TicketedRequest, VmIdentity
+from beechbridge.wire.codec import Envelope, decode_frame, encode_frame
 from beechbridge.wire.fleet import (
     PARTS_PATH,
     decode_datagram,
@@ -217,3 +220,31 @@
         wire = write_relay_answer(not_run(Reason.OVERLOADED, '', retry_after_ms), 'q1')
         answer = read_relay_reply(200, wire.headers, wire.body, False).answer
         self.assertEqual((answer.executed, answer.retry_after_ms), (Executed.NOT_RUN, None))
+
+
+class OddPeerMessageTest(unittest.TestCase):
+    """Messages between VMs of the product's own interface."""
+
+    def relay(self, deadline_ms):
+        """Return a relayed request as the VM that gets it reads it."""
+        sender = VmIdentity('v1', 5)
+        request = TicketedRequest(Ticket(sender, 'n'), 'b', 'k', b'{}', deadline_ms)
+        return decode_frame(encode_frame(Envelope(sender, RelayedRequest('r', request))))
+
+    # Guards against a VM whose stop never ends, since a request that another VM relayed to it has
+    # a deadline in thousands of years.
+    @params(0, -1, 600_001, 2**63 - 1)
+    def test_relayed_request_with_an_odd_deadline_is_not_taken(self, deadline_ms):
+        self.assertIsInstance(self.relay(deadline_ms), Failure)
+
+    @params(1, 600_000)
+    def test_relayed_request_is_taken(self, deadline_ms):
+        self.assertEqual(self.relay(deadline_ms).message.request.deadline_ms, deadline_ms)
+
+    # Guards against odd times to wait that reach a caller; what has run is believed none the less.
+    @params(-1, 2**63 - 1)
+    def test_odd_time_to_wait_of_an_outcome_is_dropped(self, retry_after_ms):
+        outcome = not_run(Reason.SHED, '', retry_after_ms)
+        frame = encode_frame(Envelope(VmIdentity('v1', 5), RelayedOutcome('r', outcome)))
+        found = decode_frame(frame).message.outcome
+        self.assertEqual((found.executed, found.retry_after_ms), (Executed.NOT_RUN, None))
