Stop what is queued of a convicted query, and add mutants

Copies of a convicted query that waited for a slot were still sent: the check stood where a task is dispatched, not where its queued attempt leaves. At the conviction all that waits of the same query is now cancelled, in every query in progress; the check at dispatch, which nothing needed any more, is gone.

model/mutants.py has 19 more mutants: of what is bounded now, of the refusals, and of the quarantine. The other mutants were not run.

--- a/beechbridge/core/requests/fanout.py
+++ b/beechbridge/core/requests/fanout.py
@@ -8,6 +8,7 @@
 from .endings import cancel_attempts, fail_task, finish_if_decided, finish_plan
 from .plans import HardDeadlineTimer, Plan, RetryTimer, SoftDeadlineTimer, Task
 from .snapshots import SnapshotChoice
+from .suspects import digest_of
 
 INITIAL_BACKOFF_MS = 5.0
 
@@ -72,9 +73,6 @@
 def dispatch_task(task: Task, core: CoreInterface, is_extra: bool = False) -> None:
     """Send a task to a replica; without an available one, back off or fail the task."""
     plan = task.plan
-    if core.suspects.is_convicted(plan, core):
-        fail_task(task, Reason.QUARANTINED, core)
-        return
     service = find_service(task, core)
     if service is None:
         fail_task(task, Reason.SHARD_MOVED, core)
@@ -231,9 +229,10 @@
         owner.tried_replicas.add(attempt.replica_id)
         dispatch_task(owner, core)
         return
-    if attempt.is_new and failure.reason is Reason.CONNECTION_LOST:
-        # A kept connection may have been closed while it was idle.
-        core.suspects.record_loss(owner.plan, attempt, core)
+    # A kept connection may have been closed while it was idle.
+    is_loss = attempt.is_new and failure.reason is Reason.CONNECTION_LOST
+    if is_loss and core.suspects.record_loss(owner.plan, attempt, core):
+        stop_convicted(digest_of(owner.plan), core)
     if core.suspects.is_convicted(owner.plan, core):
         if not owner.attempts:
             fail_task(owner, Reason.QUARANTINED, core)
@@ -260,6 +259,20 @@
     queue_attempt(owner, state, core, is_extra=True, requires_new=True)
 
 
+def stop_convicted(digest: str, core: CoreInterface) -> None:
+    """Cancel what waits to be sent of all queries in progress that are the convicted one."""
+    for plan in list(core.plans.values()):
+        if digest_of(plan) != digest:
+            continue
+        for task in plan.tasks.values():
+            unsent = [attempt for attempt in task.attempts if attempt.sent_ms is None]
+            for attempt in unsent:
+                task.attempts.remove(attempt)
+                core.upstreams.cancel(attempt, core)
+            if not task.attempts:
+                fail_task(task, Reason.QUARANTINED, core)
+
+
 def detach_attempt(task: Task, attempt: Attempt) -> bool:
     """Remove an attempt from its task; return whether the task still waits for a reply."""
     if attempt not in task.attempts:
--- a/beechbridge/core/requests/suspects.py
+++ b/beechbridge/core/requests/suspects.py
@@ -70,8 +70,8 @@
         del self.by_digest[digest]
         return None
 
-    def record_loss(self, plan: Plan, attempt: Attempt, core: CoreInterface) -> None:
-        """Count the loss of a sent attempt; convict its query if that is one too many."""
+    def record_loss(self, plan: Plan, attempt: Attempt, core: CoreInterface) -> bool:
+        """Count the loss of a sent attempt; return whether that convicts its query."""
         now_ms = core.now_ms
         digest = digest_of(plan)
         suspect = self.find(digest, now_ms) or Suspect(now_ms)
@@ -84,11 +84,12 @@
             suspect.replica_ids.add(attempt.replica_id)
         is_convicted = suspect.convicted_until_ms > 0.0
         if is_convicted or len(suspect.replica_ids) < CONVICTING_REPLICAS:
-            return
+            return False
         suspect.convicted_until_ms = now_ms + QUARANTINE_MS
         core.counters.add('queries_quarantined')
         lost = ', '.join(sorted(suspect.replica_ids))
         core.act(LogChange(f'query {digest}', 'suspected', f'quarantined, lost at {lost}'))
+        return True
 
     def acquit(self, plan: Plan, core: CoreInterface) -> None:
         """Drop what counts against a query that a replica has answered."""
--- a/model/mutants.py
+++ b/model/mutants.py
@@ -72,7 +72,154 @@
 WORKS = 'beechbridge/gateway/requests/works.py'
 CLIENT_CONNECTION = 'beechbridge/daemon/client_connection.py'
 
+BODIES = 'beechbridge/daemon/bodies.py'
+REPLY_HEADS = 'beechbridge/platform/replicas.py'
+REQUEST_PARSER = 'beechbridge/daemon/request_parser.py'
+MEMBER_RECORDS = 'beechbridge/wire/members.py'
+FLEET_MESSAGES = 'beechbridge/wire/fleet.py'
+PEER_FRAMES = 'beechbridge/wire/codec.py'
+FIELDS = 'beechbridge/fields.py'
+LATENCIES = 'beechbridge/gateway/latencies.py'
+SUSPECT_QUERIES = 'beechbridge/core/requests/suspects.py'
+DRIVER = 'beechbridge/daemon/driver.py'
+SERVER = 'beechbridge/daemon/server.py'
+VM_LIST = 'beechbridge/daemon/platform.py'
+CLI_CLIENT = 'beechbridge/cli/client.py'
+
 MUTANTS = (
+    Mutant(
+        'a refusal that nobody proves is passed on',
+        PROGRESS,
+        'answer = withhold_unproven(answer, work)',
+        'pass',
+        ('test_false_refusals',),
+    ),
+    Mutant(
+        'a refusal of an order needs no ID',
+        ORDERS,
+        'reply.answer is None and reply.request_id == work.request.request_id',
+        'reply.answer is None',
+        ('test_orders',),
+    ),
+    Mutant(
+        'an unknown failure has the status of a refusal',
+        BODIES,
+        'if status == NOT_RUN_STATUS and answer.executed is not Executed.NOT_RUN:',
+        'if False:',
+        ('test_false_refusals',),
+    ),
+    Mutant(
+        'a keep-alive timeout has any length',
+        REPLY_HEADS,
+        "WHOLE_SECONDS = re.compile(r'[0-9]{1,9}')",
+        "WHOLE_SECONDS = re.compile(r'[0-9]+')",
+        ('test_odd_heads',),
+    ),
+    Mutant(
+        'an odd head of a request closes its connection',
+        REQUEST_PARSER,
+        'except ValueError as error:',
+        'except ZeroDivisionError as error:',
+        ('test_odd_heads',),
+    ),
+    Mutant(
+        'a member has any host',
+        MEMBER_RECORDS,
+        'if not is_host(record.host):',
+        'if False:',
+        ('test_odd_messages',),
+    ),
+    Mutant(
+        'an order has any times',
+        FLEET_MESSAGES,
+        'failure = check_times(frame) or check_counts(frame)',
+        'failure = check_counts(frame)',
+        ('test_odd_messages',),
+    ),
+    Mutant(
+        'an answer to an order has any numbers',
+        FLEET_MESSAGES,
+        'isinstance(frame, Failure) or not is_within_bounds(frame)',
+        'isinstance(frame, Failure)',
+        ('test_odd_messages',),
+    ),
+    Mutant(
+        'a relayed request has any deadline',
+        PEER_FRAMES,
+        'if not 1 <= request.deadline_ms <= MAX_DURATION_MS:',
+        'if False:',
+        ('test_odd_messages',),
+    ),
+    Mutant(
+        'a number of any length ends the reading of settings',
+        FIELDS,
+        'except (ValueError, RecursionError) as error:',
+        'except (tomllib.TOMLDecodeError, RecursionError) as error:',
+        ('test_odd_settings',),
+    ),
+    Mutant(
+        'a timeout without end is learnt from',
+        LATENCIES,
+        'if timeout_ms > MAX_CALLER_TIMEOUT_MS:',
+        'if False:',
+        ('test_odd_heads',),
+    ),
+    Mutant(
+        'an odd VM takes the list along',
+        VM_LIST,
+        'failures.append(vm)\n            continue',
+        'return [], [vm]',
+        ('test_odd_addresses',),
+    ),
+    Mutant(
+        'an odd address of the directory ends the search',
+        CLI_CLIENT,
+        'UNSENT_REASONS = (Reason.CONNECT_FAILED, Reason.INVALID_INPUT)',
+        'UNSENT_REASONS = (Reason.CONNECT_FAILED,)',
+        ('test_odd_addresses',),
+    ),
+    Mutant(
+        'the first losses of a query convict it',
+        SUSPECT_QUERIES,
+        'if attempt.sent_ms > suspect.first_loss_ms:',
+        'if True:',
+        ('test_query_quarantine',),
+    ),
+    Mutant(
+        'an answer does not acquit a query',
+        FANOUT,
+        'core.suspects.acquit(task.plan, core)',
+        'pass',
+        ('test_query_quarantine',),
+    ),
+    Mutant(
+        'a convicted query in progress is sent on',
+        FANOUT,
+        'stop_convicted(digest_of(owner.plan), core)',
+        'pass',
+        ('test_query_quarantine',),
+    ),
+    Mutant(
+        'a query is sent on after later losses',
+        FANOUT,
+        'if core.suspects.is_convicted(owner.plan, core):',
+        'if False:',
+        ('test_query_quarantine', 'test_deadly_queries'),
+    ),
+    Mutant(
+        'a defect ends the thread of the timers',
+        DRIVER,
+        'with contextlib.suppress(Exception):',
+        'with contextlib.suppress(ZeroDivisionError):',
+        ('test_driver',),
+    ),
+    Mutant(
+        'a server is closed by another thread',
+        SERVER,
+        'server.trigger.pull_trigger(close)',
+        'close()',
+        ('test_server_close',),
+    ),
     Mutant(
         'not run is said without the word of the driver',
         PROGRESS,
--- a/tests/test_query_quarantine.py
+++ b/tests/test_query_quarantine.py
@@ -4,6 +4,7 @@
 
 from nose2.tools import params
 
+from beechbridge.actions import LogChange, Send
 from beechbridge.core.requests.suspects import (
     CONVICTING_REPLICAS,
     EVIDENCE_MS,
@@ -15,18 +16,21 @@
 from beechbridge.messages import ShardQuery
 from beechbridge.models import Answer
 
-from .utils import LOST, Simulation
+from .utils import LOST, Simulation, make_document
 
 DEADLY = b'{"a":"deadly"}'
 OTHER = b'{"a":"other"}'
+QUEUED = 40
+"""More copies of a query than a VM sends to the replicas at once."""
+
 REPLICAS = [f'svc{number}-{copy}' for number in range(3) for copy in 'ab']
 
 
 class Fleet:
     """VMs whose upstreams end under some queries."""
 
-    def __init__(self, result=LOST, names=('v1',)):
-        self.sim = Simulation(names)
+    def __init__(self, result=LOST, **rules):
+        self.sim = Simulation(('v1',), make_document(**rules))
         self.sim.run(500)
         self.deadly_count = 0
         self.is_deadly = True
@@ -69,6 +73,24 @@
             self.assertIs(fleet.ask().reason, Reason.QUARANTINED)
         self.assertEqual(fleet.deadly_count, sent_count)
 
+    # Guards against copies of the query that are in progress, and wait for their next try, being
+    # sent on once one of them has shown what it does.
+    @params(1.0, 0.3)
+    def test_convicted_query_in_progress_is_sent_no_more(self, minimum_coverage):
+        fleet = Fleet(minimum_coverage=minimum_coverage)
+        for number in range(QUEUED):
+            fleet.sim.ask('v1', f'q{number}', body=DEADLY, deadline_ms=500)
+        fleet.sim.run(600)
+        actions = [action for _, action in fleet.sim.log]
+        convictions = [
+            number
+            for number, action in enumerate(actions)
+            if isinstance(action, LogChange) and action.after.startswith('quarantined')
+        ]
+        self.assertEqual(len(convictions), 1)
+        for action in actions[convictions[0] :]:
+            self.assertFalse(isinstance(action, Send) and isinstance(action.message, ShardQuery))
+
     def test_other_queries_are_answered_meanwhile(self):
         fleet = Fleet()
         fleet.convict()
