--- a/tests/test_odd_messages.py
+++ b/tests/test_odd_messages.py
@@ -5,6 +5,7 @@
 import unittest
 from types import SimpleNamespace
 
+import logbook
 from nose2.tools import params
 
 from beechbridge.daemon.gateway import GatewayProcess, HeartbeatProtocol, perform
@@ -132,6 +133,14 @@
         self.assertEqual(self.gateway.counters.get('heartbeats_unreadable'), 1)
         self.assertIsNone(self.gateway.pulls.pending)
 
+    # Guards against a VM that goes deaf without a word.
+    @params((TypeError('a defect'), ['datagrams_failed']), (None, []))
+    def test_socket_that_a_defect_closes_is_logged(self, error, subjects):
+        protocol = HeartbeatProtocol(SimpleNamespace(handle=self.handle))
+        with logbook.TestHandler() as handler:
+            protocol.connection_lost(error)
+        self.assertEqual([record.message for record in handler.records], subjects)
+
     def test_sound_members_are_all_read(self):
         data = encode_heartbeat(SendHeartbeat([], [SENDER, SOUND], 1, 1, False, 0))
         event = decode_datagram(data)
