Wait for the server's own thread in the test of its close

It now waits for the one thread that it has held, and checks that this one has ended, which is stricter.

--- a/tests/test_server_close.py
+++ b/tests/test_server_close.py
@@ -22,11 +22,13 @@
         server = daemon.caller_server
         listening = server.socket.fileno()
         errors = []
+        threads = []
         has_listed = threading.Event()
 
         def wait(readable, writable, exceptional, timeout_s):
             """Wait for the sockets once the server was closed, or is asked to close itself."""
             if listening in readable and not has_listed.is_set():
+                threads.append(threading.current_thread())
                 has_listed.set()
                 give_up_s = time.monotonic() + GIVE_UP_S
                 while server.socket is not None and not server.trigger.thunks:
@@ -42,8 +44,7 @@
         ):
             self.assertTrue(has_listed.wait(GIVE_UP_S))
             daemon.close()
-            for thread in threading.enumerate():
-                if 'run' in thread.name and thread.daemon:
-                    thread.join(GIVE_UP_S)
+            threads[0].join(GIVE_UP_S)
+            self.assertFalse(threads[0].is_alive())
         self.assertEqual(errors, [])
         self.assertIsNone(server.socket)
