Serve requests in the home regions of their routes and teams

Cause: `homeRegions` of routes was not read, so that requests reached replicas of any region. Change: homes are decoded with the table, bind every choice among replicas, the VMs that orders and relays go to, and the directory; what no home can serve is rejected at once. Orders carry the homes to the VM that takes them.

--- a/beechbridge/daemon/pages.py
+++ b/beechbridge/daemon/pages.py
@@ -125,7 +125,7 @@
 
     async def list_members(self, lookup: Lookup) -> list[Member]:
         """Return the VMs for a caller's zone and region; runs in the loop's thread."""
-        return self.core.best_members(lookup.zone, lookup.region, read_clock_ms())
+        return self.core.best_members(lookup.zone, lookup.region, read_clock_ms(), lookup.host)
 
     async def describe(self) -> dict:
         """Return the state of the core; runs in the loop's thread."""
--- a/beechbridge/gateway/fleet/aggregators.py
+++ b/beechbridge/gateway/fleet/aggregators.py
@@ -89,17 +89,25 @@
         )
         return fastest
 
-    def choose_relay(self, tried: set[str], gateway: GatewayInterface) -> ReplicaState | None:
+    def choose_relay(
+        self,
+        tried: set[str],
+        gateway: GatewayInterface,
+        zones: frozenset[str] | None = None,
+    ) -> ReplicaState | None:
         """
         Return a near VM that is not busy, else the least busy one, if any is healthy.
 
         :param tried: names of the VMs not to choose
+        :param zones: data centres to which the request is bound, None for all
         """
         self.refresh(gateway)
         by_distance: dict[int, list[tuple[float, ReplicaState]]] = {}
         for name, state in self.states.items():
             if name in tried or state.is_suspect(gateway.now_ms):
                 continue
+            if zones is not None and state.entry.zone not in zones:
+                continue
             load = estimate_load(state, gateway) * gateway.rng.uniform(0.95, 1.05)
             distance = gateway.distance_to(state.entry.zone)
             by_distance.setdefault(distance, []).append((load, state))
--- a/beechbridge/gateway/models.py
+++ b/beechbridge/gateway/models.py
@@ -254,12 +254,14 @@
     :param soft_ms: milliseconds after its arrival within which the answer must be sent
     :param hard_ms: milliseconds after its arrival within which replicas may work on it
     :param digest: what the request has in common with other attempts of its caller
+    :param home_regions: regions in which the request may be served, None for all
     """
 
     __slots__ = (
         'attempts',
         'digest',
         'hard_ms',
+        'home_regions',
         'priority',
         'request',
         'route_name',
@@ -279,8 +281,10 @@
         soft_ms: float,
         hard_ms: float,
         digest: str,
+        home_regions: frozenset[str] | None = None,
     ):
         self.digest = digest
+        self.home_regions = home_regions
         self.request = request
         self.route_name = route_name
         self.priority = priority
--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -52,6 +52,7 @@
     handle_stop_requested,
 )
 from .fleet.suspect_reports import handle_suspects_received, report_suspects
+from .homes import keep_near_homes
 from .latencies import CallerTimeouts, Histogram
 from .maintenance import (
     SWEEP_INTERVAL_MS,
@@ -332,13 +333,14 @@
         regions = self.fleet.regions
         return 1 if zone in regions and regions[zone] == regions.get(own_zone) else 2
 
-    def best_members(self, zone: str, region: str, now_ms: float) -> list[Member]:
-        """Return the VMs that a caller in a data centre and region should use."""
+    def best_members(self, zone: str, region: str, now_ms: float, host: str = '') -> list[Member]:
+        """Return the VMs that a caller of a host, in a data centre and region, should use."""
         self.placement.refresh(self.table, self.upstreams, now_ms)
         self.activity.choose(self.fleet, now_ms)
         reaching = self.fleet.reaching(now_ms)
         active = [member for member in reaching if member.name in self.activity.active_names]
-        chosen = self.placement.choose(active or reaching, zone, region)
+        members = keep_near_homes(active or reaching, host, region, self.table, self.fleet.regions)
+        chosen = self.placement.choose(members, zone, region)
         if len(chosen) <= MAX_ADDRESSES:
             return chosen
         by_name = {member.name: member for member in chosen}
--- a/beechbridge/gateway/replicas/upstreams.py
+++ b/beechbridge/gateway/replicas/upstreams.py
@@ -306,16 +306,20 @@
             estimate = self.route_latencies[route_name, distance] = LatencyEstimate(latency_ms)
         estimate.add(latency_ms)
 
-    def usable(self, service: str) -> list[ReplicaState]:
-        """Return a service's replicas that may be sent new requests."""
-        return [state for state in self.by_service.get(service, ()) if state.is_usable]
+    def usable(self, service: str, zones: frozenset[str] | None = None) -> list[ReplicaState]:
+        """
+        Return a service's replicas that may be sent new requests.
+
+        :param zones: data centres to which the request is bound, None for all
+        """
+        states = [state for state in self.by_service.get(service, ()) if state.is_usable]
+        if zones is None:
+            return states
+        return [state for state in states if state.entry.zone in zones]
 
-    def has_unrestricted(self, service: str) -> bool:
+    def has_unrestricted(self, service: str, zones: frozenset[str] | None = None) -> bool:
         """Return whether a replica of a service accepts any number of requests."""
-        for state in self.by_service.get(service, ()):
-            if state.is_usable and not state.notices.is_restricted:
-                return True
-        return False
+        return any(not state.notices.is_restricted for state in self.usable(service, zones))
 
     def choose(
         self,
@@ -327,6 +331,7 @@
         now_ms: float,
         rng,
         can_send: Callable[[ReplicaState], bool],
+        zones: frozenset[str] | None = None,
     ) -> ReplicaState | None:
         """
         Return the nearest replica that is fast enough, or else the fastest.
@@ -335,10 +340,11 @@
         :param share: maximum number of exchanges in flight from this VM to one replica
         :param limit_ms: expected latency in milliseconds up to which a replica is fast enough
         :param can_send: whether a replica accepts a request now
+        :param zones: data centres to which the request is bound, None for all
         """
         by_distance: dict[int, list[ReplicaState]] = {}
-        for state in self.by_service.get(service, ()):
-            if not state.is_usable or id(state) in exclude or len(state.busy) >= share:
+        for state in self.usable(service, zones):
+            if id(state) in exclude or len(state.busy) >= share:
                 continue
             if not state.notices.is_restricted or can_send(state):
                 by_distance.setdefault(state.distance, []).append(state)
--- a/beechbridge/gateway/requests/admission.py
+++ b/beechbridge/gateway/requests/admission.py
@@ -19,6 +19,8 @@
 from ..routes import Route
 from .answers import reject_request
 from .canaries import begin_trial, needs_trial
+from .candidates import has_unrestricted, list_usable
+from .homes import check_homes
 from .identity import compute_digest
 from .orders import may_order_from, order_remote_parts
 from .permit_requests import request_permit
@@ -117,15 +119,14 @@
     if should_relay(gateway):
         # What this VM believes of replicas is out of date.
         return None
-    upstreams = gateway.upstreams
-    restricted = [task for task in work.tasks if not upstreams.has_unrestricted(task.service)]
+    restricted = [task for task in work.tasks if not has_unrestricted(task, gateway)]
     needed = needed_count(work)
     if len(work.tasks) - len(restricted) >= needed:
         return None
     usable_count = len(work.tasks) - len(restricted)
     waits_ms = [0.0] * usable_count
     for task in restricted:
-        usable_count += bool(upstreams.usable(task.service))
+        usable_count += bool(list_usable(task, gateway))
         wait_ms = service_opens_in_ms(task, gateway)
         waits_ms.append(0.0 if wait_ms > 0.0 and may_order(task, gateway) else wait_ms)
     wait_ms = sorted(waits_ms)[needed - 1]
@@ -144,7 +145,7 @@
 
 def may_order(task: Task, gateway: GatewayInterface) -> bool:
     """Return whether another VM may be asked for a part that no replica gives to this one."""
-    states = gateway.upstreams.usable(task.service)
+    states = list_usable(task, gateway)
     return any(may_order_from(state, task, gateway) for state in states)
 
 
@@ -170,7 +171,7 @@
     return reject_late(work.request, work.route.is_idempotent, work.hard_at_ms, gateway)
 
 
-WORK_FILTERS = (check_stop, check_conviction, check_replicas)
+WORK_FILTERS = (check_stop, check_conviction, check_replicas, check_homes)
 
 
 def make_work(
@@ -337,6 +338,7 @@
         objective_ms=order.soft_ms,
         priority=order.priority,
         top_records=order.top_records,
+        home_regions=order.home_regions,
     )
     work = OrderedWork(
         event.key, order.request, order.digest, route, gateway.table.version, gateway.now_ms
@@ -398,14 +400,14 @@
 
 def needs_permit(task: Task, gateway: GatewayInterface) -> bool:
     """Return whether a task can only be sent to a replica that names a limit."""
-    if gateway.upstreams.has_unrestricted(task.service):
+    if has_unrestricted(task, gateway):
         return False
     return find_limited(task, gateway) is not None
 
 
 def find_limited(task: Task, gateway: GatewayInterface) -> ReplicaState | None:
     """Return the nearest replica that may be asked for and that no other VM gathers from."""
-    for state in sorted(gateway.upstreams.usable(task.service), key=attrgetter('distance')):
+    for state in sorted(list_usable(task, gateway), key=attrgetter('distance')):
         if id(state) in task.excluded_replicas or not may_ask(state, gateway):
             continue
         if not may_order_from(state, task, gateway):
--- a/beechbridge/gateway/requests/canaries.py
+++ b/beechbridge/gateway/requests/canaries.py
@@ -10,6 +10,7 @@
 
 from ..actions import WriteLine
 from ..interface import GatewayInterface
+from .candidates import list_usable
 from .evidence import had_restarts
 from .holding import hold_task
 from .orders import order_remote_parts
@@ -96,7 +97,7 @@
         if not task.is_open or task.run_count >= work.route.attempts:
             continue
         distances = []
-        for state in gateway.upstreams.usable(task.service):
+        for state in list_usable(task, gateway):
             if id(state) not in task.excluded_replicas and not state.is_suspect(gateway.now_ms):
                 distances.append(state.distance)
         if not distances:
--- a/beechbridge/gateway/requests/hedges.py
+++ b/beechbridge/gateway/requests/hedges.py
@@ -5,6 +5,7 @@
 from ..replicas.limits import is_open
 from .budgets import BudgetShare
 from .canaries import hedge_canary
+from .candidates import list_usable
 from .progress import check_gather
 from .sending import FOREVER_MS, dispatch_task
 from .works import CheckTimer, GatherWork, Task, Work
@@ -26,7 +27,7 @@
 
 def has_healthy_replica(task: Task, gateway: GatewayInterface) -> bool:
     """Return whether a replica that is not excluded for the task is healthy."""
-    for state in gateway.upstreams.usable(task.service):
+    for state in list_usable(task, gateway):
         if id(state) in task.excluded_replicas or state.is_suspect(gateway.now_ms):
             continue
         if is_open(state, gateway):
--- a/beechbridge/gateway/requests/orders.py
+++ b/beechbridge/gateway/requests/orders.py
@@ -19,6 +19,7 @@
 from ..replicas.limits import is_available
 from ..replicas.upstreams import OWN_ZONE, ReplicaState
 from .answers import RECORD_BYTES
+from .candidates import current_homes, list_usable
 from .progress import (
     close_task,
     handle_failure,
@@ -111,7 +112,7 @@
     The set is empty if there is a usable replica in this VM's own data centre.
     """
     zones_by_distance: dict[int, set[str]] = {}
-    for state in gateway.upstreams.usable(task.service):
+    for state in list_usable(task, gateway):
         is_near = state.distance == OWN_ZONE
         if is_near and is_available(state, gateway):
             # Even if this replica is suspect: direct requests tell this VM when it recovers, and
@@ -158,6 +159,7 @@
         soft_ms,
         work.hard_at_ms - now_ms - overhead_ms,
         work.digest,
+        current_homes(work, gateway),
     )
     send_order(order, parts_order, state, idle, gateway)
     return True
--- a/beechbridge/gateway/requests/permission.py
+++ b/beechbridge/gateway/requests/permission.py
@@ -19,6 +19,7 @@
 from ..replicas.notices import MAX_LIMIT_PER_S
 from ..replicas.upstreams import INITIAL_ROUND_TRIP_MS
 from .admission import ask_permits, launch_work
+from .candidates import list_usable
 from .permit_requests import PermitRequest
 from .progress import close_task, resume_task
 from .retry_times import needed_count
@@ -80,7 +81,7 @@
     """Return how many shards are needed beside those that can do without these permits."""
     bound_count = 0
     for request in batch:
-        states = gateway.upstreams.usable(request.task.service)
+        states = list_usable(request.task, gateway)
         bound_count += not any(is_open(state, gateway) for state in states)
     free_count = work.answered_count + work.open_count - bound_count
     return min(bound_count, max(0, needed_count(work) - free_count))
--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -12,6 +12,7 @@
 from ..replicas.notices import apply_notice
 from ..replicas.upstreams import AGGREGATOR_DISTANCE, ReplicaState
 from .answers import build_answer, is_refusal, record_end, trim_part, withhold_unproven
+from .candidates import list_usable
 from .evidence import REFUSED, acquit, confirm_end, record_loss
 from .sending import abandon_exchange, abort_exchange, dispatch_task, end_exchange
 from .withdrawal import settle_withdrawal, withdraw_unsent
@@ -292,7 +293,7 @@
     for task in work.tasks:
         if not task.is_open:
             continue
-        for state in gateway.upstreams.usable(task.service):
+        for state in list_usable(task, gateway):
             if may_answer(state, task, gateway):
                 return True
         for exchange in task.exchanges:
--- a/beechbridge/gateway/requests/relays.py
+++ b/beechbridge/gateway/requests/relays.py
@@ -14,6 +14,7 @@
 from ..replicas.connections import Exchange
 from ..replicas.upstreams import NON_IDEMPOTENT_IDLE_MS, ReplicaState
 from .answers import is_refusal
+from .candidates import allowed_zones
 from .progress import (
     answer_work,
     end_work,
@@ -72,7 +73,8 @@
     state = None
     may_relay = len(work.relay_targets) < MAX_RELAYS and work.when_withdrawn is None
     if may_relay and work.hard_at_ms - now_ms >= MIN_RELAY_MS:
-        state = gateway.aggregators.choose_relay(work.relay_targets, gateway)
+        zones = allowed_zones(work, gateway)
+        state = gateway.aggregators.choose_relay(work.relay_targets, gateway, zones)
     if state is None:
         gateway.counters.add('relays_unplaced')
         answer_work(work, gateway)
--- a/beechbridge/gateway/requests/retry_times.py
+++ b/beechbridge/gateway/requests/retry_times.py
@@ -5,6 +5,7 @@
 from ..interface import GatewayInterface
 from ..models import CallerRequest
 from ..replicas.limits import opens_in_ms
+from .candidates import list_usable
 from .works import GatherWork, Task, Work
 
 RETRY_JITTER = (0.7, 1.3)
@@ -19,7 +20,7 @@
 
 def service_opens_in_ms(task: Task, gateway: GatewayInterface) -> float:
     """Return the time in milliseconds until a replica accepts a task, infinite if unknown."""
-    waits_ms = [opens_in_ms(state, gateway) for state in gateway.upstreams.usable(task.service)]
+    waits_ms = [opens_in_ms(state, gateway) for state in list_usable(task, gateway)]
     return min(waits_ms, default=math.inf)
 
 
--- a/beechbridge/gateway/requests/sending.py
+++ b/beechbridge/gateway/requests/sending.py
@@ -15,6 +15,7 @@
     STALL_TIMEOUT_FACTOR,
     ReplicaState,
 )
+from .candidates import allowed_zones, has_unrestricted, list_usable
 from .holding import hold_task, is_convicted, is_held_back
 from .permit_requests import request_permit
 from .works import OrderedWork, RetryTimer, Task
@@ -86,12 +87,13 @@
         gateway.now_ms,
         gateway.rng,
         lambda state: can_send(state, gateway),
+        allowed_zones(task.work, gateway),
     )
 
 
 def wait_for_replica(task: Task, gateway: GatewayInterface) -> None:
     """Queue a task for a connection or a later retry, if that may help."""
-    usable = gateway.upstreams.usable(task.service)
+    usable = list_usable(task, gateway)
     if not usable:
         return
     available = [state for state in usable if is_available(state, gateway)]
@@ -102,7 +104,7 @@
         enqueue_task(task, gateway)
         return
     # Without a permit now, only a replica that needs none is worth another attempt.
-    may_retry = not task.is_denied or gateway.upstreams.has_unrestricted(task.service)
+    may_retry = not task.is_denied or has_unrestricted(task, gateway)
     if may_retry and not task.is_waiting:
         schedule_retry(task, gateway)
 
--- a/beechbridge/gateway/requests/works.py
+++ b/beechbridge/gateway/requests/works.py
@@ -37,11 +37,14 @@
     :param relay: its latest relay to another VM
     :param relay_targets: names of the VMs that it was relayed to
     :param may_have_run_elsewhere: whether it was relayed and nothing is known of it
+    :param allowed_zones: data centres to which the table's version `zones_version` binds it, None
+        for all
     :param when_withdrawn: goes on with it once the driver has said what it has not sent, None if
         that is not waited for
     """
 
     __slots__ = (
+        'allowed_zones',
         'answered_count',
         'arrived_ms',
         'digest',
@@ -73,6 +76,7 @@
         'trial_task',
         'was_launched',
         'when_withdrawn',
+        'zones_version',
     )
 
     def __init__(
@@ -114,6 +118,8 @@
         self.relay: object | None = None
         self.relay_targets: set[str] = set()
         self.may_have_run_elsewhere = False
+        self.allowed_zones: frozenset[str] | None = None
+        self.zones_version: int | None = None
         self.when_withdrawn: Callable[[Work, object], None] | None = None
 
     @property
--- a/beechbridge/gateway/routes.py
+++ b/beechbridge/gateway/routes.py
@@ -15,10 +15,12 @@
     :param priority: priority class, 0 is the most urgent
     :param top_records: maximum number of records in the answer of a gather
     :param min_share: minimum share of the shards for a gather to succeed, 0 to 1
+    :param home_regions: regions in which requests may be served, None for all
     """
 
     __slots__ = (
         'attempts',
+        'home_regions',
         'host',
         'is_gather',
         'is_idempotent',
@@ -48,8 +50,10 @@
         priority: int = 0,
         top_records: int = 0,
         min_share: float = 1.0,
+        home_regions: frozenset[str] | None = None,
     ):
         self.name = name
+        self.home_regions = home_regions
         self.host = host
         self.prefix = prefix
         self.services = services
@@ -91,9 +95,20 @@
 
 
 class RoutingTable(Record):
-    """One version of the configuration: routes by host, longest prefix first."""
+    """
+    One version of the configuration: routes by host, longest prefix first.
+
+    :param routes: all routes; the attribute `home_routes_by_host` lists those with home regions
+    """
 
-    __slots__ = ('limits', 'routes_by_host', 'services', 'version')
+    __slots__ = (
+        'home_routes_by_host',
+        'limits',
+        'routes_by_host',
+        'routes_by_name',
+        'services',
+        'version',
+    )
 
     def __init__(
         self,
@@ -106,8 +121,12 @@
         self.services = services
         self.limits = limits
         self.routes_by_host: dict[str, list[Route]] = {}
+        self.home_routes_by_host: dict[str, list[Route]] = {}
+        self.routes_by_name = {route.name: route for route in routes}
         for route in sorted(routes, key=lambda route: -len(route.prefix)):
             self.routes_by_host.setdefault(route.host, []).append(route)
+            if route.home_regions is not None:
+                self.home_routes_by_host.setdefault(route.host, []).append(route)
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that matches the path."""
--- a/beechbridge/platform/items.py
+++ b/beechbridge/platform/items.py
@@ -12,6 +12,7 @@
 from msgspec import UNSET, Meta, UnsetType
 
 from ..failures import Failure, InputFailure
+from ..gateway.homes import intersect_homes
 from ..gateway.models import ReplicaEntry
 from ..gateway.routes import CallerLimits, Route, RoutingTable, ServiceRules
 from ..hosts import LABELS, MAX_HOST_LENGTH
@@ -64,6 +65,10 @@
     of consecutive tries."""
 
     priority: Count
+    home_regions: list[Name] | UnsetType | None = msgspec.field(name='homeRegions', default=UNSET)
+    """Regions in which requests may be served; none or an empty list: all."""
+
+    tenant: Name | UnsetType | None = UNSET
     service: Name | UnsetType = UNSET
     split: Annotated[list[SplitPart], Meta(min_length=1)] | UnsetType = UNSET
     gather: Annotated[list[Name], Meta(min_length=1)] | UnsetType = UNSET
@@ -85,6 +90,13 @@
             raise ValueError('Expected `topK` and `minShare` beside `gather`')
 
 
+class TeamItem(msgspec.Struct):
+    """A team as written by the operator, with the home regions of all of its routes."""
+
+    name: Name
+    home_regions: list[Name] | UnsetType | None = msgspec.field(name='homeRegions', default=UNSET)
+
+
 class ServiceItem(msgspec.Struct):
     """A service as written by the operator."""
 
@@ -109,6 +121,7 @@
     routes: list[RouteItem]
     services: list[ServiceItem]
     limits: LimitsItem
+    tenants: list[TeamItem] | UnsetType | None = UNSET
 
 
 class EntryItem(msgspec.Struct):
@@ -157,7 +170,10 @@
         item = TABLE_DECODER.decode(value)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         return InputFailure(TABLE_KEY, 'value', str(error), 'a routing configuration')
-    routes = [to_route(route) for route in item.routes]
+    team_homes = {}
+    for team in item.tenants or ():
+        team_homes[team.name] = to_homes(team.home_regions)
+    routes = [to_route(route, team_homes) for route in item.routes]
     services = {}
     for service in item.services:
         services[service.name] = ServiceRules(service.name, service.max_conns)
@@ -170,8 +186,17 @@
     )
 
 
-def to_route(item: RouteItem) -> Route:
-    """Convert a route item to a route."""
+def to_homes(regions: list[str] | UnsetType | None) -> frozenset[str] | None:
+    """Return home regions as a set, None if requests may be served anywhere."""
+    return None if regions is UNSET or not regions else frozenset(regions)
+
+
+def to_route(item: RouteItem, team_homes: dict[str, frozenset[str] | None]) -> Route:
+    """
+    Convert a route item to a route.
+
+    :param team_homes: home regions by team, None for a team without
+    """
     weights: tuple[float, ...] = (1.0,)
     top_records = 0
     min_share = 1.0
@@ -198,6 +223,7 @@
         priority=item.priority,
         top_records=top_records,
         min_share=min_share,
+        home_regions=intersect_homes(to_homes(item.home_regions), team_homes.get(item.tenant)),
     )
 
 
--- a/beechbridge/wire/fleet.py
+++ b/beechbridge/wire/fleet.py
@@ -227,6 +227,7 @@
         order.soft_ms,
         order.hard_ms,
         order.digest,
+        None if order.home_regions is None else sorted(order.home_regions),
     )
     return write_post(PARTS_PATH, action.host, frame)
 
@@ -259,6 +260,7 @@
         frame.soft_ms,
         frame.hard_ms,
         frame.digest or '',
+        None if frame.home_regions is None else frozenset(frame.home_regions),
     )
 
 
--- a/beechbridge/wire/peer.thrift
+++ b/beechbridge/wire/peer.thrift
@@ -205,6 +205,7 @@
   11: required double soft_ms
   12: required double hard_ms
   13: optional string digest
+  14: optional list<string> home_regions
 }
 
 struct Part {
--- a/beechbridge/wire/peer/ttypes.py
+++ b/beechbridge/wire/peer/ttypes.py
@@ -2901,6 +2901,7 @@
      - soft_ms
      - hard_ms
      - digest
+     - home_regions
 
     """
 
@@ -2918,10 +2919,11 @@
         'soft_ms',
         'hard_ms',
         'digest',
+        'home_regions',
     )
 
 
-    def __init__(self, request_id=None, method=None, target=None, headers=None, body=None, route=None, priority=None, services=None, attempts=None, top_records=None, soft_ms=None, hard_ms=None, digest=None,):
+    def __init__(self, request_id=None, method=None, target=None, headers=None, body=None, route=None, priority=None, services=None, attempts=None, top_records=None, soft_ms=None, hard_ms=None, digest=None, home_regions=None,):
         self.request_id = request_id
         self.method = method
         self.target = target
@@ -2935,6 +2937,7 @@
         self.soft_ms = soft_ms
         self.hard_ms = hard_ms
         self.digest = digest
+        self.home_regions = home_regions
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3021,6 +3024,16 @@
                     self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.LIST:
+                    self.home_regions = []
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.home_regions.append(_elem98)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3089,6 +3102,13 @@
             oprot.writeFieldBegin('digest', TType.STRING, 13)
             oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
             oprot.writeFieldEnd()
+        if self.home_regions is not None:
+            oprot.writeFieldBegin('home_regions', TType.LIST, 14)
+            oprot.writeListBegin(TType.STRING, len(self.home_regions))
+            for iter99 in self.home_regions:
+                oprot.writeString(iter99.encode('utf-8') if sys.version_info[0] == 2 else iter99)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4295,6 +4315,7 @@
     (11, TType.DOUBLE, 'soft_ms', None, None, ),  # 11
     (12, TType.DOUBLE, 'hard_ms', None, None, ),  # 12
     (13, TType.STRING, 'digest', 'UTF8', None, ),  # 13
+    (14, TType.LIST, 'home_regions', (TType.STRING, 'UTF8', False), None, ),  # 14
 )
 all_structs.append(Part)
 Part.thrift_spec = (
