Split event handlers, members and requests of VMs into modules of their own

Change: `handlers` registers the handlers of events and timers, `member` holds the record of a VM, `vm_requests` admits orders and relays. A mutant of the order filters named text that the file no longer had; it names the present one.

--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -44,7 +44,8 @@
     StopRequested,
     TimerDue,
 )
-from ..gateway.models import LinkFailure, LinkFault, Member
+from ..gateway.member import Member
+from ..gateway.models import LinkFailure, LinkFault
 from ..gateway.node import Gateway
 from ..gateway.settings import Address, GatewaySettings
 from ..platform.callers import read_request, write_answer
--- a/beechbridge/daemon/pages.py
+++ b/beechbridge/daemon/pages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..gateway.models import Member
+from ..gateway.member import Member
 from ..gateway.node import Gateway
 from ..gateway.settings import GatewaySettings
 from ..platform.directory import Lookup, read_lookup, write_members
--- a/beechbridge/gateway/actions.py
+++ b/beechbridge/gateway/actions.py
@@ -1,7 +1,8 @@
 """Actions that the gateway returns for its driver to perform."""
 
 from ..record import Record
-from .models import Answer, CallerRequest, Member, PartsOrder, RequestRelay
+from .member import Member
+from .models import Answer, CallerRequest, PartsOrder, RequestRelay
 from .permits import PermitMessage
 from .replicas.dictionaries import Dictionary
 from .routes import CallerLimits
--- a/beechbridge/gateway/events.py
+++ b/beechbridge/gateway/events.py
@@ -5,11 +5,11 @@
 from ..failures import Failure, InputFailure
 from ..record import Record
 from .actions import PullChanges
+from .member import Member
 from .models import (
     CallerRequest,
     Item,
     LinkFailure,
-    Member,
     PartsOrder,
     PartsReply,
     RelayReply,
--- a/beechbridge/gateway/fleet/aggregators.py
+++ b/beechbridge/gateway/fleet/aggregators.py
@@ -9,7 +9,8 @@
 
 from ...core.latency import LatencyEstimate
 from ..interface import GatewayInterface
-from ..models import Member, ReplicaEntry
+from ..member import Member
+from ..models import ReplicaEntry
 from ..replicas.upstreams import (
     AGGREGATOR_DISTANCE,
     INITIAL_ROUND_TRIP_MS,
--- a/beechbridge/gateway/fleet/gossip.py
+++ b/beechbridge/gateway/fleet/gossip.py
@@ -13,7 +13,7 @@
 from ..actions import FollowStore, SendHeartbeat, WriteLine
 from ..events import DatagramUnreadable, HeartbeatReceived
 from ..interface import GatewayInterface
-from ..models import Member
+from ..member import Member
 from ..replicas.decoding import log_unreadable_message
 from .pulls import pull_if_behind
 from .suspect_reports import send_all_reports
--- a/beechbridge/gateway/fleet/members.py
+++ b/beechbridge/gateway/fleet/members.py
@@ -1,7 +1,7 @@
 """Membership of the fleet as one VM sees it: who is alive and who serves."""
 
 from ...core.hashing import rank_score
-from ..models import Member
+from ..member import Member
 
 MAX_MESH_SIZE = 12
 """Largest fleet in which every VM sends its heartbeats to all others."""
--- a/beechbridge/gateway/fleet/placement.py
+++ b/beechbridge/gateway/fleet/placement.py
@@ -3,7 +3,7 @@
 from operator import itemgetter
 
 from ...record import Record
-from ..models import Member
+from ..member import Member
 from ..replicas.upstreams import Upstreams
 from ..routes import RoutingTable
 from .members import MEMBER_RETENTION_MS, Fleet
--- a/beechbridge/gateway/fleet/pulls.py
+++ b/beechbridge/gateway/fleet/pulls.py
@@ -4,7 +4,7 @@
 from ..actions import PullChanges, WriteLine
 from ..events import HeartbeatReceived, PullEnded
 from ..interface import GatewayInterface
-from ..models import Member
+from ..member import Member
 
 PULL_DELAY_MS = 500.0
 """Time for which a newer revision of another VM is left to arrive from the store or the follower
--- a/beechbridge/gateway/fleet/suspect_reports.py
+++ b/beechbridge/gateway/fleet/suspect_reports.py
@@ -9,7 +9,7 @@
 from ..actions import SendSuspects, WriteLine
 from ..events import SuspectsReceived
 from ..interface import GatewayInterface
-from ..models import Member
+from ..member import Member
 from ..requests.evidence import add_end
 from ..requests.suspicion import (
     CONVICTION_MS,
--- a/beechbridge/gateway/homes.py
+++ b/beechbridge/gateway/homes.py
@@ -5,7 +5,7 @@
 do, only regions that both name are left, which may be none.
 """
 
-from .models import Member
+from .member import Member
 from .routes import RoutingTable
 
 Homes = frozenset[str] | None
--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -2,7 +2,6 @@
 
 import random
 from collections.abc import Callable
-from functools import singledispatch
 
 from ..core.counters import Counters
 from ..core.hashing import rank_names
@@ -10,111 +9,59 @@
 from ..failures import Failure, Reason, unknown
 from .actions import MAX_REPLY_BYTES, AnswerRequest, DropConnection, GatewayAction, WriteLine
 from .events import (
-    CallerDisconnected,
-    ChangesReceived,
-    ConnectionEnded,
-    DatagramUnreadable,
-    ExchangeEnded,
-    ExchangeWithdrawn,
-    HeartbeatReceived,
     OrderReceived,
-    PauseDetected,
-    PermitsReceived,
-    ProbeEnded,
-    PullEnded,
     RelayReceived,
-    RequestMalformed,
     RequestReceived,
-    RequestSent,
-    SettingsReloaded,
-    StopRequested,
-    StoreFailed,
-    SuspectsReceived,
-    TimerDue,
 )
 from .fleet.aggregators import Aggregators
 from .fleet.gossip import (
     Gossip,
     HeartbeatTimer,
-    fire_heartbeat,
-    handle_datagram_unreadable,
-    handle_heartbeat_received,
 )
 from .fleet.members import MAX_MESH_SIZE, Fleet
 from .fleet.placement import Activity, Placement
 from .fleet.pulls import Pulls
 from .fleet.stopping import (
-    CloseTimer,
-    ExitTimer,
     Stopping,
-    fire_close,
-    fire_exit,
-    handle_stop_requested,
 )
-from .fleet.suspect_reports import handle_suspects_received, report_suspects
+from .fleet.suspect_reports import report_suspects
+from .handlers import fire_timer, handle_event
 from .homes import keep_near_homes
 from .latencies import CallerTimeouts, Histogram
 from .maintenance import (
     SWEEP_INTERVAL_MS,
     SweepTimer,
-    fire_sweep,
-    handle_pause_detected,
-    handle_settings_reloaded,
 )
-from .models import Member, ReplicaEntry
+from .member import Member
+from .models import ReplicaEntry
 from .replicas.decoding import UnreadableItems
 from .replicas.limits import Limits
 from .replicas.notices import NoticeBook
-from .replicas.reach import Reach, ReachTimer
-from .replicas.restoration import ConfirmationTimer, RemovedReplicas
+from .replicas.reach import Reach
+from .replicas.restoration import RemovedReplicas
 from .replicas.store_updates import (
-    RemovalTimer,
     StoreStatus,
     drop_replica,
-    fire_confirmation,
-    fire_removal,
-    handle_changes_received,
-    handle_pull_ended,
-    handle_store_failed,
 )
 from .replicas.store_view import StoreView
 from .replicas.upstreams import ReplicaState, Upstreams
-from .requests.admission import (
-    handle_order_received,
-    handle_relay_received,
-    handle_request_malformed,
-    handle_request_received,
-)
 from .requests.budgets import (
     MEMBER_PROPAGATION_MS,
     BudgetRules,
     BudgetShare,
     RetryBudget,
 )
-from .requests.canaries import fire_canary
 from .requests.evidence import Evidence
-from .requests.hedges import fire_check
 from .requests.permission import (
-    PermitTimer,
-    fire_permit_timeout,
-    handle_permits_received,
     send_pending,
 )
 from .requests.permit_requests import PermitRequests
 from .requests.progress import (
     dispatch_waiting,
-    fire_deadline,
-    fire_retry,
-    handle_caller_disconnected,
-    handle_connection_ended,
-    handle_exchange_ended,
-    handle_request_sent,
 )
-from .requests.reach_checks import fire_reach_check, handle_probe_ended
 from .requests.splits import Splits
 from .requests.suspicion import SuspicionBook
-from .requests.withdrawal import handle_exchange_withdrawn
-from .requests.works import CanaryTimer, CheckTimer, DeadlineTimer, RetryTimer, Work
+from .requests.works import Work
 from .routes import RoutingTable
 
 MAX_ADDRESSES = 64
@@ -388,64 +335,3 @@
                 for (name, label), value in sorted(self.counters.values.items())
             },
         }
-
-
-@singledispatch
-def handle_event(event: object, gateway: Gateway) -> None:
-    """Handle an event according to its type."""
-    raise TypeError(f'no handler for {type(event).__name__}')
-
-
-@singledispatch
-def fire_timer(timer: object, gateway: Gateway) -> None:
-    """Handle a due timer according to its type."""
-    raise TypeError(f'no handler for {type(timer).__name__}')
-
-
-def handle_timer_due(event: TimerDue, gateway: Gateway) -> None:
-    """Do nothing: due timers fire before every event."""
-
-
-EVENT_HANDLERS = {
-    RequestReceived: handle_request_received,
-    CallerDisconnected: handle_caller_disconnected,
-    RequestMalformed: handle_request_malformed,
-    OrderReceived: handle_order_received,
-    RelayReceived: handle_relay_received,
-    RequestSent: handle_request_sent,
-    ExchangeEnded: handle_exchange_ended,
-    ExchangeWithdrawn: handle_exchange_withdrawn,
-    ConnectionEnded: handle_connection_ended,
-    ChangesReceived: handle_changes_received,
-    PullEnded: handle_pull_ended,
-    StoreFailed: handle_store_failed,
-    HeartbeatReceived: handle_heartbeat_received,
-    DatagramUnreadable: handle_datagram_unreadable,
-    StopRequested: handle_stop_requested,
-    PauseDetected: handle_pause_detected,
-    PermitsReceived: handle_permits_received,
-    ProbeEnded: handle_probe_ended,
-    SuspectsReceived: handle_suspects_received,
-    SettingsReloaded: handle_settings_reloaded,
-    TimerDue: handle_timer_due,
-}
-
-TIMER_HANDLERS = {
-    HeartbeatTimer: fire_heartbeat,
-    SweepTimer: fire_sweep,
-    ReachTimer: fire_reach_check,
-    CanaryTimer: fire_canary,
-    CheckTimer: fire_check,
-    DeadlineTimer: fire_deadline,
-    RetryTimer: fire_retry,
-    RemovalTimer: fire_removal,
-    ConfirmationTimer: fire_confirmation,
-    PermitTimer: fire_permit_timeout,
-    CloseTimer: fire_close,
-    ExitTimer: fire_exit,
-}
-
-for event_type, handler in EVENT_HANDLERS.items():
-    handle_event.register(event_type, handler)
-for timer_type, handler in TIMER_HANDLERS.items():
-    fire_timer.register(timer_type, handler)
--- a/beechbridge/gateway/replicas/limits.py
+++ b/beechbridge/gateway/replicas/limits.py
@@ -12,7 +12,7 @@
 from ...core.hashing import rank_score
 from ..actions import WriteLine
 from ..interface import GatewayInterface
-from ..models import Member
+from ..member import Member
 from ..permits import OUTRANKED, PermitsWanted
 from .notices import MAX_LIMIT_PER_S
 from .upstreams import ReplicaState
--- a/beechbridge/gateway/requests/permission.py
+++ b/beechbridge/gateway/requests/permission.py
@@ -13,7 +13,7 @@
 from ..actions import SendPermits
 from ..events import PermitsReceived
 from ..interface import GatewayInterface
-from ..models import Member
+from ..member import Member
 from ..permits import PermitsAnswered, PermitsWanted
 from ..replicas.limits import find_keeper, grant_permits, is_open
 from ..replicas.notices import MAX_LIMIT_PER_S
--- a/beechbridge/platform/directory.py
+++ b/beechbridge/platform/directory.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..gateway.models import Member
+from ..gateway.member import Member
 from ..record import Record
 
 
--- a/beechbridge/wire/members.py
+++ b/beechbridge/wire/members.py
@@ -5,7 +5,7 @@
 """
 
 from ..failures import Failure, InputFailure
-from ..gateway.models import Member
+from ..gateway.member import Member
 from ..hosts import is_host
 from .peer import ttypes
 
--- a/measure/emulator.py
+++ b/measure/emulator.py
@@ -25,13 +25,13 @@
     RequestSent,
     TimerDue,
 )
+from beechbridge.gateway.member import Member
 from beechbridge.gateway.models import (
     Answer,
     CallerRequest,
     Item,
     LinkFailure,
     LinkFault,
-    Member,
     PartsAnswer,
     PartsReply,
     RelayReply,
--- a/model/mutants.py
+++ b/model/mutants.py
@@ -61,7 +61,7 @@
 
 REACH_CHECKS = 'beechbridge/gateway/requests/reach_checks.py'
 RELAYS = 'beechbridge/gateway/requests/relays.py'
-ADMISSION = 'beechbridge/gateway/requests/admission.py'
+VM_REQUESTS = 'beechbridge/gateway/requests/vm_requests.py'
 AGGREGATORS = 'beechbridge/gateway/fleet/aggregators.py'
 MEMBERS = 'beechbridge/gateway/fleet/members.py'
 ORDERS = 'beechbridge/gateway/requests/orders.py'
@@ -355,21 +355,21 @@
     ),
     Mutant(
         'a VM without replicas takes relays',
-        ADMISSION,
+        VM_REQUESTS,
         'RELAY_FILTERS = (check_readiness, check_reach, ',
         'RELAY_FILTERS = (check_readiness, ',
         ('test_relays',),
     ),
     Mutant(
         'a VM without replicas takes orders',
-        ADMISSION,
-        'ORDER_FILTERS = (check_readiness, check_reach, ',
-        'ORDER_FILTERS = (check_readiness, ',
+        VM_REQUESTS,
+        '    check_order_stop,\n    check_reach,\n',
+        '    check_order_stop,\n',
         ('test_relays',),
     ),
     Mutant(
         'attempts do not travel with a relay',
-        ADMISSION,
+        VM_REQUESTS,
         'task.run_count = max(0, min(run_count, route.attempts))',
         'task.run_count = 0',
         ('test_relays',),
--- a/tests/golden.py
+++ b/tests/golden.py
@@ -11,7 +11,8 @@
 
 from beechbridge.gateway.actions import SendHeartbeat, SendOrder, SendPermits, SendSuspects
 from beechbridge.gateway.events import ChangesReceived
-from beechbridge.gateway.models import CallerRequest, Item, Member, PartsAnswer, PartsOrder
+from beechbridge.gateway.member import Member
+from beechbridge.gateway.models import CallerRequest, Item, PartsAnswer, PartsOrder
 from beechbridge.gateway.permits import PermitsAnswered, PermitsWanted
 from beechbridge.gateway.suspects import EndReport, SuspectReport, SuspectsReport
 from beechbridge.wire.fleet import (
--- a/tests/test_fuzz_gateway.py
+++ b/tests/test_fuzz_gateway.py
@@ -31,11 +31,11 @@
     SuspectsReceived,
     TimerDue,
 )
+from beechbridge.gateway.member import Member
 from beechbridge.gateway.models import (
     CallerRequest,
     ForwardedAnswer,
     Item,
-    Member,
     PartsAnswer,
     PartsOrder,
     PartsReply,
--- a/tests/test_gather_load.py
+++ b/tests/test_gather_load.py
@@ -6,7 +6,8 @@
 
 from beechbridge.failures import Executed, Failure
 from beechbridge.gateway.events import HeartbeatReceived
-from beechbridge.gateway.models import Member, MergedAnswer
+from beechbridge.gateway.member import Member
+from beechbridge.gateway.models import MergedAnswer
 from measure.emulated_actions import REGION_DELAY_MS
 from measure.stand_ins import ReplicaSpec
 
--- a/tests/test_heartbeat_traffic.py
+++ b/tests/test_heartbeat_traffic.py
@@ -7,7 +7,7 @@
 from beechbridge.gateway.actions import SendHeartbeat
 from beechbridge.gateway.events import TimerDue
 from beechbridge.gateway.fleet.gossip import BOOTSTRAP_BEATS, HEARTBEAT_MS, INITIAL_HEARTBEAT_MS
-from beechbridge.gateway.models import Member
+from beechbridge.gateway.member import Member
 from beechbridge.wire.fleet import decode_datagram, encode_heartbeat
 from measure.emulator import Emulator
 
--- a/tests/test_limit_keepers.py
+++ b/tests/test_limit_keepers.py
@@ -8,7 +8,8 @@
 from beechbridge.failures import Executed, Failure, Reason
 from beechbridge.gateway.actions import SendPermits
 from beechbridge.gateway.events import PermitsReceived
-from beechbridge.gateway.models import ForwardedAnswer, Member, MergedAnswer, Reply
+from beechbridge.gateway.member import Member
+from beechbridge.gateway.models import ForwardedAnswer, MergedAnswer, Reply
 from beechbridge.gateway.permits import PermitsAnswered, PermitsWanted
 from beechbridge.gateway.replicas.limits import find_keeper, is_open
 from beechbridge.wire.fleet import decode_datagram, encode_permits
--- a/tests/test_odd_messages.py
+++ b/tests/test_odd_messages.py
@@ -11,10 +11,10 @@
 from beechbridge.daemon.gateway import GatewayProcess, HeartbeatProtocol, perform
 from beechbridge.failures import Executed, Failure, Reason, not_run
 from beechbridge.gateway.actions import SendHeartbeat, SendOrder, WriteLine
+from beechbridge.gateway.member import Member
 from beechbridge.gateway.models import (
     CallerRequest,
     ForwardedAnswer,
-    Member,
     MergedAnswer,
     PartsAnswer,
     PartsOrder,
--- a/tests/test_pulls.py
+++ b/tests/test_pulls.py
@@ -15,7 +15,8 @@
 from beechbridge.gateway.actions import PullChanges, WriteLine
 from beechbridge.gateway.events import ChangesReceived, HeartbeatReceived, PullEnded
 from beechbridge.gateway.fleet.pulls import PENDING_TIMEOUT_MS
-from beechbridge.gateway.models import Item, Member
+from beechbridge.gateway.member import Member
+from beechbridge.gateway.models import Item
 from beechbridge.gateway.replicas.dictionaries import Dictionary
 from beechbridge.gateway.replicas.store_view import StoreView
 from beechbridge.gateway.settings import Address
--- a/tests/test_restoration.py
+++ b/tests/test_restoration.py
@@ -6,7 +6,8 @@
 
 from beechbridge.gateway.actions import PullChanges
 from beechbridge.gateway.events import ChangesReceived, HeartbeatReceived
-from beechbridge.gateway.models import Item, Member
+from beechbridge.gateway.member import Member
+from beechbridge.gateway.models import Item
 from beechbridge.gateway.replicas.restoration import CONFIRMATION_DELAY_MS
 from beechbridge.gateway.routes import RoutingTable
 from beechbridge.gateway.settings import Address
--- a/tests/test_steps_per_event.py
+++ b/tests/test_steps_per_event.py
@@ -6,7 +6,8 @@
 from nose2.tools import params
 
 from beechbridge.gateway.events import ConnectionEnded, HeartbeatReceived
-from beechbridge.gateway.models import Member, Reply
+from beechbridge.gateway.member import Member
+from beechbridge.gateway.models import Reply
 from measure.emulator import Emulator
 
 from .gateways import WORK_MS, ManualRequest, single_route
--- a/tests/test_store_updates.py
+++ b/tests/test_store_updates.py
@@ -8,7 +8,8 @@
 from beechbridge.failures import InputFailure
 from beechbridge.gateway.actions import SetCallerLimits
 from beechbridge.gateway.events import ChangesReceived, HeartbeatReceived, StoreFailed, TimerDue
-from beechbridge.gateway.models import Item, Member, ReplicaEntry
+from beechbridge.gateway.member import Member
+from beechbridge.gateway.models import Item, ReplicaEntry
 from beechbridge.gateway.node import Gateway
 from beechbridge.gateway.requests.budgets import BudgetRules
 from beechbridge.gateway.routes import CallerLimits, RoutingTable
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -8,7 +8,8 @@
 from beechbridge.failures import Executed, Reason
 from beechbridge.gateway.actions import SendSuspects
 from beechbridge.gateway.events import ExchangeEnded, ProbeEnded, SuspectsReceived, TimerDue
-from beechbridge.gateway.models import CallerRequest, LinkFailure, LinkFault, Member, Reply
+from beechbridge.gateway.member import Member
+from beechbridge.gateway.models import CallerRequest, LinkFailure, LinkFault, Reply
 from beechbridge.gateway.requests.identity import compute_digest
 from beechbridge.gateway.requests.suspicion import (
     CONVICTION_MS,
