Send no requests to the replicas of evacuated data centres

Cause: the operator's item op/evacuate/ZONE was not read, so that an evacuated data centre went on getting requests. Change: the item is listed, watched and passed on between VMs like the others. It makes the zone's replicas unusable, closes their idle connections, withdraws sub-requests whose connection is still being opened, and has queued ones dispatched elsewhere or rejected. Lines, metrics, state and a command show it.

--- a/beechbridge/cli/commands.py
+++ b/beechbridge/cli/commands.py
@@ -16,6 +16,7 @@
 from ..rules import build_document, parse_rules
 from ..status import ExitStatus
 from .client import HttpReply, find_entry_addresses, send_request, send_to_first_reachable
+from .evacuations import run_evacuations
 
 UNREACHABLE_HINT = 'check the address, or try other VMs with --entry=host:port,host:port'
 FIRST_GENERATION = 1
@@ -291,6 +292,7 @@
 
 
 COMMAND_HANDLERS = {
+    ('evacuations',): run_evacuations,
     ('query',): run_query,
     ('submit',): run_submit,
     ('entry',): run_entry,
--- a/beechbridge/cli/options.py
+++ b/beechbridge/cli/options.py
@@ -122,6 +122,11 @@
             Option('full', SWITCH, 'show the full state instead of a summary', False),
         ),
     ),
+    Command(
+        ('evacuations',),
+        'show the evacuated data centres',
+        (Option('operations', LIST, 'host:port of operations addresses', required=True),),
+    ),
     Command(
         ('config', 'check'),
         'check an inventory and a rules file',
--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -50,7 +50,7 @@
 from ..gateway.settings import Address, GatewaySettings
 from ..platform.callers import read_request, write_answer
 from ..platform.items import decode_item
-from ..platform.names import REPLICAS_PREFIX, TABLE_KEY
+from ..platform.names import EVACUATIONS_PREFIX, REPLICAS_PREFIX, TABLE_KEY
 from ..platform.replicas import read_reply, write_request
 from ..platform.store import StoreClient
 from ..status import ExitStatus
@@ -77,6 +77,7 @@
 STORE_TIMEOUT_S = 0.8
 """Response timeout of the store, which normally answers within milliseconds."""
 
+LISTED_PREFIXES = (EVACUATIONS_PREFIX, REPLICAS_PREFIX, TABLE_KEY)
 METRICS_PORT = 9464
 PAUSE_THRESHOLD_MS = 1_000.0
 """Delay of the event loop above which the process is considered to have been paused."""
@@ -141,7 +142,7 @@
         self.listeners = list_listeners(self.server)
         self.store_reader = StoreReader(
             StoreClient(settings.store, STORE_TIMEOUT_S),
-            (REPLICAS_PREFIX, TABLE_KEY),
+            LISTED_PREFIXES,
             '',
             self.post,
         )
--- a/beechbridge/daemon/metrics.py
+++ b/beechbridge/daemon/metrics.py
@@ -2,6 +2,7 @@
 
 from ..gateway.latencies import BUCKETS_MS, Histogram
 from ..gateway.node import Gateway
+from ..gateway.replicas.evacuations import count_exchanges
 
 METRIC_PREFIX = 'beechbridge_'
 
@@ -82,6 +83,8 @@
         'members': core.fleet.size,
         'replicas': len(core.upstreams.by_id),
         'unreadable_items': len(core.unreadable.current),
+        'evacuated_zones': len(core.evacuations.since_ms),
+        'evacuated_exchanges': count_exchanges(core),
     }
     for name, value in gauges.items():
         families.add_gauge(name, value)
--- a/beechbridge/gateway/handlers.py
+++ b/beechbridge/gateway/handlers.py
@@ -73,8 +73,8 @@
     handle_request_sent,
 )
 from .requests.reach_checks import fire_reach_check, handle_probe_ended
+from .requests.unsent import resume_withdrawn
 from .requests.vm_requests import handle_order_received, handle_relay_received
-from .requests.withdrawal import handle_exchange_withdrawn
 from .requests.works import CanaryTimer, CheckTimer, DeadlineTimer, RetryTimer
 
 
@@ -102,7 +102,7 @@
     RelayReceived: handle_relay_received,
     RequestSent: handle_request_sent,
     ExchangeEnded: handle_exchange_ended,
-    ExchangeWithdrawn: handle_exchange_withdrawn,
+    ExchangeWithdrawn: resume_withdrawn,
     ConnectionEnded: handle_connection_ended,
     ChangesReceived: handle_changes_received,
     PullEnded: handle_pull_ended,
--- a/beechbridge/gateway/interface.py
+++ b/beechbridge/gateway/interface.py
@@ -18,6 +18,7 @@
     from .latencies import CallerTimeouts, Histogram
     from .models import ReplicaEntry
     from .replicas.decoding import UnreadableItems
+    from .replicas.evacuations import Evacuation, Evacuations
     from .replicas.limits import Limits
     from .replicas.notices import NoticeBook
     from .replicas.reach import Reach
@@ -33,6 +34,8 @@
     from .requests.works import Work
     from .routes import RoutingTable
 
+    DecodedItem = RoutingTable | ReplicaEntry | Evacuation
+
 
 class GatewayInterface(Protocol):
     """The gateway as seen by its packages; implemented by `node.Gateway`."""
@@ -60,12 +63,13 @@
     reach: 'Reach'
     replica_by_key: 'dict[str, ReplicaState]'
     removed_replicas: 'RemovedReplicas'
+    evacuations: 'Evacuations'
     notices: 'NoticeBook'
     limits: 'Limits'
     permit_requests: 'PermitRequests'
     evidence: 'Evidence'
     suspicions: 'SuspicionBook'
-    decode_item: 'Callable[[str, bytes], RoutingTable | ReplicaEntry | Failure | None]'
+    decode_item: 'Callable[[str, bytes], DecodedItem | Failure | None]'
     fleet: 'Fleet'
     gossip: 'Gossip'
     pulls: 'Pulls'
--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -21,9 +21,7 @@
 from .fleet.members import MAX_MESH_SIZE, Fleet
 from .fleet.placement import Activity, Placement
 from .fleet.pulls import Pulls
-from .fleet.stopping import (
-    Stopping,
-)
+from .fleet.stopping import Stopping
 from .fleet.suspect_reports import report_suspects
 from .handlers import fire_timer, handle_event
 from .homes import keep_near_homes
@@ -35,6 +33,7 @@
 from .member import Member
 from .models import ReplicaEntry
 from .replicas.decoding import UnreadableItems
+from .replicas.evacuations import Evacuation, Evacuations, describe_evacuations
 from .replicas.limits import Limits
 from .replicas.notices import NoticeBook
 from .replicas.reach import Reach
@@ -52,13 +51,9 @@
     RetryBudget,
 )
 from .requests.evidence import Evidence
-from .requests.permission import (
-    send_pending,
-)
+from .requests.permission import send_pending
 from .requests.permit_requests import PermitRequests
-from .requests.progress import (
-    dispatch_waiting,
-)
+from .requests.progress import dispatch_waiting
 from .requests.splits import Splits
 from .requests.suspicion import SuspicionBook
 from .requests.works import Work
@@ -78,7 +73,7 @@
     :param own: this process as a member of the fleet
     :param seeds: hosts to contact to join the fleet
     :param regions: region by data centre
-    :param decode_item: decodes a store item into a table, an entry, a failure or None
+    :param decode_item: decodes a store item; returns None for one that is not used
     :param budget_rules: limits on extra attempts of sub-requests
     :param grace_ms: milliseconds between a stop request and the kill
     :param rng: source of all randomness
@@ -97,6 +92,7 @@
         'caller_timeouts',
         'counters',
         'decode_item',
+        'evacuations',
         'evidence',
         'fleet',
         'gossip',
@@ -136,7 +132,9 @@
         own: Member,
         seeds: tuple[str, ...],
         regions: dict[str, str],
-        decode_item: Callable[[str, bytes], RoutingTable | ReplicaEntry | Failure | None],
+        decode_item: Callable[
+            [str, bytes], RoutingTable | ReplicaEntry | Evacuation | Failure | None
+        ],
         budget_rules: BudgetRules,
         grace_ms: float,
         rng: random.Random,
@@ -171,6 +169,7 @@
         self.reach = Reach()
         self.replica_by_key: dict[str, ReplicaState] = {}
         self.removed_replicas = RemovedReplicas()
+        self.evacuations = Evacuations()
         self.notices = NoticeBook()
         self.limits = Limits()
         self.permit_requests = PermitRequests(own.incarnation)
@@ -328,6 +327,7 @@
             'members': self.fleet.describe(self.now_ms),
             'limits': self.limits.describe(),
             'unreadable': self.unreadable.describe(),
+            'evacuations': describe_evacuations(self),
             'suspects': self.suspicions.describe(self.now_ms),
             'replicas': replicas,
             'counters': {
--- a/beechbridge/gateway/replicas/decoding.py
+++ b/beechbridge/gateway/replicas/decoding.py
@@ -12,6 +12,7 @@
 from ..interface import GatewayInterface
 from ..models import Item, ReplicaEntry
 from ..routes import RoutingTable
+from .evacuations import Evacuation
 
 MAX_SINGLE_LINES = 40
 """Unreadable items that come at once up to which each is logged in a line of its own."""
@@ -24,6 +25,10 @@
 """Limit on the unreadable items in a state dump."""
 
 
+Decoded = RoutingTable | ReplicaEntry | Evacuation | Failure | None
+"""What an item says; None if this VM does not use it."""
+
+
 class UnreadableItems:
     """
     Items that cannot be read, or could not.
@@ -93,19 +98,22 @@
         gateway.act(WriteLine('items_unreadable', {'items': len(news)}))
 
 
-def decode(item: Item, gateway: GatewayInterface) -> RoutingTable | ReplicaEntry | Failure | None:
+def decode(item: Item, gateway: GatewayInterface) -> Decoded:
+    """Decode and check an item with a value; return a failure if it cannot be used."""
+    return check(decode_value(item, gateway), item.key, gateway)
+
+
+def decode_value(item: Item, gateway: GatewayInterface) -> Decoded:
     """Decode an item with a value; return a failure if that raises an exception."""
     try:
-        return check(gateway.decode_item(item.key, item.value), item.key, gateway)
+        return gateway.decode_item(item.key, item.value)
     except Exception as error:
         report_defect(item.key, error, gateway)
         return InputFailure(item.key, 'value', type(error).__name__, 'an item that can be decoded')
 
 
 @singledispatch
-def check(
-    decoded: object, key: str, gateway: GatewayInterface
-) -> RoutingTable | ReplicaEntry | Failure | None:
+def check(decoded: object, key: str, gateway: GatewayInterface) -> Decoded:
     """Return a decoded item, or a failure if its author cannot have written it."""
     return decoded
 
--- a/beechbridge/gateway/replicas/store_updates.py
+++ b/beechbridge/gateway/replicas/store_updates.py
@@ -1,4 +1,4 @@
-"""Applies store updates: the routing table, and replica entries with their removal."""
+"""Applies store updates: routing table, evacuations, replica entries and their removal."""
 
 from ...failures import Failure
 from ...record import Record
@@ -9,8 +9,17 @@
 from ..interface import GatewayInterface
 from ..models import Item, ReplicaEntry
 from ..requests.evidence import REMOVED, confirm_end
+from ..requests.unsent import dispatch_anew, withdraw_barred
 from ..routes import RoutingTable
-from .decoding import decode, log_unreadable, note_unreadable, report_defect
+from .decoding import (
+    Decoded,
+    check,
+    decode_value,
+    log_unreadable,
+    note_unreadable,
+    report_defect,
+)
+from .evacuations import Evacuation, end_evacuation, mark_evacuated, start_evacuation
 from .restoration import ConfirmationTimer, start_epoch
 from .upstreams import ReplicaState
 
@@ -102,8 +111,7 @@
     mark_caught_up(gateway)
     known_count = len(gateway.upstreams.by_id)
     is_listing = len(applied) > MAX_SINGLE_LINES
-    for item in applied:
-        apply_item(item, gateway, is_listing)
+    apply_items(applied, gateway, is_listing)
     for failure in event.unreadable:
         note_unreadable(failure, failure.source, gateway)
         # Without a key nobody could tell when it can be read.
@@ -123,42 +131,81 @@
     gateway.act(WriteLine('replicas_listed', {**fields, 'revision': gateway.view.revision}))
 
 
-def apply_item(item: Item, gateway: GatewayInterface, is_listing: bool = False) -> None:
+def apply_items(items: list[Item], gateway: GatewayInterface, is_listing: bool = False) -> None:
     """
-    Apply one changed store item; a defect costs this item, not those beside it.
+    Apply changed store items, evacuations first.
+
+    Otherwise a queued request could be sent to a new replica of a data centre that a later item
+    evacuates. Requests that an evacuation or a table concerns are dispatched once all items are
+    applied, since those may bring the replicas that can serve them.
 
     :param is_listing: whether a new replica is one of many, which are logged together
     """
+    decoded_items = []
+    for item in items:
+        decoded = None if item.value is None else decode_value(item, gateway)
+        decoded_items.append((item, decoded))
+    decoded_items.sort(key=lambda pair: not isinstance(pair[1], Evacuation))
+    table = gateway.table
+    services: list[str] = []
+    for item, decoded in decoded_items:
+        services.extend(apply_item(item, decoded, gateway, is_listing))
+    is_bound_anew = gateway.table is not table and (has_homes(table) or has_homes(gateway.table))
+    if is_bound_anew:
+        services.extend(gateway.waiting)
+    if is_bound_anew or services:
+        withdraw_barred(gateway)
+        dispatch_anew(services, gateway)
+
+
+def has_homes(table: RoutingTable | None) -> bool:
+    """Return whether a route of a table has home regions."""
+    return table is not None and bool(table.home_routes_by_host)
+
+
+def apply_item(
+    item: Item, decoded: Decoded, gateway: GatewayInterface, is_listing: bool
+) -> list[str]:
+    """
+    Apply one changed store item; a defect costs this item, not those beside it.
+
+    :return: services whose requests have to be looked at again
+    """
     try:
-        apply_change(item, gateway, is_listing)
+        return apply_change(item, decoded, gateway, is_listing)
     except Exception as error:
         report_defect(item.key, error, gateway)
+        return []
 
 
-def apply_change(item: Item, gateway: GatewayInterface, is_listing: bool) -> None:
-    """Apply one changed store item to the routing table or a replica."""
+def apply_change(
+    item: Item, decoded: Decoded, gateway: GatewayInterface, is_listing: bool
+) -> list[str]:
+    """Apply one changed store item to the routing table, a replica or an evacuation."""
+    state = gateway.replica_by_key.get(item.key)
     if item.value is None:
         gateway.unreadable.remove(item.key)
-        state = gateway.replica_by_key.get(item.key)
         if state is not None:
             apply_entry_removal(item.key, state, gateway)
-        return
-    decoded = decode(item, gateway)
+        return end_evacuation(item.key, gateway)
+    decoded = check(decoded, item.key, gateway)
     if decoded is None:
-        return
-    state = gateway.replica_by_key.get(item.key)
+        return []
     if isinstance(decoded, Failure):
         note_unreadable(decoded, item.key, gateway)
         if state is not None:
             drop_replica(item.key, state, 'entry unreadable', gateway, is_end=False)
-        return
+        return end_evacuation(item.key, gateway)
     gateway.unreadable.remove(item.key)
+    if isinstance(decoded, Evacuation):
+        return start_evacuation(item.key, decoded, gateway)
     if isinstance(decoded, RoutingTable):
         # Anybody may write a large entry, and no later one resembles it.
         gateway.view.dictionaries.add(item.value)
         apply_table(decoded, gateway)
-        return
+        return []
     apply_entry(item.key, decoded, state, gateway, is_listing)
+    return []
 
 
 def apply_table(table: RoutingTable, gateway: GatewayInterface) -> None:
@@ -204,12 +251,14 @@
             state.entry = entry
             state.missing_since_ms = None
             state.cold_until_ms = gateway.now_ms + entry.cold_left_ms
+            mark_evacuated(state, gateway)
             if is_changed:
                 log_replica(entry, 'draining' if entry.is_draining else 'ready', gateway)
             return
         drop_replica(key, state, 'replaced', gateway)
     distance = gateway.distance_to(entry.zone)
     state = ReplicaState(entry, distance, gateway.now_ms, gateway.notices.find(entry))
+    mark_evacuated(state, gateway)
     gateway.upstreams.add(state)
     gateway.replica_by_key[key] = state
     if entry.is_draining or not (is_listing and is_new):
@@ -245,8 +294,7 @@
     """Use a restored entry of a removed replica that has neither expired nor changed since."""
     if timer.epoch != gateway.view.epoch:
         return
-    for item in gateway.view.apply_changes([timer.item], gateway.view.revision):
-        apply_item(item, gateway)
+    apply_items(gateway.view.apply_changes([timer.item], gateway.view.revision), gateway)
     log_unreadable(gateway)
 
 
--- a/beechbridge/gateway/replicas/upstreams.py
+++ b/beechbridge/gateway/replicas/upstreams.py
@@ -72,6 +72,7 @@
         with time
     :param notices: what it has stated about itself
     :param replied_ms: time in milliseconds of its latest reply
+    :param is_evacuated: whether its data centre is evacuated
     :param missing_since_ms: time in milliseconds when its entry went missing while the store was
         unstable, None if it is present
     """
@@ -82,6 +83,7 @@
         'distance',
         'entry',
         'idle',
+        'is_evacuated',
         'is_gone',
         'latency_ratio',
         'missing_since_ms',
@@ -112,13 +114,16 @@
         self.suspect_until_ms = 0.0
         self.suspicion_ms = 0.0
         self.is_gone = False
+        self.is_evacuated = False
         self.replied_ms = -math.inf
         self.missing_since_ms: float | None = None
 
     @property
     def is_usable(self) -> bool:
         """Return whether it may be sent new requests."""
-        return not (self.is_gone or self.entry.is_draining or self.notices.is_leaving)
+        if self.is_gone or self.is_evacuated:
+            return False
+        return not (self.entry.is_draining or self.notices.is_leaving)
 
     def is_suspect(self, now_ms: float) -> bool:
         """Return whether an exchange failed recently or has stalled."""
@@ -223,7 +228,7 @@
     ) -> bool:
         """End an exchange; return whether its connection is kept alive."""
         self.busy.pop(exchange.connection_id, None)
-        if not is_reusable or self.is_gone:
+        if not is_reusable or self.is_gone or self.is_evacuated:
             return False
         idle_ms = DEFAULT_KEEP_ALIVE_MS if keep_alive_ms is None else keep_alive_ms
         usable_ms = idle_ms - min(IDLE_MARGIN_MS, idle_ms / 2)
@@ -241,6 +246,7 @@
             'zone': self.entry.zone,
             'draining': self.entry.is_draining,
             'gone': self.is_gone,
+            'evacuated': self.is_evacuated,
             'suspect': self.is_suspect(now_ms),
             'busy': len(self.busy),
             'idle': len(self.idle),
--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -297,6 +297,10 @@
             if may_answer(state, task, gateway):
                 return True
         for exchange in task.exchanges:
+            replica = exchange.replica
+            if replica.is_evacuated and not replica.is_suspect(now_ms):
+                # It gets nothing new, but answers what it has.
+                return True
             typical_ms = gateway.upstreams.typical_ms(work.route.name, exchange.replica.distance)
             if now_ms - exchange.sent_ms < SUSPECT_WAIT_FACTOR * typical_ms:
                 return True
--- a/beechbridge/platform/items.py
+++ b/beechbridge/platform/items.py
@@ -14,9 +14,11 @@
 from ..failures import Failure, InputFailure
 from ..gateway.homes import intersect_homes
 from ..gateway.models import ReplicaEntry
+from ..gateway.replicas.evacuations import Evacuation
+from ..gateway.replicas.store_view import MAX_KEY_LENGTH
 from ..gateway.routes import CallerLimits, Route, RoutingTable, ServiceRules
 from ..hosts import LABELS, MAX_HOST_LENGTH
-from .names import REPLICAS_PREFIX, TABLE_KEY
+from .names import EVACUATIONS_PREFIX, REPLICAS_PREFIX, TABLE_KEY
 
 DRAINING = 'draining'
 IDEMPOTENT = 'idempotent'
@@ -38,6 +40,9 @@
 REPLICA_ID = re.compile(r'[!-~]{1,200}')
 """What the header with the expected replica can carry."""
 
+ZONE = re.compile(r'[!-.0-~]+')
+"""Name of a data centre in a key: printable ASCII without slashes."""
+
 ADDRESS = re.compile(rf'(?P<host>(?=.{{1,{MAX_HOST_LENGTH}}}:){LABELS}):(?P<port>[0-9]{{1,5}})')
 MAX_PORT = 65_535
 
@@ -144,11 +149,19 @@
     """
 
 
+class EvacuationItem(msgspec.Struct):
+    """Value of an item that evacuates a data centre: an object of which no field is used."""
+
+
 TABLE_DECODER = msgspec.json.Decoder(TableItem)
 ENTRY_DECODER = msgspec.json.Decoder(EntryItem)
+EVACUATION_DECODER = msgspec.json.Decoder(EvacuationItem)
+DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
 
 
-def decode_item(key: str, value: bytes) -> RoutingTable | ReplicaEntry | Failure | None:
+def decode_item(
+    key: str, value: bytes
+) -> RoutingTable | ReplicaEntry | Evacuation | Failure | None:
     """Decode an item according to its key; return None if the gateway does not use it."""
     if not is_used(key):
         return None
@@ -156,19 +169,21 @@
         return InputFailure(key, 'value', '', 'a value that can be read')
     if key == TABLE_KEY:
         return decode_table(value)
+    if key.startswith(EVACUATIONS_PREFIX):
+        return decode_evacuation(key, value)
     return decode_entry(key, value)
 
 
 def is_used(key: str) -> bool:
     """Return whether the gateway uses an item with this key."""
-    return key == TABLE_KEY or key.startswith(REPLICAS_PREFIX)
+    return key == TABLE_KEY or key.startswith((REPLICAS_PREFIX, EVACUATIONS_PREFIX))
 
 
 def decode_table(value: bytes) -> RoutingTable | Failure:
     """Decode the routing configuration."""
     try:
         item = TABLE_DECODER.decode(value)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         return InputFailure(TABLE_KEY, 'value', str(error), 'a routing configuration')
     team_homes = {}
     for team in item.tenants or ():
@@ -227,6 +242,21 @@
     )
 
 
+def decode_evacuation(key: str, value: bytes) -> Evacuation | Failure:
+    """Decode an item that evacuates a data centre; return a failure if it names none."""
+    zone = key[len(EVACUATIONS_PREFIX) :]
+    # Items with a longer key do not reach other VMs.
+    if ZONE.fullmatch(zone) is None or len(key) > MAX_KEY_LENGTH:
+        return InputFailure(key, 'zone', zone, 'printable ASCII without slashes, not too long')
+    if len(value) > MAX_ENTRY_BYTES:
+        return InputFailure(key, 'value', 'too large', f'{MAX_ENTRY_BYTES} bytes')
+    try:
+        EVACUATION_DECODER.decode(value)
+    except DECODE_ERRORS as error:
+        return InputFailure(key, 'value', str(error), 'an object such as {}')
+    return Evacuation(zone)
+
+
 def decode_entry(key: str, value: bytes) -> ReplicaEntry | Failure:
     """Decode a replica's entry; return a failure if it has another format."""
     replica_id = key[len(REPLICAS_PREFIX) :]
@@ -236,7 +266,7 @@
         return InputFailure(key, 'value', 'too large', f'{MAX_ENTRY_BYTES} bytes')
     try:
         item = ENTRY_DECODER.decode(value)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         return InputFailure(key, 'value', str(error), 'a replica entry')
     address = ADDRESS.fullmatch(item.addr)
     if address is None or not 0 < int(address['port']) <= MAX_PORT:
--- a/beechbridge/platform/names.py
+++ b/beechbridge/platform/names.py
@@ -27,6 +27,9 @@
 
 TABLE_KEY = 'op/config'
 REPLICAS_PREFIX = 'servers/'
+EVACUATIONS_PREFIX = 'op/evacuate/'
+"""Prefix of the items that each evacuate the data centre whose name follows."""
+
 
 SETTINGS_VARIABLE = 'BEECHBRIDGE_SETTINGS'
 """Environment variable with the path of the settings file."""
--- a/measure/emulator.py
+++ b/measure/emulator.py
@@ -39,6 +39,7 @@
     Reply,
 )
 from beechbridge.gateway.node import Gateway
+from beechbridge.gateway.replicas.evacuations import Evacuation
 from beechbridge.gateway.requests.budgets import BudgetRules
 from beechbridge.gateway.routes import CallerLimits, Route, RoutingTable, ServiceRules
 from beechbridge.wire.relays import (
@@ -68,6 +69,7 @@
 """Start time of a replica that has not been restarted: 0 would be none."""
 
 ENTRY_PREFIX = 'replica/'
+EVACUATION_PREFIX = 'evacuate/'
 HOST = 'search.example'
 BASE64_FACTOR = 4 / 3
 UNLIMITED = float('inf')
@@ -171,8 +173,12 @@
             self.perform_all(vm, vm.gateway.start(0.0))
         self.schedule(WATCH_TIMEOUT_MS, self.end_watches)
 
-    def decode_item(self, key: str, value: bytes) -> RoutingTable | ReplicaEntry | Failure | None:
+    def decode_item(
+        self, key: str, value: bytes
+    ) -> RoutingTable | ReplicaEntry | Evacuation | Failure | None:
         """Return the object that an item refers to: items carry names, not contents."""
+        if key.startswith(EVACUATION_PREFIX):
+            return Evacuation(key[len(EVACUATION_PREFIX) :])
         if key == TABLE_KEY:
             return self.tables[value]
         return self.entries.get(value.decode())
@@ -220,6 +226,14 @@
         """Delete a replica's entry; the replica keeps running."""
         self.publish([Item(ENTRY_PREFIX + replica_id, None, self.next_revision())])
 
+    def start_evacuation(self, zone: str) -> None:
+        """Publish the evacuation of a data centre."""
+        self.publish([Item(EVACUATION_PREFIX + zone, b'{}', self.next_revision())])
+
+    def end_evacuation(self, zone: str) -> None:
+        """Publish the end of the evacuation of a data centre."""
+        self.publish([Item(EVACUATION_PREFIX + zone, None, self.next_revision())])
+
     def end_watches(self) -> None:
         """Complete all pending store watches without changes."""
         for vm in self.vms:
