State the age of members' records and bound the timeout of relayed ones

Cause: a record that a delegate relays was taken as new on receipt, so that its age there and the timeout of relayed members added up; directories named VMs that had ended too long before. Change: heartbeats state the age of each record (`age_ms`, optional) where the settings have `stableMs`, it is taken off the time of receipt, also before a record is forwarded, and the timeout of relayed members is `stableMs` less 250 ms. An age out of bounds costs the record. The tests of members, odd messages, heartbeats, settings and the fleet pass; both guards were removed in trials and test_member_age fails without either.

--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -117,6 +117,7 @@
             random.Random(secrets.randbits(64)),
             settings.max_reply_bytes,
             settings.is_first_start,
+            settings.stable_ms,
         )
         self.loop = asyncio.new_event_loop()
         self.loop.set_exception_handler(log_loop_error)
--- a/beechbridge/gateway/actions.py
+++ b/beechbridge/gateway/actions.py
@@ -209,9 +209,18 @@
     :param hosts: addresses of the VMs
     :param members: members to advertise, this VM first
     :param wants_members: whether to ask the receivers for their full member lists
+    :param sent_ms: time in milliseconds for which the records' ages are stated, None to state none
     """
 
-    __slots__ = ('epoch', 'hosts', 'members', 'revision', 'table_version', 'wants_members')
+    __slots__ = (
+        'epoch',
+        'hosts',
+        'members',
+        'revision',
+        'sent_ms',
+        'table_version',
+        'wants_members',
+    )
 
     def __init__(
         self,
@@ -221,7 +230,9 @@
         revision: int,
         wants_members: bool = False,
         epoch: int = 0,
+        sent_ms: float | None = None,
     ):
+        self.sent_ms = sent_ms
         self.hosts = hosts
         self.members = members
         self.table_version = table_version
--- a/beechbridge/gateway/fleet/gossip.py
+++ b/beechbridge/gateway/fleet/gossip.py
@@ -241,7 +241,10 @@
         return
     version = gateway.table.version if gateway.table else 0
     view = gateway.view
-    gateway.act(SendHeartbeat(hosts, members, version, view.revision, wants_members, view.epoch))
+    sent_ms = gateway.now_ms if gateway.fleet.states_ages else None
+    gateway.act(
+        SendHeartbeat(hosts, members, version, view.revision, wants_members, view.epoch, sent_ms)
+    )
 
 
 def send_heartbeat(gateway: GatewayInterface) -> None:
--- a/beechbridge/gateway/fleet/members.py
+++ b/beechbridge/gateway/fleet/members.py
@@ -10,12 +10,35 @@
 """Age of a heartbeat from which a VM that is heard directly counts as silent: three are lost."""
 
 RELAYED_ALIVE_TIMEOUT_MS = 7_000.0
-"""The same for a VM whose heartbeats are relayed: three relays are lost."""
+"""
+The same for a VM whose heartbeats are relayed, if the settings do not bound it: three relays are
+lost.
+"""
+
+RELAY_MARGIN_MS = 250.0
+"""Time by which this timeout stays under the bound of the settings, for messages on their way."""
+
+MIN_RELAYED_ALIVE_TIMEOUT_MS = 2_800.0
+"""Least timeout for a VM whose heartbeats are relayed: a record that two delegates relay every 2 s
+is up to 2.65 s old when the next one comes."""
 
 MEMBER_RETENTION_MS = 600_000.0
 """Time for which a silent VM counts for shares: it may be cut off for minutes and still serve."""
 
 
+def bound_relayed_timeout(stable_ms: float | None) -> float:
+    """
+    Return the timeout in milliseconds for VMs whose heartbeats are relayed.
+
+    :param stable_ms: time in milliseconds within which the fleet has to notice that a VM ended,
+        None for no bound
+    """
+    if stable_ms is None:
+        return RELAYED_ALIVE_TIMEOUT_MS
+    bound_ms = max(MIN_RELAYED_ALIVE_TIMEOUT_MS, stable_ms - RELAY_MARGIN_MS)
+    return min(RELAYED_ALIVE_TIMEOUT_MS, bound_ms)
+
+
 class Fleet:
     """
     Membership of one VM's fleet.
@@ -24,11 +47,30 @@
     :param seeds: hosts that are asked for the members of the fleet
     :param regions: region by data centre
     :param neighbours: the members of the same data centre, by name
+    :param relayed_timeout_ms: age of a heartbeat in milliseconds from which a VM counts as silent
+        whose heartbeats are relayed
+    :param states_ages: whether the ages of records are stated to other VMs
     """
 
-    __slots__ = ('alive_names', 'members', 'neighbours', 'own', 'regions', 'seeds')
-
-    def __init__(self, own: Member, seeds: tuple[str, ...], regions: dict[str, str]):
+    __slots__ = (
+        'alive_names',
+        'members',
+        'neighbours',
+        'own',
+        'regions',
+        'relayed_timeout_ms',
+        'seeds',
+        'states_ages',
+    )
+
+    def __init__(
+        self,
+        own: Member,
+        seeds: tuple[str, ...],
+        regions: dict[str, str],
+        stable_ms: float | None = None,
+    ):
+        self.bound(stable_ms)
         self.own = own
         self.seeds = seeds
         self.regions = regions
@@ -36,6 +78,15 @@
         self.neighbours: dict[str, Member] = {}
         self.alive_names: set[str] = set()
 
+    def bound(self, stable_ms: float | None) -> None:
+        """
+        Set the bound within which the fleet has to notice that a VM ended.
+
+        :param stable_ms: milliseconds, None for no bound
+        """
+        self.relayed_timeout_ms = bound_relayed_timeout(stable_ms)
+        self.states_ages = stable_ms is not None
+
     @property
     def size(self) -> int:
         """Return how many VMs may send to replicas, including this one."""
@@ -62,7 +113,7 @@
 
     def is_alive(self, member: Member, now_ms: float) -> bool:
         """Return whether a VM was heard from within its timeout."""
-        limit_ms = ALIVE_TIMEOUT_MS if self.is_direct(member) else RELAYED_ALIVE_TIMEOUT_MS
+        limit_ms = ALIVE_TIMEOUT_MS if self.is_direct(member) else self.relayed_timeout_ms
         return now_ms - member.last_heartbeat_ms <= limit_ms
 
     def alive(self, now_ms: float) -> list[Member]:
@@ -99,6 +150,8 @@
 
         :param is_sender: whether the record comes from the VM itself
         """
+        # Also of a record that changes nothing here: it may be passed on, with its age.
+        received.last_heartbeat_ms = now_ms - received.age_ms
         if received.name == self.own.name:
             return
         known = self.members.get(received.name)
@@ -114,7 +167,6 @@
                 return
         is_same_process = known is not None and known.incarnation == received.incarnation
         received.is_heard = is_sender or (is_same_process and known.is_heard)
-        received.last_heartbeat_ms = now_ms
         self.members[received.name] = received
         if self.is_in_zone(received):
             self.neighbours[received.name] = received
--- a/beechbridge/gateway/maintenance.py
+++ b/beechbridge/gateway/maintenance.py
@@ -38,6 +38,7 @@
         gateway.stopping.grace_ms = settings.grace_ms
     gateway.fleet.seeds = settings.seeds
     gateway.fleet.regions.update(settings.regions)
+    gateway.fleet.bound(settings.stable_ms)
     gateway.fleet.own.capacity_millicores = settings.capacity_millicores
     gateway.act(WriteLine('reloaded', {'seeds': list(settings.seeds)}))
 
--- a/beechbridge/gateway/member.py
+++ b/beechbridge/gateway/member.py
@@ -16,10 +16,12 @@
     :param rate_per_s: requests per second that it sends to replicas
     :param is_active: whether callers are directed to it
     :param last_heartbeat_ms: time in milliseconds when its heartbeat last increased
+    :param age_ms: age of the record in milliseconds when its sender sent it, 0 if it does not say
     :param is_heard: whether it has sent a heartbeat to this VM itself
     """
 
     __slots__ = (
+        'age_ms',
         'capacity_millicores',
         'heartbeat',
         'host',
@@ -57,3 +59,8 @@
         self.reaches_replicas = True
         self.rate_per_s = 0.0
         self.last_heartbeat_ms = 0.0
+        self.age_ms = 0.0
+
+    def age_at(self, now_ms: float) -> float:
+        """Return the time in milliseconds since its heartbeat increased, as far as it is known."""
+        return max(0.0, now_ms - self.last_heartbeat_ms)
--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -8,30 +8,18 @@
 from ..core.timers import Timers
 from ..failures import Failure, Reason, unknown
 from .actions import MAX_REPLY_BYTES, AnswerRequest, DropConnection, GatewayAction, WriteLine
-from .events import (
-    OrderReceived,
-    RelayReceived,
-    RequestReceived,
-)
+from .events import OrderReceived, RelayReceived, RequestReceived
 from .fleet.aggregators import Aggregators
-from .fleet.gossip import (
-    Gossip,
-    HeartbeatTimer,
-)
+from .fleet.gossip import Gossip, HeartbeatTimer
 from .fleet.members import MAX_MESH_SIZE, Fleet
 from .fleet.placement import Activity, Placement
 from .fleet.pulls import Pulls
-from .fleet.stopping import (
-    Stopping,
-)
+from .fleet.stopping import Stopping
 from .fleet.suspect_reports import report_suspects
 from .handlers import fire_timer, handle_event
 from .homes import keep_near_homes
 from .latencies import CallerTimeouts, Histogram
-from .maintenance import (
-    SWEEP_INTERVAL_MS,
-    SweepTimer,
-)
+from .maintenance import SWEEP_INTERVAL_MS, SweepTimer
 from .member import Member
 from .models import ReplicaEntry
 from .replicas.decoding import UnreadableItems
@@ -39,26 +27,14 @@
 from .replicas.notices import NoticeBook
 from .replicas.reach import Reach
 from .replicas.restoration import RemovedReplicas
-from .replicas.store_updates import (
-    StoreStatus,
-    drop_replica,
-)
+from .replicas.store_updates import StoreStatus, drop_replica
 from .replicas.store_view import StoreView
 from .replicas.upstreams import ReplicaState, Upstreams
-from .requests.budgets import (
-    MEMBER_PROPAGATION_MS,
-    BudgetRules,
-    BudgetShare,
-    RetryBudget,
-)
+from .requests.budgets import MEMBER_PROPAGATION_MS, BudgetRules, BudgetShare, RetryBudget
 from .requests.evidence import Evidence
-from .requests.permission import (
-    send_pending,
-)
+from .requests.permission import send_pending
 from .requests.permit_requests import PermitRequests
-from .requests.progress import (
-    dispatch_waiting,
-)
+from .requests.progress import dispatch_waiting
 from .requests.splits import Splits
 from .requests.suspicion import SuspicionBook
 from .requests.works import Work
@@ -85,6 +61,7 @@
     :param max_reply_bytes: largest reply of a replica that is forwarded to a caller
     :param is_first_start: whether the whole system starts for the first time, so that there is
         nothing that it may have forgotten
+    :param stable_ms: time in milliseconds within which the fleet has to notice that a VM ended
     :param last_sharing_count: number of VMs sharing the connections at the last sweep
     """
 
@@ -142,9 +119,10 @@
         rng: random.Random,
         max_reply_bytes: int = MAX_REPLY_BYTES,
         is_first_start: bool = True,
+        stable_ms: float | None = None,
     ):
         self.max_reply_bytes = max_reply_bytes
-        self.fleet = Fleet(own, seeds, regions)
+        self.fleet = Fleet(own, seeds, regions, stable_ms)
         self.gossip = Gossip()
         self.pulls = Pulls()
         self.decode_item = decode_item
--- a/beechbridge/gateway/settings.py
+++ b/beechbridge/gateway/settings.py
@@ -37,6 +37,8 @@
     :param reply_memory_bytes: memory for the replies that are being received
     :param request_memory_bytes: memory for the bodies of requests that come in and wait
     :param answer_memory_bytes: memory for the answers that callers have not taken yet
+    :param stable_ms: milliseconds within which the fleet has to notice that a VM ended, None for
+        no bound
     :param is_first_start: whether the whole system starts for the first time
     """
 
@@ -59,6 +61,7 @@
         'reply_memory_bytes',
         'request_memory_bytes',
         'seeds',
+        'stable_ms',
         'store',
         'zone',
     )
@@ -85,7 +88,9 @@
         answer_memory_bytes: int = DEFAULT_ANSWER_MEMORY_BYTES,
         request_memory_bytes: int = DEFAULT_REQUEST_MEMORY_BYTES,
         is_first_start: bool = True,
+        stable_ms: float | None = None,
     ):
+        self.stable_ms = stable_ms
         self.is_first_start = is_first_start
         self.name = name
         self.host = host
--- a/beechbridge/platform/settings.py
+++ b/beechbridge/platform/settings.py
@@ -25,6 +25,7 @@
 PositiveAmount = Annotated[float, Meta(gt=0, le=1e9)]
 Seconds = Annotated[float, Meta(ge=0, le=86_400)]
 PositiveSeconds = Annotated[float, Meta(gt=0, le=86_400)]
+PositiveMilliseconds = Annotated[float, Meta(gt=0, le=86_400_000)]
 MS_PER_SECOND = 1000.0
 MILLICORES_PER_CORE = 1000
 BYTES_PER_MB = 1024 * 1024
@@ -60,6 +61,9 @@
     budget_extra: Amount = msgspec.field(name='budgetExtra', default=0.0)
     """Extra attempts that the whole fleet may send in one window in addition to the ratio."""
 
+    stable_ms: PositiveMilliseconds | None = msgspec.field(name='stableMs', default=None)
+    """Time within which the fleet has to notice a change; an ended VM may be named 3 s longer."""
+
     directory_ttl_s: Seconds = msgspec.field(name='ttl_max_s', default=5.0)
 
 
@@ -136,6 +140,7 @@
         ),
         grace_ms=bounds.grace_s * MS_PER_SECOND,
         max_ttl_s=bounds.directory_ttl_s,
+        stable_ms=bounds.stable_ms,
         capacity_millicores=int(file.limits.cpu_share * file.limits.cores * MILLICORES_PER_CORE),
         max_reply_bytes=max_reply_bytes,
         is_first_start=file.bootstrap,
--- a/beechbridge/wire/fleet.py
+++ b/beechbridge/wire/fleet.py
@@ -57,7 +57,7 @@
 
 def encode_heartbeat(action: SendHeartbeat) -> bytes:
     """Encode a heartbeat."""
-    members = [encode_member(member) for member in action.members]
+    members = [encode_member(member, action.sent_ms) for member in action.members]
     frame = ttypes.Heartbeat(
         members, action.table_version, action.revision, action.wants_members, action.epoch
     )
--- a/beechbridge/wire/members.py
+++ b/beechbridge/wire/members.py
@@ -13,10 +13,16 @@
 SOURCE = 'member'
 MIN_LENGTHS = {'name': 1, 'zone': 0}
 COUNTS = ('incarnation', 'heartbeat', 'capacity_millicores', 'requests_per_s')
+MAX_AGE_MS = 600_000
+"""Greatest age of a record: VMs that are silent for longer are not passed on."""
 
 
-def encode_member(member: Member) -> ttypes.FleetMember:
-    """Return the Thrift struct of a member."""
+def encode_member(member: Member, sent_ms: float | None = None) -> ttypes.FleetMember:
+    """
+    Return the Thrift struct of a member.
+
+    :param sent_ms: time in milliseconds for which its age is stated, None to state none
+    """
     return ttypes.FleetMember(
         member.name,
         member.host,
@@ -29,6 +35,7 @@
         round(member.rate_per_s),
         member.is_active,
         member.reaches_replicas,
+        None if sent_ms is None else min(MAX_AGE_MS, round(member.age_at(sent_ms))),
     )
 
 
@@ -45,6 +52,8 @@
         count = getattr(record, field)
         if count < 0:
             return refuse(record, field, count, 'no negative number')
+    if record.age_ms is not None and not 0 <= record.age_ms <= MAX_AGE_MS:
+        return refuse(record, 'age_ms', record.age_ms, f'0 to {MAX_AGE_MS}, or none')
     member = Member(record.name, record.host, record.zone, record.incarnation, record.heartbeat)
     member.is_serving = record.serving
     member.capacity_millicores = record.capacity_millicores
@@ -53,6 +62,7 @@
     member.rate_per_s = float(record.requests_per_s)
     # A VM that does not say so is one of an earlier release.
     member.reaches_replicas = record.reaches_replicas is not False
+    member.age_ms = float(record.age_ms or 0)
     return member
 
 
--- a/beechbridge/wire/peer.thrift
+++ b/beechbridge/wire/peer.thrift
@@ -99,6 +99,7 @@
   3: required Body body
 }
 
+// `age_ms` is the time since the member's heartbeat increased, as far as the sender knows.
 struct FleetMember {
   1: required string name
   2: required string host
@@ -111,6 +112,7 @@
   9: required i32 requests_per_s
   10: required bool active
   11: optional bool reaches_replicas
+  12: optional i64 age_ms
 }
 
 struct WantedPermit {
--- a/beechbridge/wire/peer/ttypes.py
+++ b/beechbridge/wire/peer/ttypes.py
@@ -1581,6 +1581,7 @@
      - requests_per_s
      - active
      - reaches_replicas
+     - age_ms
 
     """
 
@@ -1596,10 +1597,11 @@
         'requests_per_s',
         'active',
         'reaches_replicas',
+        'age_ms',
     )
 
 
-    def __init__(self, name=None, host=None, zone=None, incarnation=None, heartbeat=None, serving=None, capacity_millicores=None, reaches_store=None, requests_per_s=None, active=None, reaches_replicas=None,):
+    def __init__(self, name=None, host=None, zone=None, incarnation=None, heartbeat=None, serving=None, capacity_millicores=None, reaches_store=None, requests_per_s=None, active=None, reaches_replicas=None, age_ms=None,):
         self.name = name
         self.host = host
         self.zone = zone
@@ -1611,6 +1613,7 @@
         self.requests_per_s = requests_per_s
         self.active = active
         self.reaches_replicas = reaches_replicas
+        self.age_ms = age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1676,6 +1679,11 @@
                     self.reaches_replicas = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1730,6 +1738,10 @@
             oprot.writeFieldBegin('reaches_replicas', TType.BOOL, 11)
             oprot.writeBool(self.reaches_replicas)
             oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 12)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4222,6 +4234,7 @@
     (9, TType.I32, 'requests_per_s', None, None, ),  # 9
     (10, TType.BOOL, 'active', None, None, ),  # 10
     (11, TType.BOOL, 'reaches_replicas', None, None, ),  # 11
+    (12, TType.I64, 'age_ms', None, None, ),  # 12
 )
 all_structs.append(WantedPermit)
 WantedPermit.thrift_spec = (
--- a/measure/emulated_actions.py
+++ b/measure/emulated_actions.py
@@ -33,6 +33,7 @@
     PullEnded,
     RequestSent,
 )
+from beechbridge.gateway.member import Member
 from beechbridge.gateway.models import LinkFault
 from beechbridge.wire.changes import read_pull, write_changes, write_pull
 from beechbridge.wire.fleet import decode_datagram, encode_heartbeat, encode_suspects
@@ -144,7 +145,7 @@
     for host in action.hosts:
         for other in emulator.vms:
             if other.gateway.fleet.own.host == host and other is not vm:
-                views = [copy.copy(member) for member in action.members]
+                views = [copy_record(member, action.sent_ms) for member in action.members]
                 event = HeartbeatReceived(
                     views,
                     action.table_version,
@@ -160,6 +161,14 @@
                 )
 
 
+def copy_record(member: Member, sent_ms: float | None) -> Member:
+    """Return a member's record as it arrives."""
+    record = copy.copy(member)
+    record.age_ms = 0.0 if sent_ms is None else member.age_at(sent_ms)
+    record.last_heartbeat_ms = 0.0
+    return record
+
+
 @perform.register(SendPermits)
 def perform_permits(action: SendPermits, vm: EmulatedVm, emulator: 'Emulator') -> None:
     """Deliver a message about permits, unless it is lost."""
--- a/measure/emulator.py
+++ b/measure/emulator.py
@@ -115,6 +115,7 @@
     :param work_ms: median processing time of a request in milliseconds, by route name
     :param deadly_targets: targets of the requests that end each replica that runs them
     :param seed: seed of the random number generator
+    :param stable_ms: milliseconds within which the fleet has to notice that a VM ended, None: any
     """
 
     __slots__ = (
@@ -128,6 +129,7 @@
         'revision',
         'rng',
         'sequence',
+        'stable_ms',
         'tables',
         'vms',
         'work_ms',
@@ -139,7 +141,9 @@
         work_ms: dict[str, float],
         budget: BudgetRules | None = None,
         seed: int = 1,
+        stable_ms: float | None = None,
     ):
+        self.stable_ms = stable_ms
         self.rng = random.Random(seed)
         self.work_ms = work_ms
         self.deadly_targets: set[str] = set()
@@ -165,6 +169,7 @@
                 budget or BudgetRules(),
                 6_000.0,
                 random.Random(self.rng.getrandbits(64)),
+                stable_ms=stable_ms,
             )
             self.vms.append(EmulatedVm(gateway))
         for vm in self.vms:
@@ -483,6 +488,7 @@
             6_000.0,
             random.Random(self.rng.getrandbits(64)),
             is_first_start=False,
+            stable_ms=self.stable_ms,
         )
         vm.is_up = True
         self.perform_all(vm, vm.gateway.start(self.now_ms))
--- a/model/mutants.py
+++ b/model/mutants.py
@@ -87,6 +87,27 @@
 CLI_CLIENT = 'beechbridge/cli/client.py'
 
 MUTANTS = (
+    Mutant(
+        'the age of a relayed record is not counted',
+        MEMBERS,
+        'received.last_heartbeat_ms = now_ms - received.age_ms',
+        'received.last_heartbeat_ms = now_ms',
+        ('test_member_age',),
+    ),
+    Mutant(
+        'the timeout of relayed members ignores the bound of the settings',
+        MEMBERS,
+        'if stable_ms is None:',
+        'if True:',
+        ('test_member_age',),
+    ),
+    Mutant(
+        'a record of an odd age is used',
+        MEMBER_RECORDS,
+        'if record.age_ms is not None and not 0 <= record.age_ms <= MAX_AGE_MS:',
+        'if False:',
+        ('test_member_age',),
+    ),
     Mutant(
         'a refusal that nobody proves is passed on',
         PROGRESS,
