--- a/measure/emulator.py
+++ b/measure/emulator.py
@@ -117,6 +117,7 @@
     :param work_ms: median processing time of a request in milliseconds, by route name
     :param deadly_targets: targets of the requests that end each replica that runs them
     :param seed: seed of the random number generator
+    :param stable_ms: milliseconds within which the fleet has to notice that a VM ended, None: any
     """
 
     __slots__ = (
@@ -130,6 +131,7 @@
         'revision',
         'rng',
         'sequence',
+        'stable_ms',
         'tables',
         'vms',
         'work_ms',
@@ -141,7 +143,9 @@
         work_ms: dict[str, float],
         budget: BudgetRules | None = None,
         seed: int = 1,
+        stable_ms: float | None = None,
     ):
+        self.stable_ms = stable_ms
         self.rng = random.Random(seed)
         self.work_ms = work_ms
         self.deadly_targets: set[str] = set()
@@ -167,6 +171,7 @@
                 budget or BudgetRules(),
                 6_000.0,
                 random.Random(self.rng.getrandbits(64)),
+                stable_ms=stable_ms,
             )
             self.vms.append(EmulatedVm(gateway))
         for vm in self.vms:
@@ -497,6 +502,7 @@
             6_000.0,
             random.Random(self.rng.getrandbits(64)),
             is_first_start=False,
+            stable_ms=self.stable_ms,
         )
         vm.is_up = True
         self.perform_all(vm, vm.gateway.start(self.now_ms))
