Time gathers by the measured way of their answers to clients

A gather was answered 12 ms before its goal whatever the load, and waited for parts of paused replicas until then: with a busy process most answers came too late. The process now measures when a request was read and how long answers take to be written. Close to the goal it weighs the parts that may still arrive against the risk of a late answer. Hedges are sent early enough for the goal and not at all when they would come too late; replicas that are silent for longer than usual are avoided while they pause. In force where contracts name pressure or places.

--- a/beechbridge/daemon/front.py
+++ b/beechbridge/daemon/front.py
@@ -18,7 +18,6 @@
 import waitress
 from waitress.adjustments import Adjustments
 from waitress.buffers import OverflowableBuffer
-from waitress.channel import HTTPChannel
 from waitress.parser import HTTPRequestParser
 from waitress.server import BaseWSGIServer
 from waitress.task import ThreadedTaskDispatcher, WSGITask
@@ -35,6 +34,7 @@
 )
 from ..record import Record
 from ..wire.http import HttpResponse
+from .answer_clock import TimedChannel
 from .clock import read_clock_ms
 from .closing import BACKLOG, list_listeners
 from .held_memory import HeldMemory
@@ -105,11 +105,10 @@
         return environ
 
 
-class CallerChannel(HTTPChannel):
+class CallerChannel(TimedChannel):
     """
     A caller's connection; notifies the application when it is closed.
 
-    :cvar app: application that serves the connection
     :param timed_part: request, and whether its headers are complete, whose rest has a deadline
     :param deadline_s: deadline for the current headers or body, in seconds of the monotonic clock
     :param answered_id: ID of the request whose answer was written last
@@ -117,7 +116,6 @@
 
     parser_class = RequestParser
     task_class = CallerTask
-    app: 'FrontApp'
     timed_part: tuple[HTTPRequestParser, bool] | None = None
     deadline_s = math.inf
     answered_id = ''
@@ -383,7 +381,7 @@
         key = next(self.keys)
         self.waiting[key] = WaitingCaller(channel, endpoint, request.request_id)
         self.keys_by_channel[channel] = key
-        self.post(endpoint.make_event(key, request))
+        self.post(channel.stamp(endpoint.make_event(key, request)))
         if not channel.connected:
             self.handle_disconnect(channel)
         return True
--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -65,6 +65,7 @@
     write_parts,
 )
 from ..wire.relays import read_relay, read_relay_reply, write_relay, write_relay_answer
+from .answer_clock import time_answer
 from .clock import read_clock_ms
 from .closing import call_when_sent, close_idle_channels, describe_unsent, list_listeners
 from .exchanges import Codec, ExchangeClient
@@ -118,6 +119,7 @@
             settings.max_reply_bytes,
             settings.is_first_start,
         )
+        self.core.answer_time.is_in_force = settings.has_short_goals
         self.loop = asyncio.new_event_loop()
         self.loop.set_exception_handler(log_loop_error)
         self.timer: asyncio.TimerHandle | None = None
@@ -368,6 +370,7 @@
 @perform.register
 def perform_answer_request(action: AnswerRequest, process: GatewayProcess) -> None:
     """Deliver the answer to a caller."""
+    time_answer(action, process.front)
     process.front.deliver(action.key, action.answer)
 
 
--- a/beechbridge/gateway/actions.py
+++ b/beechbridge/gateway/actions.py
@@ -169,13 +169,19 @@
 
 
 class AnswerRequest(Record):
-    """Send a caller its final answer."""
+    """
+    Send a caller its final answer.
+
+    :param due_ms: time in milliseconds at which it was due, for `AnswerWritten`; None if the time
+        until it is written is not wanted
+    """
 
-    __slots__ = ('answer', 'key')
+    __slots__ = ('answer', 'due_ms', 'key')
 
-    def __init__(self, key: int, answer: Answer):
+    def __init__(self, key: int, answer: Answer, due_ms: float | None = None):
         self.key = key
         self.answer = answer
+        self.due_ms = due_ms
 
 
 class SetCallerLimits(Record):
--- a/beechbridge/gateway/events.py
+++ b/beechbridge/gateway/events.py
@@ -26,13 +26,28 @@
     A caller's request was read in full.
 
     :param key: identifies the waiting caller within this process
+    :param read_ms: time in milliseconds at which its first byte was read, None if unknown
     """
 
-    __slots__ = ('key', 'request')
+    __slots__ = ('key', 'read_ms', 'request')
 
-    def __init__(self, key: int, request: CallerRequest):
+    def __init__(self, key: int, request: CallerRequest, read_ms: float | None = None):
         self.key = key
         self.request = request
+        self.read_ms = read_ms
+
+
+class AnswerWritten(Record):
+    """
+    The bytes of an answer were written to its caller's connection.
+
+    :param delay_ms: milliseconds since the answer was due
+    """
+
+    __slots__ = ('delay_ms',)
+
+    def __init__(self, delay_ms: float):
+        self.delay_ms = delay_ms
 
 
 class CallerDisconnected(Record):
--- a/beechbridge/gateway/handlers.py
+++ b/beechbridge/gateway/handlers.py
@@ -3,6 +3,7 @@
 from functools import singledispatch
 
 from .events import (
+    AnswerWritten,
     CallerDisconnected,
     ChangesReceived,
     ConnectionEnded,
@@ -58,6 +59,7 @@
 )
 from .requests.admission import handle_request_malformed, handle_request_received
 from .requests.canaries import fire_canary
+from .requests.gather_timing import handle_answer_written
 from .requests.hedges import fire_check
 from .requests.permission import (
     PermitTimer,
@@ -95,6 +97,7 @@
 
 
 EVENT_HANDLERS = {
+    AnswerWritten: handle_answer_written,
     RequestReceived: handle_request_received,
     CallerDisconnected: handle_caller_disconnected,
     RequestMalformed: handle_request_malformed,
--- a/beechbridge/gateway/interface.py
+++ b/beechbridge/gateway/interface.py
@@ -25,6 +25,7 @@
     from .replicas.store_updates import StoreStatus
     from .replicas.store_view import StoreView
     from .replicas.upstreams import ReplicaState, Upstreams
+    from .requests.answer_time import AnswerTime
     from .requests.budgets import BudgetRules, BudgetShare, RetryBudget
     from .requests.evidence import Evidence
     from .requests.permit_requests import PermitRequests
@@ -52,6 +53,7 @@
     request_latencies: 'Histogram'
     pull_latencies: 'Histogram'
     caller_timeouts: 'CallerTimeouts'
+    answer_time: 'AnswerTime'
     table: 'RoutingTable | None'
     view: 'StoreView'
     store: 'StoreStatus'
--- a/beechbridge/gateway/maintenance.py
+++ b/beechbridge/gateway/maintenance.py
@@ -31,6 +31,7 @@
     settings = event.settings
     gateway.budget_rules = settings.budget
     gateway.max_reply_bytes = settings.max_reply_bytes
+    gateway.answer_time.is_in_force = settings.has_short_goals
     for budget in gateway.budgets.values():
         budget.rules = settings.budget
     if not gateway.stopping.is_leaving:
--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -21,9 +21,7 @@
 from .fleet.members import MAX_MESH_SIZE, Fleet
 from .fleet.placement import Activity, Placement
 from .fleet.pulls import Pulls
-from .fleet.stopping import (
-    Stopping,
-)
+from .fleet.stopping import Stopping
 from .fleet.suspect_reports import report_suspects
 from .handlers import fire_timer, handle_event
 from .homes import keep_near_homes
@@ -45,6 +43,7 @@
 )
 from .replicas.store_view import StoreView
 from .replicas.upstreams import ReplicaState, Upstreams
+from .requests.answer_time import AnswerTime
 from .requests.budgets import (
     MEMBER_PROPAGATION_MS,
     BudgetRules,
@@ -52,13 +51,9 @@
     RetryBudget,
 )
 from .requests.evidence import Evidence
-from .requests.permission import (
-    send_pending,
-)
+from .requests.permission import send_pending
 from .requests.permit_requests import PermitRequests
-from .requests.progress import (
-    dispatch_waiting,
-)
+from .requests.progress import dispatch_waiting
 from .requests.splits import Splits
 from .requests.suspicion import SuspicionBook
 from .requests.works import Work
@@ -92,6 +87,7 @@
         'actions',
         'activity',
         'aggregators',
+        'answer_time',
         'budget_rules',
         'budgets',
         'caller_timeouts',
@@ -181,6 +177,7 @@
         self.stopping = Stopping(grace_ms)
         self.last_sharing_count = 0
         self.evidence = Evidence()
+        self.answer_time = AnswerTime()
         self.suspicions = SuspicionBook()
         self.is_first_start = is_first_start
 
--- a/beechbridge/gateway/replicas/upstreams.py
+++ b/beechbridge/gateway/replicas/upstreams.py
@@ -20,6 +20,9 @@
 INITIAL_PROCESSING_MS = 15.0
 """Assumed processing time of a request until latencies have been measured."""
 
+UNKNOWN_LATE_FACTOR = 1.5
+"""Assumed ratio of late to typical latencies until latencies have been measured."""
+
 SAMPLE_WEIGHT = 0.3
 """Weight of a new sample in a replica's latency ratio and rejection share."""
 
@@ -299,6 +302,13 @@
                 return max(1.0, processing_ms) + INITIAL_ROUND_TRIP_MS[distance]
         return INITIAL_PROCESSING_MS + INITIAL_ROUND_TRIP_MS[distance]
 
+    def late_ms(self, route_name: str, distance: int) -> float:
+        """Return the latency in ms of a route at a distance that one request in ten exceeds."""
+        estimate = self.route_latencies.get((route_name, distance))
+        if estimate is not None:
+            return estimate.late_ms
+        return UNKNOWN_LATE_FACTOR * self.typical_ms(route_name, distance)
+
     def record_route_latency(self, route_name: str, distance: int, latency_ms: float) -> None:
         """Record the latency of a route's request at a distance."""
         estimate = self.route_latencies.get((route_name, distance))
--- a/beechbridge/gateway/requests/admission.py
+++ b/beechbridge/gateway/requests/admission.py
@@ -20,6 +20,7 @@
 from .answers import reject_request
 from .canaries import begin_trial, needs_trial
 from .candidates import has_unrestricted, list_usable
+from .gather_timing import set_deadlines
 from .homes import check_homes
 from .identity import compute_digest
 from .orders import may_order_from, order_remote_parts
@@ -46,9 +47,6 @@
     Work,
 )
 
-ANSWER_MARGIN_MS = 12.0
-"""Time reserved for sending the answer back to the caller."""
-
 NOT_READY_RETRY_MS = 300
 TABLE_DELAY_MS = 500.0
 """Time after a start within which a routing table arrives if there is anyone to get it from."""
@@ -198,9 +196,7 @@
             # Either the latency objective is missed already, or this caller starts with a shorter
             # timeout than others; in both cases the time spent must not be subtracted.
             spent_ms = 0.0
-    work.hard_at_ms = work.arrived_ms + max(1.0, wait_ms - ANSWER_MARGIN_MS)
-    soft_ms = max(1.0, route.objective_ms - ANSWER_MARGIN_MS - spent_ms)
-    work.soft_at_ms = min(work.hard_at_ms, work.arrived_ms + soft_ms)
+    set_deadlines(work, event, wait_ms, spent_ms, gateway)
     return work
 
 
--- a/beechbridge/gateway/requests/answers.py
+++ b/beechbridge/gateway/requests/answers.py
@@ -8,6 +8,7 @@
 from ..events import RequestReceived
 from ..interface import GatewayInterface
 from ..models import Answer, ForwardedAnswer, LinkFault, MergedAnswer, PartsAnswer, Reply
+from .gather_timing import describe_timing
 from .retry_times import (
     NO_REPLICA_RETRY_MS,
     defer_retry_ms,
@@ -198,6 +199,7 @@
         'repeats': work.extra_count,
         'orders': len(work.orders),
     }
+    fields |= describe_timing(work, gateway)
     if work.relay_targets:
         fields['relayed_to'] = sorted(work.relay_targets)
     if work.is_from_vm:
--- a/beechbridge/gateway/requests/hedges.py
+++ b/beechbridge/gateway/requests/hedges.py
@@ -6,6 +6,7 @@
 from .budgets import BudgetShare
 from .canaries import hedge_canary
 from .candidates import list_usable
+from .gather_timing import is_hopeless, next_look_ms, timely_delay_ms
 from .progress import check_gather
 from .sending import FOREVER_MS, dispatch_task
 from .works import CheckTimer, GatherWork, Task, Work
@@ -57,12 +58,13 @@
         if not task.is_open or len(task.exchanges) != 1:
             continue
         exchange = task.exchanges[0]
-        due_ms = exchange.sent_ms + hedge_delay_ms(exchange, share, gateway)
+        delay_ms = hedge_delay_ms(exchange, share, gateway)
+        due_ms = exchange.sent_ms + timely_delay_ms(exchange, delay_ms, gateway)
         if due_ms > now_ms:
             next_ms = min(next_ms, due_ms)
             continue
         task.exclude_replica(exchange.replica)
-        if not has_healthy_replica(task, gateway):
+        if not has_healthy_replica(task, gateway) or is_hopeless(task, gateway):
             continue
         if dispatch_task(task, gateway, is_hedge=True):
             gateway.counters.add('hedges')
@@ -102,7 +104,7 @@
     if work is None or not work.may_send:
         return
     now_ms = gateway.now_ms
-    next_ms = work.soft_at_ms if now_ms < work.soft_at_ms else work.hard_at_ms
+    next_ms = next_look_ms(work, gateway)
     if isinstance(work, GatherWork):
         check_gather(work, gateway)
         if work.is_finished:
@@ -114,5 +116,6 @@
     if isinstance(work, GatherWork) and work.meets_minimum_coverage():
         next_ms = min(next_ms, now_ms + HEDGE_RETRY_MS)
     next_ms = max(next_ms, now_ms + MIN_CHECK_INTERVAL_MS)
+    work.look_at_ms = next_ms
     if next_ms < work.hard_at_ms:
         gateway.timers.arm(next_ms, CheckTimer(work.key))
--- /dev/null
+++ b/beechbridge/gateway/requests/pauses.py
@@ -0,0 +1,28 @@
+"""Keeps requests away from replicas that seem to be in a pause, if there is another one."""
+
+from ..interface import GatewayInterface
+from ..replicas.pauses import is_pausing
+from .candidates import list_usable
+from .works import Task
+
+
+def avoided_replicas(task: Task, gateway: GatewayInterface) -> set[int]:
+    """Return the `id()` of the states not to choose for a task: those tried, those in a pause."""
+    excluded = task.excluded_replicas
+    if not gateway.answer_time.is_in_force:
+        return excluded
+    now_ms = gateway.now_ms
+    pausing = set()
+    has_other = False
+    share = gateway.connection_share(task.service)
+    for state in list_usable(task, gateway):
+        if id(state) in excluded:
+            continue
+        if is_pausing(state, gateway.upstreams, now_ms):
+            pausing.add(id(state))
+            continue
+        has_other = has_other or (len(state.busy) < share and not state.is_suspect(now_ms))
+    if not pausing or not has_other:
+        return excluded
+    gateway.counters.add('pauses_avoided')
+    return excluded | pausing
--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -14,6 +14,7 @@
 from .answers import build_answer, is_refusal, record_end, trim_part, withhold_unproven
 from .candidates import list_usable
 from .evidence import REFUSED, acquit, confirm_end, record_loss
+from .gather_timing import find_due_ms, is_due
 from .sending import abandon_exchange, abort_exchange, dispatch_task, end_exchange
 from .withdrawal import settle_withdrawal, withdraw_unsent
 from .works import CanaryTimer, DeadlineTimer, GatherWork, RetryTimer, SingleWork, Task, Work
@@ -283,7 +284,7 @@
         return
     if not work.meets_minimum_coverage():
         return
-    if gateway.now_ms >= work.soft_at_ms or not is_worth_waiting(work, gateway):
+    if is_due(work, gateway) or not is_worth_waiting(work, gateway):
         answer_work(work, gateway)
 
 
@@ -340,7 +341,7 @@
     gateway.works.pop(work.key, None)
     for exchange in work.exchanges:
         abandon_exchange(exchange, gateway)
-    gateway.act(AnswerRequest(work.key, answer))
+    gateway.act(AnswerRequest(work.key, answer, find_due_ms(work, gateway)))
     record_end(work, answer, gateway)
     work.finish()
 
--- a/beechbridge/gateway/requests/sending.py
+++ b/beechbridge/gateway/requests/sending.py
@@ -17,6 +17,7 @@
 )
 from .candidates import allowed_zones, has_unrestricted, list_usable
 from .holding import hold_task, is_convicted, is_held_back
+from .pauses import avoided_replicas
 from .permit_requests import request_permit
 from .works import OrderedWork, RetryTimer, Task
 
@@ -81,7 +82,7 @@
     return gateway.upstreams.choose(
         task.service,
         task.work.route.name,
-        task.excluded_replicas,
+        avoided_replicas(task, gateway),
         gateway.connection_share(task.service),
         NEAR_FRACTION * (task.work.soft_at_ms - gateway.now_ms),
         gateway.now_ms,
--- a/beechbridge/gateway/requests/works.py
+++ b/beechbridge/gateway/requests/works.py
@@ -20,6 +20,9 @@
     :param key: identifies the waiting caller
     :param digest: what the request has in common with other attempts of its caller
     :param soft_at_ms: soft deadline in milliseconds, after which the answer loses value
+    :param written_by_ms: time in milliseconds by which the answer's bytes must be written to reach
+        the caller within its goal, None if that is not planned
+    :param look_at_ms: time in milliseconds of its next check
     :param hard_at_ms: hard deadline in milliseconds, at which an answer must be sent
     :param orders: orders of parts sent to other VMs
     :param held_count: permits that must be answered before anything is sent
@@ -61,6 +64,7 @@
         'is_trial',
         'is_vindicated',
         'key',
+        'look_at_ms',
         'may_have_run_elsewhere',
         'open_count',
         'orders',
@@ -76,6 +80,7 @@
         'trial_task',
         'was_launched',
         'when_withdrawn',
+        'written_by_ms',
         'zones_version',
     )
 
@@ -96,6 +101,8 @@
         self.arrived_ms = arrived_ms
         self.soft_at_ms = arrived_ms + route.objective_ms
         self.hard_at_ms = arrived_ms + route.timeout_ms
+        self.written_by_ms: float | None = None
+        self.look_at_ms = math.inf
         self.tasks: list[Task] = []
         self.exchanges: list[Exchange] = []
         self.answered_count = 0
--- a/beechbridge/gateway/settings.py
+++ b/beechbridge/gateway/settings.py
@@ -38,6 +38,7 @@
     :param request_memory_bytes: memory for the bodies of requests that come in and wait
     :param answer_memory_bytes: memory for the answers that callers have not taken yet
     :param is_first_start: whether the whole system starts for the first time
+    :param has_short_goals: whether answers are timed to reach clients within their goals
     """
 
     __slots__ = (
@@ -47,6 +48,7 @@
         'capacity_millicores',
         'directory',
         'grace_ms',
+        'has_short_goals',
         'host',
         'is_first_start',
         'max_reply_bytes',
@@ -85,7 +87,9 @@
         answer_memory_bytes: int = DEFAULT_ANSWER_MEMORY_BYTES,
         request_memory_bytes: int = DEFAULT_REQUEST_MEMORY_BYTES,
         is_first_start: bool = True,
+        has_short_goals: bool = False,
     ):
+        self.has_short_goals = has_short_goals
         self.is_first_start = is_first_start
         self.name = name
         self.host = host
--- a/beechbridge/platform/settings.py
+++ b/beechbridge/platform/settings.py
@@ -39,6 +39,9 @@
 """Fraction of the process's memory for the bodies of requests that come in and wait."""
 
 MAX_REPLY_VARIABLE = 'BEECHBRIDGE_MAX_REPLY_BYTES'
+SHORT_GOAL_CONTRACTS = frozenset(('places', 'pressure'))
+"""Sets of rules under which answers are timed by their latency goals."""
+
 BYTE_COUNT = re.compile(r'[1-9][0-9]{0,14}')
 
 
@@ -96,6 +99,9 @@
     bootstrap: bool = True
     """False when a process starts again that had run before; the whole fleet may have, too."""
 
+    contracts: list[str] = []
+    """Names of the sets of rules that are in force; unknown ones are ignored."""
+
     bounds: Bounds = msgspec.field(default_factory=Bounds)
     limits: Limits = msgspec.field(default_factory=Limits)
 
@@ -139,6 +145,7 @@
         capacity_millicores=int(file.limits.cpu_share * file.limits.cores * MILLICORES_PER_CORE),
         max_reply_bytes=max_reply_bytes,
         is_first_start=file.bootstrap,
+        has_short_goals=not SHORT_GOAL_CONTRACTS.isdisjoint(file.contracts),
         reply_memory_bytes=int(REPLY_MEMORY_FRACTION * file.limits.memory_mb * BYTES_PER_MB),
         request_memory_bytes=int(REQUEST_MEMORY_FRACTION * file.limits.memory_mb * BYTES_PER_MB),
         answer_memory_bytes=int(ANSWER_MEMORY_FRACTION * file.limits.memory_mb * BYTES_PER_MB),
