--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -31,6 +31,7 @@
 from .replicas.store_updates import StoreStatus, drop_replica
 from .replicas.store_view import StoreView
 from .replicas.upstreams import ReplicaState, Upstreams
+from .requests.answer_time import AnswerTime
 from .requests.budgets import MEMBER_PROPAGATION_MS, BudgetRules, BudgetShare, RetryBudget
 from .requests.evidence import Evidence
 from .requests.permission import send_pending
@@ -70,6 +71,7 @@
         'actions',
         'activity',
         'aggregators',
+        'answer_time',
         'budget_rules',
         'budgets',
         'caller_timeouts',
@@ -164,6 +166,7 @@
         self.stopping = Stopping(grace_ms)
         self.last_sharing_count = 0
         self.evidence = Evidence()
+        self.answer_time = AnswerTime()
         self.suspicions = SuspicionBook()
         self.is_first_start = is_first_start
 
--- a/beechbridge/gateway/settings.py
+++ b/beechbridge/gateway/settings.py
@@ -40,6 +40,7 @@
     :param stable_ms: milliseconds within which the fleet has to notice that a VM ended, None for
         no bound
     :param is_first_start: whether the whole system starts for the first time
+    :param has_short_goals: whether answers are timed to reach clients within their goals
     """
 
     __slots__ = (
@@ -49,6 +50,7 @@
         'capacity_millicores',
         'directory',
         'grace_ms',
+        'has_short_goals',
         'host',
         'is_first_start',
         'max_reply_bytes',
@@ -89,8 +91,10 @@
         request_memory_bytes: int = DEFAULT_REQUEST_MEMORY_BYTES,
         is_first_start: bool = True,
         stable_ms: float | None = None,
+        has_short_goals: bool = False,
     ):
         self.stable_ms = stable_ms
+        self.has_short_goals = has_short_goals
         self.is_first_start = is_first_start
         self.name = name
         self.host = host
