--- a/beechbridge/gateway/replicas/store_updates.py
+++ b/beechbridge/gateway/replicas/store_updates.py
@@ -9,6 +9,7 @@
 from ..interface import GatewayInterface
 from ..models import Item, ReplicaEntry
 from ..requests.evidence import REMOVED, confirm_end
+from ..requests.start_queue import release_requests
 from ..requests.unsent import dispatch_anew, withdraw_barred
 from ..routes import RoutingTable
 from .decoding import (
@@ -215,6 +216,7 @@
         return
     gateway.table = table
     gateway.splits.reset()
+    release_requests(gateway)
     if current is None or table.limits != current.limits:
         gateway.act(SetCallerLimits(table.limits))
     gateway.act(
--- a/beechbridge/platform/names.py
+++ b/beechbridge/platform/names.py
@@ -31,5 +31,8 @@
 """Prefix of the items that each evacuate the data centre whose name follows."""
 
 
+SHORT_GOAL_CONTRACTS = frozenset(('places', 'pressure'))
+"""Sets of rules under which answers are timed by their latency goals."""
+
 SETTINGS_VARIABLE = 'BEECHBRIDGE_SETTINGS'
 """Environment variable with the path of the settings file."""
