--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -22,6 +22,7 @@
     FollowStore,
     ProbeReplica,
     PullChanges,
+    SendColdReplicas,
     SendHeartbeat,
     SendOrder,
     SendPermits,
@@ -56,6 +57,7 @@
 from ..status import ExitStatus
 from ..wire.fleet import (
     decode_datagram,
+    encode_cold_replicas,
     encode_heartbeat,
     encode_permits,
     encode_suspects,
@@ -118,6 +120,7 @@
             settings.max_reply_bytes,
             settings.is_first_start,
             settings.stable_ms,
+            settings.cold_rules,
         )
         self.loop = asyncio.new_event_loop()
         self.loop.set_exception_handler(log_loop_error)
@@ -402,6 +405,12 @@
     process.send_datagrams(encode_suspects(action), action.hosts)
 
 
+@perform.register
+def perform_send_cold_replicas(action: SendColdReplicas, process: GatewayProcess) -> None:
+    """Tell each of the VMs which replicas have turned cold."""
+    process.send_datagrams(encode_cold_replicas(action), action.hosts)
+
+
 @perform.register
 def perform_probe_replica(action: ProbeReplica, process: GatewayProcess) -> None:
     """Probe the address of a replica."""
--- a/beechbridge/gateway/actions.py
+++ b/beechbridge/gateway/actions.py
@@ -3,7 +3,7 @@
 from ..record import Record
 from .member import Member
 from .models import Answer, CallerRequest, PartsOrder, RequestRelay
-from .permits import PermitMessage
+from .permits import ColdReplica, PermitMessage
 from .replicas.dictionaries import Dictionary
 from .routes import CallerLimits
 from .suspects import SuspectsReport
@@ -271,6 +271,21 @@
         self.report = report
 
 
+class SendColdReplicas(Record):
+    """
+    Tell other VMs which replicas have turned cold.
+
+    :param sender: this VM
+    """
+
+    __slots__ = ('hosts', 'replicas', 'sender')
+
+    def __init__(self, hosts: list[str], sender: Member, replicas: list[ColdReplica]):
+        self.hosts = hosts
+        self.sender = sender
+        self.replicas = replicas
+
+
 class FollowStore(Record):
     """
     Start following the store, or stop and leave that to other VMs.
@@ -338,6 +353,7 @@
     | SendHeartbeat
     | SendPermits
     | SendSuspects
+    | SendColdReplicas
     | ProbeReplica
     | FollowStore
     | PullChanges
--- a/beechbridge/gateway/events.py
+++ b/beechbridge/gateway/events.py
@@ -16,7 +16,7 @@
     Reply,
     RequestRelay,
 )
-from .permits import PermitMessage
+from .permits import ColdReplica, PermitMessage
 from .settings import GatewaySettings
 from .suspects import SuspectsReport
 
@@ -265,6 +265,16 @@
         self.report = report
 
 
+class ColdReplicasReceived(Record):
+    """Another VM said that replicas have turned cold."""
+
+    __slots__ = ('replicas', 'sender')
+
+    def __init__(self, sender: Member, replicas: list[ColdReplica]):
+        self.sender = sender
+        self.replicas = replicas
+
+
 class ProbeEnded(Record):
     """
     A probe of a replica has ended; neither is set if there was no answer.
--- a/beechbridge/gateway/handlers.py
+++ b/beechbridge/gateway/handlers.py
@@ -5,6 +5,7 @@
 from .events import (
     CallerDisconnected,
     ChangesReceived,
+    ColdReplicasReceived,
     ConnectionEnded,
     DatagramUnreadable,
     ExchangeEnded,
@@ -25,6 +26,11 @@
     SuspectsReceived,
     TimerDue,
 )
+from .fleet.cold_reports import (
+    ColdReportTimer,
+    fire_cold_report,
+    handle_cold_replicas_received,
+)
 from .fleet.gossip import (
     HeartbeatTimer,
     fire_heartbeat,
@@ -114,6 +120,7 @@
     PermitsReceived: handle_permits_received,
     ProbeEnded: handle_probe_ended,
     SuspectsReceived: handle_suspects_received,
+    ColdReplicasReceived: handle_cold_replicas_received,
     SettingsReloaded: handle_settings_reloaded,
     TimerDue: handle_timer_due,
 }
@@ -129,6 +136,7 @@
     RemovalTimer: fire_removal,
     ConfirmationTimer: fire_confirmation,
     PermitTimer: fire_permit_timeout,
+    ColdReportTimer: fire_cold_report,
     CloseTimer: fire_close,
     ExitTimer: fire_exit,
 }
--- a/beechbridge/gateway/interface.py
+++ b/beechbridge/gateway/interface.py
@@ -17,6 +17,7 @@
     from .fleet.stopping import Stopping
     from .latencies import CallerTimeouts, Histogram
     from .models import ReplicaEntry
+    from .replicas.cold import ColdRules
     from .replicas.decoding import UnreadableItems
     from .replicas.limits import Limits
     from .replicas.notices import NoticeBook
@@ -42,6 +43,7 @@
     last_update_ms: float
     rng: random.Random
     max_reply_bytes: int
+    cold_rules: 'ColdRules'
     budget_rules: 'BudgetRules'
     budgets: 'dict[str, RetryBudget]'
     last_sharing_count: int
--- a/beechbridge/gateway/maintenance.py
+++ b/beechbridge/gateway/maintenance.py
@@ -4,6 +4,7 @@
 from .events import PauseDetected, SettingsReloaded
 from .fleet.suspect_reports import repeat_reports
 from .interface import GatewayInterface
+from .replicas.cold_limits import refresh_limits
 from .replicas.notices import log_notices
 from .requests.evidence import sweep_evidence
 from .requests.progress import sweep_exchanges
@@ -39,6 +40,8 @@
     gateway.fleet.seeds = settings.seeds
     gateway.fleet.regions.update(settings.regions)
     gateway.fleet.bound(settings.stable_ms)
+    gateway.cold_rules = settings.cold_rules
+    refresh_limits(gateway)
     gateway.fleet.own.capacity_millicores = settings.capacity_millicores
     gateway.act(WriteLine('reloaded', {'seeds': list(settings.seeds)}))
 
--- a/beechbridge/gateway/models.py
+++ b/beechbridge/gateway/models.py
@@ -109,9 +109,11 @@
     :param is_leaving: it is about to stop and wants no new requests
     :param retry_after_ms: milliseconds for which it wants no requests of this VM, None if it has
         not said so
+    :param cold_ms: milliseconds for which it stays cold, 0 if it is warm, None if it has not said
+        either
     """
 
-    __slots__ = ('is_leaving', 'is_limit_unreadable', 'limit_per_s', 'retry_after_ms')
+    __slots__ = ('cold_ms', 'is_leaving', 'is_limit_unreadable', 'limit_per_s', 'retry_after_ms')
 
     def __init__(
         self,
@@ -119,7 +121,9 @@
         is_limit_unreadable: bool = False,
         is_leaving: bool = False,
         retry_after_ms: float | None = None,
+        cold_ms: float | None = None,
     ):
+        self.cold_ms = cold_ms
         self.limit_per_s = limit_per_s
         self.is_limit_unreadable = is_limit_unreadable
         self.is_leaving = is_leaving
--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -10,6 +10,7 @@
 from .actions import MAX_REPLY_BYTES, AnswerRequest, DropConnection, GatewayAction, WriteLine
 from .events import OrderReceived, RelayReceived, RequestReceived
 from .fleet.aggregators import Aggregators
+from .fleet.cold_reports import send_cold_reports
 from .fleet.gossip import Gossip, HeartbeatTimer
 from .fleet.members import MAX_MESH_SIZE, Fleet
 from .fleet.placement import Activity, Placement
@@ -22,6 +23,7 @@
 from .maintenance import SWEEP_INTERVAL_MS, SweepTimer
 from .member import Member
 from .models import ReplicaEntry
+from .replicas.cold import ColdRules
 from .replicas.decoding import UnreadableItems
 from .replicas.limits import Limits
 from .replicas.notices import NoticeBook
@@ -62,6 +64,7 @@
     :param is_first_start: whether the whole system starts for the first time, so that there is
         nothing that it may have forgotten
     :param stable_ms: time in milliseconds within which the fleet has to notice that a VM ended
+    :param cold_rules: how many requests a cold replica may get
     :param last_sharing_count: number of VMs sharing the connections at the last sweep
     """
 
@@ -72,6 +75,7 @@
         'budget_rules',
         'budgets',
         'caller_timeouts',
+        'cold_rules',
         'counters',
         'decode_item',
         'evidence',
@@ -120,8 +124,10 @@
         max_reply_bytes: int = MAX_REPLY_BYTES,
         is_first_start: bool = True,
         stable_ms: float | None = None,
+        cold_rules: ColdRules | None = None,
     ):
         self.max_reply_bytes = max_reply_bytes
+        self.cold_rules = cold_rules or ColdRules()
         self.fleet = Fleet(own, seeds, regions, stable_ms)
         self.gossip = Gossip()
         self.pulls = Pulls()
@@ -182,6 +188,7 @@
         handle_event(event, self)
         send_pending(self)
         report_suspects(self)
+        send_cold_reports(self)
         return self.pop_actions()
 
     def recover(self, event: object, defect: dict) -> list[GatewayAction]:
--- a/beechbridge/gateway/replicas/limits.py
+++ b/beechbridge/gateway/replicas/limits.py
@@ -13,7 +13,7 @@
 from ..actions import WriteLine
 from ..interface import GatewayInterface
 from ..member import Member
-from ..permits import OUTRANKED, PermitsWanted
+from ..permits import OUTRANKED, ColdTerms, PermitsWanted
 from .notices import MAX_LIMIT_PER_S
 from .upstreams import ReplicaState
 
@@ -43,6 +43,17 @@
 """Time after a start in which a VM that knows no other one grants no permits: others may be
 starting too."""
 
+TAKEOVER_MS = 1_000.0
+"""Time after a start, or after a change of the keeper whose predecessor lives, in which a keeper
+grants no permits for cold replicas: some VMs still ask the predecessor."""
+
+RESTART_GAP_MS = 1_000.0
+"""Time without requests for permits after which a bucket starts empty if its replica has turned
+cold meanwhile: it got requests without permits."""
+
+OTHER_KEEPER_WAIT_MS = 200
+"""Wait that a VM states that is asked for a permit for a cold replica and is not its keeper."""
+
 KEEPER_INTERVAL_MS = 400.0
 """Interval between choices of the keepers: one heartbeat."""
 
@@ -55,18 +66,29 @@
 
     :param filled_ms: time in milliseconds up to which tokens were added
     :param demand: permits that were asked for, decaying with time
+    :param cold_burst: requests that may be sent at once while the replica is cold, else None
     """
 
-    __slots__ = ('demand', 'filled_ms', 'limit_per_s', 'tokens')
+    __slots__ = ('cold_burst', 'demand', 'filled_ms', 'limit_per_s', 'tokens')
 
     def __init__(self, limit_per_s: float, now_ms: float):
         self.limit_per_s = limit_per_s
         self.tokens = 0.0
         self.demand = 0.0
         self.filled_ms = now_ms
-
-    def fill(self, limit_per_s: float, now_ms: float) -> None:
-        """Add the tokens of the time that has passed, then apply the limit that is in force."""
+        self.cold_burst: float | None = None
+
+    def fill(self, limit_per_s: float, now_ms: float, terms: ColdTerms | None = None) -> None:
+        """
+        Add the tokens of the time that has passed, then apply the limit that is in force.
+
+        :param terms: terms of a cold replica
+        """
+        gap_ms = now_ms - self.filled_ms
+        if terms is not None and gap_ms >= RESTART_GAP_MS and terms.age_ms < gap_ms:
+            self.tokens = 0.0
+            self.filled_ms = now_ms
+        self.cold_burst = None if terms is None else terms.burst
         elapsed_s = (now_ms - self.filled_ms) / 1000.0
         self.filled_ms = now_ms
         self.demand *= math.exp(-elapsed_s / DEMAND_WINDOW_S)
@@ -77,7 +99,8 @@
     @property
     def burst(self) -> float:
         """Return how many requests may be sent at once."""
-        return FIXED_BURST + BURST_S * self.limit_per_s
+        burst = FIXED_BURST + BURST_S * self.limit_per_s
+        return burst if self.cold_burst is None else min(burst, self.cold_burst)
 
     def highest_rank(self) -> float:
         """Return the rank up to which requests can be served: more of them if tokens are left."""
@@ -102,22 +125,30 @@
 
     :param buckets: bucket by replica ID, for the replicas of this VM's data centre
     :param keepers: keeper and time in milliseconds of its choice, by data centre
+    :param turned_cold: replicas, by ID, of which this event has shown that they have turned cold
+    :param unannounced: those that this VM, as their keeper, is about to tell all others
+    :param taken_over_ms: time in milliseconds when this VM replaced a keeper that lives
     """
 
-    __slots__ = ('buckets', 'keepers')
+    __slots__ = ('buckets', 'keepers', 'taken_over_ms', 'turned_cold', 'unannounced')
 
     def __init__(self):
         self.buckets: dict[str, LimitBucket] = {}
         self.keepers: dict[str, tuple[Member, float]] = {}
+        self.taken_over_ms = -TAKEOVER_MS
+        self.turned_cold: dict[str, ReplicaState] = {}
+        self.unannounced: dict[str, ReplicaState] = {}
 
-    def fill(self, replica_id: str, limit_per_s: float, now_ms: float) -> LimitBucket:
+    def fill(
+        self, replica_id: str, limit_per_s: float, now_ms: float, terms: ColdTerms | None = None
+    ) -> LimitBucket:
         """Return the bucket of a replica, with the tokens that it has now."""
         limit_per_s = min(MAX_LIMIT_PER_S, max(MIN_LIMIT_PER_S, limit_per_s))
         bucket = self.buckets.pop(replica_id, None) or LimitBucket(limit_per_s, now_ms)
         self.buckets[replica_id] = bucket
         if len(self.buckets) > MAX_KEPT_LIMITS:
             self.buckets.pop(next(iter(self.buckets)))
-        bucket.fill(limit_per_s, now_ms)
+        bucket.fill(limit_per_s, now_ms, terms)
         return bucket
 
     def describe(self) -> dict:
@@ -140,6 +171,9 @@
         if keeper is gateway.fleet.own and known is not None:
             # What was collected while another VM was in charge would be a second burst.
             gateway.limits.buckets.clear()
+            before_keeper = gateway.fleet.members.get(known[0].name)
+            if before_keeper is not None and gateway.fleet.is_alive(before_keeper, gateway.now_ms):
+                gateway.limits.taken_over_ms = gateway.now_ms
     gateway.limits.keepers[zone] = (keeper, gateway.now_ms)
     return keeper
 
@@ -154,11 +188,12 @@
 
 def start_bucket(state: ReplicaState, gateway: GatewayInterface) -> None:
     """Begin to collect tokens for a replica that has just named a limit, as its keeper."""
-    limit_per_s = state.notices.limit_per_s
+    limit_per_s = state.notices.limit_at(gateway.now_ms)
     if limit_per_s is None or state.entry.replica_id in gateway.limits.buckets:
         return
     if find_keeper(state.entry.zone, gateway) is gateway.fleet.own:
-        gateway.limits.fill(state.entry.replica_id, limit_per_s, gateway.now_ms)
+        terms = state.notices.cold_terms_at(gateway.now_ms)
+        gateway.limits.fill(state.entry.replica_id, limit_per_s, gateway.now_ms, terms)
 
 
 def is_open(state: ReplicaState, gateway: GatewayInterface) -> bool:
@@ -169,7 +204,7 @@
     now_ms = gateway.now_ms
     if now_ms < notices.paused_until_ms:
         return False
-    if notices.limit_per_s is None:
+    if notices.limit_at(now_ms) is None:
         notices.is_restricted = False
         return True
     return notices.permits.count > 0 and now_ms < notices.permits.valid_until_ms
@@ -181,7 +216,7 @@
     if not notices.is_restricted:
         return False
     now_ms = gateway.now_ms
-    if notices.limit_per_s is None or now_ms < notices.paused_until_ms:
+    if notices.limit_at(now_ms) is None or now_ms < notices.paused_until_ms:
         return False
     return now_ms >= notices.permits.denied_until_ms
 
@@ -196,15 +231,15 @@
     now_ms = gateway.now_ms
     notices = state.notices
     wait_ms = max(0.0, notices.paused_until_ms - now_ms)
-    if notices.limit_per_s is None or is_open(state, gateway):
+    if notices.limit_at(now_ms) is None or is_open(state, gateway):
         return wait_ms
     return max(wait_ms, notices.permits.denied_until_ms - now_ms)
 
 
-def record_send(state: ReplicaState, kind: str) -> None:
+def record_send(state: ReplicaState, kind: str, now_ms: float) -> None:
     """Count a request that is sent to a replica that names a limit, which uses a permit."""
     notices = state.notices
-    if notices.limit_per_s is None:
+    if notices.limit_at(now_ms) is None:
         return
     notices.record_send(kind)
     notices.permits.count = max(0, notices.permits.count - 1)
@@ -222,7 +257,11 @@
         return [wait_ms] * len(message.limits)
     waits_ms = []
     for replica_id, limit_per_s in message.limits:
-        bucket = fill_bucket(replica_id, limit_per_s, gateway)
+        terms = message.cold_terms.get(replica_id)
+        if terms is not None and not may_grant_cold(replica_id, gateway):
+            waits_ms.append(OTHER_KEEPER_WAIT_MS)
+            continue
+        bucket = fill_bucket(replica_id, limit_per_s, terms, gateway)
         bucket.demand += 1.0
         if message.rank > bucket.highest_rank():
             waits_ms.append(OUTRANKED)
@@ -240,9 +279,23 @@
     return waits_ms
 
 
-def fill_bucket(replica_id: str, limit_per_s: float, gateway: GatewayInterface) -> LimitBucket:
+def may_grant_cold(replica_id: str, gateway: GatewayInterface) -> bool:
+    """Return whether this VM may grant permits for a cold replica: no other VM grants any now."""
+    since_ms = max(gateway.started_ms, gateway.limits.taken_over_ms)
+    state = gateway.upstreams.by_id.get(replica_id)
+    if state is not None and find_keeper(state.entry.zone, gateway) is not gateway.fleet.own:
+        return False
+    return gateway.now_ms - since_ms >= TAKEOVER_MS
+
+
+def fill_bucket(
+    replica_id: str, limit_per_s: float, terms: ColdTerms | None, gateway: GatewayInterface
+) -> LimitBucket:
     """Return a replica's bucket, by the lower limit if this VM and the one that asks differ."""
     state = gateway.upstreams.by_id.get(replica_id)
-    if state is not None and state.notices.limit_per_s is not None:
-        limit_per_s = min(limit_per_s, state.notices.limit_per_s)
-    return gateway.limits.fill(replica_id, limit_per_s, gateway.now_ms)
+    if state is not None:
+        own_limit_per_s = state.notices.limit_at(gateway.now_ms)
+        if own_limit_per_s is not None:
+            limit_per_s = min(limit_per_s, own_limit_per_s)
+        terms = terms or state.notices.cold_terms_at(gateway.now_ms)
+    return gateway.limits.fill(replica_id, limit_per_s, gateway.now_ms, terms)
--- a/beechbridge/gateway/replicas/notices.py
+++ b/beechbridge/gateway/replicas/notices.py
@@ -6,6 +6,8 @@
 from ..actions import WriteLine
 from ..interface import GatewayInterface
 from ..models import Notice, ReplicaEntry, Reply
+from ..permits import PERMIT_LIFETIME_MS, ColdTerms
+from .cold import ColdLimit, Coldness
 
 if TYPE_CHECKING:
     from .connections import Exchange
@@ -19,9 +21,6 @@
 MAX_PAUSE_MS = 60_000.0
 """Longest time for which a rejection keeps a replica from being tried again."""
 
-PERMIT_LIFETIME_MS = 500.0
-"""Time after which a permit that was not used is void."""
-
 MAX_SINGLE_LINES = 8
 """Changes of one kind within a sweep up to which each is logged in a line of its own."""
 
@@ -70,11 +69,15 @@
     :param limited_since_ms: time in milliseconds when it first named a limit
     :param limited_ms: time in milliseconds of the latest reply that named a limit
     :param permits: permits to send to it while it names a limit
+    :param coldness: what it has said about being cold
+    :param cold_limit: rate and burst of its permits while it is cold, None if there is no limit
     :param is_restricted: whether a limit or a pause may be in force, for a quick check
     :param sent_counts: sub-requests sent since it named a limit, by kind
     """
 
     __slots__ = (
+        'cold_limit',
+        'coldness',
         'is_leaving',
         'is_restricted',
         'limit_per_s',
@@ -94,6 +97,22 @@
         self.limited_ms = 0.0
         self.permits = Permits()
         self.sent_counts: dict[str, int] = {}
+        self.coldness = Coldness()
+        self.cold_limit: ColdLimit | None = None
+
+    def limit_at(self, now_ms: float) -> float | None:
+        """Return the requests per second that permits are needed for, None if none are."""
+        if self.cold_limit is None or not self.coldness.is_cold(now_ms):
+            return self.limit_per_s
+        if self.limit_per_s is None:
+            return self.cold_limit.rate_per_s
+        return min(self.limit_per_s, self.cold_limit.rate_per_s)
+
+    def cold_terms_at(self, now_ms: float) -> ColdTerms | None:
+        """Return the terms of a permit if it is cold and that bounds its requests."""
+        if self.cold_limit is None or not self.coldness.is_cold(now_ms):
+            return None
+        return ColdTerms(self.cold_limit.burst, now_ms - self.coldness.since_ms)
 
     def record_send(self, kind: str) -> None:
         """Count a sub-request to a replica that names a limit."""
@@ -111,6 +130,10 @@
             fields['limit_age_ms'] = round(now_ms - self.limited_ms)
             fields['sent'] = dict(self.sent_counts)
             fields['denied_for_ms'] = max(0, round(self.permits.denied_until_ms - now_ms))
+        if self.cold_limit is not None and self.coldness.is_cold(now_ms):
+            fields['cold_for_ms'] = round(self.coldness.until_ms - now_ms)
+            fields['cold_age_ms'] = round(now_ms - self.coldness.stated_ms)
+            fields['cold_permits_per_s'] = round(self.cold_limit.rate_per_s, 2)
         return fields
 
 
--- a/beechbridge/gateway/replicas/store_updates.py
+++ b/beechbridge/gateway/replicas/store_updates.py
@@ -10,6 +10,7 @@
 from ..models import Item, ReplicaEntry
 from ..requests.evidence import REMOVED, confirm_end
 from ..routes import RoutingTable
+from .cold_limits import apply_cold_entry, refresh_limits
 from .decoding import decode, log_unreadable, note_unreadable, report_defect
 from .restoration import ConfirmationTimer, start_epoch
 from .upstreams import ReplicaState
@@ -167,6 +168,7 @@
     if current is not None and table.version <= current.version:
         return
     gateway.table = table
+    refresh_limits(gateway)
     gateway.splits.reset()
     if current is None or table.limits != current.limits:
         gateway.act(SetCallerLimits(table.limits))
@@ -203,7 +205,7 @@
             is_changed = known.is_draining != entry.is_draining
             state.entry = entry
             state.missing_since_ms = None
-            state.cold_until_ms = gateway.now_ms + entry.cold_left_ms
+            apply_cold_entry(state, gateway)
             if is_changed:
                 log_replica(entry, 'draining' if entry.is_draining else 'ready', gateway)
             return
@@ -212,6 +214,7 @@
     state = ReplicaState(entry, distance, gateway.now_ms, gateway.notices.find(entry))
     gateway.upstreams.add(state)
     gateway.replica_by_key[key] = state
+    apply_cold_entry(state, gateway)
     if entry.is_draining or not (is_listing and is_new):
         log_replica(entry, 'draining' if entry.is_draining else 'ready', gateway)
     gateway.dispatch_waiting(entry.service)
--- a/beechbridge/gateway/requests/permission.py
+++ b/beechbridge/gateway/requests/permission.py
@@ -37,6 +37,8 @@
 """Permits that one datagram asks for."""
 
 RANK_KEY = 'permits'
+MAX_COLD_AGE_MS = 86_400_000.0
+"""Longest time for which a VM may know that a replica is cold: one day."""
 
 
 class PermitTimer(Record):
@@ -94,10 +96,16 @@
     requests = gateway.permit_requests
     requests.next_id += 1
     limits = []
+    cold_terms = {}
     for request in batch:
-        limits.append((request.state.entry.replica_id, request.state.notices.limit_per_s))
+        replica_id = request.state.entry.replica_id
+        notices = request.state.notices
+        limits.append((replica_id, notices.limit_at(gateway.now_ms)))
+        terms = notices.cold_terms_at(gateway.now_ms)
+        if terms is not None:
+            cold_terms[replica_id] = terms
     rank = find_rank(batch[0].task.work)
-    message = PermitsWanted(requests.next_id, limits, least_count, rank)
+    message = PermitsWanted(requests.next_id, limits, least_count, rank, cold_terms)
     gateway.counters.add('permits_wanted', amount=len(batch))
     if keeper is gateway.fleet.own:
         apply_answer(batch, grant_permits(message, gateway), gateway)
@@ -137,11 +145,13 @@
     """Grant another VM what the limits allow."""
     limits = message.limits[:MAX_PERMITS_PER_MESSAGE]
     has_odd_limit = any(not 0.0 <= limit_per_s <= MAX_LIMIT_PER_S for _, limit_per_s in limits)
-    if has_odd_limit or not 0.0 <= message.rank <= 1.0:
+    if has_odd_limit or has_odd_terms(message) or not 0.0 <= message.rank <= 1.0:
         gateway.counters.add('permits_unreadable')
         return
     least_count = max(0, min(message.least_count, len(limits)))
-    checked = PermitsWanted(message.batch_id, limits, least_count, message.rank)
+    checked = PermitsWanted(
+        message.batch_id, limits, least_count, message.rank, message.cold_terms
+    )
     waits_ms = grant_permits(checked, gateway)
     gateway.counters.add('permits_granted', amount=waits_ms.count(0))
     gateway.counters.add('permits_denied', amount=len(waits_ms) - waits_ms.count(0))
@@ -149,6 +159,14 @@
     gateway.act(SendPermits(sender.host, gateway.fleet.own, answer))
 
 
+def has_odd_terms(message: PermitsWanted) -> bool:
+    """Return whether the terms of a cold replica are out of their bounds."""
+    for terms in message.cold_terms.values():
+        if not 0.0 <= terms.burst <= MAX_LIMIT_PER_S or not 0.0 <= terms.age_ms <= MAX_COLD_AGE_MS:
+            return True
+    return False
+
+
 @handle_message.register
 def handle_answered(message: PermitsAnswered, sender: Member, gateway: GatewayInterface) -> None:
     """Resume the tasks of a batch, with a permit or elsewhere."""
--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -7,6 +7,7 @@
 from ..events import CallerDisconnected, ConnectionEnded, ExchangeEnded, RequestSent
 from ..interface import GatewayInterface
 from ..models import Answer, LinkFailure, LinkFault, PartsReply, RelayReply, Reply
+from ..replicas.cold_limits import apply_cold_reply
 from ..replicas.connections import Exchange
 from ..replicas.limits import is_available, start_bucket
 from ..replicas.notices import apply_notice
@@ -169,6 +170,7 @@
     if reply.notice is not None or state.notices.is_restricted:
         apply_notice(exchange, reply, gateway)
         start_bucket(state, gateway)
+        apply_cold_reply(exchange, reply, gateway)
     if reply.is_other_instance:
         gateway.forget_replica(state, 'its address now belongs to another replica')
     # One without the request's ID may be a late copy of the answer to an earlier request.
--- a/beechbridge/gateway/requests/sending.py
+++ b/beechbridge/gateway/requests/sending.py
@@ -151,7 +151,7 @@
     exchange.is_alone = work.is_trial
     exchange.round_number = work.round_number
     if state.notices.is_restricted:
-        record_send(state, kind)
+        record_send(state, kind, now_ms)
     if task.delivery_count:
         work.extra_count += 1
         gateway.counters.add('repeats', kind)
--- a/beechbridge/gateway/routes.py
+++ b/beechbridge/gateway/routes.py
@@ -73,11 +73,21 @@
     Rules for all replicas of a service.
 
     :param connection_limit: maximum number of connections to one replica from all clients together
+    :param cold_rate_per_s: requests per second that a cold replica tolerates, 0 for no limit
+    :param warmup_ms: how long a replica takes to warm up in milliseconds, 0 if it is not known
     """
 
-    __slots__ = ('connection_limit', 'name')
+    __slots__ = ('cold_rate_per_s', 'connection_limit', 'name', 'warmup_ms')
 
-    def __init__(self, name: str, connection_limit: int):
+    def __init__(
+        self,
+        name: str,
+        connection_limit: int,
+        cold_rate_per_s: float = 0.0,
+        warmup_ms: float = 0.0,
+    ):
+        self.cold_rate_per_s = cold_rate_per_s
+        self.warmup_ms = warmup_ms
         self.name = name
         self.connection_limit = connection_limit
 
--- a/beechbridge/gateway/settings.py
+++ b/beechbridge/gateway/settings.py
@@ -2,6 +2,7 @@
 
 from ..record import Record
 from .actions import MAX_REPLY_BYTES
+from .replicas.cold import ColdRules
 from .requests.budgets import BudgetRules
 
 DEFAULT_REPLY_MEMORY_BYTES = 64 * 1024 * 1024
@@ -39,6 +40,7 @@
     :param answer_memory_bytes: memory for the answers that callers have not taken yet
     :param stable_ms: milliseconds within which the fleet has to notice that a VM ended, None for
         no bound
+    :param cold_rules: how many requests a cold replica may get
     :param is_first_start: whether the whole system starts for the first time
     """
 
@@ -47,6 +49,7 @@
         'budget',
         'callers',
         'capacity_millicores',
+        'cold_rules',
         'directory',
         'grace_ms',
         'host',
@@ -89,7 +92,9 @@
         request_memory_bytes: int = DEFAULT_REQUEST_MEMORY_BYTES,
         is_first_start: bool = True,
         stable_ms: float | None = None,
+        cold_rules: ColdRules | None = None,
     ):
+        self.cold_rules = cold_rules or ColdRules()
         self.stable_ms = stable_ms
         self.is_first_start = is_first_start
         self.name = name
--- a/beechbridge/platform/items.py
+++ b/beechbridge/platform/items.py
@@ -35,6 +35,9 @@
 ByteCount = Annotated[int, Meta(ge=1, le=2**31)]
 Duration = Annotated[float, Meta(ge=0, le=MAX_DURATION_MS)]
 PositiveDuration = Annotated[float, Meta(gt=0, le=MAX_DURATION_MS)]
+Seconds = Annotated[float, Meta(ge=0, le=MAX_DURATION_MS / 1000)]
+Rate = Annotated[float, Meta(ge=0, le=1_000_000)]
+MS_PER_SECOND = 1000.0
 REPLICA_ID = re.compile(r'[!-~]{1,200}')
 """What the header with the expected replica can carry."""
 
@@ -104,6 +107,10 @@
     max_conns: Amount = msgspec.field(name='maxConns')
     """Maximum number of connections to each replica from all clients together."""
 
+    warmup_s: Seconds | UnsetType | None = msgspec.field(name='warmupS', default=UNSET)
+    cold_rate_per_s: Rate | UnsetType | None = msgspec.field(name='coldRateS', default=UNSET)
+    """Requests per second that a cold replica tolerates; 0 or none: no limit."""
+
 
 class LimitsItem(msgspec.Struct):
     """Size and time limits for callers' requests."""
@@ -176,7 +183,12 @@
     routes = [to_route(route, team_homes) for route in item.routes]
     services = {}
     for service in item.services:
-        services[service.name] = ServiceRules(service.name, service.max_conns)
+        services[service.name] = ServiceRules(
+            service.name,
+            service.max_conns,
+            service.cold_rate_per_s or 0.0,
+            (service.warmup_s or 0.0) * MS_PER_SECOND,
+        )
     limits = item.limits
     return RoutingTable(
         item.version,
--- a/beechbridge/platform/names.py
+++ b/beechbridge/platform/names.py
@@ -16,6 +16,9 @@
 REPLICA_LEAVING = 'Server-Leaving'
 """`1` in every answer of a replica that is about to stop."""
 
+REPLICA_COLD = 'Beechbridge-Cold-Ms'
+"""Milliseconds for which a replica stays cold, 0 if it is warm; not in every answer."""
+
 RETRY_AFTER = 'Retry-After'
 """Seconds, which may include fractions; from a replica it concerns only the VM that it answers."""
 
--- a/beechbridge/platform/replicas.py
+++ b/beechbridge/platform/replicas.py
@@ -7,6 +7,7 @@
 from .names import (
     EXPECTED_REPLICA,
     REJECTED,
+    REPLICA_COLD,
     REPLICA_LEAVING,
     REPLICA_LIMIT,
     REQUEST_ID,
@@ -21,6 +22,9 @@
 
 MS_PER_SECOND = 1000.0
 LEAVING_VALUE = '1'
+MAX_COLD_MS = 86_400_000.0
+"""One day: no replica takes longer to warm up, see `items.MAX_DURATION_MS`."""
+
 DECIMAL = re.compile(r'[0-9]{1,9}(\.[0-9]{0,30})?|\.[0-9]{1,30}')
 WHOLE_SECONDS = re.compile(r'[0-9]{1,9}')
 
@@ -138,6 +142,16 @@
         ensure_notice(reply).is_leaving = True
 
 
+def read_cold(reply: Reply, value: str) -> None:
+    """Apply the header with the time for which a replica stays cold; the longest counts."""
+    for text in value.split(','):
+        cold_ms = read_decimal(text)
+        if cold_ms is None or cold_ms > MAX_COLD_MS:
+            continue
+        notice = ensure_notice(reply)
+        notice.cold_ms = max(notice.cold_ms or 0.0, cold_ms)
+
+
 def read_retry_after(reply: Reply, value: str) -> None:
     """Apply the `Retry-After` header of a rejection; the longest counts if there are several."""
     if reply.status not in BUSY_STATUSES:
@@ -171,6 +185,7 @@
     REJECTED.lower(): read_rejection,
     REPLICA_LIMIT.lower(): read_limit,
     REPLICA_LEAVING.lower(): read_leaving,
+    REPLICA_COLD.lower(): read_cold,
     RETRY_AFTER.lower(): read_retry_after,
     'connection': read_connection,
     'keep-alive': read_keep_alive,
--- a/beechbridge/platform/settings.py
+++ b/beechbridge/platform/settings.py
@@ -11,6 +11,7 @@
 from ..failures import Failure, InputFailure
 from ..fields import decode_toml, describe_read_error
 from ..gateway.actions import MAX_REPLY_BYTES
+from ..gateway.replicas.cold import ColdRules
 from ..gateway.requests.budgets import BudgetRules
 from ..gateway.settings import Address, GatewaySettings
 from ..hosts import ADDRESS_PATTERN, HOST_PATTERN
@@ -61,6 +62,10 @@
     budget_extra: Amount = msgspec.field(name='budgetExtra', default=0.0)
     """Extra attempts that the whole fleet may send in one window in addition to the ratio."""
 
+    cold_excess: Amount = msgspec.field(name='coldExcess', default=1.0)
+    cold_slack: Amount = msgspec.field(name='coldSlack', default=1.0)
+    """A cold replica that tolerates r requests a second may get r * `coldExcess` + `coldSlack`."""
+
     stable_ms: PositiveMilliseconds | None = msgspec.field(name='stableMs', default=None)
     """Time within which the fleet has to notice a change; an ended VM may be named 3 s longer."""
 
@@ -141,6 +146,7 @@
         grace_ms=bounds.grace_s * MS_PER_SECOND,
         max_ttl_s=bounds.directory_ttl_s,
         stable_ms=bounds.stable_ms,
+        cold_rules=ColdRules(bounds.cold_excess, bounds.cold_slack),
         capacity_millicores=int(file.limits.cpu_share * file.limits.cores * MILLICORES_PER_CORE),
         max_reply_bytes=max_reply_bytes,
         is_first_start=file.bootstrap,
--- a/beechbridge/wire/fleet.py
+++ b/beechbridge/wire/fleet.py
@@ -3,9 +3,16 @@
 from functools import singledispatch
 
 from ..failures import Executed, Failure, InputFailure, Reason, not_run
-from ..gateway.actions import SendHeartbeat, SendOrder, SendPermits, SendSuspects
+from ..gateway.actions import (
+    SendColdReplicas,
+    SendHeartbeat,
+    SendOrder,
+    SendPermits,
+    SendSuspects,
+)
 from ..gateway.events import (
     ChangesReceived,
+    ColdReplicasReceived,
     HeartbeatReceived,
     PermitsReceived,
     SuspectsReceived,
@@ -17,7 +24,7 @@
     PartsOrder,
     PartsReply,
 )
-from ..gateway.permits import PermitMessage, PermitsAnswered, PermitsWanted
+from ..gateway.permits import ColdReplica, ColdTerms, PermitMessage, PermitsAnswered, PermitsWanted
 from ..gateway.replicas.store_view import ALL_PREFIXES, MAX_KEY_LENGTH, MAX_REVISION
 from ..gateway.suspects import EndReport, SuspectReport, SuspectsReport
 from .frames import DECODE_ERRORS, decode_struct, encode_struct
@@ -80,7 +87,14 @@
 @set_permits.register
 def set_permits_wanted(message: PermitsWanted, frame: ttypes.Heartbeat) -> None:
     """Set the field with the permits that a VM asks for."""
-    permits = [ttypes.WantedPermit(*limit) for limit in message.limits]
+    permits = []
+    for replica_id, limit_per_s in message.limits:
+        permit = ttypes.WantedPermit(replica_id, limit_per_s)
+        terms = message.cold_terms.get(replica_id)
+        if terms is not None:
+            permit.burst = terms.burst
+            permit.cold_age_ms = round(terms.age_ms)
+        permits.append(permit)
     frame.permits_wanted = ttypes.PermitsWanted(
         message.batch_id, permits, message.least_count, message.rank
     )
@@ -111,6 +125,26 @@
     return encode_struct(frame)
 
 
+def encode_cold_replicas(action: SendColdReplicas) -> bytes:
+    """Encode which replicas have turned cold, as a heartbeat without news of its own."""
+    frame = ttypes.Heartbeat([encode_member(action.sender)], 0, 0, False, 0)
+    frame.cold_replicas = [
+        ttypes.ColdReplica(one.replica_id, one.started_ms, round(one.left_ms))
+        for one in action.replicas
+    ]
+    return encode_struct(frame)
+
+
+def read_cold_replicas(frame: ttypes.Heartbeat) -> list[ColdReplica] | None:
+    """Return the cold replicas that a frame names, None if it is not about them."""
+    if frame.cold_replicas is None:
+        return None
+    return [
+        ColdReplica(one.replica_id, one.started_ms, float(one.left_ms))
+        for one in frame.cold_replicas
+    ]
+
+
 def read_suspects(frame: ttypes.Heartbeat) -> SuspectsReport | None:
     """Return the evidence that a frame carries, None if there is none."""
     if frame.suspects is None:
@@ -128,7 +162,7 @@
 
 def decode_datagram(
     data: bytes,
-) -> HeartbeatReceived | PermitsReceived | SuspectsReceived | Failure:
+) -> HeartbeatReceived | PermitsReceived | SuspectsReceived | ColdReplicasReceived | Failure:
     """Decode a heartbeat, a message about permits, or evidence against requests."""
     frame = decode(data, ttypes.Heartbeat)
     if isinstance(frame, Failure):
@@ -154,6 +188,9 @@
     suspects = read_suspects(frame)
     if suspects is not None and members:
         return SuspectsReceived(members[0], suspects)
+    cold_replicas = read_cold_replicas(frame)
+    if cold_replicas is not None and members:
+        return ColdReplicasReceived(members[0], cold_replicas)
     return HeartbeatReceived(
         members,
         frame.table_version,
@@ -169,7 +206,12 @@
     wanted = frame.permits_wanted
     if wanted is not None:
         limits = [(permit.replica_id, permit.limit_per_s) for permit in wanted.permits]
-        return PermitsWanted(wanted.batch_id, limits, wanted.least_count, wanted.rank)
+        cold_terms = {}
+        for permit in wanted.permits:
+            if permit.burst is not None:
+                terms = ColdTerms(permit.burst, float(permit.cold_age_ms or 0))
+                cold_terms[permit.replica_id] = terms
+        return PermitsWanted(wanted.batch_id, limits, wanted.least_count, wanted.rank, cold_terms)
     answered = frame.permits_answered
     if answered is not None:
         return PermitsAnswered(answered.batch_id, answered.waits_ms)
--- a/beechbridge/wire/peer.thrift
+++ b/beechbridge/wire/peer.thrift
@@ -115,9 +115,12 @@
   12: optional i64 age_ms
 }
 
+// `burst` is set for a cold replica, `cold_age_ms` says for how long the sender knows that it is cold.
 struct WantedPermit {
   1: required string replica_id
   2: required double limit_per_s
+  3: optional double burst
+  4: optional i64 cold_age_ms
 }
 
 // Asks the keeper of replicas' limits for permission to send one request to each. `rank` is a
@@ -159,6 +162,13 @@
   2: required i64 memory_age_ms
 }
 
+// A replica that has turned cold, and for how long it stays so from when the message was sent.
+struct ColdReplica {
+  1: required string replica_id
+  2: required i64 started_ms
+  3: required i64 left_ms
+}
+
 // The first member is the sender. `wants_members` requests all members that the receiver knows.
 struct Heartbeat {
   1: required list<FleetMember> members
@@ -169,6 +179,7 @@
   6: optional PermitsWanted permits_wanted
   7: optional PermitsAnswered permits_answered
   8: optional SuspectsReport suspects
+  9: optional list<ColdReplica> cold_replicas
 }
 
 // An item without a value has been deleted.
--- a/beechbridge/wire/peer/ttypes.py
+++ b/beechbridge/wire/peer/ttypes.py
@@ -1792,18 +1792,24 @@
     Attributes:
      - replica_id
      - limit_per_s
+     - burst
+     - cold_age_ms
 
     """
 
     __slots__ = (
         'replica_id',
         'limit_per_s',
+        'burst',
+        'cold_age_ms',
     )
 
 
-    def __init__(self, replica_id=None, limit_per_s=None,):
+    def __init__(self, replica_id=None, limit_per_s=None, burst=None, cold_age_ms=None,):
         self.replica_id = replica_id
         self.limit_per_s = limit_per_s
+        self.burst = burst
+        self.cold_age_ms = cold_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1824,6 +1830,16 @@
                     self.limit_per_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.burst = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.cold_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1842,6 +1858,14 @@
             oprot.writeFieldBegin('limit_per_s', TType.DOUBLE, 2)
             oprot.writeDouble(self.limit_per_s)
             oprot.writeFieldEnd()
+        if self.burst is not None:
+            oprot.writeFieldBegin('burst', TType.DOUBLE, 3)
+            oprot.writeDouble(self.burst)
+            oprot.writeFieldEnd()
+        if self.cold_age_ms is not None:
+            oprot.writeFieldBegin('cold_age_ms', TType.I64, 4)
+            oprot.writeI64(self.cold_age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2422,6 +2446,104 @@
         return not (self == other)
 
 
+class ColdReplica(object):
+    """
+    Attributes:
+     - replica_id
+     - started_ms
+     - left_ms
+
+    """
+
+    __slots__ = (
+        'replica_id',
+        'started_ms',
+        'left_ms',
+    )
+
+
+    def __init__(self, replica_id=None, started_ms=None, left_ms=None,):
+        self.replica_id = replica_id
+        self.started_ms = started_ms
+        self.left_ms = left_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.replica_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.left_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ColdReplica')
+        if self.replica_id is not None:
+            oprot.writeFieldBegin('replica_id', TType.STRING, 1)
+            oprot.writeString(self.replica_id.encode('utf-8') if sys.version_info[0] == 2 else self.replica_id)
+            oprot.writeFieldEnd()
+        if self.started_ms is not None:
+            oprot.writeFieldBegin('started_ms', TType.I64, 2)
+            oprot.writeI64(self.started_ms)
+            oprot.writeFieldEnd()
+        if self.left_ms is not None:
+            oprot.writeFieldBegin('left_ms', TType.I64, 3)
+            oprot.writeI64(self.left_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.replica_id is None:
+            raise TProtocolException(message='Required field replica_id is unset!')
+        if self.started_ms is None:
+            raise TProtocolException(message='Required field started_ms is unset!')
+        if self.left_ms is None:
+            raise TProtocolException(message='Required field left_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Heartbeat(object):
     """
     Attributes:
@@ -2433,6 +2555,7 @@
      - permits_wanted
      - permits_answered
      - suspects
+     - cold_replicas
 
     """
 
@@ -2445,10 +2568,11 @@
         'permits_wanted',
         'permits_answered',
         'suspects',
+        'cold_replicas',
     )
 
 
-    def __init__(self, members=None, table_version=None, revision=None, wants_members=None, epoch=None, permits_wanted=None, permits_answered=None, suspects=None,):
+    def __init__(self, members=None, table_version=None, revision=None, wants_members=None, epoch=None, permits_wanted=None, permits_answered=None, suspects=None, cold_replicas=None,):
         self.members = members
         self.table_version = table_version
         self.revision = revision
@@ -2457,6 +2581,7 @@
         self.permits_wanted = permits_wanted
         self.permits_answered = permits_answered
         self.suspects = suspects
+        self.cold_replicas = cold_replicas
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2516,6 +2641,17 @@
                     self.suspects.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.cold_replicas = []
+                    (_etype203, _size200) = iprot.readListBegin()
+                    for _i204 in range(_size200):
+                        _elem205 = ColdReplica()
+                        _elem205.read(iprot)
+                        self.cold_replicas.append(_elem205)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2561,6 +2697,13 @@
             oprot.writeFieldBegin('suspects', TType.STRUCT, 8)
             self.suspects.write(oprot)
             oprot.writeFieldEnd()
+        if self.cold_replicas is not None:
+            oprot.writeFieldBegin('cold_replicas', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.cold_replicas))
+            for iter206 in self.cold_replicas:
+                iter206.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4241,6 +4384,8 @@
     None,  # 0
     (1, TType.STRING, 'replica_id', 'UTF8', None, ),  # 1
     (2, TType.DOUBLE, 'limit_per_s', None, None, ),  # 2
+    (3, TType.DOUBLE, 'burst', None, None, ),  # 3
+    (4, TType.I64, 'cold_age_ms', None, None, ),  # 4
 )
 all_structs.append(PermitsWanted)
 PermitsWanted.thrift_spec = (
@@ -4279,6 +4424,13 @@
     (1, TType.LIST, 'suspects', (TType.STRUCT, [SuspectReport, None], False), None, ),  # 1
     (2, TType.I64, 'memory_age_ms', None, None, ),  # 2
 )
+all_structs.append(ColdReplica)
+ColdReplica.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'replica_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'started_ms', None, None, ),  # 2
+    (3, TType.I64, 'left_ms', None, None, ),  # 3
+)
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
     None,  # 0
@@ -4290,6 +4442,7 @@
     (6, TType.STRUCT, 'permits_wanted', [PermitsWanted, None], None, ),  # 6
     (7, TType.STRUCT, 'permits_answered', [PermitsAnswered, None], None, ),  # 7
     (8, TType.STRUCT, 'suspects', [SuspectsReport, None], None, ),  # 8
+    (9, TType.LIST, 'cold_replicas', (TType.STRUCT, [ColdReplica, None], False), None, ),  # 9
 )
 all_structs.append(StoreItem)
 StoreItem.thrift_spec = (
--- a/measure/emulated_actions.py
+++ b/measure/emulated_actions.py
@@ -14,6 +14,7 @@
     FollowStore,
     ProbeReplica,
     PullChanges,
+    SendColdReplicas,
     SendHeartbeat,
     SendOrder,
     SendPermits,
@@ -36,7 +37,12 @@
 from beechbridge.gateway.member import Member
 from beechbridge.gateway.models import LinkFault
 from beechbridge.wire.changes import read_pull, write_changes, write_pull
-from beechbridge.wire.fleet import decode_datagram, encode_heartbeat, encode_suspects
+from beechbridge.wire.fleet import (
+    decode_datagram,
+    encode_cold_replicas,
+    encode_heartbeat,
+    encode_suspects,
+)
 
 from .stand_ins import Cut, EmulatedOrder, EmulatedVm, Job
 
@@ -181,9 +187,20 @@
 @perform.register(SendSuspects)
 def perform_suspects(action: SendSuspects, vm: EmulatedVm, emulator: 'Emulator') -> None:
     """Deliver evidence to the VMs that are up."""
-    event = decode_datagram(encode_suspects(action))
+    deliver_datagram(encode_suspects(action), action.hosts, vm, emulator)
+
+
+@perform.register(SendColdReplicas)
+def perform_cold_replicas(action: SendColdReplicas, vm: EmulatedVm, emulator: 'Emulator') -> None:
+    """Deliver reports on cold replicas to the VMs that are up."""
+    deliver_datagram(encode_cold_replicas(action), action.hosts, vm, emulator)
+
+
+def deliver_datagram(data: bytes, hosts: list[str], vm: EmulatedVm, emulator: 'Emulator') -> None:
+    """Deliver a datagram to other VMs."""
+    event = decode_datagram(data)
     for other in emulator.vms:
-        if other is vm or other.gateway.fleet.own.host not in action.hosts:
+        if other is vm or other.gateway.fleet.own.host not in hosts:
             continue
         delay_ms = emulator.delay_ms(vm, other.gateway.fleet.own.zone)
         emulator.schedule(delay_ms, lambda o=other: emulator.deliver_event(o, event))
--- a/measure/emulator.py
+++ b/measure/emulator.py
@@ -39,6 +39,7 @@
     Reply,
 )
 from beechbridge.gateway.node import Gateway
+from beechbridge.gateway.replicas.cold import ColdRules
 from beechbridge.gateway.requests.budgets import BudgetRules
 from beechbridge.gateway.routes import CallerLimits, Route, RoutingTable, ServiceRules
 from beechbridge.wire.relays import (
@@ -115,10 +116,12 @@
     :param work_ms: median processing time of a request in milliseconds, by route name
     :param deadly_targets: targets of the requests that end each replica that runs them
     :param seed: seed of the random number generator
+    :param cold_rules: how many requests a cold replica may get
     :param stable_ms: milliseconds within which the fleet has to notice that a VM ended, None: any
     """
 
     __slots__ = (
+        'cold_rules',
         'deadly_targets',
         'entries',
         'events',
@@ -142,7 +145,9 @@
         budget: BudgetRules | None = None,
         seed: int = 1,
         stable_ms: float | None = None,
+        cold_rules: ColdRules | None = None,
     ):
+        self.cold_rules = cold_rules
         self.stable_ms = stable_ms
         self.rng = random.Random(seed)
         self.work_ms = work_ms
@@ -170,6 +175,7 @@
                 6_000.0,
                 random.Random(self.rng.getrandbits(64)),
                 stable_ms=stable_ms,
+                cold_rules=cold_rules,
             )
             self.vms.append(EmulatedVm(gateway))
         for vm in self.vms:
@@ -188,16 +194,18 @@
         connection_limit: int = 26,
         version: int = 1,
         document: bytes = b'',
+        cold_rate_per_s: float = 0.0,
     ) -> None:
         """
         Publish a routing table.
 
+        :param cold_rate_per_s: requests per second that a cold replica tolerates, 0 for no limit
         :param document: bytes that the table takes in the store; links of limited speed carry them
         """
         services = {}
         for route in routes:
             for service in route.services:
-                services[service] = ServiceRules(service, connection_limit)
+                services[service] = ServiceRules(service, connection_limit, cold_rate_per_s)
         value = b'table %d %b' % (version, document)
         self.tables[value] = RoutingTable(
             version, routes, services, CallerLimits(16_384, 262_144, 3_000.0, 15_000.0)
@@ -489,6 +497,7 @@
             random.Random(self.rng.getrandbits(64)),
             is_first_start=False,
             stable_ms=self.stable_ms,
+            cold_rules=self.cold_rules,
         )
         vm.is_up = True
         self.perform_all(vm, vm.gateway.start(self.now_ms))
@@ -496,7 +505,7 @@
     def reply(self, job: Job, reply: Reply) -> None:
         """Send a reply to the VM."""
         reply.request_id = job.action.request.request_id
-        reply.notice = job.replica.spec.make_notice(reply.is_rejected)
+        reply.notice = job.replica.spec.make_notice(reply.is_rejected, self.now_ms)
         if job.replica.notice_log is not None:
             told_ms = job.replica.notice_log.told_ms
             told_ms.setdefault(job.vm.gateway.fleet.own.name, self.now_ms)
--- a/measure/notice_log.py
+++ b/measure/notice_log.py
@@ -8,6 +8,7 @@
 LEARNING_MS = 500.0
 """Time after a VM was told of a limit from which its requests count."""
 
+SECOND_MS = 1_000.0
 RATE_FACTOR = 1.5
 FIXED_COUNT = 5
 """Requests that a window may have beyond `RATE_FACTOR` times what the limit allows."""
@@ -52,3 +53,32 @@
             end = bisect_left(times, times[number] + WINDOW_MS)
             highest = max(highest, end - number)
         return highest
+
+
+class ColdLog(NoticeLog):
+    """
+    The requests that reach a replica from when it turned cold.
+
+    :param bound: requests that it may get in one second
+    """
+
+    __slots__ = ('bound',)
+
+    def __init__(self, since_ms: float, bound: float):
+        super().__init__(since_ms)
+        self.bound = bound
+
+    def highest_in_second(self, until_ms: float, delay_ms: float | None = None) -> int:
+        """
+        Return the most requests in any second until a time.
+
+        :param delay_ms: count only requests of VMs that were told this long before, None for all
+        """
+        times = sorted(arrived_ms for arrived_ms, _ in self.arrivals)
+        if delay_ms is not None:
+            times = self.list_informed(delay_ms)
+        times = times[: bisect_left(times, until_ms)]
+        highest = 0
+        for number, time_ms in enumerate(times):
+            highest = max(highest, bisect_left(times, time_ms + SECOND_MS) - number)
+        return highest
--- a/measure/stand_ins.py
+++ b/measure/stand_ins.py
@@ -6,7 +6,7 @@
 from beechbridge.gateway.models import CallerRequest, Notice, ReplicaEntry
 from beechbridge.gateway.node import Gateway
 
-from .notice_log import NoticeLog
+from .notice_log import ColdLog, NoticeLog
 
 NO_PAUSE_MS = float('inf')
 
@@ -24,9 +24,11 @@
     :param limit_per_s: limit that it names in its replies, None for none
     :param is_leaving: whether it states that it is about to stop
     :param retry_after_ms: what it adds to its rejections, None for nothing
+    :param cold_until_ms: time in milliseconds until which it is cold, None if it does not say
     """
 
     __slots__ = (
+        'cold_until_ms',
         'is_dark',
         'is_leaving',
         'limit_per_s',
@@ -51,7 +53,9 @@
         limit_per_s: float | None = None,
         is_leaving: bool = False,
         retry_after_ms: float | None = None,
+        cold_until_ms: float | None = None,
     ):
+        self.cold_until_ms = cold_until_ms
         self.slots = slots
         self.queue_limit = queue_limit
         self.pause_ms = pause_ms
@@ -63,12 +67,15 @@
         self.is_leaving = is_leaving
         self.retry_after_ms = retry_after_ms
 
-    def make_notice(self, is_rejection: bool) -> Notice | None:
+    def make_notice(self, is_rejection: bool, now_ms: float = 0.0) -> Notice | None:
         """Return what the replica states about itself in a reply."""
         retry_after_ms = self.retry_after_ms if is_rejection else None
-        if self.limit_per_s is None and not self.is_leaving and retry_after_ms is None:
+        cold_ms = None
+        if self.cold_until_ms is not None:
+            cold_ms = max(0.0, self.cold_until_ms - now_ms)
+        if (self.limit_per_s, retry_after_ms, cold_ms) == (None,) * 3 and not self.is_leaving:
             return None
-        return Notice(self.limit_per_s, is_leaving=self.is_leaving, retry_after_ms=retry_after_ms)
+        return Notice(self.limit_per_s, False, self.is_leaving, retry_after_ms, cold_ms)
 
 
 class EmulatedReplica:
@@ -110,6 +117,15 @@
         self.spec.limit_per_s = limit_per_s
         self.notice_log = None if limit_per_s is None else NoticeLog(now_ms, limit_per_s)
 
+    def turn_cold(self, now_ms: float, for_ms: float, bound: float) -> None:
+        """
+        Be cold from now on and say so.
+
+        :param bound: requests that it may get in one second
+        """
+        self.spec.cold_until_ms = now_ms + for_ms
+        self.notice_log = ColdLog(now_ms, bound)
+
     def leave(self, now_ms: float) -> None:
         """Say from now on that it leaves."""
         self.spec.is_leaving = True
