--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -22,6 +22,7 @@
     FollowStore,
     ProbeReplica,
     PullChanges,
+    SendColdReplicas,
     SendHeartbeat,
     SendOrder,
     SendPermits,
@@ -57,6 +58,7 @@
 from ..status import ExitStatus
 from ..wire.fleet import (
     decode_datagram,
+    encode_cold_replicas,
     encode_heartbeat,
     encode_permits,
     encode_suspects,
@@ -122,6 +124,7 @@
             settings.max_reply_bytes,
             settings.is_first_start,
             settings.stable_ms,
+            settings.cold_rules,
         )
         self.core.answer_time.is_in_force = settings.has_short_goals
         self.loop = asyncio.new_event_loop()
@@ -408,6 +411,12 @@
     process.send_datagrams(encode_suspects(action), action.hosts)
 
 
+@perform.register
+def perform_send_cold_replicas(action: SendColdReplicas, process: GatewayProcess) -> None:
+    """Tell each of the VMs which replicas have turned cold."""
+    process.send_datagrams(encode_cold_replicas(action), action.hosts)
+
+
 @perform.register
 def perform_probe_replica(action: ProbeReplica, process: GatewayProcess) -> None:
     """Probe the address of a replica."""
--- a/beechbridge/gateway/handlers.py
+++ b/beechbridge/gateway/handlers.py
@@ -6,6 +6,7 @@
     AnswerWritten,
     CallerDisconnected,
     ChangesReceived,
+    ColdReplicasReceived,
     ConnectionEnded,
     DatagramUnreadable,
     ExchangeEnded,
@@ -26,6 +27,11 @@
     SuspectsReceived,
     TimerDue,
 )
+from .fleet.cold_reports import (
+    ColdReportTimer,
+    fire_cold_report,
+    handle_cold_replicas_received,
+)
 from .fleet.gossip import (
     HeartbeatTimer,
     fire_heartbeat,
@@ -119,6 +125,7 @@
     PermitsReceived: handle_permits_received,
     ProbeEnded: handle_probe_ended,
     SuspectsReceived: handle_suspects_received,
+    ColdReplicasReceived: handle_cold_replicas_received,
     SettingsReloaded: handle_settings_reloaded,
     TimerDue: handle_timer_due,
 }
@@ -134,6 +141,7 @@
     RemovalTimer: fire_removal,
     ConfirmationTimer: fire_confirmation,
     PermitTimer: fire_permit_timeout,
+    ColdReportTimer: fire_cold_report,
     CloseTimer: fire_close,
     ExitTimer: fire_exit,
     StartTimer: fire_start,
--- a/beechbridge/gateway/replicas/store_updates.py
+++ b/beechbridge/gateway/replicas/store_updates.py
@@ -12,6 +12,7 @@
 from ..requests.start_queue import release_requests
 from ..requests.unsent import dispatch_anew, withdraw_barred
 from ..routes import RoutingTable
+from .cold_limits import apply_cold_entry, refresh_limits
 from .decoding import (
     Decoded,
     check,
@@ -215,6 +216,7 @@
     if current is not None and table.version <= current.version:
         return
     gateway.table = table
+    refresh_limits(gateway)
     gateway.splits.reset()
     release_requests(gateway)
     if current is None or table.limits != current.limits:
@@ -252,8 +254,8 @@
             is_changed = known.is_draining != entry.is_draining
             state.entry = entry
             state.missing_since_ms = None
-            state.cold_until_ms = gateway.now_ms + entry.cold_left_ms
             mark_evacuated(state, gateway)
+            apply_cold_entry(state, gateway)
             if is_changed:
                 log_replica(entry, 'draining' if entry.is_draining else 'ready', gateway)
             return
@@ -263,6 +265,7 @@
     mark_evacuated(state, gateway)
     gateway.upstreams.add(state)
     gateway.replica_by_key[key] = state
+    apply_cold_entry(state, gateway)
     if entry.is_draining or not (is_listing and is_new):
         log_replica(entry, 'draining' if entry.is_draining else 'ready', gateway)
     gateway.dispatch_waiting(entry.service)
