Choose replicas by expected work where the settings ask for it

Requests that look alike cost replicas very different amounts of work, and the choice by latency counts them all the same. Costs are now learned by route and size of the body, the work outstanding at a replica is known from this VM's exchanges and the replica's load report, and the replica that is expected to be done first is chosen, at random among nearly equal ones. Hedges wait for the expected time.

The emulator no longer loops at the end of a pause of odd length, of which a rest too short to change the time was left.

--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -47,6 +47,7 @@
 from ..gateway.member import Member
 from ..gateway.models import LinkFailure, LinkFault
 from ..gateway.node import Gateway
+from ..gateway.requests.work_estimates import switch_balancing
 from ..gateway.settings import Address, GatewaySettings
 from ..platform.callers import read_request, write_answer
 from ..platform.items import decode_item
@@ -118,6 +119,7 @@
             settings.max_reply_bytes,
             settings.is_first_start,
         )
+        switch_balancing(settings.balances_by_work, self.core)
         self.loop = asyncio.new_event_loop()
         self.loop.set_exception_handler(log_loop_error)
         self.timer: asyncio.TimerHandle | None = None
--- a/beechbridge/gateway/maintenance.py
+++ b/beechbridge/gateway/maintenance.py
@@ -8,6 +8,7 @@
 from .requests.evidence import sweep_evidence
 from .requests.progress import sweep_exchanges
 from .requests.sending import enforce_connection_shares
+from .requests.work_estimates import switch_balancing
 
 SWEEP_INTERVAL_MS = 250.0
 
@@ -31,6 +32,7 @@
     settings = event.settings
     gateway.budget_rules = settings.budget
     gateway.max_reply_bytes = settings.max_reply_bytes
+    switch_balancing(settings.balances_by_work, gateway)
     for budget in gateway.budgets.values():
         budget.rules = settings.budget
     if not gateway.stopping.is_leaving:
--- a/beechbridge/gateway/models.py
+++ b/beechbridge/gateway/models.py
@@ -99,6 +99,25 @@
         )
 
 
+class LoadReport(Record):
+    """
+    Load that a replica reports in one reply.
+
+    :param running: requests that it is processing
+    :param waiting: requests in its queue
+    :param slots: requests that it processes at the same time
+    :param pace_percent: how long work takes there now, 100 as usual
+    """
+
+    __slots__ = ('pace_percent', 'running', 'slots', 'waiting')
+
+    def __init__(self, running: int, waiting: int, slots: int, pace_percent: float = 100.0):
+        self.running = running
+        self.waiting = waiting
+        self.slots = slots
+        self.pace_percent = pace_percent
+
+
 class Notice(Record):
     """
     What a replica states about itself in one reply.
@@ -109,9 +128,10 @@
     :param is_leaving: it is about to stop and wants no new requests
     :param retry_after_ms: milliseconds for which it wants no requests of this VM, None if it has
         not said so
+    :param load: its load, None if it has not reported it
     """
 
-    __slots__ = ('is_leaving', 'is_limit_unreadable', 'limit_per_s', 'retry_after_ms')
+    __slots__ = ('is_leaving', 'is_limit_unreadable', 'limit_per_s', 'load', 'retry_after_ms')
 
     def __init__(
         self,
@@ -119,7 +139,9 @@
         is_limit_unreadable: bool = False,
         is_leaving: bool = False,
         retry_after_ms: float | None = None,
+        load: LoadReport | None = None,
     ):
+        self.load = load
         self.limit_per_s = limit_per_s
         self.is_limit_unreadable = is_limit_unreadable
         self.is_leaving = is_leaving
--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -56,9 +56,7 @@
     send_pending,
 )
 from .requests.permit_requests import PermitRequests
-from .requests.progress import (
-    dispatch_waiting,
-)
+from .requests.progress import dispatch_waiting
 from .requests.splits import Splits
 from .requests.suspicion import SuspicionBook
 from .requests.works import Work
@@ -330,6 +328,7 @@
             'unreadable': self.unreadable.describe(),
             'suspects': self.suspicions.describe(self.now_ms),
             'replicas': replicas,
+            'work': self.upstreams.describe_work(self.now_ms),
             'counters': {
                 f'{name}.{label}' if label else name: value
                 for (name, label), value in sorted(self.counters.values.items())
--- a/beechbridge/gateway/replicas/connections.py
+++ b/beechbridge/gateway/replicas/connections.py
@@ -19,11 +19,19 @@
     :param is_withdrawn: whether the driver was asked not to send the request any more
     :param stalled_at_ms: time in milliseconds from which the replica is suspect if it has not
         answered
+    :param cost_ms: expected work in milliseconds at a replica of usual speed, 0 if
+        nothing was estimated
+    :param wait_ms: time in milliseconds until the replica was expected to start it
+    :param alone_ms: expected time in milliseconds without that wait
+    :param expected_ms: expected time in milliseconds from sending to the reply
     """
 
     __slots__ = (
+        'alone_ms',
         'connection_id',
+        'cost_ms',
         'exchange_id',
+        'expected_ms',
         'is_abandoned',
         'is_alone',
         'is_new',
@@ -34,6 +42,7 @@
         'round_number',
         'sent_ms',
         'stalled_at_ms',
+        'wait_ms',
         'was_sent',
     )
 
@@ -49,6 +58,10 @@
         kind: str = '',
     ):
         self.kind = kind
+        self.cost_ms = 0.0
+        self.wait_ms = 0.0
+        self.alone_ms = 0.0
+        self.expected_ms = 0.0
         self.is_alone = False
         self.round_number = 0
         self.exchange_id = exchange_id
--- a/beechbridge/gateway/replicas/upstreams.py
+++ b/beechbridge/gateway/replicas/upstreams.py
@@ -6,7 +6,10 @@
 from ...core.latency import LatencyEstimate
 from ..models import ReplicaEntry
 from .connections import Exchange, IdleConnection
+from .expected_work import choose_soonest
+from .load_reports import ReplicaWork
 from .notices import ReplicaNotices
+from .work_costs import Demand, WorkBook
 
 OWN_ZONE = 0
 """Distance to a replica in the same data centre; 1 is the same region, 2 another region."""
@@ -74,6 +77,7 @@
     :param replied_ms: time in milliseconds of its latest reply
     :param missing_since_ms: time in milliseconds when its entry went missing while the store was
         unstable, None if it is present
+    :param work: its load and speed, for the choice by expected work
     """
 
     __slots__ = (
@@ -91,6 +95,7 @@
         'sampled_ms',
         'suspect_until_ms',
         'suspicion_ms',
+        'work',
     )
 
     def __init__(
@@ -101,6 +106,7 @@
         notices: ReplicaNotices | None = None,
     ):
         self.entry = entry
+        self.work = ReplicaWork()
         self.distance = distance
         self.notices = notices or ReplicaNotices()
         self.cold_until_ms = now_ms + entry.cold_left_ms
@@ -246,6 +252,7 @@
             'idle': len(self.idle),
             'ratio': round(self.latency_ratio, 2),
             'rejects': round(self.reject_share, 2),
+            **self.work.describe(now_ms),
             **self.notices.describe(now_ms),
         }
 
@@ -255,9 +262,18 @@
     All registered replicas, by service.
 
     :param owners: replica or aggregator of each open connection, by the connection's ID
+    :param work_book: learned costs, None while replicas are chosen by latency
     """
 
-    __slots__ = ('by_id', 'by_service', 'exchanges', 'next_id', 'owners', 'route_latencies')
+    __slots__ = (
+        'by_id',
+        'by_service',
+        'exchanges',
+        'next_id',
+        'owners',
+        'route_latencies',
+        'work_book',
+    )
 
     def __init__(self):
         self.by_id: dict[str, ReplicaState] = {}
@@ -266,6 +282,7 @@
         self.owners: dict[int, ReplicaState] = {}
         self.route_latencies: dict[tuple[str, int], LatencyEstimate] = {}
         self.next_id = 0
+        self.work_book: WorkBook | None = None
 
     def new_id(self) -> int:
         """Return a new ID for an exchange or a connection."""
@@ -287,6 +304,10 @@
             states.remove(state)
         return state.remove_all_idle()
 
+    def describe_work(self, now_ms: float) -> dict | None:
+        """Return the learned costs for the state dump, None while they are not used."""
+        return self.work_book.describe(now_ms) if self.work_book is not None else None
+
     def typical_ms(self, route_name: str, distance: int) -> float:
         """Return the median latency in ms of a route at a distance, an estimate if unknown."""
         estimate = self.route_latencies.get((route_name, distance))
@@ -332,6 +353,7 @@
         rng,
         can_send: Callable[[ReplicaState], bool],
         zones: frozenset[str] | None = None,
+        demand: Demand | None = None,
     ) -> ReplicaState | None:
         """
         Return the nearest replica that is fast enough, or else the fastest.
@@ -341,6 +363,7 @@
         :param limit_ms: expected latency in milliseconds up to which a replica is fast enough
         :param can_send: whether a replica accepts a request now
         :param zones: data centres to which the request is bound, None for all
+        :param demand: what the request needs, None to choose by latency
         """
         by_distance: dict[int, list[ReplicaState]] = {}
         for state in self.usable(service, zones):
@@ -348,6 +371,8 @@
                 continue
             if not state.notices.is_restricted or can_send(state):
                 by_distance.setdefault(state.distance, []).append(state)
+        if demand is not None:
+            return choose_soonest(by_distance, demand, limit_ms, now_ms, rng)
         fastest = None
         fastest_ms = math.inf
         for distance in sorted(by_distance):
--- a/beechbridge/gateway/requests/answers.py
+++ b/beechbridge/gateway/requests/answers.py
@@ -16,6 +16,7 @@
     service_opens_in_ms,
 )
 from .suspicion import Verdict
+from .work_estimates import describe_estimate
 from .works import GatherWork, OrderedWork, SingleWork, Work
 
 RECORD_BYTES = 16
@@ -209,6 +210,7 @@
             missing.append(f'{task.service}:{cause}:{task.run_count}')
     if missing:
         fields['missing'] = missing[:MAX_MISSING_LOGGED]
+    fields.update(describe_estimate(work))
     return fields
 
 
--- a/beechbridge/gateway/requests/hedges.py
+++ b/beechbridge/gateway/requests/hedges.py
@@ -39,9 +39,12 @@
     """Return the age of an exchange in milliseconds at which its task is hedged."""
     task = exchange.owner
     route = task.work.route
-    typical_ms = gateway.upstreams.typical_ms(route.name, exchange.replica.distance)
     factor = HEDGE_FACTOR if route.is_gather else SINGLE_HEDGE_FACTOR
-    delay_ms = factor * typical_ms + HEDGE_BASE_MS
+    if exchange.cost_ms:
+        delay_ms = exchange.wait_ms + factor * exchange.alone_ms + HEDGE_BASE_MS
+    else:
+        typical_ms = gateway.upstreams.typical_ms(route.name, exchange.replica.distance)
+        delay_ms = factor * typical_ms + HEDGE_BASE_MS
     remaining_fraction = gateway.budget(task.service).remaining_fraction(share, gateway.now_ms)
     if remaining_fraction < 0.5:
         delay_ms *= 1.0 + HEDGE_SCARCITY_FACTOR * (0.5 - remaining_fraction)
--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -16,6 +16,7 @@
 from .evidence import REFUSED, acquit, confirm_end, record_loss
 from .sending import abandon_exchange, abort_exchange, dispatch_task, end_exchange
 from .withdrawal import settle_withdrawal, withdraw_unsent
+from .work_estimates import learn_reply
 from .works import CanaryTimer, DeadlineTimer, GatherWork, RetryTimer, SingleWork, Task, Work
 
 SUSPECT_WAIT_FACTOR = 2.0
@@ -169,6 +170,7 @@
     if reply.notice is not None or state.notices.is_restricted:
         apply_notice(exchange, reply, gateway)
         start_bucket(state, gateway)
+    learn_reply(exchange, reply, gateway)
     if reply.is_other_instance:
         gateway.forget_replica(state, 'its address now belongs to another replica')
     # One without the request's ID may be a late copy of the answer to an earlier request.
--- a/beechbridge/gateway/requests/sending.py
+++ b/beechbridge/gateway/requests/sending.py
@@ -18,6 +18,7 @@
 from .candidates import allowed_zones, has_unrestricted, list_usable
 from .holding import hold_task, is_convicted, is_held_back
 from .permit_requests import request_permit
+from .work_estimates import expect_wait_ms, expect_work, is_hedge_late, note_estimate
 from .works import OrderedWork, RetryTimer, Task
 
 FIRST_BACKOFF_MS = 10.0
@@ -51,6 +52,9 @@
         if not task.exchanges:
             wait_for_replica(task, gateway)
         return False
+    if is_hedge and is_hedge_late(task, gateway):
+        gateway.counters.add('late_hedges')
+        return False
     if state.notices.is_restricted and not is_open(state, gateway):
         request_permit(task, state, gateway)
         return False
@@ -78,6 +82,7 @@
 def choose_replica(task: Task, is_hedge: bool, gateway: GatewayInterface) -> ReplicaState | None:
     """Return the replica to send a task to, if there is one; hedges do not ask for permits."""
     can_send = is_open if is_hedge else is_available
+    task.demand = expect_work(task, gateway)
     return gateway.upstreams.choose(
         task.service,
         task.work.route.name,
@@ -88,6 +93,7 @@
         gateway.rng,
         lambda state: can_send(state, gateway),
         allowed_zones(task.work, gateway),
+        task.demand,
     )
 
 
@@ -146,7 +152,9 @@
     typical_ms = gateway.upstreams.typical_ms(work.route.name, state.distance)
     stalled_at_ms = now_ms + max(MIN_STALL_TIMEOUT_MS, STALL_TIMEOUT_FACTOR * typical_ms)
     kind = find_kind(task, is_hedge)
+    wait_ms = expect_wait_ms(task, state, gateway)
     exchange = begin_exchange(task, state, idle, stalled_at_ms, gateway, kind)
+    note_estimate(exchange, task, wait_ms, gateway)
     watch_reach(gateway)
     exchange.is_alone = work.is_trial
     exchange.round_number = work.round_number
--- a/beechbridge/gateway/requests/works.py
+++ b/beechbridge/gateway/requests/works.py
@@ -7,6 +7,7 @@
 from ..models import CallerRequest, LinkFault, Reply
 from ..replicas.connections import Exchange
 from ..replicas.upstreams import ReplicaState
+from ..replicas.work_costs import Demand
 from ..routes import Route
 
 FORGOTTEN_REPLY = Reply(0, [], b'')
@@ -220,12 +221,14 @@
     :param run_count: number of replicas that may have run the task
     :param fault: why there is no reply yet, None if nothing has failed
     :param failed_reply: reply of a replica that reports a failure
+    :param demand: what it needs and which replica was chosen last, None without an estimate
     :param is_denied: whether a permit for it was denied
     """
 
     __slots__ = (
         'backoff_count',
         'delivery_count',
+        'demand',
         'exchanges',
         'excluded_replicas',
         'failed_reply',
@@ -250,6 +253,7 @@
         self.reply: Reply | None = None
         self.failed_reply: Reply | None = None
         self.fault: LinkFault | None = None
+        self.demand: Demand | None = None
         self.is_denied = False
         self.is_open = True
         self.is_waiting = False
--- a/beechbridge/gateway/settings.py
+++ b/beechbridge/gateway/settings.py
@@ -37,11 +37,13 @@
     :param reply_memory_bytes: memory for the replies that are being received
     :param request_memory_bytes: memory for the bodies of requests that come in and wait
     :param answer_memory_bytes: memory for the answers that callers have not taken yet
+    :param balances_by_work: whether replicas are chosen by expected work instead of latency
     :param is_first_start: whether the whole system starts for the first time
     """
 
     __slots__ = (
         'answer_memory_bytes',
+        'balances_by_work',
         'budget',
         'callers',
         'capacity_millicores',
@@ -85,7 +87,9 @@
         answer_memory_bytes: int = DEFAULT_ANSWER_MEMORY_BYTES,
         request_memory_bytes: int = DEFAULT_REQUEST_MEMORY_BYTES,
         is_first_start: bool = True,
+        balances_by_work: bool = False,
     ):
+        self.balances_by_work = balances_by_work
         self.is_first_start = is_first_start
         self.name = name
         self.host = host
--- a/beechbridge/platform/names.py
+++ b/beechbridge/platform/names.py
@@ -16,6 +16,9 @@
 REPLICA_LEAVING = 'Server-Leaving'
 """`1` in every answer of a replica that is about to stop."""
 
+REPLICA_LOAD = 'Beechbridge-Server-Load'
+"""`running,waiting,slots` or `running,waiting,slots,pace` of a replica as it replies."""
+
 RETRY_AFTER = 'Retry-After'
 """Seconds, which may include fractions; from a replica it concerns only the VM that it answers."""
 
@@ -28,5 +31,8 @@
 TABLE_KEY = 'op/config'
 REPLICAS_PREFIX = 'servers/'
 
+BALANCING_VARIABLE = 'BEECHBRIDGE_BALANCING'
+"""Environment variable that says how replicas are chosen, whatever the settings file says."""
+
 SETTINGS_VARIABLE = 'BEECHBRIDGE_SETTINGS'
 """Environment variable with the path of the settings file."""
--- a/beechbridge/platform/replicas.py
+++ b/beechbridge/platform/replicas.py
@@ -3,12 +3,13 @@
 import re
 
 from ..gateway.actions import SendRequest
-from ..gateway.models import Notice, Reply
+from ..gateway.models import LoadReport, Notice, Reply
 from .names import (
     EXPECTED_REPLICA,
     REJECTED,
     REPLICA_LEAVING,
     REPLICA_LIMIT,
+    REPLICA_LOAD,
     REQUEST_ID,
     RETRY_AFTER,
     SIGNATURE,
@@ -23,6 +24,12 @@
 LEAVING_VALUE = '1'
 DECIMAL = re.compile(r'[0-9]{1,9}(\.[0-9]{0,30})?|\.[0-9]{1,30}')
 WHOLE_SECONDS = re.compile(r'[0-9]{1,9}')
+LOAD = re.compile(
+    r' *([0-9]{1,6}) *, *([0-9]{1,6}) *, *([0-9]{1,6}) *(?:, *([0-9]{1,6}(?:\.[0-9]{1,9})?) *)?'
+)
+USUAL_PACE_PERCENT = 100.0
+MAX_PACE_PERCENT = 10_000.0
+"""A pace beyond this or its inverse is no statement: work a hundred times as long or short."""
 
 HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -138,6 +145,20 @@
         ensure_notice(reply).is_leaving = True
 
 
+def read_load(reply: Reply, value: str) -> None:
+    """Apply the header with a replica's load; a value that is not readable says nothing."""
+    match = LOAD.fullmatch(value)
+    if match is None:
+        return
+    running, waiting, slots, pace = match.groups()
+    pace_percent = USUAL_PACE_PERCENT if pace is None else float(pace)
+    is_plausible = 1.0 <= pace_percent <= MAX_PACE_PERCENT
+    if int(slots) and is_plausible:
+        ensure_notice(reply).load = LoadReport(
+            int(running), int(waiting), int(slots), pace_percent
+        )
+
+
 def read_retry_after(reply: Reply, value: str) -> None:
     """Apply the `Retry-After` header of a rejection; the longest counts if there are several."""
     if reply.status not in BUSY_STATUSES:
@@ -171,6 +192,7 @@
     REJECTED.lower(): read_rejection,
     REPLICA_LIMIT.lower(): read_limit,
     REPLICA_LEAVING.lower(): read_leaving,
+    REPLICA_LOAD.lower(): read_load,
     RETRY_AFTER.lower(): read_retry_after,
     'connection': read_connection,
     'keep-alive': read_keep_alive,
--- a/beechbridge/platform/settings.py
+++ b/beechbridge/platform/settings.py
@@ -15,7 +15,7 @@
 from ..gateway.settings import Address, GatewaySettings
 from ..hosts import ADDRESS_PATTERN, HOST_PATTERN
 from ..wire.members import MAX_NAME_LENGTH
-from .names import SETTINGS_VARIABLE
+from .names import BALANCING_VARIABLE, SETTINGS_VARIABLE
 
 AddressText = Annotated[str, Meta(pattern=ADDRESS_PATTERN)]
 HostText = Annotated[str, Meta(pattern=HOST_PATTERN)]
@@ -42,6 +42,12 @@
 BYTE_COUNT = re.compile(r'[1-9][0-9]{0,14}')
 
 
+BALANCING_CONTRACTS = frozenset(('places', 'pressure'))
+"""Contracts under which replicas are chosen by expected work."""
+
+BALANCING_VALUES = {'work': True, 'latency': False}
+
+
 class Listen(msgspec.Struct):
     """Listen addresses of this process, all optional."""
 
@@ -98,6 +104,8 @@
 
     bounds: Bounds = msgspec.field(default_factory=Bounds)
     limits: Limits = msgspec.field(default_factory=Limits)
+    contracts: list[str] = []
+    """Names of the sets of rules in force; unknown ones are ignored."""
 
 
 def to_address(text: str | None) -> Address | None:
@@ -109,13 +117,22 @@
 
 
 def parse_settings(
-    text: str, source: str, max_reply_bytes: int = MAX_REPLY_BYTES
+    text: str,
+    source: str,
+    max_reply_bytes: int = MAX_REPLY_BYTES,
+    balances_by_work: bool | None = None,
 ) -> GatewaySettings | InputFailure:
-    """Decode a settings file."""
+    """
+    Decode a settings file.
+
+    :param balances_by_work: what the environment says, None to decide by the file's contracts
+    """
     file = decode_toml(text, SettingsFile, source)
     if isinstance(file, InputFailure):
         return file
     bounds = file.bounds
+    if balances_by_work is None:
+        balances_by_work = not BALANCING_CONTRACTS.isdisjoint(file.contracts)
     seeds = []
     for seed in file.seeds:
         seeds.append(to_address(seed).host)
@@ -139,6 +156,7 @@
         capacity_millicores=int(file.limits.cpu_share * file.limits.cores * MILLICORES_PER_CORE),
         max_reply_bytes=max_reply_bytes,
         is_first_start=file.bootstrap,
+        balances_by_work=balances_by_work,
         reply_memory_bytes=int(REPLY_MEMORY_FRACTION * file.limits.memory_mb * BYTES_PER_MB),
         request_memory_bytes=int(REQUEST_MEMORY_FRACTION * file.limits.memory_mb * BYTES_PER_MB),
         answer_memory_bytes=int(ANSWER_MEMORY_FRACTION * file.limits.memory_mb * BYTES_PER_MB),
@@ -156,7 +174,20 @@
     max_reply_bytes = read_max_reply_bytes(os.environ.get(MAX_REPLY_VARIABLE))
     if isinstance(max_reply_bytes, Failure):
         return max_reply_bytes
-    return parse_settings(text, path, max_reply_bytes)
+    balances_by_work = read_balancing(os.environ.get(BALANCING_VARIABLE))
+    if isinstance(balances_by_work, Failure):
+        return balances_by_work
+    return parse_settings(text, path, max_reply_bytes, balances_by_work)
+
+
+def read_balancing(text: str | None) -> bool | InputFailure | None:
+    """Return whether the environment wants replicas chosen by work, None if it does not say."""
+    if text is None:
+        return None
+    if text not in BALANCING_VALUES:
+        allowed = '`work`, `latency`, or unset to decide by `contracts` of the settings file'
+        return InputFailure('environment', BALANCING_VARIABLE, text, allowed)
+    return BALANCING_VALUES[text]
 
 
 def read_max_reply_bytes(text: str | None) -> int | InputFailure:
--- a/measure/emulator.py
+++ b/measure/emulator.py
@@ -40,6 +40,7 @@
 )
 from beechbridge.gateway.node import Gateway
 from beechbridge.gateway.requests.budgets import BudgetRules
+from beechbridge.gateway.requests.work_estimates import switch_balancing
 from beechbridge.gateway.routes import CallerLimits, Route, RoutingTable, ServiceRules
 from beechbridge.wire.relays import (
     RELAYS_PATH,
@@ -51,6 +52,7 @@
 
 from .emulated_actions import CONNECT_TIMEOUT_MS, REGION_DELAY_MS, perform
 from .stand_ins import (
+    LONG_FACTOR,
     Cut,
     EmulatedOrder,
     EmulatedReplica,
@@ -342,7 +344,10 @@
         replica.running.append(job)
         path = job.action.request.path
         median_ms = self.work_ms[path.strip('/').partition('/')[0]]
-        work_ms = median_ms * self.rng.lognormvariate(0.0, 0.35) * replica.spec.slow_factor
+        work_ms = median_ms * self.rng.lognormvariate(0.0, replica.spec.spread)
+        work_ms *= replica.spec.slow_factor
+        if replica.spec.long_share and self.rng.random() < replica.spec.long_share:
+            work_ms *= LONG_FACTOR
         work_ms += replica.remaining_pause_ms(self.now_ms)
         self.schedule(work_ms, lambda: self.finish_job(job))
 
@@ -484,13 +489,16 @@
             random.Random(self.rng.getrandbits(64)),
             is_first_start=False,
         )
+        switch_balancing(before.upstreams.work_book is not None, vm.gateway)
         vm.is_up = True
         self.perform_all(vm, vm.gateway.start(self.now_ms))
 
     def reply(self, job: Job, reply: Reply) -> None:
         """Send a reply to the VM."""
         reply.request_id = job.action.request.request_id
-        reply.notice = job.replica.spec.make_notice(reply.is_rejected)
+        replica = job.replica
+        load = len(replica.running), len(replica.queue)
+        reply.notice = replica.spec.make_notice(reply.is_rejected, *load)
         if job.replica.notice_log is not None:
             told_ms = job.replica.notice_log.told_ms
             told_ms.setdefault(job.vm.gateway.fleet.own.name, self.now_ms)
--- a/measure/stand_ins.py
+++ b/measure/stand_ins.py
@@ -3,12 +3,16 @@
 import enum
 
 from beechbridge.gateway.actions import SendOrder, SendRelay, SendRequest, WriteLine
-from beechbridge.gateway.models import CallerRequest, Notice, ReplicaEntry
+from beechbridge.gateway.models import CallerRequest, LoadReport, Notice, ReplicaEntry
 from beechbridge.gateway.node import Gateway
 
 from .notice_log import NoticeLog
 
 NO_PAUSE_MS = float('inf')
+LONG_FACTOR = 5.0
+PAUSE_RESOLUTION_MS = 1e-6
+"""Shorter rests of a pause count as none: added to the time, they would not change it, and the
+pause would never end."""
 
 
 class ReplicaSpec:
@@ -24,19 +28,27 @@
     :param limit_per_s: limit that it names in its replies, None for none
     :param is_leaving: whether it states that it is about to stop
     :param retry_after_ms: what it adds to its rejections, None for nothing
+    :param reports_load: whether its replies report its load
+    :param reported_load: what they report instead of the truth, None for the truth
+    :param spread: standard deviation of the logarithm of the processing time
+    :param long_share: share of requests that take `LONG_FACTOR` times as long
     """
 
     __slots__ = (
         'is_dark',
         'is_leaving',
         'limit_per_s',
+        'long_share',
         'pause_every_ms',
         'pause_ms',
         'queue_limit',
         'reject_share',
+        'reported_load',
+        'reports_load',
         'retry_after_ms',
         'slots',
         'slow_factor',
+        'spread',
     )
 
     def __init__(
@@ -51,7 +63,14 @@
         limit_per_s: float | None = None,
         is_leaving: bool = False,
         retry_after_ms: float | None = None,
+        reports_load: bool = False,
+        spread: float = 0.35,
+        long_share: float = 0.0,
     ):
+        self.reports_load = reports_load
+        self.reported_load: LoadReport | None = None
+        self.spread = spread
+        self.long_share = long_share
         self.slots = slots
         self.queue_limit = queue_limit
         self.pause_ms = pause_ms
@@ -63,12 +82,21 @@
         self.is_leaving = is_leaving
         self.retry_after_ms = retry_after_ms
 
-    def make_notice(self, is_rejection: bool) -> Notice | None:
-        """Return what the replica states about itself in a reply."""
+    def make_notice(self, is_rejection: bool, running: int = 0, waiting: int = 0) -> Notice | None:
+        """Return what the replica states about itself in a reply, with the load that it has."""
+        load = None
+        if self.reports_load:
+            load = self.reported_load or LoadReport(running, waiting, self.slots)
         retry_after_ms = self.retry_after_ms if is_rejection else None
-        if self.limit_per_s is None and not self.is_leaving and retry_after_ms is None:
+        is_silent = self.limit_per_s is None and not self.is_leaving and retry_after_ms is None
+        if is_silent and load is None:
             return None
-        return Notice(self.limit_per_s, is_leaving=self.is_leaving, retry_after_ms=retry_after_ms)
+        return Notice(
+            self.limit_per_s,
+            is_leaving=self.is_leaving,
+            retry_after_ms=retry_after_ms,
+            load=load,
+        )
 
 
 class EmulatedReplica:
@@ -120,7 +148,8 @@
         if self.spec.pause_every_ms == NO_PAUSE_MS:
             return 0.0
         elapsed_ms = (now_ms + self.phase_ms) % self.spec.pause_every_ms
-        return max(0.0, self.spec.pause_ms - elapsed_ms)
+        left_ms = self.spec.pause_ms - elapsed_ms
+        return left_ms if left_ms > PAUSE_RESOLUTION_MS else 0.0
 
 
 class Job:
