--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -48,6 +48,7 @@
 from ..gateway.member import Member
 from ..gateway.models import LinkFailure, LinkFault
 from ..gateway.node import Gateway
+from ..gateway.requests.work_estimates import switch_balancing
 from ..gateway.settings import Address, GatewaySettings
 from ..platform.callers import read_request, write_answer
 from ..platform.early_listener import EarlyListener
@@ -127,6 +128,7 @@
             settings.cold_rules,
         )
         self.core.answer_time.is_in_force = settings.has_short_goals
+        switch_balancing(settings.balances_by_work, self.core)
         self.loop = asyncio.new_event_loop()
         self.loop.set_exception_handler(log_loop_error)
         self.timer: asyncio.TimerHandle | None = None
--- a/beechbridge/gateway/maintenance.py
+++ b/beechbridge/gateway/maintenance.py
@@ -9,6 +9,7 @@
 from .requests.evidence import sweep_evidence
 from .requests.progress import sweep_exchanges
 from .requests.sending import enforce_connection_shares
+from .requests.work_estimates import switch_balancing
 
 SWEEP_INTERVAL_MS = 250.0
 
@@ -33,6 +34,7 @@
     gateway.budget_rules = settings.budget
     gateway.max_reply_bytes = settings.max_reply_bytes
     gateway.answer_time.is_in_force = settings.has_short_goals
+    switch_balancing(settings.balances_by_work, gateway)
     for budget in gateway.budgets.values():
         budget.rules = settings.budget
     if not gateway.stopping.is_leaving:
--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -327,6 +327,7 @@
             'evacuations': describe_evacuations(self),
             'suspects': self.suspicions.describe(self.now_ms),
             'replicas': replicas,
+            'work': self.upstreams.describe_work(self.now_ms),
             'counters': {
                 f'{name}.{label}' if label else name: value
                 for (name, label), value in sorted(self.counters.values.items())
--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -18,6 +18,7 @@
 from .gather_timing import find_due_ms, is_due
 from .sending import abandon_exchange, abort_exchange, dispatch_task, end_exchange
 from .withdrawal import settle_withdrawal, withdraw_unsent
+from .work_estimates import learn_reply
 from .works import CanaryTimer, DeadlineTimer, GatherWork, RetryTimer, SingleWork, Task, Work
 
 SUSPECT_WAIT_FACTOR = 2.0
@@ -172,6 +173,7 @@
         apply_notice(exchange, reply, gateway)
         start_bucket(state, gateway)
         apply_cold_reply(exchange, reply, gateway)
+    learn_reply(exchange, reply, gateway)
     if reply.is_other_instance:
         gateway.forget_replica(state, 'its address now belongs to another replica')
     # One without the request's ID may be a late copy of the answer to an earlier request.
--- a/beechbridge/gateway/settings.py
+++ b/beechbridge/gateway/settings.py
@@ -41,12 +41,14 @@
     :param stable_ms: milliseconds within which the fleet has to notice that a VM ended, None for
         no bound
     :param cold_rules: how many requests a cold replica may get
+    :param balances_by_work: whether replicas are chosen by expected work instead of latency
     :param is_first_start: whether the whole system starts for the first time
     :param has_short_goals: whether answers are timed to reach clients within their goals
     """
 
     __slots__ = (
         'answer_memory_bytes',
+        'balances_by_work',
         'budget',
         'callers',
         'capacity_millicores',
@@ -96,10 +98,12 @@
         stable_ms: float | None = None,
         has_short_goals: bool = False,
         cold_rules: ColdRules | None = None,
+        balances_by_work: bool = False,
     ):
         self.cold_rules = cold_rules or ColdRules()
         self.stable_ms = stable_ms
         self.has_short_goals = has_short_goals
+        self.balances_by_work = balances_by_work
         self.is_first_start = is_first_start
         self.name = name
         self.host = host
--- a/beechbridge/platform/early_listener.py
+++ b/beechbridge/platform/early_listener.py
@@ -11,7 +11,7 @@
 import socket
 import tomllib
 
-from .names import SETTINGS_VARIABLE, SHORT_GOAL_CONTRACTS
+from .names import SETTINGS_VARIABLE, UNEVEN_LOAD_CONTRACTS
 
 BACKLOG = 512
 
@@ -39,7 +39,7 @@
     try:
         with open(os.environ[SETTINGS_VARIABLE], 'rb') as file:
             settings = tomllib.load(file)
-        if SHORT_GOAL_CONTRACTS.isdisjoint(settings['contracts']):
+        if UNEVEN_LOAD_CONTRACTS.isdisjoint(settings['contracts']):
             return None
         address = settings['listen']['front']
         return EarlyListener(address, open_listener(address))
--- a/beechbridge/platform/names.py
+++ b/beechbridge/platform/names.py
@@ -19,6 +19,9 @@
 REPLICA_COLD = 'Beechbridge-Cold-Ms'
 """Milliseconds for which a replica stays cold, 0 if it is warm; not in every answer."""
 
+REPLICA_LOAD = 'Beechbridge-Server-Load'
+"""`running,waiting,slots` or `running,waiting,slots,pace` of a replica as it replies."""
+
 RETRY_AFTER = 'Retry-After'
 """Seconds, which may include fractions; from a replica it concerns only the VM that it answers."""
 
@@ -34,8 +37,12 @@
 """Prefix of the items that each evacuate the data centre whose name follows."""
 
 
-SHORT_GOAL_CONTRACTS = frozenset(('places', 'pressure'))
-"""Sets of rules under which answers are timed by their latency goals."""
+UNEVEN_LOAD_CONTRACTS = frozenset(('places', 'pressure'))
+"""Sets of rules under which answers are timed by their latency goals, and replicas are chosen by
+expected work."""
+
+BALANCING_VARIABLE = 'BEECHBRIDGE_BALANCING'
+"""Environment variable that says how replicas are chosen, whatever the settings file says."""
 
 SETTINGS_VARIABLE = 'BEECHBRIDGE_SETTINGS'
 """Environment variable with the path of the settings file."""
--- a/measure/stand_ins.py
+++ b/measure/stand_ins.py
@@ -3,12 +3,16 @@
 import enum
 
 from beechbridge.gateway.actions import SendOrder, SendRelay, SendRequest, WriteLine
-from beechbridge.gateway.models import CallerRequest, Notice, ReplicaEntry
+from beechbridge.gateway.models import CallerRequest, LoadReport, Notice, ReplicaEntry
 from beechbridge.gateway.node import Gateway
 
 from .notice_log import ColdLog, NoticeLog
 
 NO_PAUSE_MS = float('inf')
+LONG_FACTOR = 5.0
+PAUSE_RESOLUTION_MS = 1e-6
+"""Shorter rests of a pause count as none: added to the time, they would not change it, and the
+pause would never end."""
 
 
 class ReplicaSpec:
@@ -25,6 +29,10 @@
     :param is_leaving: whether it states that it is about to stop
     :param retry_after_ms: what it adds to its rejections, None for nothing
     :param cold_until_ms: time in milliseconds until which it is cold, None if it does not say
+    :param reports_load: whether its replies report its load
+    :param reported_load: what they report instead of the truth, None for the truth
+    :param spread: standard deviation of the logarithm of the processing time
+    :param long_share: share of requests that take `LONG_FACTOR` times as long
     """
 
     __slots__ = (
@@ -32,13 +40,17 @@
         'is_dark',
         'is_leaving',
         'limit_per_s',
+        'long_share',
         'pause_every_ms',
         'pause_ms',
         'queue_limit',
         'reject_share',
+        'reported_load',
+        'reports_load',
         'retry_after_ms',
         'slots',
         'slow_factor',
+        'spread',
     )
 
     def __init__(
@@ -54,8 +66,15 @@
         is_leaving: bool = False,
         retry_after_ms: float | None = None,
         cold_until_ms: float | None = None,
+        reports_load: bool = False,
+        spread: float = 0.35,
+        long_share: float = 0.0,
     ):
         self.cold_until_ms = cold_until_ms
+        self.reports_load = reports_load
+        self.reported_load: LoadReport | None = None
+        self.spread = spread
+        self.long_share = long_share
         self.slots = slots
         self.queue_limit = queue_limit
         self.pause_ms = pause_ms
@@ -67,15 +86,21 @@
         self.is_leaving = is_leaving
         self.retry_after_ms = retry_after_ms
 
-    def make_notice(self, is_rejection: bool, now_ms: float = 0.0) -> Notice | None:
-        """Return what the replica states about itself in a reply."""
+    def make_notice(
+        self, is_rejection: bool, now_ms: float = 0.0, running: int = 0, waiting: int = 0
+    ) -> Notice | None:
+        """Return what the replica states about itself in a reply, with the load that it has."""
+        load = None
+        if self.reports_load:
+            load = self.reported_load or LoadReport(running, waiting, self.slots)
         retry_after_ms = self.retry_after_ms if is_rejection else None
         cold_ms = None
         if self.cold_until_ms is not None:
             cold_ms = max(0.0, self.cold_until_ms - now_ms)
-        if (self.limit_per_s, retry_after_ms, cold_ms) == (None,) * 3 and not self.is_leaving:
+        stated = (self.limit_per_s, retry_after_ms, cold_ms, load)
+        if stated == (None,) * 4 and not self.is_leaving:
             return None
-        return Notice(self.limit_per_s, False, self.is_leaving, retry_after_ms, cold_ms)
+        return Notice(self.limit_per_s, False, self.is_leaving, retry_after_ms, cold_ms, load)
 
 
 class EmulatedReplica:
@@ -136,7 +161,8 @@
         if self.spec.pause_every_ms == NO_PAUSE_MS:
             return 0.0
         elapsed_ms = (now_ms + self.phase_ms) % self.spec.pause_every_ms
-        return max(0.0, self.spec.pause_ms - elapsed_ms)
+        left_ms = self.spec.pause_ms - elapsed_ms
+        return left_ms if left_ms > PAUSE_RESOLUTION_MS else 0.0
 
 
 class Job:
