--- a/beechbridge/platform/settings.py
+++ b/beechbridge/platform/settings.py
@@ -43,9 +43,6 @@
 MAX_REPLY_VARIABLE = 'BEECHBRIDGE_MAX_REPLY_BYTES'
 BYTE_COUNT = re.compile(r'[1-9][0-9]{0,14}')
 
-
-"""Contracts under which replicas are chosen by expected work."""
-
 BALANCING_VALUES = {'work': True, 'latency': False}
 
 
