Mend the rejection, relays and queues of requests with home regions

A VM without replicas rejected what a VM of a home could serve while the replicas were suspect, and gave up requests in flight that no VM of a home could take. A request bound to a busy home held up others of its service. An order that this VM may send nothing of was taken. A caller that names only its data centre was sent to a home.

--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -38,10 +38,7 @@
 from .replicas.notices import NoticeBook
 from .replicas.reach import Reach
 from .replicas.restoration import RemovedReplicas
-from .replicas.store_updates import (
-    StoreStatus,
-    drop_replica,
-)
+from .replicas.store_updates import StoreStatus, drop_replica
 from .replicas.store_view import StoreView
 from .replicas.upstreams import ReplicaState, Upstreams
 from .requests.budgets import (
@@ -53,9 +50,9 @@
 from .requests.evidence import Evidence
 from .requests.permission import send_pending
 from .requests.permit_requests import PermitRequests
-from .requests.progress import dispatch_waiting
 from .requests.splits import Splits
 from .requests.suspicion import SuspicionBook
+from .requests.waiting import dispatch_waiting
 from .requests.works import Work
 from .routes import RoutingTable
 
@@ -285,6 +282,7 @@
         self.activity.choose(self.fleet, now_ms)
         reaching = self.fleet.reaching(now_ms)
         active = [member for member in reaching if member.name in self.activity.active_names]
+        region = region or self.fleet.regions.get(zone, '')
         members = keep_near_homes(active or reaching, host, region, self.table, self.fleet.regions)
         chosen = self.placement.choose(members, zone, region)
         if len(chosen) <= MAX_ADDRESSES:
--- a/beechbridge/gateway/replicas/upstreams.py
+++ b/beechbridge/gateway/replicas/upstreams.py
@@ -72,6 +72,7 @@
         with time
     :param notices: what it has stated about itself
     :param replied_ms: time in milliseconds of its latest reply
+    :param failed_ms: time in milliseconds of the latest failure that made it suspect
     :param is_evacuated: whether its data centre is evacuated
     :param missing_since_ms: time in milliseconds when its entry went missing while the store was
         unstable, None if it is present
@@ -82,6 +83,7 @@
         'cold_until_ms',
         'distance',
         'entry',
+        'failed_ms',
         'idle',
         'is_evacuated',
         'is_gone',
@@ -116,6 +118,7 @@
         self.is_gone = False
         self.is_evacuated = False
         self.replied_ms = -math.inf
+        self.failed_ms = -math.inf
         self.missing_since_ms: float | None = None
 
     @property
@@ -173,6 +176,7 @@
         """Trust it again: it has answered, or what it was suspected of lay with this VM."""
         self.suspect_until_ms = 0.0
         self.suspicion_ms = 0.0
+        self.failed_ms = -math.inf
 
     def record_rejection(self, was_rejected: bool, now_ms: float) -> None:
         """Record whether the replica rejected a request."""
@@ -182,6 +186,7 @@
     def mark_suspect(self, now_ms: float) -> bool:
         """Mark it as suspect, with exponential backoff; return whether it was not before."""
         is_new = not self.is_suspect(now_ms)
+        self.failed_ms = now_ms
         if is_new:
             doubled_ms = max(MIN_SUSPICION_MS, 2 * self.suspicion_ms)
             self.suspicion_ms = min(MAX_SUSPICION_MS, doubled_ms)
--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -1,6 +1,5 @@
 """Progress of requests: handles replies and failures, and decides when a request is finished."""
 
-import heapq
 from functools import singledispatch
 
 from ..actions import AnswerRequest, WriteLine
@@ -230,19 +229,6 @@
         close_task(task, gateway)
 
 
-def dispatch_waiting(service: str, gateway: GatewayInterface) -> None:
-    """Dispatch the tasks queued for a connection to a service; close those that cannot be sent."""
-    queue = gateway.waiting.get(service)
-    while queue:
-        task = heapq.heappop(queue)[3]
-        task.is_waiting = False
-        if not task.is_open or task.work.is_finished or task.exchanges:
-            continue
-        resume_task(task, gateway, may_retry=True)
-        if task.is_waiting:
-            return
-
-
 def fire_retry(timer: RetryTimer, gateway: GatewayInterface) -> None:
     """Retry a task that every replica had rejected or failed."""
     task = timer.task
--- a/beechbridge/gateway/requests/relays.py
+++ b/beechbridge/gateway/requests/relays.py
@@ -117,6 +117,14 @@
     return gateway.aggregators.choose_relay(set(), gateway) is not None
 
 
+def has_relay(work: Work, gateway: GatewayInterface) -> bool:
+    """Return whether a VM may serve a request, or the VM that sent it can find another one."""
+    if isinstance(work, OrderedWork) or work.is_from_vm:
+        return True
+    zones = allowed_zones(work, gateway)
+    return zones is None or gateway.aggregators.choose_relay(set(), gateway, zones) is not None
+
+
 def should_relay(gateway: GatewayInterface) -> bool:
     """
     Return whether this VM should not send requests to replicas itself.
@@ -137,6 +145,8 @@
     for work in list(gateway.works.values()):
         if not work.may_send or is_bound(work) or is_going_on(work, gateway):
             continue
+        if not has_relay(work, gateway):
+            continue
         work.is_relayed_on = True
         relayed.append(work)
     for work in relayed:
--- a/beechbridge/gateway/requests/vm_requests.py
+++ b/beechbridge/gateway/requests/vm_requests.py
@@ -22,6 +22,7 @@
     refuse_convicted,
     start_work,
 )
+from .candidates import allowed_zones, list_usable
 from .sending import record_requests
 from .works import OrderedWork, Task, Work
 
@@ -59,13 +60,32 @@
         failure = order_filter(event, gateway)
         if failure is None:
             continue
-        gateway.counters.add('orders_refused', failure.reason.value)
-        fields = {'request': event.order.request.request_id, 'reason': failure.reason.value}
-        gateway.act(WriteLine('order_refused', fields))
-        gateway.act(AnswerRequest(event.key, failure))
+        refuse_order(event, failure, gateway)
+        return
+    work = make_ordered_work(event, gateway)
+    failure = check_order_homes(work, gateway)
+    if failure is not None:
+        refuse_order(event, failure, gateway)
         return
     gateway.counters.add('orders_taken')
-    start_work(make_ordered_work(event, gateway), gateway)
+    start_work(work, gateway)
+
+
+def refuse_order(event: OrderReceived, failure: Failure, gateway: GatewayInterface) -> None:
+    """Tell another VM that no part of its order has run here."""
+    gateway.counters.add('orders_refused', failure.reason.value)
+    fields = {'request': event.order.request.request_id, 'reason': failure.reason.value}
+    gateway.act(WriteLine('order_refused', fields))
+    gateway.act(AnswerRequest(event.key, failure))
+
+
+def check_order_homes(work: OrderedWork, gateway: GatewayInterface) -> Failure | None:
+    """Reject an order of which this VM may send no part, by its own table or the order's."""
+    if allowed_zones(work, gateway) is None:
+        return None
+    if any(list_usable(task, gateway) for task in work.tasks):
+        return None
+    return not_run(Reason.NO_REPLICA, 'no service has a replica in a home region', BUSY_RETRY_MS)
 
 
 RELAY_FILTERS = (check_readiness, check_reach, check_timeout, check_capacity, check_body)
--- /dev/null
+++ b/beechbridge/gateway/requests/waiting.py
@@ -0,0 +1,40 @@
+"""Sub-requests that are queued for a connection to a replica of their service."""
+
+import heapq
+
+from ..interface import GatewayInterface
+from .candidates import allowed_zones
+from .progress import resume_task
+
+
+def dispatch_waiting(service: str, gateway: GatewayInterface) -> None:
+    """
+    Dispatch the tasks queued for a connection to a service; close those that cannot be sent.
+
+    A task that still has to wait holds up those behind it, unless home regions bind it to replicas
+    that are busy or out of reach and the others may be sent elsewhere.
+    """
+    queue = gateway.waiting.get(service)
+    blocked: list[frozenset[str]] = []
+    passed_over = []
+    try:
+        while queue:
+            queued = heapq.heappop(queue)
+            task = queued[3]
+            if not task.is_open or task.work.is_finished or task.exchanges:
+                task.is_waiting = False
+                continue
+            zones = allowed_zones(task.work, gateway)
+            if zones is not None and any(zones <= other for other in blocked):
+                passed_over.append(queued)
+                continue
+            task.is_waiting = False
+            resume_task(task, gateway, may_retry=True)
+            if not task.is_waiting:
+                continue
+            if zones is None:
+                return
+            blocked.append(zones)
+    finally:
+        for queued in passed_over:
+            heapq.heappush(queue, queued)
