--- a/model/mutants.py
+++ b/model/mutants.py
@@ -71,6 +71,15 @@
 WITHDRAWAL = 'beechbridge/gateway/requests/withdrawal.py'
 WORKS = 'beechbridge/gateway/requests/works.py'
 CLIENT_CONNECTION = 'beechbridge/daemon/client_connection.py'
+EVACUATIONS = 'beechbridge/gateway/replicas/evacuations.py'
+PULLS = 'beechbridge/gateway/fleet/pulls.py'
+UNSENT = 'beechbridge/gateway/requests/unsent.py'
+WAITING = 'beechbridge/gateway/requests/waiting.py'
+CANDIDATES = 'beechbridge/gateway/requests/candidates.py'
+HOMES = 'beechbridge/gateway/homes.py'
+HOME_CHECKS = 'beechbridge/gateway/requests/homes.py'
+ITEMS = 'beechbridge/platform/items.py'
+GATEWAY_PROCESS = 'beechbridge/daemon/gateway.py'
 
 BODIES = 'beechbridge/daemon/bodies.py'
 REPLY_HEADS = 'beechbridge/platform/replicas.py'
@@ -87,6 +96,244 @@
 CLI_CLIENT = 'beechbridge/cli/client.py'
 
 MUTANTS = (
+    Mutant(
+        'changes of another region wait for a second message',
+        PULLS,
+        '        schedule_pull(event, sender, gateway)\n',
+        '',
+        ('test_evacuations',),
+    ),
+    Mutant(
+        'an evacuated replica may be sent requests',
+        USABLE,
+        'if self.is_gone or self.is_evacuated:\n            return False',
+        'if self.is_gone:\n            return False',
+        ('test_evacuations',),
+    ),
+    Mutant(
+        'a connection to an evacuated replica is kept',
+        USABLE,
+        'if not is_reusable or self.is_gone or self.is_evacuated:',
+        'if not is_reusable or self.is_gone:',
+        ('test_evacuations',),
+    ),
+    Mutant(
+        'idle connections to evacuated replicas stay open',
+        EVACUATIONS,
+        '    if not state.is_evacuated:\n        return\n',
+        '    return\n',
+        ('test_evacuations',),
+    ),
+    Mutant(
+        'a replica that registers later is not evacuated',
+        STORE_UPDATES,
+        '    mark_evacuated(state, gateway)\n    gateway.upstreams.add(state)',
+        '    gateway.upstreams.add(state)',
+        ('test_evacuations',),
+    ),
+    Mutant(
+        'an evacuation ends only by a readable item',
+        STORE_UPDATES,
+        'gateway, is_end=False)\n        return end_evacuation(item.key, gateway)',
+        'gateway, is_end=False)\n        return []',
+        ('test_evacuations',),
+    ),
+    Mutant(
+        'the deletion of an evacuation is ignored',
+        STORE_UPDATES,
+        'state, gateway)\n        return end_evacuation(item.key, gateway)',
+        'state, gateway)\n        return []',
+        ('test_evacuations',),
+    ),
+    Mutant(
+        'evacuations are applied in the order of the items',
+        STORE_UPDATES,
+        '    decoded_items.sort(key=lambda pair: not isinstance(pair[1], Evacuation))\n',
+        '',
+        ('test_evacuations',),
+    ),
+    Mutant(
+        'a second item starts an evacuation anew',
+        EVACUATIONS,
+        '        if key in self.zone_by_key:\n            return False\n',
+        '',
+        ('test_evacuations',),
+    ),
+    Mutant(
+        'unsent requests to evacuated replicas are sent',
+        STORE_UPDATES,
+        '        withdraw_barred(gateway)\n',
+        '',
+        ('test_evacuations',),
+    ),
+    Mutant(
+        'a withdrawn request is not sent elsewhere',
+        UNSENT,
+        '    resume_task(exchange.owner, gateway, may_retry=True)\n',
+        '',
+        ('test_evacuations',),
+    ),
+    Mutant(
+        'queued requests to an evacuated zone wait',
+        STORE_UPDATES,
+        '        dispatch_anew(services, gateway)\n',
+        '',
+        ('test_evacuations',),
+    ),
+    Mutant(
+        'the store reader does not list evacuations',
+        GATEWAY_PROCESS,
+        'LISTED_PREFIXES = (EVACUATIONS_PREFIX, REPLICAS_PREFIX, TABLE_KEY)',
+        'LISTED_PREFIXES = (REPLICAS_PREFIX, TABLE_KEY)',
+        ('test_evacuations',),
+    ),
+    Mutant(
+        'evacuations are not watched',
+        ITEMS,
+        'key.startswith((REPLICAS_PREFIX, EVACUATIONS_PREFIX))',
+        'key.startswith(REPLICAS_PREFIX)',
+        ('test_evacuations',),
+    ),
+    Mutant(
+        'any key names an evacuated zone',
+        ITEMS,
+        'if ZONE.fullmatch(zone) is None or len(key) > MAX_KEY_LENGTH:',
+        'if False:',
+        ('test_evacuations',),
+    ),
+    Mutant(
+        'any value evacuates a zone',
+        ITEMS,
+        '        EVACUATION_DECODER.decode(value)\n',
+        '        pass\n',
+        ('test_evacuations',),
+    ),
+    Mutant(
+        'homes bind no choice among replicas',
+        CANDIDATES,
+        'zones_of(current_homes(work, gateway), gateway.fleet.regions)',
+        'None',
+        ('test_homes',),
+    ),
+    Mutant(
+        'only the first of two sets of homes counts',
+        HOMES,
+        '    return first & second\n',
+        '    return first\n',
+        ('test_homes',),
+    ),
+    Mutant(
+        'homes of the table with which a request was taken stay',
+        HOMES,
+        '    return known if route is None else route.home_regions\n',
+        '    return known\n',
+        ('test_homes',),
+    ),
+    Mutant(
+        'a route that is removed has no homes',
+        HOMES,
+        '    return known if route is None else route.home_regions\n',
+        '    return None if route is None else route.home_regions\n',
+        ('test_homes',),
+    ),
+    Mutant(
+        'homes are worked out once for a request',
+        CANDIDATES,
+        'if work.zones_version != gateway.table.version:',
+        'if work.zones_version is None:',
+        ('test_homes',),
+    ),
+    Mutant(
+        'an order obeys only its own homes',
+        CANDIDATES,
+        'own.home_regions if own is not None else None',
+        'None',
+        ('test_homes',),
+    ),
+    Mutant(
+        'an order does not carry its homes',
+        ORDERS,
+        '        current_homes(work, gateway),\n',
+        '        None,\n',
+        ('test_homes',),
+    ),
+    Mutant(
+        'an order that no home can serve is taken',
+        VM_REQUESTS,
+        '    failure = check_order_homes(work, gateway)\n',
+        '    failure = None\n',
+        ('test_homes',),
+    ),
+    Mutant(
+        'a relay goes to any VM',
+        RELAYS,
+        'state = gateway.aggregators.choose_relay(work.relay_targets, gateway, zones)',
+        'state = gateway.aggregators.choose_relay(work.relay_targets, gateway)',
+        ('test_homes',),
+    ),
+    Mutant(
+        'a request that has no relay is given up',
+        RELAYS,
+        '        if not has_relay(work, gateway):\n            continue\n',
+        '',
+        ('test_homes',),
+    ),
+    Mutant(
+        'a VM without replicas rejects what a home can serve',
+        HOME_CHECKS,
+        'if zones is None or should_relay(gateway):',
+        'if zones is None:',
+        ('test_homes',),
+    ),
+    Mutant(
+        'requests wait for a home that is cut off',
+        HOME_CHECKS,
+        '    if healthy_count >= needed:\n        return None\n',
+        '    return None\n',
+        ('test_homes',),
+    ),
+    Mutant(
+        'a home that was cut off is never tried again',
+        HOME_CHECKS,
+        '    return now_ms - max(sent_ms, default=-math.inf) >= TRIAL_INTERVAL_MS\n',
+        '    return False\n',
+        ('test_homes',),
+    ),
+    Mutant(
+        'one failure has all requests of a home rejected',
+        HOME_CHECKS,
+        '    if now_ms - state.replied_ms < RECENT_REPLY_MS:\n        return True\n',
+        '',
+        ('test_homes',),
+    ),
+    Mutant(
+        'a request of a home holds up all others',
+        WAITING,
+        '            if zones is None:\n                return\n',
+        '            return\n',
+        ('test_homes',),
+    ),
+    Mutant(
+        'an unsent request leaves for a former home',
+        UNSENT,
+        '    return state.is_evacuated or (zones is not None and state.entry.zone not in zones)\n',
+        '    return state.is_evacuated\n',
+        ('test_homes',),
+    ),
+    Mutant(
+        'queued requests wait although the table permits more',
+        STORE_UPDATES,
+        '        services.extend(gateway.waiting)\n',
+        '        pass\n',
+        ('test_homes',),
+    ),
+    Mutant(
+        'the directory names any VM to callers of a home',
+        HOMES,
+        '    if near:\n        return near\n',
+        '    if near or homes:\n        return members\n',
+        ('test_homes',),
+    ),
     Mutant(
         'a refusal that nobody proves is passed on',
         PROGRESS,
