--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -38,10 +38,10 @@
 from .requests.evidence import Evidence
 from .requests.permission import send_pending
 from .requests.permit_requests import PermitRequests
-from .requests.progress import dispatch_waiting
 from .requests.splits import Splits
 from .requests.start_queue import StartQueue
 from .requests.suspicion import SuspicionBook
+from .requests.waiting import dispatch_waiting
 from .requests.works import Work
 from .routes import RoutingTable
 
@@ -282,6 +282,7 @@
         self.activity.choose(self.fleet, now_ms)
         reaching = self.fleet.reaching(now_ms)
         active = [member for member in reaching if member.name in self.activity.active_names]
+        region = region or self.fleet.regions.get(zone, '')
         members = keep_near_homes(active or reaching, host, region, self.table, self.fleet.regions)
         chosen = self.placement.choose(members, zone, region)
         if len(chosen) <= MAX_ADDRESSES:
