Keep the text that soak mutants replace, and mend two mutants that no longer applied

Cause: two rows of model/mutants.py named text that limits.py no longer has, so they were not applied; the condition on usable replicas had been reworded, which a soak mutant replaces. Measured: both rows and the one on evacuated replicas are noticed; all texts of model and soak mutants occur once.

--- a/beechbridge/gateway/replicas/upstreams.py
+++ b/beechbridge/gateway/replicas/upstreams.py
@@ -124,9 +124,9 @@
     @property
     def is_usable(self) -> bool:
         """Return whether it may be sent new requests."""
-        if self.is_gone or self.is_evacuated:
+        if self.is_evacuated:
             return False
-        return not (self.entry.is_draining or self.notices.is_leaving)
+        return not (self.is_gone or self.entry.is_draining or self.notices.is_leaving)
 
     def is_suspect(self, now_ms: float) -> bool:
         """Return whether an exchange failed recently or has stalled."""
--- a/model/mutants.py
+++ b/model/mutants.py
@@ -106,7 +106,7 @@
     Mutant(
         'an evacuated replica may be sent requests',
         USABLE,
-        'if self.is_gone or self.is_evacuated:\n            return False',
+        'if self.is_evacuated:\n            return False',
         'if self.is_gone:\n            return False',
         ('test_evacuations',),
     ),
@@ -715,8 +715,8 @@
     Mutant(
         'a keeper sends without a token',
         LIMITS,
-        'fill_own_bucket(state, gateway).take()',
-        'fill_own_bucket(state, gateway)',
+        '            bucket.take()\n',
+        '            pass\n',
         ('test_limit_keepers',),
     ),
     Mutant(
@@ -736,8 +736,8 @@
     Mutant(
         'a void permit is used',
         LIMITS,
-        'permits.count > 0 and now_ms < permits.valid_until_ms',
-        'permits.count > 0',
+        'notices.permits.count > 0 and now_ms < notices.permits.valid_until_ms',
+        'notices.permits.count > 0',
         ('test_limit_keepers',),
     ),
     Mutant(
