--- a/beechbridge/gateway/settings.py
+++ b/beechbridge/gateway/settings.py
@@ -6,8 +6,12 @@
 from .requests.budgets import BudgetRules
 
 DEFAULT_REPLY_MEMORY_BYTES = 64 * 1024 * 1024
-DEFAULT_ANSWER_MEMORY_BYTES = 64 * 1024 * 1024
-DEFAULT_REQUEST_MEMORY_BYTES = 64 * 1024 * 1024
+DEFAULT_HELD_MEMORY_BYTES = 128 * 1024 * 1024
+DEFAULT_MAX_CONNECTIONS = 2_000
+DEFAULT_MAX_HEADER_FIELDS = 4_096
+"""A head of 16,384 bytes has fewer."""
+
+DEFAULT_MAX_PIPELINED = 8
 
 
 class Address(Record):
@@ -36,8 +40,10 @@
     :param max_ttl_s: maximum lifetime of a directory answer in seconds
     :param max_reply_bytes: largest reply of a replica that is forwarded to a caller
     :param reply_memory_bytes: memory for the replies that are being received
-    :param request_memory_bytes: memory for the bodies of requests that come in and wait
-    :param answer_memory_bytes: memory for the answers that callers have not taken yet
+    :param held_memory_bytes: memory for requests, answers and replies together
+    :param max_connections: connections of clients on all ports
+    :param max_header_fields: header fields of one request
+    :param max_pipelined: requests of one connection that are parsed before they are answered
     :param stable_ms: milliseconds within which the fleet has to notice that a VM ended, None for
         no bound
     :param cold_rules: how many requests a cold replica may get
@@ -47,7 +53,6 @@
     """
 
     __slots__ = (
-        'answer_memory_bytes',
         'balances_by_work',
         'budget',
         'callers',
@@ -56,8 +61,12 @@
         'directory',
         'grace_ms',
         'has_short_goals',
+        'held_memory_bytes',
         'host',
         'is_first_start',
+        'max_connections',
+        'max_header_fields',
+        'max_pipelined',
         'max_reply_bytes',
         'max_ttl_s',
         'name',
@@ -66,7 +75,6 @@
         'readiness',
         'regions',
         'reply_memory_bytes',
-        'request_memory_bytes',
         'seeds',
         'stable_ms',
         'store',
@@ -92,13 +100,15 @@
         capacity_millicores: int = 1000,
         max_reply_bytes: int = MAX_REPLY_BYTES,
         reply_memory_bytes: int = DEFAULT_REPLY_MEMORY_BYTES,
-        answer_memory_bytes: int = DEFAULT_ANSWER_MEMORY_BYTES,
-        request_memory_bytes: int = DEFAULT_REQUEST_MEMORY_BYTES,
         is_first_start: bool = True,
         stable_ms: float | None = None,
         has_short_goals: bool = False,
         cold_rules: ColdRules | None = None,
         balances_by_work: bool = False,
+        held_memory_bytes: int = DEFAULT_HELD_MEMORY_BYTES,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
+        max_header_fields: int = DEFAULT_MAX_HEADER_FIELDS,
+        max_pipelined: int = DEFAULT_MAX_PIPELINED,
     ):
         self.cold_rules = cold_rules or ColdRules()
         self.stable_ms = stable_ms
@@ -122,5 +132,7 @@
         self.capacity_millicores = capacity_millicores
         self.max_reply_bytes = max_reply_bytes
         self.reply_memory_bytes = reply_memory_bytes
-        self.answer_memory_bytes = answer_memory_bytes
-        self.request_memory_bytes = request_memory_bytes
+        self.held_memory_bytes = held_memory_bytes
+        self.max_connections = max_connections
+        self.max_header_fields = max_header_fields
+        self.max_pipelined = max_pipelined
