Correct expected waits by those measured, and add mutants

At high load waits were expected to be two thirds of the actual ones: pauses and requests that no report tells of yet were missing. Each service now has a factor learned from its replies. Hedges use the wait without the factor, since pauses are what they are to cut short.

--- a/beechbridge/gateway/replicas/connections.py
+++ b/beechbridge/gateway/replicas/connections.py
@@ -22,6 +22,7 @@
     :param cost_ms: expected work in milliseconds at a replica of usual speed, 0 if
         nothing was estimated
     :param wait_ms: time in milliseconds until the replica was expected to start it
+    :param wait_factor: correction that this time includes
     :param alone_ms: expected time in milliseconds without that wait
     :param expected_ms: expected time in milliseconds from sending to the reply
     """
@@ -42,6 +43,7 @@
         'round_number',
         'sent_ms',
         'stalled_at_ms',
+        'wait_factor',
         'wait_ms',
         'was_sent',
     )
@@ -60,6 +62,7 @@
         self.kind = kind
         self.cost_ms = 0.0
         self.wait_ms = 0.0
+        self.wait_factor = 1.0
         self.alone_ms = 0.0
         self.expected_ms = 0.0
         self.is_alone = False
--- a/beechbridge/gateway/replicas/expected_work.py
+++ b/beechbridge/gateway/replicas/expected_work.py
@@ -22,13 +22,14 @@
 """Share of a request's wait behind a busy slot that is expected while another slot is free: other
 VMs send requests that this one does not know of."""
 
-MIN_REMAINING_SHARE = 0.25
+MIN_REMAINING_SHARE = 0.6
 """Least share of its work that a request in progress still needs: many run longer than usual."""
 
 SILENT_FACTOR = 1.0
 SILENT_BASE_MS = 5.0
 """Multiple of a request's work, and time on top, without any reply after the oldest request was
-expected to be answered, from which a replica is taken to be in a pause or stuck."""
+expected to be answered, from which a replica is taken to be in a pause or stuck; the more requests
+are overdue, the sooner."""
 
 MIN_SILENCE_MS = 100.0
 """Least time that a silent replica is expected to remain so: half of a usual pause."""
@@ -38,11 +39,11 @@
 RATE_HALF_LIFE_MS = 3_000.0
 """Half-life of a replica's rejection share, as for the choice by latency."""
 
-RESERVE_FACTOR = 1.0
+RESERVE_FACTOR = 0.25
 """Share of the service's mean cost added where a long, less urgent request would take the last
 free slot."""
 
-NEAR_EQUAL_FACTOR = 1.25
+NEAR_EQUAL_FACTOR = 1.05
 NEAR_EQUAL_MS = 1.0
 """Replicas up to this factor and time behind the first are nearly equal to it."""
 
@@ -102,23 +103,29 @@
     work_ms = others * demand.mean_ms * factor
     count = others + len(state.busy)
     silence_ms = 0.0
+    overdue_count = 0
     if state.busy:
         for exchange in state.busy.values():
             own_ms = exchange.cost_ms * factor
             left_ms = exchange.sent_ms + exchange.expected_ms - now_ms
             work_ms += max(MIN_REMAINING_SHARE * own_ms, min(own_ms, left_ms))
-        silence_ms = estimate_silence_ms(state, factor, now_ms)
+            overdue_count += left_ms < 0.0
+        if overdue_count:
+            silence_ms = estimate_silence_ms(state, overdue_count, factor, now_ms)
     if count <= 0.0:
         return silence_ms
     blocked = max(count - slots + 1.0, BUSY_RISK * count)
-    return silence_ms + work_ms / count * blocked / slots
+    return silence_ms + demand.wait_factor * work_ms / count * blocked / slots
 
 
-def estimate_silence_ms(state: 'ReplicaState', factor: float, now_ms: float) -> float:
-    """Return how long a replica is expected to remain silent, 0 unless a reply is overdue."""
+def estimate_silence_ms(
+    state: 'ReplicaState', overdue_count: int, factor: float, now_ms: float
+) -> float:
+    """Return how long a replica is expected to remain silent, 0 unless replies are overdue."""
     oldest: Exchange = next(iter(state.busy.values()))
     silent_ms = now_ms - max(state.replied_ms, oldest.sent_ms + oldest.expected_ms)
-    if silent_ms <= SILENT_FACTOR * oldest.cost_ms * factor + SILENT_BASE_MS:
+    usual_ms = SILENT_FACTOR * oldest.cost_ms * factor / overdue_count + SILENT_BASE_MS
+    if silent_ms <= usual_ms:
         return 0.0
     return max(MIN_SILENCE_MS, silent_ms)
 
--- a/beechbridge/gateway/replicas/work_costs.py
+++ b/beechbridge/gateway/replicas/work_costs.py
@@ -24,6 +24,18 @@
 
 MIN_SAMPLE_RATIO = 0.1
 OTHERS_WEIGHT = 0.05
+WAIT_WEIGHT = 0.02
+MAX_WAIT_FACTOR = 4.0
+"""Bounds, with its inverse, of the correction of waits: pauses, and requests that no report tells
+of yet, make them longer than the requests known of do."""
+
+INITIAL_WAIT_MS = 1.0
+SHORT_WAIT_SHARE = 0.25
+"""Share of a request's cost up to which an expected wait does not spoil a sample of the cost."""
+
+STALE_COST_MS = 2_000.0
+"""Age of a cost from which samples with longer waits count too, less the wait."""
+
 REJECT_FACTOR = 4.0
 LAST_ATTEMPT_FACTOR = 2.0
 """Growth of the penalty on rejections if no other attempt is left after this one."""
@@ -40,18 +52,36 @@
     :param count: number of samples
     :param updated_ms: time in milliseconds of the latest sample
     :param others: for a service, mean number of other VMs' requests at one of its replicas
+    :param expected_wait_ms: for a service, mean of the waits expected, not corrected
+    :param actual_wait_ms: for a service, mean of what replies took in addition to the work
     :param priority: for a service, priority class of its most urgent requests
     """
 
-    __slots__ = ('count', 'mean_ms', 'others', 'priority', 'updated_ms')
+    __slots__ = (
+        'actual_wait_ms',
+        'count',
+        'expected_wait_ms',
+        'mean_ms',
+        'others',
+        'priority',
+        'updated_ms',
+    )
 
     def __init__(self, mean_ms: float, now_ms: float):
         self.mean_ms = mean_ms
         self.count = 0
         self.updated_ms = now_ms
         self.others = 0.0
+        self.expected_wait_ms = INITIAL_WAIT_MS
+        self.actual_wait_ms = INITIAL_WAIT_MS
         self.priority = 0
 
+    @property
+    def wait_factor(self) -> float:
+        """Return how long waits at the service are, as a multiple of those expected."""
+        factor = self.actual_wait_ms / max(self.expected_wait_ms, INITIAL_WAIT_MS / 10)
+        return min(MAX_WAIT_FACTOR, max(1.0 / MAX_WAIT_FACTOR, factor))
+
     def add(self, sample_ms: float, now_ms: float) -> None:
         """Add a sample; the first ones count fully, until there are enough for a running mean."""
         self.count += 1
@@ -68,6 +98,7 @@
     :param cost_age_ms: age of that estimate, None if nothing of the class has been learned
     :param mean_ms: mean work of the requests of the service
     :param others: mean number of other VMs' requests at a replica of the service
+    :param wait_factor: how long waits at the service are, as a multiple of those expected
     :param is_long: whether it should leave the last free slot to short urgent requests
     :param reject_factor: growth of the expected time per share of requests that a replica rejects
     :param chosen: expected completion time in milliseconds and replica that was chosen, or None
@@ -83,6 +114,7 @@
         'others',
         'reject_factor',
         'runner_up',
+        'wait_factor',
     )
 
     def __init__(
@@ -93,7 +125,9 @@
         others: float = 0.0,
         is_long: bool = False,
         reject_factor: float = REJECT_FACTOR,
+        wait_factor: float = 1.0,
     ):
+        self.wait_factor = wait_factor
         self.cost_ms = cost_ms
         self.cost_age_ms = cost_age_ms
         self.mean_ms = mean_ms
@@ -148,7 +182,8 @@
         is_urgent = of_service is None or priority <= of_service.priority
         is_long = not is_urgent and cost_ms > LONG_FACTOR * mean_ms
         factor = REJECT_FACTOR if attempts_left > 1 else REJECT_FACTOR * LAST_ATTEMPT_FACTOR
-        return Demand(cost_ms, age_ms, mean_ms, others, is_long, factor)
+        wait_factor = 1.0 if of_service is None else of_service.wait_factor
+        return Demand(cost_ms, age_ms, mean_ms, others, is_long, factor, wait_factor)
 
     def learn(
         self,
@@ -183,6 +218,25 @@
         if cost is not None:
             cost.others += OTHERS_WEIGHT * (others - cost.others)
 
+    def learn_wait(self, service: str, expected_ms: float, actual_ms: float) -> None:
+        """
+        Learn how far waits at a service are from those expected.
+
+        :param expected_ms: wait expected in milliseconds, not corrected
+        :param actual_ms: milliseconds that a reply took in addition to the expected work
+        """
+        cost = self.services.get(service)
+        if cost is None:
+            return
+        cost.expected_wait_ms += WAIT_WEIGHT * (expected_ms - cost.expected_wait_ms)
+        actual_ms = max(-expected_ms, actual_ms)
+        cost.actual_wait_ms += WAIT_WEIGHT * (actual_ms - cost.actual_wait_ms)
+
+    def is_stale(self, route_name: str, byte_count: int, now_ms: float) -> bool:
+        """Return whether the cost of a class is unknown, or was learned long ago."""
+        cost = self.classes.get((route_name, size_class(byte_count)))
+        return cost is None or now_ms - cost.updated_ms > STALE_COST_MS
+
     def find_service(self, service: str, work_ms: float, priority: int, now_ms: float) -> Cost:
         """Return the cost of a service, a new one if it has none."""
         cost = self.services.pop(service, None)
@@ -202,7 +256,11 @@
             classes[f'{route_name}/{size}'] = describe_cost(cost, now_ms)
         services = {}
         for name, cost in self.services.items():
-            services[name] = {**describe_cost(cost, now_ms), 'others': round(cost.others, 2)}
+            services[name] = {
+                **describe_cost(cost, now_ms),
+                'others': round(cost.others, 2),
+                'wait_factor': round(cost.wait_factor, 2),
+            }
         return {'class_count': len(self.classes), 'classes': classes, 'services': services}
 
 
--- a/beechbridge/gateway/requests/hedges.py
+++ b/beechbridge/gateway/requests/hedges.py
@@ -41,7 +41,9 @@
     route = task.work.route
     factor = HEDGE_FACTOR if route.is_gather else SINGLE_HEDGE_FACTOR
     if exchange.cost_ms:
-        delay_ms = exchange.wait_ms + factor * exchange.alone_ms + HEDGE_BASE_MS
+        # The correction of waits stands for pauses among others, which hedges are to cut short.
+        wait_ms = exchange.wait_ms / exchange.wait_factor
+        delay_ms = wait_ms + factor * exchange.alone_ms + HEDGE_BASE_MS
     else:
         typical_ms = gateway.upstreams.typical_ms(route.name, exchange.replica.distance)
         delay_ms = factor * typical_ms + HEDGE_BASE_MS
--- a/beechbridge/gateway/requests/work_estimates.py
+++ b/beechbridge/gateway/requests/work_estimates.py
@@ -6,7 +6,7 @@
 from ..replicas.expected_work import ROUND_TRIP_MS, estimate_wait_ms
 from ..replicas.load_reports import ReplicaLoad
 from ..replicas.upstreams import ReplicaState
-from ..replicas.work_costs import Demand, WorkBook
+from ..replicas.work_costs import MIN_SAMPLE_RATIO, SHORT_WAIT_SHARE, Demand, WorkBook
 from .works import Task, Work
 
 
@@ -59,6 +59,7 @@
     state = exchange.replica
     exchange.cost_ms = demand.cost_ms
     exchange.wait_ms = wait_ms
+    exchange.wait_factor = demand.wait_factor
     work_ms = demand.cost_ms * state.work.time_factor(gateway.now_ms)
     exchange.alone_ms = ROUND_TRIP_MS[state.distance] + work_ms
     exchange.expected_ms = wait_ms + exchange.alone_ms
@@ -83,13 +84,22 @@
         return
     latency_ms = now_ms - exchange.sent_ms
     compare_estimate(exchange, service, latency_ms, gateway)
-    if exchange.is_new or (report is not None and is_queue_full(report)):
+    if exchange.is_new:
         return
-    pace = state.work.load.pace if report is not None else 1.0
-    work_ms = (latency_ms - ROUND_TRIP_MS[state.distance] - exchange.wait_ms) / pace
     route = work.route
+    body_bytes = 0 if work.is_finished else len(work.request.body)
+    wait_factor = exchange.wait_factor
+    book.learn_wait(service, exchange.wait_ms / wait_factor, latency_ms - exchange.alone_ms)
+    if report is not None and is_queue_full(report):
+        return
+    is_long_wait = exchange.wait_ms > SHORT_WAIT_SHARE * exchange.cost_ms
+    if is_long_wait and not book.is_stale(route.name, body_bytes, now_ms):
+        return
+    pace = state.work.load.pace if report is not None else 1.0
+    work_ms = latency_ms - ROUND_TRIP_MS[state.distance] - exchange.wait_ms
+    # The wait that was expected may be longer than the whole latency.
+    work_ms = max(MIN_SAMPLE_RATIO * exchange.cost_ms, work_ms / pace)
     state.work.learn(work_ms, exchange.cost_ms, now_ms)
-    body_bytes = len(work.request.body)
     if not work.is_finished:
         book.learn(route.name, service, body_bytes, route.priority, work_ms, now_ms)
 
--- a/model/mutants.py
+++ b/model/mutants.py
@@ -85,8 +85,104 @@
 SERVER = 'beechbridge/daemon/server.py'
 VM_LIST = 'beechbridge/daemon/platform.py'
 CLI_CLIENT = 'beechbridge/cli/client.py'
+EXPECTED_WORK = 'beechbridge/gateway/replicas/expected_work.py'
+LOAD_REPORTS = 'beechbridge/gateway/replicas/load_reports.py'
+WORK_ESTIMATES = 'beechbridge/gateway/requests/work_estimates.py'
+HEDGES = 'beechbridge/gateway/requests/hedges.py'
+PLATFORM_SETTINGS = 'beechbridge/platform/settings.py'
 
 MUTANTS = (
+    Mutant(
+        'the cost of outstanding requests is ignored',
+        EXPECTED_WORK,
+        'own_ms = exchange.cost_ms * factor',
+        'own_ms = demand.mean_ms * factor',
+        ('test_expected_work',),
+    ),
+    Mutant(
+        'a load report keeps its weight',
+        LOAD_REPORTS,
+        'return max(0.0, 1.0 - (now_ms - self.received_ms) / MAX_LOAD_AGE_MS)',
+        'return 1.0',
+        ('test_expected_work',),
+    ),
+    Mutant(
+        'the age of outstanding requests is ignored',
+        EXPECTED_WORK,
+        'left_ms = exchange.sent_ms + exchange.expected_ms - now_ms',
+        'left_ms = exchange.expected_ms',
+        ('test_expected_work',),
+    ),
+    Mutant(
+        'the load header is not read',
+        REPLY_HEADS,
+        '    REPLICA_LOAD.lower(): read_load,',
+        '',
+        ('test_expected_work',),
+    ),
+    Mutant(
+        'a load report is not used',
+        EXPECTED_WORK,
+        'others += weight * (load.others - others)',
+        'others += 0.0',
+        ('test_expected_work',),
+    ),
+    Mutant(
+        'the speed of replicas is ignored',
+        LOAD_REPORTS,
+        'factor = math.exp(self.log_speed * decay)',
+        'factor = 1.0',
+        ('test_expected_work',),
+    ),
+    Mutant(
+        'all VMs choose the replica that is first',
+        EXPECTED_WORK,
+        'draw_ms = rng.random() * total_ms',
+        'return min(near, key=lambda candidate: candidate[0])',
+        ('test_expected_work',),
+    ),
+    Mutant(
+        'a silent replica is taken to work on',
+        EXPECTED_WORK,
+        'return max(MIN_SILENCE_MS, silent_ms)',
+        'return 0.0',
+        ('test_expected_work',),
+    ),
+    Mutant(
+        'replies from a full queue are learned from',
+        WORK_ESTIMATES,
+        'return report.waiting >= report.slots',
+        'return False',
+        ('test_expected_work',),
+    ),
+    Mutant(
+        'a reply may have cost less than nothing',
+        WORK_ESTIMATES,
+        'max(MIN_SAMPLE_RATIO * exchange.cost_ms, work_ms / pace)',
+        'work_ms / pace',
+        ('test_expected_work',),
+    ),
+    Mutant(
+        'a hedge may be later than the deadline',
+        WORK_ESTIMATES,
+        'return demand.chosen[0] > task.work.hard_at_ms - gateway.now_ms',
+        'return False',
+        ('test_expected_work',),
+    ),
+    Mutant(
+        'a hedge does not wait for the expected time',
+        HEDGES,
+        'wait_ms = exchange.wait_ms / exchange.wait_factor',
+        'wait_ms = 0.0',
+        ('test_expected_work',),
+    ),
+    Mutant(
+        'all deployments balance by work',
+        PLATFORM_SETTINGS,
+        'balances_by_work = not BALANCING_CONTRACTS.isdisjoint(file.contracts)',
+        'balances_by_work = True',
+        ('test_expected_work',),
+    ),
     Mutant(
         'a refusal that nobody proves is passed on',
         PROGRESS,
