Check cold replicas, home regions, evacuations and bursts in the soak

Cause: the soak had no replica that turns cold, no route with home regions, no evacuation and no burst. Change: `special_faults` has the faults `cold_replica`, `cold_restart`, `moved_homes`, `burst` and `evacuated_zone`, drawn only if named; `rules` has their checks. Evacuations are checked only with `--evacuations`, since the product does not evacuate data centres. Requests of a burst do not count for the share of served requests: a burst is more than the replicas take. The settings of the soak have `coldExcess`, `coldSlack` and `stableMs`, its services `coldRateS`.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,6 +9,7 @@
 from .callers import Caller
 from .fleet import GRACE_S, Vm
 from .ledger import LIMIT_STABLE_S, NamedLimit, Stop
+from .special_faults import SpecialFaults
 from .standins import DEADLY, ENDLESS_REPLIES
 
 FAULT_GAP_S = (0.3, 2.0)
@@ -82,7 +83,7 @@
 """Time after which the entry of a replica expires that does not run."""
 
 
-class Faults:
+class Faults(SpecialFaults):
     """
     Injects faults into a deployment until stopped.
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -43,6 +43,9 @@
 budgetRatio = 0.2
 budgetWindowS = 10
 budgetExtra = 56
+coldExcess = 1.5
+coldSlack = 5
+stableMs = 6000
 [platform]
 addr = "{store}"
 """
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -4,6 +4,8 @@
 import math
 from collections import Counter, defaultdict
 
+from .rules import Rules
+
 DRAIN_S = 3.0
 APPLY_S = 3.0
 SLACK_S = 1.0
@@ -151,6 +153,8 @@
     :param deadly_ends: times at which replicas ended under a request, by target
     :param stops: planned stops by the VM's name
     :param vm_count: number of VMs; each learns what a replica says only from a reply to itself
+    :param rules: what is checked of cold replicas, home regions, evacuations and bursts
+    :param checks_evacuations: whether the product evacuates data centres
     :param withdrawn_s: when the store acknowledged a replica's draining or removal, by replica id
     :param frozen_spans: spans in which the soak itself got no processor and saw nothing in time
     :param fault_spans: spans in which an unplanned fault affected a VM, by its name or `all`
@@ -171,6 +175,8 @@
         self.fault_spans: dict[str, list[tuple[float, float]]] = defaultdict(list)
         self.frozen_spans: list[tuple[float, float]] = []
         self.table_acknowledged_s: dict[str, float] = {}
+        self.rules = Rules()
+        self.checks_evacuations = False
         self.min_share = 1.0
         self.top_records = 0
 
@@ -201,6 +207,7 @@
         if include_timing:
             violations.extend(self.check_withdrawn())
             violations.extend(self.check_limits())
+            violations.extend(self.rules.check(self, self.checks_evacuations))
             violations.extend(self.check_left())
             violations.extend(self.check_deadly())
             violations.extend(self.check_routes())
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -55,10 +55,43 @@
 LIMITED = ('--shards=2', '--faults=limited_replica', '--seconds=30')
 LEAVING = ('--shards=2', '--faults=leaving_replica', '--seconds=30')
 STOPS = ('--faults=stop_series', '--faults=long_work', '--seconds=25')
+COLD = ('--shards=2', '--faults=cold_replica', '--seconds=25')
+HOMES = ('--shards=2', '--faults=moved_homes', '--seconds=25')
+BURSTS = ('--shards=2', '--faults=burst', '--seconds=20')
 DEADLY = ('--shards=2', '--faults=deadly_request', '--seconds=20')
 
 
 MUTANTS = (
+    SoakMutant(
+        'cold replicas get as much as warm ones',
+        'while it was cold',
+        COLD,
+        Edit(
+            f'{GATEWAY}/replicas/cold_limits.py',
+            'notices.cold_limit = make_limit(rules.cold_rate_per_s, gateway.cold_rules)',
+            'return',
+        ),
+    ),
+    SoakMutant(
+        'home regions are ignored',
+        'outside its home regions',
+        HOMES,
+        Edit(
+            f'{GATEWAY}/requests/candidates.py',
+            'work.allowed_zones = zones_of(current_homes(work, gateway), gateway.fleet.regions)',
+            'work.allowed_zones = None',
+        ),
+    ),
+    SoakMutant(
+        'rejections do not say when to retry',
+        'was rejected without a time to retry',
+        BURSTS,
+        Edit(
+            'beechbridge/platform/callers.py',
+            'if answer.retry_after_ms is not None:',
+            'if False:',
+        ),
+    ),
     SoakMutant(
         'no request is ever convicted',
         'after it had ended the third',
--- a/soak/run.py
+++ b/soak/run.py
@@ -16,6 +16,8 @@
 from .fleet import GRACE_S, MEMORY_MB, Vm, check_addresses, make_folder
 from .ledger import SLACK_S, Ledger
 from .proxy import Proxy
+from .rules import EvacuationSpan, HomeSpan
+from .special_faults import EVACUATIONS, SPECIAL
 from .standins import Replica, Store
 
 FLAGS = flags.FLAGS
@@ -23,6 +25,7 @@
 MIN_SHARE = 0.5
 TOP_RECORDS = 5
 START_TIMEOUT_S = 20.0
+COLD_RATE_PER_S = 2.0
 DELAY_CHECK_S = 0.05
 LONG_SHARES = (0.0, 0.02, 0.1, 0.2)
 REPLICA_RESTART_S = 3.0
@@ -46,6 +49,7 @@
         self.ledger.min_share = MIN_SHARE
         self.ledger.top_records = TOP_RECORDS
         self.ledger.vm_count = vm_count
+        self.ledger.checks_evacuations = FLAGS.evacuations
         self.vm_count = vm_count
         self.shard_count = shard_count
         self.store = Store(STAND_IN_HOST)
@@ -58,6 +62,8 @@
         self.version = 0
         self.generation = 0
         self.added_routes: list[str] = []
+        self.homes: dict[str, list[str]] = {}
+        self.cold_rate_per_s = COLD_RATE_PER_S
         self.next_replica = 0
         self.wait_count = 0
         self.max_delay_s = 0.0
@@ -134,6 +140,7 @@
             'seq': 1,
             'born': self.next_replica,
         }
+        self.ledger.rules.zones[replica.replica_id] = zone
         self.store.put(f'servers/{replica.replica_id}', replica.entry)
         self.replicas.append(replica)
         return replica
@@ -190,11 +197,38 @@
             routes.append({**read, 'name': name, 'prefix': f'/{name}/', **times})
         for route in routes[1:]:
             route['service'] = 'register'
-        services = [{'name': name, 'maxConns': 40} for name in (*shards, 'register')]
+        for route in routes:
+            if self.homes.get(route['name']):
+                route['homeRegions'] = self.homes[route['name']]
+        cold = {'coldRateS': self.cold_rate_per_s, 'warmupS': 10}
+        services = [{'name': name, 'maxConns': 40, **cold} for name in (*shards, 'register')]
         limits = {'headerBytes': 16384, 'bodyBytes': 262144, 'headerMs': 3000, 'idleMs': 15000}
         table = {'version': self.version, 'routes': routes, 'services': services, 'limits': limits}
         return self.store.put('op/config', table)
 
+    def set_homes(self, route: str, regions: list[str]) -> None:
+        """Publish the home regions of a route, or none."""
+        spans = self.ledger.rules.home_spans
+        for span in spans:
+            if span.route == route:
+                span.until_s = min(span.until_s, time.monotonic())
+        self.homes[route] = regions
+        acknowledged_s = self.publish()
+        if not regions:
+            del self.homes[route]
+            return
+        spans.append(HomeSpan(route, regions, acknowledged_s))
+
+    def start_evacuation(self, zone: str) -> None:
+        """Evacuate a data centre."""
+        span = EvacuationSpan(zone, self.store.start_evacuation(zone))
+        self.ledger.rules.evacuations.append(span)
+
+    def end_evacuation(self, zone: str) -> None:
+        """End the evacuation of a data centre."""
+        self.ledger.rules.evacuations[-1].until_s = time.monotonic()
+        self.store.end_evacuation(zone)
+
     async def add_route(self, rng) -> None:
         """Add a route and request it from every VM after the time limit for applying it."""
         name = f'new{self.version}'
@@ -267,11 +301,11 @@
             caller.is_stopped = True
         await asyncio.gather(*tasks)
         self.violations.extend(self.ledger.check(self.include_timing))
-        served_count = sum(request.status == 200 for request in self.ledger.requests)
-        if self.include_timing and served_count < MIN_SERVED_SHARE * len(self.ledger.requests):
-            self.violations.append(
-                f'only {served_count} of {len(self.ledger.requests)} requests succeeded'
-            )
+        # A burst is more than the replicas take.
+        usual = [one for one in self.ledger.requests if not self.ledger.rules.is_in_burst(one)]
+        served_count = sum(request.status == 200 for request in usual)
+        if self.include_timing and served_count < MIN_SERVED_SHARE * len(usual):
+            self.violations.append(f'only {served_count} of {len(usual)} requests succeeded')
         for vm in self.vms:
             if vm.process.poll() not in (None, 0):
                 self.violations.append(f'{vm.name} exited with status {vm.process.poll()}')
@@ -333,9 +367,13 @@
     flags.DEFINE_integer('vms', 4, 'number of VM processes')
     flags.DEFINE_integer('shards', 6, 'number of shards')
     flags.DEFINE_multi_enum(
-        'faults', KINDS, (*KINDS, *DRILLS), 'kind of fault to draw from; may be repeated'
+        'faults',
+        KINDS,
+        (*KINDS, *DRILLS, *SPECIAL, *EVACUATIONS),
+        'kind of fault to draw from; may be repeated',
     )
     flags.DEFINE_boolean('planned', False, 'draw only kinds that excuse no lost request')
+    flags.DEFINE_boolean('evacuations', False, 'check that evacuated data centres get nothing')
     flags.DEFINE_boolean('habits', True, 'add callers that stay, leave, hurry or read slowly')
     flags.DEFINE_integer('network', 1, "third byte of the VMs' addresses; runs at once need two")
     flags.DEFINE_boolean('timed', True, 'also check promises with a time limit')
--- a/soak/standins.py
+++ b/soak/standins.py
@@ -36,6 +36,7 @@
 """In the target of each request for a large answer."""
 
 LARGE_RECORDS = 262_144
+EVACUATION_PREFIX = 'op/evacuate/'
 
 REASONS = {200: 'OK', 404: 'Not Found', 410: 'Gone', 421: 'Misdirected', 503: 'Unavailable'}
 
@@ -115,6 +116,7 @@
     :param late_share: share of the responses that are sent a second time, ahead of the next one
     :param endless_kind: kind of endless reply that it sends to every request, none if empty
     :param end: called by a request that ends the replica's process
+    :param cold_until_s: when it will be warm, 0 if it is
     :param notice: headers in which it states something about itself, in every reply
     """
 
@@ -134,10 +136,18 @@
         self.late_share = 0.0
         self.endless_kind = ''
         self.notice: dict[str, str] = {}
+        self.cold_until_s = 0.0
         self.end: Callable[[], None] = self.stop
         self.run_count = 0
         self.late = b''
 
+    def state_cold(self) -> dict[str, str]:
+        """Return the header with the time for which it stays cold, none if it was never cold."""
+        if not self.cold_until_s:
+            return {}
+        left_s = max(0.0, self.cold_until_s - time.monotonic())
+        return {'Beechbridge-Cold-Ms': str(round(1000.0 * left_s))}
+
     async def answer(self, message: Message, reader: asyncio.StreamReader) -> bytes | None:
         """Run a request and record its response, or reject it."""
         headers = message.headers
@@ -152,7 +162,7 @@
         target = message.first_line.split()[1]
         if DEADLY in target and not is_rejected:
             self.ledger.deadly_arrivals[target].append((time.monotonic(), vm))
-        echo = {'Beechbridge-Request-Id': request_id, **self.notice}
+        echo = {'Beechbridge-Request-Id': request_id, **self.notice, **self.state_cold()}
         if is_misdirected:
             return respond(421, {'Beechbridge-Instance-Id': self.replica_id, **echo})
         if is_rejected:
@@ -236,6 +246,14 @@
         self.items.pop(key, None)
         return self.notify_watches({'key': key, 'rev': self.revision, 'tombstone': True})
 
+    def start_evacuation(self, zone: str) -> float:
+        """Say that a data centre is evacuated; return the time of the acknowledgement."""
+        return self.put(EVACUATION_PREFIX + zone, {})
+
+    def end_evacuation(self, zone: str) -> float:
+        """Say that an evacuation has ended; return the time of the acknowledgement."""
+        return self.remove(EVACUATION_PREFIX + zone)
+
     def notify_watches(self, event: dict) -> float:
         """Append an event and wake the watches."""
         self.events.append(event)
