--- a/model/mutants.py
+++ b/model/mutants.py
@@ -451,7 +451,7 @@
     Mutant(
         'all deployments balance by work',
         PLATFORM_SETTINGS,
-        'balances_by_work = not BALANCING_CONTRACTS.isdisjoint(file.contracts)',
+        'balances_by_work = not UNEVEN_LOAD_CONTRACTS.isdisjoint(file.contracts)',
         'balances_by_work = True',
         ('test_expected_work',),
     ),
