--- a/beechbridge/gateway/replicas/load_reports.py
+++ b/beechbridge/gateway/replicas/load_reports.py
@@ -3,7 +3,7 @@
 import math
 
 from ...record import Record
-from ..models import LoadReport
+from ..statements import LoadReport
 from .work_costs import limit_sample
 
 SPEED_WEIGHT = 0.15
--- a/beechbridge/gateway/replicas/notices.py
+++ b/beechbridge/gateway/replicas/notices.py
@@ -5,8 +5,9 @@
 from ...record import Record
 from ..actions import WriteLine
 from ..interface import GatewayInterface
-from ..models import Notice, ReplicaEntry, Reply
+from ..models import ReplicaEntry, Reply
 from ..permits import PERMIT_LIFETIME_MS, ColdTerms
+from ..statements import Notice
 from .cold import ColdLimit, Coldness
 
 if TYPE_CHECKING:
--- a/beechbridge/gateway/requests/work_estimates.py
+++ b/beechbridge/gateway/requests/work_estimates.py
@@ -1,12 +1,13 @@
 """Use of expected work by requests: what they need, what their replies teach, what is logged."""
 
 from ..interface import GatewayInterface
-from ..models import LoadReport, Reply
+from ..models import Reply
 from ..replicas.connections import Exchange
 from ..replicas.expected_work import ROUND_TRIP_MS, estimate_wait_ms
 from ..replicas.load_reports import ReplicaLoad
 from ..replicas.upstreams import ReplicaState
 from ..replicas.work_costs import MIN_SAMPLE_RATIO, SHORT_WAIT_SHARE, Demand, WorkBook
+from ..statements import LoadReport
 from .works import Task, Work
 
 
--- a/beechbridge/hosts.py
+++ b/beechbridge/hosts.py
@@ -19,3 +19,11 @@
 def is_address(text: str) -> bool:
     """Return whether a text is a host and a port."""
     return ADDRESS.match(text) is not None
+
+
+def split_address(text: str) -> tuple[str, int] | None:
+    """Return the host and the port of an address that can be connected to, None if it is none."""
+    if not is_address(text):
+        return None
+    host, _, port = text.rpartition(':')
+    return (host, int(port)) if int(port) else None
--- a/beechbridge/platform/items.py
+++ b/beechbridge/platform/items.py
@@ -17,7 +17,7 @@
 from ..gateway.replicas.evacuations import Evacuation
 from ..gateway.replicas.store_view import MAX_KEY_LENGTH
 from ..gateway.routes import CallerLimits, Route, RoutingTable, ServiceRules
-from ..hosts import LABELS, MAX_HOST_LENGTH
+from ..hosts import split_address
 from .names import EVACUATIONS_PREFIX, REPLICAS_PREFIX, TABLE_KEY
 
 DRAINING = 'draining'
@@ -46,9 +46,6 @@
 ZONE = re.compile(r'[!-.0-~]+')
 """Name of a data centre in a key: printable ASCII without slashes."""
 
-ADDRESS = re.compile(rf'(?P<host>(?=.{{1,{MAX_HOST_LENGTH}}}:){LABELS}):(?P<port>[0-9]{{1,5}})')
-MAX_PORT = 65_535
-
 
 class SplitPart(msgspec.Struct):
     """One service of a split route and its traffic share."""
@@ -280,14 +277,14 @@
         item = ENTRY_DECODER.decode(value)
     except DECODE_ERRORS as error:
         return InputFailure(key, 'value', str(error), 'a replica entry')
-    address = ADDRESS.fullmatch(item.addr)
-    if address is None or not 0 < int(address['port']) <= MAX_PORT:
+    address = split_address(item.addr)
+    if address is None:
         return InputFailure(key, 'addr', item.addr, 'host:port')
     return ReplicaEntry(
         replica_id=replica_id,
         service=item.service,
-        host=address['host'],
-        port=int(address['port']),
+        host=address[0],
+        port=address[1],
         zone=item.zone,
         slots=item.slots,
         is_draining=item.state == DRAINING,
--- a/beechbridge/platform/replicas.py
+++ b/beechbridge/platform/replicas.py
@@ -3,7 +3,8 @@
 import re
 
 from ..gateway.actions import SendRequest
-from ..gateway.models import LoadReport, Notice, Reply
+from ..gateway.models import Reply
+from ..gateway.statements import LoadReport, Notice
 from .names import (
     EXPECTED_REPLICA,
     REJECTED,
--- a/measure/stand_ins.py
+++ b/measure/stand_ins.py
@@ -3,8 +3,9 @@
 import enum
 
 from beechbridge.gateway.actions import SendOrder, SendRelay, SendRequest, WriteLine
-from beechbridge.gateway.models import CallerRequest, LoadReport, Notice, ReplicaEntry
+from beechbridge.gateway.models import CallerRequest, ReplicaEntry
 from beechbridge.gateway.node import Gateway
+from beechbridge.gateway.statements import LoadReport, Notice
 
 from .notice_log import ColdLog, NoticeLog
 
--- a/tests/test_expected_work.py
+++ b/tests/test_expected_work.py
@@ -8,7 +8,7 @@
 
 from beechbridge.daemon.metrics import render_gateway
 from beechbridge.gateway.events import SettingsReloaded
-from beechbridge.gateway.models import LoadReport, Notice, ReplicaEntry, Reply
+from beechbridge.gateway.models import ReplicaEntry, Reply
 from beechbridge.gateway.replicas import work_costs
 from beechbridge.gateway.replicas.connections import Exchange
 from beechbridge.gateway.replicas.expected_work import (
@@ -22,6 +22,7 @@
 from beechbridge.gateway.requests.hedges import hedge_delay_ms
 from beechbridge.gateway.requests.sending import dispatch_task
 from beechbridge.gateway.requests.work_estimates import switch_balancing
+from beechbridge.gateway.statements import LoadReport, Notice
 from beechbridge.platform.replicas import read_reply
 from beechbridge.platform.settings import parse_settings, read_balancing
 from measure.stand_ins import ReplicaSpec
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -4,7 +4,8 @@
 
 from nose2.tools import params
 
-from beechbridge.gateway.models import Notice, Reply
+from beechbridge.gateway.models import Reply
+from beechbridge.gateway.statements import Notice
 from beechbridge.platform.replicas import read_reply
 
 from .gateways import ManualRequest, single_route, start_register
--- a/tests/test_paused_replicas.py
+++ b/tests/test_paused_replicas.py
@@ -5,7 +5,8 @@
 from nose2.tools import params
 
 from beechbridge.failures import Executed, Failure, Reason
-from beechbridge.gateway.models import MergedAnswer, Notice, Reply
+from beechbridge.gateway.models import MergedAnswer, Reply
+from beechbridge.gateway.statements import Notice
 from measure.stand_ins import ReplicaSpec
 
 from .gateways import (
