--- a/model/mutants.py
+++ b/model/mutants.py
@@ -53,6 +53,9 @@
 STORE_VIEW = 'beechbridge/gateway/replicas/store_view.py'
 NOTICES = 'beechbridge/gateway/replicas/notices.py'
 LIMITS = 'beechbridge/gateway/replicas/limits.py'
+COLD = 'beechbridge/gateway/replicas/cold.py'
+COLD_LIMITS = 'beechbridge/gateway/replicas/cold_limits.py'
+PERMISSION = 'beechbridge/gateway/requests/permission.py'
 USABLE = 'beechbridge/gateway/replicas/upstreams.py'
 SUSPICION = 'beechbridge/gateway/requests/suspicion.py'
 EVIDENCE = 'beechbridge/gateway/requests/evidence.py'
@@ -87,6 +90,69 @@
 CLI_CLIENT = 'beechbridge/cli/client.py'
 
 MUTANTS = (
+    Mutant(
+        'cold replicas need no permits',
+        COLD_LIMITS,
+        'notices.cold_limit = make_limit(rules.cold_rate_per_s, gateway.cold_rules)',
+        'notices.cold_limit = None',
+        ('test_cold_replicas',),
+    ),
+    Mutant(
+        'the life of permits does not count for cold replicas',
+        COLD,
+        'SPREAD_S = 1.0 + PERMIT_LIFETIME_MS / 1000.0 + MESSAGE_DELAY_S',
+        'SPREAD_S = 0.0',
+        ('test_cold_rules',),
+    ),
+    Mutant(
+        'the burst of a cold replica is that of a stated limit',
+        LIMITS,
+        'return burst if self.cold_burst is None else min(burst, self.cold_burst)',
+        'return burst',
+        ('test_cold_rules',),
+    ),
+    Mutant(
+        'a bucket keeps what it collected while its replica was warm',
+        LIMITS,
+        'if terms is not None and gap_ms >= RESTART_GAP_MS and terms.age_ms < gap_ms:',
+        'if False:',
+        ('test_cold_rules',),
+    ),
+    Mutant(
+        'a late reply ends the coldness of a replica',
+        COLD,
+        'is_latest = sent_ms >= self.stated_ms',
+        'is_latest = True',
+        ('test_cold_rules',),
+    ),
+    Mutant(
+        'VMs do not tell each other that a replica has turned cold',
+        COLD_LIMITS,
+        'gateway.limits.turned_cold[state.entry.replica_id] = state',
+        'pass',
+        ('test_cold_replicas',),
+    ),
+    Mutant(
+        'a VM that is not the keeper grants permits for cold replicas',
+        LIMITS,
+        'if terms is not None and not may_grant_cold(replica_id, gateway):',
+        'if False:',
+        ('test_cold_rules',),
+    ),
+    Mutant(
+        'a cold replica is passed over for others',
+        COLD_LIMITS,
+        '    state.cold_until_ms = 0.0\n',
+        "    state.cold_until_ms = float('inf')\n",
+        ('test_cold_replicas',),
+    ),
+    Mutant(
+        'odd terms of cold replicas are used',
+        PERMISSION,
+        'if has_odd_limit or has_odd_terms(message) or not',
+        'if has_odd_limit or not',
+        ('test_cold_rules',),
+    ),
     Mutant(
         'the age of a relayed record is not counted',
         MEMBERS,
