Queue requests at the VM by urgency when replicas have no room

Replicas queue what they cannot run, first come, first served, so that a burst of one class made the most urgent class miss its goals. Where contracts name pressure or places, a VM limits what it has at the replicas of a service to what they run without queueing, from the ratio of measured latency to that without load, and queues the rest by priority and then by time left. A request that cannot be answered in its time is rejected at once, with a Retry-After that spreads the returns over the capacity; one queued request in 25 comes from a less urgent class. Parts of gathers are sent at once, as before.

--- a/beechbridge/gateway/interface.py
+++ b/beechbridge/gateway/interface.py
@@ -29,6 +29,7 @@
     from .requests.budgets import BudgetRules, BudgetShare, RetryBudget
     from .requests.evidence import Evidence
     from .requests.permit_requests import PermitRequests
+    from .requests.room import Room
     from .requests.splits import Splits
     from .requests.start_queue import StartQueue
     from .requests.suspicion import SuspicionBook
@@ -77,6 +78,7 @@
     aggregators: 'Aggregators'
     splits: 'Splits'
     waiting: dict[str, list]
+    rooms: 'dict[str, Room]'
     works: 'dict[int, Work]'
     stopping: 'Stopping'
 
--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -14,10 +14,7 @@
     RequestReceived,
 )
 from .fleet.aggregators import Aggregators
-from .fleet.gossip import (
-    Gossip,
-    HeartbeatTimer,
-)
+from .fleet.gossip import Gossip, HeartbeatTimer
 from .fleet.members import MAX_MESH_SIZE, Fleet
 from .fleet.placement import Activity, Placement
 from .fleet.pulls import Pulls
@@ -54,6 +51,7 @@
 from .requests.permission import send_pending
 from .requests.permit_requests import PermitRequests
 from .requests.progress import dispatch_waiting
+from .requests.room import Room
 from .requests.splits import Splits
 from .requests.start_queue import StartQueue
 from .requests.suspicion import SuspicionBook
@@ -114,6 +112,7 @@
         'replica_by_key',
         'request_latencies',
         'rng',
+        'rooms',
         'splits',
         'start_queue',
         'started_ms',
@@ -175,6 +174,7 @@
         self.budgets: dict[str, RetryBudget] = {}
         self.splits = Splits(rng)
         self.waiting: dict[str, list] = {}
+        self.rooms: dict[str, Room] = {}
         self.works: dict[int, Work] = {}
         self.stopping = Stopping(grace_ms)
         self.last_sharing_count = 0
--- a/beechbridge/gateway/requests/answers.py
+++ b/beechbridge/gateway/requests/answers.py
@@ -16,6 +16,7 @@
     retry_once_open_ms,
     service_opens_in_ms,
 )
+from .room_queue import describe_room, find_return_ms
 from .suspicion import Verdict
 from .works import GatherWork, OrderedWork, SingleWork, Work
 
@@ -126,6 +127,8 @@
         wait_ms = min(service_opens_in_ms(task, gateway) for task in open_tasks)
         retry_after_ms = retry_once_open_ms(wait_ms, REJECTED_RETRY_MS, work.request)
         retry_after_ms = jitter_ms(retry_after_ms, gateway)
+        if wait_ms <= 0.0:
+            retry_after_ms = find_return_ms(work, gateway) or retry_after_ms
         is_denied = any(task.is_denied for task in work.tasks)
         reason = Reason.REPLICAS_BUSY if is_denied else Reason.OVERLOADED
         return not_run(reason, f'{detail}, no replica accepted the request', retry_after_ms)
@@ -199,7 +202,7 @@
         'repeats': work.extra_count,
         'orders': len(work.orders),
     }
-    fields |= describe_timing(work, gateway)
+    fields |= describe_timing(work, gateway) | describe_room(work, gateway)
     if work.relay_targets:
         fields['relayed_to'] = sorted(work.relay_targets)
     if work.is_from_vm:
--- a/beechbridge/gateway/requests/gather_timing.py
+++ b/beechbridge/gateway/requests/gather_timing.py
@@ -26,6 +26,9 @@
 """Longer delays are not learned: the process was paused, or its client does not read."""
 
 MEDIAN_SHARE = 0.5
+FARTHEST = 2
+"""Distance of replicas in another region."""
+
 MIN_HEDGE_FACTOR = 1.2
 """Multiple of the typical latency before which a task is not hedged, however short its goal."""
 
@@ -169,10 +172,13 @@
         return delay_ms
     name, distance = work.route.name, exchange.replica.distance
     upstreams = gateway.upstreams
-    earliest_ms = MIN_HEDGE_FACTOR * upstreams.typical_ms(name, distance)
-    latest_at_ms = work.soft_at_ms - fastest_other_ms(task, exchange, gateway)
-    late_ms = min(upstreams.late_ms(name, distance), latest_at_ms - exchange.sent_ms)
-    return min(delay_ms, max(earliest_ms, late_ms))
+    late_ms = upstreams.late_ms(name, distance)
+    left_ms = work.soft_at_ms - exchange.sent_ms
+    if left_ms - upstreams.typical_ms(name, FARTHEST) < late_ms:
+        earliest_ms = MIN_HEDGE_FACTOR * upstreams.typical_ms(name, distance)
+        latest_ms = left_ms - fastest_other_ms(task, exchange, gateway)
+        late_ms = max(earliest_ms, min(late_ms, latest_ms))
+    return min(delay_ms, late_ms)
 
 
 def is_hopeless(task: Task, gateway: GatewayInterface) -> bool:
--- a/beechbridge/gateway/requests/pauses.py
+++ b/beechbridge/gateway/requests/pauses.py
@@ -12,17 +12,19 @@
     if not gateway.answer_time.is_in_force:
         return excluded
     now_ms = gateway.now_ms
-    pausing = set()
-    has_other = False
+    upstreams = gateway.upstreams
+    pausing = {
+        id(state)
+        for state in upstreams.by_service.get(task.service, ())
+        if state.busy and is_pausing(state, upstreams, now_ms)
+    }
+    if not pausing:
+        return excluded
     share = gateway.connection_share(task.service)
     for state in list_usable(task, gateway):
-        if id(state) in excluded:
-            continue
-        if is_pausing(state, gateway.upstreams, now_ms):
-            pausing.add(id(state))
+        if id(state) in excluded or id(state) in pausing:
             continue
-        has_other = has_other or (len(state.busy) < share and not state.is_suspect(now_ms))
-    if not pausing or not has_other:
-        return excluded
-    gateway.counters.add('pauses_avoided')
-    return excluded | pausing
+        if len(state.busy) < share and not state.is_suspect(now_ms):
+            gateway.counters.add('pauses_avoided')
+            return excluded | pausing
+    return excluded
--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -1,6 +1,5 @@
 """Progress of requests: handles replies and failures, and decides when a request is finished."""
 
-import heapq
 from functools import singledispatch
 
 from ..actions import AnswerRequest, WriteLine
@@ -15,6 +14,7 @@
 from .candidates import list_usable
 from .evidence import REFUSED, acquit, confirm_end, record_loss
 from .gather_timing import find_due_ms, is_due
+from .room_queue import has_time, pop_waiting, record_rejection, record_reply
 from .sending import abandon_exchange, abort_exchange, dispatch_task, end_exchange
 from .withdrawal import settle_withdrawal, withdraw_unsent
 from .works import CanaryTimer, DeadlineTimer, GatherWork, RetryTimer, SingleWork, Task, Work
@@ -182,9 +182,11 @@
         state.replied_ms = now_ms
     if reply.is_rejected:
         state.record_rejection(True, now_ms)
+        record_rejection(exchange, gateway)
         gateway.counters.add('rejections', str(reply.status))
     elif reply.is_success and is_match:
         record_latency(exchange, work.route.name, latency_ms, gateway)
+        record_reply(exchange, latency_ms, gateway)
         gateway.latencies.add(latency_ms)
     elif not reply.is_success:
         state.record_rejection(True, now_ms)
@@ -233,13 +235,11 @@
 
 def dispatch_waiting(service: str, gateway: GatewayInterface) -> None:
     """Dispatch the tasks queued for a connection to a service; close those that cannot be sent."""
-    queue = gateway.waiting.get(service)
-    while queue:
-        task = heapq.heappop(queue)[3]
+    while (task := pop_waiting(service, gateway)) is not None:
         task.is_waiting = False
         if not task.is_open or task.work.is_finished or task.exchanges:
             continue
-        resume_task(task, gateway, may_retry=True)
+        resume_task(task, gateway, may_retry=has_time(task, gateway))
         if task.is_waiting:
             return
 
--- a/beechbridge/gateway/requests/sending.py
+++ b/beechbridge/gateway/requests/sending.py
@@ -19,6 +19,7 @@
 from .holding import hold_task, is_convicted, is_held_back
 from .pauses import avoided_replicas
 from .permit_requests import request_permit
+from .room_queue import has_room, may_finish, record_begin, record_end
 from .works import OrderedWork, RetryTimer, Task
 
 FIRST_BACKOFF_MS = 10.0
@@ -47,6 +48,10 @@
     if is_held_back(task):
         hold_task(task)
         return False
+    if not has_room(task, gateway):
+        if not task.exchanges:
+            enqueue_task(task, gateway)
+        return False
     state = choose_replica(task, is_hedge, gateway)
     if state is None:
         if not task.exchanges:
@@ -112,7 +117,7 @@
 
 def enqueue_task(task: Task, gateway: GatewayInterface) -> None:
     """Queue a task until a connection to its service is free, ordered by urgency."""
-    if task.is_waiting:
+    if task.is_waiting or not may_finish(task, gateway):
         return
     task.is_waiting = True
     work = task.work
@@ -148,6 +153,7 @@
     stalled_at_ms = now_ms + max(MIN_STALL_TIMEOUT_MS, STALL_TIMEOUT_FACTOR * typical_ms)
     kind = find_kind(task, is_hedge)
     exchange = begin_exchange(task, state, idle, stalled_at_ms, gateway, kind)
+    record_begin(task.service, gateway)
     watch_reach(gateway)
     exchange.is_alone = work.is_trial
     exchange.round_number = work.round_number
@@ -258,8 +264,9 @@
     keep_alive_ms: float | None = None,
 ) -> None:
     """Unregister an exchange, and reuse its connection or close it."""
-    gateway.upstreams.exchanges.pop(exchange.exchange_id, None)
     state = exchange.replica
+    if gateway.upstreams.exchanges.pop(exchange.exchange_id, None) is not None:
+        record_end(state.entry.service, gateway)
     if not state.release(exchange, keep_alive_ms, gateway.now_ms, is_reusable):
         gateway.drop_connection(exchange.connection_id)
     if exchange in exchange.owner.exchanges:
--- /dev/null
+++ b/tests/test_room.py
@@ -0,0 +1,150 @@
+"""Requests that compete for too few slots: which are sent, which wait, which are rejected."""
+
+import itertools
+import math
+import unittest
+
+from nose2.tools import params
+
+from beechbridge.failures import Executed, Reason
+from beechbridge.gateway.models import ForwardedAnswer
+from beechbridge.gateway.requests.room import (
+    FAIR_TURN,
+    INTERVAL_REPLIES,
+    MIN_RETURN_MS,
+    Room,
+    take_next,
+)
+from beechbridge.gateway.requests.room_queue import room_of
+
+from .gateways import ManualRequest, single_route, start_register
+
+WORK_MS = 20.0
+
+
+def room_with(limit, sent_count=0):
+    """Return room for some requests, of which some are taken."""
+    room = Room()
+    room.limit = limit
+    for _ in range(sent_count):
+        room.begin()
+    return room
+
+
+class LimitTest(unittest.TestCase):
+    # Without a limit replicas queue all that comes, first come, first served; a limit that falls
+    # without end leaves their slots empty.
+    @params(
+        (6.0, 6, 20.0, 0, 1.0, 6.5, 6.5),
+        (6.0, 6, 28.0, 0, 1.0, 6.5, 6.5),
+        (6.0, 6, 60.0, 0, 1.0, 3.0, 5.0),
+        (6.0, 6, 5_000.0, 0, 5.0, 5.0, 5.0),
+        (6.0, 6, 20.0, 8, 1.0, 3.0, 5.0),
+        (6.0, 2, 20.0, 0, 1.0, 6.0, 6.0),
+        (math.inf, 6, 60.0, 0, 1.0, 3.0, 5.0),
+        (1.0, 1, 5_000.0, 0, 0.5, 1.0, 1.2),
+    )
+    def test_limit_follows_the_latency(
+        self, limit, sent_count, latency_ms, rejected_count, floor, least, most
+    ):
+        room = room_with(limit, sent_count)
+        for _ in range(rejected_count):
+            room.record_rejection()
+        while not room.is_due:
+            room.record(latency_ms, WORK_MS)
+        room.adjust(floor)
+        self.assertGreaterEqual(room.limit, least)
+        self.assertLessEqual(room.limit, most)
+
+    # An urgent request that waits for the end of long work misses its goal.
+    @params((3, False, False), (3, True, True), (5, True, False), (2, False, True))
+    def test_most_urgent_class_has_room_beyond_the_limit(self, sent_count, is_urgent, has_room):
+        self.assertEqual(room_with(3.0, sent_count).has_room(is_urgent), has_room)
+
+
+class QueueTest(unittest.TestCase):
+    # Requests were taken by their deadline alone once it had passed, and long ones never.
+    def test_order_is_by_priority_then_by_goals_that_can_be_met(self):
+        queue = [(1, 50.0, 0), (0, 300.0, 1), (1, 200.0, 2), (0, 250.0, 3), (1, 150.0, 4)]
+        room = room_with(1.0)
+        taken = [take_next(queue, room, lambda entry: entry[2] != 3, 100.0) for _ in range(5)]
+        self.assertEqual([entry and entry[2] for entry in taken], [1, 4, 2, 0, None])
+
+    # Sustained urgent load starved the other classes; more than 5 in 100 is too much for them.
+    def test_less_urgent_class_gets_a_share_and_no_more(self):
+        numbers = itertools.count()
+        room = room_with(1.0)
+        queue = [(1, 900.0, next(numbers)) for _ in range(50)]
+        counts = [0, 0]
+        for _ in range(20 * FAIR_TURN):
+            queue.append((0, 500.0, next(numbers)))
+            queue.append((0, 500.0, next(numbers)))
+            counts[take_next(queue, room, lambda entry: True, 100.0)[0]] += 1
+        self.assertGreater(counts[1], 0)
+        self.assertLessEqual(counts[1], 0.05 * sum(counts))
+
+
+class ReturnTest(unittest.TestCase):
+    # Rejected clients that all return at once are all rejected again.
+    @params((2.0, 50.0), (4.0, 25.0))
+    def test_clients_return_at_the_rate_that_can_be_served(self, limit, gap_ms):
+        room = room_with(limit)
+        returns_ms = [room.schedule_return_ms(1, 50.0, 4_000.0, 1_000.0) for _ in range(20)]
+        self.assertEqual(returns_ms[0], MIN_RETURN_MS)
+        for earlier_ms, later_ms in itertools.pairwise(returns_ms):
+            self.assertAlmostEqual(later_ms - earlier_ms, gap_ms)
+        self.assertEqual(room.schedule_return_ms(0, 50.0, 4_000.0, 1_000.0), MIN_RETURN_MS)
+
+    # A client that is told to return when its time is over cannot be served any more.
+    def test_client_returns_while_it_has_time(self):
+        room = room_with(1.0)
+        returns_ms = [room.schedule_return_ms(1, 100.0, 600.0, 0.0) for _ in range(50)]
+        self.assertEqual(max(returns_ms), 300.0)
+
+
+class GatewayTest(unittest.TestCase):
+    def start(self, limit, sent_count, is_in_force=True):
+        emulator = start_register(single_route('lookup'))
+        gateway = emulator.vms[0].gateway
+        gateway.answer_time.is_in_force = is_in_force
+        gateway.rooms['register'] = room_with(limit, sent_count)
+        gateway.rooms['register'].most_urgent = 0
+        return emulator, gateway
+
+    # A request waited for room until its deadline, which told its client too late.
+    @params((3, 4_000.0, True, 'waits'), (3, 20.0, True, 'rejected'), (3, 4_000.0, False, 'sent'))
+    def test_request_without_room_waits_or_is_rejected(
+        self, sent_count, timeout_ms, is_in_force, outcome
+    ):
+        emulator, gateway = self.start(3.0, sent_count, is_in_force)
+        request = ManualRequest(emulator, 'a', '/lookup/x', 'GET', timeout_ms)
+        self.assertEqual(len(request.sends), int(outcome == 'sent'))
+        self.assertEqual(len(gateway.waiting.get('register', ())), int(outcome == 'waits'))
+        self.assertEqual(len(request.answers), int(outcome == 'rejected'))
+        if request.answers:
+            answer = request.answers[0]
+            self.assertIs(answer.executed, Executed.NOT_RUN)
+            self.assertIs(answer.reason, Reason.OVERLOADED)
+
+    # Room that a client left behind stayed unused until the next reply.
+    def test_room_of_a_client_that_left_is_given_on(self):
+        emulator, gateway = self.start(1.0, 0)
+        keys = [emulator.send_request(0, '/lookup/x', 4_000.0) for _ in range(2)]
+        self.assertEqual(len(gateway.waiting['register']), 1)
+        emulator.disconnect_caller(0, keys[0])
+        self.assertEqual(gateway.waiting['register'], [])
+        emulator.run(1_000.0)
+        self.assertIsInstance(emulator.vms[0].answers[keys[1]][1], ForwardedAnswer)
+        self.assertEqual(room_of('register', gateway).sent_count, 0)
+
+    # A count that is not given back at each end would shut a service for good.
+    def test_all_room_is_given_back(self):
+        emulator, gateway = self.start(math.inf, 0)
+        emulator.replicas['r-0'].spec.reject_share = 0.5
+        emulator.replicas['r-1'].spec.queue_limit = 0
+        for _ in range(20 * INTERVAL_REPLIES):
+            emulator.send_request(0, '/lookup/x', 400.0)
+            emulator.run(30.0)
+        emulator.run(6_000.0)
+        self.assertEqual(room_of('register', gateway).sent_count, 0)
+        self.assertLess(room_of('register', gateway).limit, math.inf)
