--- a/model/mutants.py
+++ b/model/mutants.py
@@ -85,6 +85,14 @@
 SERVER = 'beechbridge/daemon/server.py'
 VM_LIST = 'beechbridge/daemon/platform.py'
 CLI_CLIENT = 'beechbridge/cli/client.py'
+ANSWER_TIME = 'beechbridge/gateway/requests/answer_time.py'
+GATHER_TIMING = 'beechbridge/gateway/requests/gather_timing.py'
+PAUSES = 'beechbridge/gateway/replicas/pauses.py'
+START_QUEUE = 'beechbridge/gateway/requests/start_queue.py'
+EARLY_LISTENER = 'beechbridge/platform/early_listener.py'
+ROOM = 'beechbridge/gateway/requests/room.py'
+ROOM_QUEUE = 'beechbridge/gateway/requests/room_queue.py'
+ANSWER_CLOCK = 'beechbridge/daemon/answer_clock.py'
 
 MUTANTS = (
     Mutant(
@@ -768,6 +776,140 @@
         'self.items[key] = item',
         ('test_epochs',),
     ),
+    Mutant(
+        'an answer waits until the last moment',
+        ANSWER_TIME,
+        '        if worth > best_worth:',
+        '        if True:',
+        ('test_answer_time',),
+    ),
+    Mutant(
+        'a late answer is worth as much',
+        ANSWER_TIME,
+        'LATE_WORTH = 0.1',
+        'LATE_WORTH = 1.0',
+        ('test_answer_time',),
+    ),
+    Mutant(
+        'delays of answers are not learned',
+        ANSWER_TIME,
+        '        self.ordered_ms = sorted(self.delays_ms)\n',
+        '',
+        ('test_answer_time',),
+    ),
+    Mutant(
+        'the time before the request was read counts as left',
+        GATHER_TIMING,
+        '        waited_ms = max(0.0, work.arrived_ms - event.read_ms)',
+        '        waited_ms = 0.0',
+        ('test_answer_time',),
+    ),
+    Mutant(
+        'a hedge may come too late',
+        GATHER_TIMING,
+        '    return gateway.now_ms + fastest_other_ms(task, None, gateway) > until_ms',
+        '    return False',
+        ('test_answer_time',),
+    ),
+    Mutant(
+        'a hedge does not regard the goal',
+        GATHER_TIMING,
+        '    return min(delay_ms, late_ms)',
+        '    return delay_ms',
+        ('test_answer_time',),
+    ),
+    Mutant(
+        'answers are timed without the contract',
+        GATHER_TIMING,
+        '    is_timed = times.is_in_force and isinstance(event, RequestReceived)',
+        '    is_timed = isinstance(event, RequestReceived)',
+        ('test_answer_time',),
+    ),
+    Mutant(
+        'a replica that has answered is in its pause',
+        PAUSES,
+        'max(exchange.sent_ms, state.replied_ms)',
+        'exchange.sent_ms',
+        ('test_answer_time',),
+    ),
+    Mutant(
+        'a written answer is not reported',
+        ANSWER_CLOCK,
+        '        if due_ms is not None and self.connected:',
+        '        if False:',
+        ('test_answer_time',),
+    ),
+    Mutant(
+        'any number of requests wait for the table',
+        START_QUEUE,
+        'len(queue.held) >= MAX_HELD_REQUESTS',
+        'False',
+        ('test_restart_load',),
+    ),
+    Mutant(
+        'a request waits for the table as long as it takes',
+        START_QUEUE,
+        'due_ms = min(due_ms, event.read_ms + OUTAGE',
+        'due_ms = max(due_ms, event.read_ms + OUTAGE',
+        ('test_restart_load',),
+    ),
+    Mutant(
+        'requests are held without the contract',
+        START_QUEUE,
+        'gateway.table is not None or not gateway.answer_time.is_in_force',
+        'gateway.table is not None',
+        ('test_restart_load',),
+    ),
+    Mutant(
+        'clients are listened for without the contract',
+        EARLY_LISTENER,
+        "        if SHORT_GOAL_CONTRACTS.isdisjoint(settings['contracts']):",
+        '        if False:',
+        ('test_early_listener',),
+    ),
+    Mutant(
+        'less urgent classes starve',
+        ROOM,
+        '        if others:',
+        '        if False:',
+        ('test_room',),
+    ),
+    Mutant(
+        'rejected clients return at once',
+        ROOM,
+        'due_ms + (0.0 if self.limit == math.inf else gap_ms)',
+        'now_ms',
+        ('test_room',),
+    ),
+    Mutant(
+        'the limit does not follow the latency',
+        ROOM,
+        '        gradient = max(MIN_GRADIENT, gradient)',
+        '        gradient = 1.0',
+        ('test_room',),
+    ),
+    Mutant(
+        'the limit falls below the slots',
+        ROOM,
+        'max(MIN_LIMIT, least_limit, ',
+        'max(MIN_LIMIT, ',
+        ('test_room',),
+    ),
+    Mutant(
+        'urgent requests wait for long work',
+        ROOM,
+        '        if is_most_urgent:',
+        '        if False:',
+        ('test_room',),
+    ),
+    Mutant(
+        'a request waits that cannot be served in time',
+        ROOM_QUEUE,
+        '    if gateway.now_ms + needed_ms <= work.hard_at_ms:\n        return True\n'
+        "    gateway.counters.add('requests_without_room'",
+        "    return True\n    gateway.counters.add('requests_without_room'",
+        ('test_room',),
+    ),
 )
 
 
--- a/tests/test_answer_time.py
+++ b/tests/test_answer_time.py
@@ -7,7 +7,12 @@
 
 from beechbridge.daemon.answer_clock import time_answer
 from beechbridge.gateway.actions import AnswerRequest
-from beechbridge.gateway.events import AnswerWritten, RequestReceived, TimerDue
+from beechbridge.gateway.events import (
+    AnswerWritten,
+    RequestReceived,
+    SettingsReloaded,
+    TimerDue,
+)
 from beechbridge.gateway.models import CallerRequest, MergedAnswer, Reply
 from beechbridge.gateway.requests.answer_time import (
     CLIENT_LINK_MS,
@@ -17,7 +22,11 @@
     choose_wait_ms,
     part_chance,
 )
-from beechbridge.gateway.requests.gather_timing import is_hopeless, timely_delay_ms
+from beechbridge.gateway.requests.gather_timing import (
+    ANSWER_MARGIN_MS,
+    is_hopeless,
+    timely_delay_ms,
+)
 from beechbridge.gateway.requests.pauses import avoided_replicas
 from beechbridge.platform.settings import parse_settings
 from measure.stand_ins import ReplicaSpec
@@ -100,6 +109,13 @@
         left_ms = work.soft_at_ms - emulator.now_ms
         self.assertAlmostEqual(left_ms, OBJECTIVE_MS - CLIENT_LINK_MS - unread_ms - delay_ms)
 
+    # Without the rules in force, deadlines stay at the fixed margin, whatever was measured.
+    def test_deadline_is_fixed_elsewhere(self):
+        emulator = start_sweeps(4)
+        work = ask(emulator, emulator.now_ms - 20.0)
+        self.assertAlmostEqual(work.soft_at_ms - emulator.now_ms, OBJECTIVE_MS - ANSWER_MARGIN_MS)
+        self.assertIsNone(work.written_by_ms)
+
     # A gather that waited for two paused shards of twenty until the last moment came too late.
     def test_gather_is_answered_before_the_risk(self):
         emulator = start_sweeps(20, zones=REGIONS[:1], min_share=0.5)
@@ -211,3 +227,7 @@
     def test_contracts_put_the_rules_in_force(self, line, is_in_force):
         settings = parse_settings(line + SETTINGS, 'a.toml')
         self.assertEqual(settings.has_short_goals, is_in_force)
+        gateway = start_sweeps(2).vms[0].gateway
+        gateway.answer_time.is_in_force = not is_in_force
+        gateway.handle(SettingsReloaded(settings), gateway.now_ms)
+        self.assertEqual(gateway.answer_time.is_in_force, is_in_force)
