--- a/beechbridge/gateway/node.py
+++ b/beechbridge/gateway/node.py
@@ -38,6 +38,7 @@
 from .requests.evidence import Evidence
 from .requests.permission import send_pending
 from .requests.permit_requests import PermitRequests
+from .requests.room import Room
 from .requests.splits import Splits
 from .requests.start_queue import StartQueue
 from .requests.suspicion import SuspicionBook
@@ -103,6 +104,7 @@
         'replica_by_key',
         'request_latencies',
         'rng',
+        'rooms',
         'splits',
         'start_queue',
         'started_ms',
@@ -170,6 +172,7 @@
         self.budgets: dict[str, RetryBudget] = {}
         self.splits = Splits(rng)
         self.waiting: dict[str, list] = {}
+        self.rooms: dict[str, Room] = {}
         self.works: dict[int, Work] = {}
         self.stopping = Stopping(grace_ms)
         self.last_sharing_count = 0
--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -15,6 +15,7 @@
 from .candidates import list_usable
 from .evidence import REFUSED, acquit, confirm_end, record_loss
 from .gather_timing import find_due_ms, is_due
+from .room_queue import record_rejection, record_reply
 from .sending import abandon_exchange, abort_exchange, dispatch_task, end_exchange
 from .withdrawal import settle_withdrawal, withdraw_unsent
 from .work_estimates import learn_reply
@@ -185,9 +186,11 @@
         state.replied_ms = now_ms
     if reply.is_rejected:
         state.record_rejection(True, now_ms)
+        record_rejection(exchange, gateway)
         gateway.counters.add('rejections', str(reply.status))
     elif reply.is_success and is_match:
         record_latency(exchange, work.route.name, latency_ms, gateway)
+        record_reply(exchange, latency_ms, gateway)
         gateway.latencies.add(latency_ms)
     elif not reply.is_success:
         state.record_rejection(True, now_ms)
--- a/beechbridge/gateway/requests/waiting.py
+++ b/beechbridge/gateway/requests/waiting.py
@@ -5,6 +5,7 @@
 from ..interface import GatewayInterface
 from .candidates import allowed_zones
 from .progress import resume_task
+from .room_queue import has_time, pop_waiting
 
 
 def dispatch_waiting(service: str, gateway: GatewayInterface) -> None:
@@ -14,12 +15,10 @@
     A task that still has to wait holds up those behind it, unless home regions bind it to replicas
     that are busy or out of reach and the others may be sent elsewhere.
     """
-    queue = gateway.waiting.get(service)
     blocked: list[frozenset[str]] = []
     passed_over = []
     try:
-        while queue:
-            queued = heapq.heappop(queue)
+        while (queued := pop_waiting(service, gateway)) is not None:
             task = queued[3]
             if not task.is_open or task.work.is_finished or task.exchanges:
                 task.is_waiting = False
@@ -29,7 +28,7 @@
                 passed_over.append(queued)
                 continue
             task.is_waiting = False
-            resume_task(task, gateway, may_retry=True)
+            resume_task(task, gateway, may_retry=has_time(task, gateway))
             if not task.is_waiting:
                 continue
             if zones is None:
@@ -37,4 +36,4 @@
             blocked.append(zones)
     finally:
         for queued in passed_over:
-            heapq.heappush(queue, queued)
+            heapq.heappush(gateway.waiting[service], queued)
