Count running requests beside one turned away; count at less cost

When an incomplete request was turned away, the account also forgot the earlier requests of its connection, which may be running: they are counted again.

--- a/beechbridge/daemon/caller_channel.py
+++ b/beechbridge/daemon/caller_channel.py
@@ -123,10 +123,12 @@
         if part != self.timed_part:
             self.timed_part = part
             self.deadline_s = time.monotonic() + self.part_timeout_s(request)
-            self.urgency = self.app.find_urgency(self, request)
+            self.urgency = LEAST_URGENT
         if not request.headers_finished:
             self.app.memory.hold_partial_head(self)
         elif request.body_bytes_received > SINGLE_READ_BYTES:
+            if self.urgency == LEAST_URGENT:
+                self.urgency = self.app.find_urgency(self, request)
             self.app.memory.hold_request(self)
         return is_open
 
--- a/beechbridge/daemon/client_memory.py
+++ b/beechbridge/daemon/client_memory.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from ..gateway.models import Answer, ForwardedAnswer, MergedAnswer, PartsAnswer
-from .caller_channel import CallerChannel
+from .caller_channel import SINGLE_READ_BYTES, CallerChannel
 from .clock import read_clock_ms
 from .held_memory import HeldMemory
 from .memory_account import ANSWERS, BODIES, HEADS, LEAST_URGENT, MemoryAccount, TurnedAway
@@ -11,10 +11,12 @@
 
 
 def measure_answer(answer: Answer) -> int:
-    """Return the size of the body of an answer that waits to be written."""
+    """Return the size of the body of an answer that waits to be written, 0 if it is small."""
     if isinstance(answer, ForwardedAnswer):
-        return len(answer.reply.body)
-    return len(answer.body) if isinstance(answer, (MergedAnswer, PartsAnswer)) else 0
+        byte_count = len(answer.reply.body)
+    else:
+        byte_count = len(answer.body) if isinstance(answer, (MergedAnswer, PartsAnswer)) else 0
+    return byte_count if byte_count > SINGLE_READ_BYTES else 0
 
 
 class ClientMemory:
@@ -97,6 +99,9 @@
             channel.break_off()
             return
         channel.reject_request(RequestMemoryError('no memory for the rest of the request'))
+        is_head = one.purpose is HEADS
+        left_bytes = channel.head_bytes() if is_head else channel.received_bytes()
+        self.account.restore(one.purpose, channel, one.holding, left_bytes)
 
     def log(self, one: TurnedAway, now_ms: float) -> None:
         """Log who is turned away, and for what."""
@@ -114,6 +119,10 @@
 
     def recount_requests(self, channel: CallerChannel) -> None:
         """Count what is left once a request was served or rejected."""
+        if not channel.requests and channel.request is None and not self.received.by_channel:
+            # The usual case, with nothing left to count.
+            self.heads.release(channel)
+            return
         for part, byte_count in (
             (self.heads, channel.head_bytes()),
             (self.received, channel.received_bytes()),
--- a/beechbridge/daemon/front.py
+++ b/beechbridge/daemon/front.py
@@ -205,7 +205,7 @@
         if stored is None:
             return self.handlers[port](environ, start_response)
         endpoint, answer, channel.answered_id = stored
-        self.memory.account.count(ANSWERS, -measure_answer(answer))
+        self.count_answer(answer, -1)
         wire = endpoint.encode(answer, channel.answered_id)
         wire.headers.append(('Content-Length', str(len(wire.body))))
         start_response(wire.status, wire.headers)
@@ -256,15 +256,21 @@
         if caller is None:
             return
         self.keys_by_channel.pop(caller.channel, None)
-        self.memory.account.count(ANSWERS, measure_answer(answer))
+        self.count_answer(answer, 1)
         self.answers[caller.channel] = (caller.endpoint, answer, caller.request_id)
         self.dispatch(caller.channel)
 
+    def count_answer(self, answer: Answer, sign: int) -> None:
+        """Count a large answer that begins (1) or ends (-1) to wait for a worker thread."""
+        byte_count = measure_answer(answer)
+        if byte_count:
+            self.memory.account.count(ANSWERS, sign * byte_count)
+
     def drop_answer(self, channel: CallerChannel) -> None:
         """Drop the answer that a closed connection did not take."""
         stored = self.answers.pop(channel, None)
         if stored is not None:
-            self.memory.account.count(ANSWERS, -measure_answer(stored[1]))
+            self.count_answer(stored[1], -1)
 
     def schedule_relief(self) -> None:
         """Turn connections away in the server's thread: replies need the memory."""
--- a/beechbridge/daemon/memory_account.py
+++ b/beechbridge/daemon/memory_account.py
@@ -73,11 +73,21 @@
 
     :param limit_bytes: what all purposes may take together; a single holding may always take more
     :param purpose_limits: limits in bytes of single purposes, beside that
+    :param held_bytes: what each purpose takes
+    :param total_bytes: what all of them take together
     :param holdings: what is held, by purpose and connection
     :param may_give_up: by purpose, returns whether what a connection holds may be given up
     """
 
-    __slots__ = ('held_bytes', 'holdings', 'limit_bytes', 'lock', 'may_give_up', 'purpose_limits')
+    __slots__ = (
+        'held_bytes',
+        'holdings',
+        'limit_bytes',
+        'lock',
+        'may_give_up',
+        'purpose_limits',
+        'total_bytes',
+    )
 
     def __init__(self, limit_bytes: int):
         self.limit_bytes = limit_bytes
@@ -85,13 +95,9 @@
         self.may_give_up: dict[str, Callable[[object], bool]] = {}
         self.held_bytes = dict.fromkeys(PURPOSES, 0)
         self.holdings: dict[str, dict[object, Holding]] = {one: {} for one in PURPOSES}
+        self.total_bytes = 0
         self.lock = threading.Lock()
 
-    @property
-    def total_bytes(self) -> int:
-        """Return what all purposes take together."""
-        return sum(self.held_bytes.values())
-
     def hold(
         self, purpose: str, channel: object, byte_count: int, now_ms: float, urgency: int = 0
     ) -> list[TurnedAway]:
@@ -105,23 +111,38 @@
             known = holdings.get(channel)
             if known is None:
                 holdings[channel] = Holding(byte_count, now_ms, urgency)
-                self.held_bytes[purpose] += byte_count
+                self.add(purpose, byte_count)
             else:
-                self.held_bytes[purpose] += byte_count - known.byte_count
+                self.add(purpose, byte_count - known.byte_count)
                 known.byte_count = byte_count
                 known.urgency = urgency
+            if self.total_bytes <= self.limit_bytes and not self.purpose_limits:
+                return []
             return self.find_excess(now_ms)
 
+    def add(self, purpose: str, byte_count: int) -> None:
+        """Add to what a purpose takes; call with the lock held."""
+        self.held_bytes[purpose] += byte_count
+        self.total_bytes += byte_count
+
+    def restore(self, purpose: str, channel: object, holding: Holding, byte_count: int) -> None:
+        """Count what a connection that was turned away still holds, for its earlier requests."""
+        with self.lock:
+            if byte_count and channel not in self.holdings[purpose]:
+                left = Holding(byte_count, holding.since_ms, holding.urgency)
+                self.holdings[purpose][channel] = left
+                self.add(purpose, byte_count)
+
     def count(self, purpose: str, byte_count: int) -> bool:
         """Count bytes of no connection; return whether all purposes exceed the limit."""
         with self.lock:
-            self.held_bytes[purpose] += byte_count
+            self.add(purpose, byte_count)
             return self.total_bytes > self.limit_bytes
 
     def measure(self, purpose: str, byte_count: int) -> None:
         """Set what a purpose takes that is measured now and then."""
         with self.lock:
-            self.held_bytes[purpose] = byte_count
+            self.add(purpose, byte_count - self.held_bytes[purpose])
 
     def relieve(self, now_ms: float) -> list[TurnedAway]:
         """Return the connections to turn away because a limit is exceeded."""
@@ -176,7 +197,7 @@
         with self.lock:
             holding = self.holdings[purpose].get(channel)
             if holding is not None:
-                self.held_bytes[purpose] -= holding.byte_count - byte_count
+                self.add(purpose, byte_count - holding.byte_count)
                 holding.byte_count = byte_count
 
     def release(self, purpose: str, channel: object) -> None:
@@ -188,4 +209,4 @@
         """Remove a connection; call with the lock held."""
         holding = self.holdings[purpose].pop(channel, None)
         if holding is not None:
-            self.held_bytes[purpose] -= holding.byte_count
+            self.add(purpose, -holding.byte_count)
--- a/model/mutants.py
+++ b/model/mutants.py
@@ -786,6 +786,13 @@
         'pass',
         ('test_memory_account',),
     ),
+    Mutant(
+        'a running request is not counted beside one that was turned away',
+        'beechbridge/daemon/client_memory.py',
+        'self.account.restore(one.purpose, channel, one.holding, left_bytes)',
+        'pass',
+        ('test_memory_account',),
+    ),
     Mutant(
         'any number of pipelined requests is parsed',
         CALLER_CHANNEL,
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -147,6 +147,17 @@
         self.front.run_in_server(lambda: None)
         self.assertEqual(self.account.held_bytes[HEADS], 5 * single_bytes)
 
+    # A client hid a request that is running by a second one, which was turned away.
+    def test_running_request_is_still_counted_beside_one_that_was_turned_away(self):
+        self.start(held_memory_bytes=100_000)
+        self.send(f'{HEAD}{FIELDS}\r\n{HEAD}Content-Length: 9000\r\n\r\n')
+        channel = self.front.app.waiting[self.front.next_event().key].channel
+        running_bytes = channel.requests[0].head_bytes()
+        self.send(f'{HEAD}{FIELDS}\r\n')
+        self.front.next_event()
+        self.front.run_in_server(lambda: None)
+        self.assertEqual(self.account.holdings[HEADS][channel].byte_count, running_bytes)
+
     # A client that reads no answer got further ones, which were kept for it.
     def test_next_request_waits_until_the_answer_is_taken(self):
         self.start()
