Steady the corrected waits and show silent replicas sooner

On the emulator with balancing by work, a quarter of the sub-requests went to another region at half load: the correction of waits was a ratio of two short times and reached its bound. Both now include the mean cost. The wait of a suspect replica is unknown and no longer part of its estimate, hedges do not wait for a silence, and several overdue requests show a pause sooner. A hedge is no longer dropped because of its estimate.

--- a/beechbridge/gateway/replicas/expected_work.py
+++ b/beechbridge/gateway/replicas/expected_work.py
@@ -88,7 +88,7 @@
 
 def estimate_wait_ms(state: 'ReplicaState', demand: Demand, factor: float, now_ms: float) -> float:
     """
-    Return the time in milliseconds until a replica starts a request that is sent now.
+    Return the time in milliseconds that a request sent now waits for those before it.
 
     :param factor: time that work takes there as a multiple of the usual time
     """
@@ -102,27 +102,24 @@
             slots = load.slots
     work_ms = others * demand.mean_ms * factor
     count = others + len(state.busy)
-    silence_ms = 0.0
-    overdue_count = 0
-    if state.busy:
-        for exchange in state.busy.values():
-            own_ms = exchange.cost_ms * factor
-            left_ms = exchange.sent_ms + exchange.expected_ms - now_ms
-            work_ms += max(MIN_REMAINING_SHARE * own_ms, min(own_ms, left_ms))
-            overdue_count += left_ms < 0.0
-        if overdue_count:
-            silence_ms = estimate_silence_ms(state, overdue_count, factor, now_ms)
     if count <= 0.0:
-        return silence_ms
+        return 0.0
+    for exchange in state.busy.values():
+        own_ms = exchange.cost_ms * factor
+        left_ms = exchange.sent_ms + exchange.expected_ms - now_ms
+        work_ms += max(MIN_REMAINING_SHARE * own_ms, min(own_ms, left_ms))
     blocked = max(count - slots + 1.0, BUSY_RISK * count)
-    return silence_ms + demand.wait_factor * work_ms / count * blocked / slots
+    return demand.wait_factor * work_ms / count * blocked / slots
 
 
-def estimate_silence_ms(
-    state: 'ReplicaState', overdue_count: int, factor: float, now_ms: float
-) -> float:
-    """Return how long a replica is expected to remain silent, 0 unless replies are overdue."""
+def estimate_silence_ms(state: 'ReplicaState', factor: float, now_ms: float) -> float:
+    """Return how long a replica is expected to remain silent, 0 unless a reply is overdue."""
     oldest: Exchange = next(iter(state.busy.values()))
+    overdue_count = 0
+    for exchange in state.busy.values():
+        overdue_count += exchange.sent_ms + exchange.expected_ms < now_ms
+    if not overdue_count:
+        return 0.0
     silent_ms = now_ms - max(state.replied_ms, oldest.sent_ms + oldest.expected_ms)
     usual_ms = SILENT_FACTOR * oldest.cost_ms * factor / overdue_count + SILENT_BASE_MS
     if silent_ms <= usual_ms:
@@ -133,8 +130,15 @@
 def estimate_completion_ms(state: 'ReplicaState', demand: Demand, now_ms: float) -> float:
     """Return the time in milliseconds until the reply to a request that is sent now."""
     factor = state.work.time_factor(now_ms)
-    wait_ms = estimate_wait_ms(state, demand, factor, now_ms)
-    expected_ms = ROUND_TRIP_MS[state.distance] + wait_ms + demand.cost_ms * factor
+    expected_ms = ROUND_TRIP_MS[state.distance] + demand.cost_ms * factor
+    if state.is_suspect(now_ms):
+        # Its queue is unknown. Where all are suspect the nearest is tried, whichever has been
+        # silent for longer: a gather waits longer for the reply of a distant one.
+        expected_ms += SUSPECT_PENALTY_MS
+    else:
+        expected_ms += estimate_wait_ms(state, demand, factor, now_ms)
+        if state.busy:
+            expected_ms += estimate_silence_ms(state, factor, now_ms)
     if demand.is_long and takes_last_slot(state, demand, now_ms):
         expected_ms += RESERVE_FACTOR * demand.mean_ms
     if state.reject_share:
@@ -142,8 +146,6 @@
         expected_ms *= 1.0 + demand.reject_factor * share
     if now_ms < state.cold_until_ms:
         expected_ms *= COLD_FACTOR
-    if state.is_suspect(now_ms):
-        expected_ms += SUSPECT_PENALTY_MS
     return expected_ms
 
 
--- a/beechbridge/gateway/replicas/work_costs.py
+++ b/beechbridge/gateway/replicas/work_costs.py
@@ -25,11 +25,14 @@
 MIN_SAMPLE_RATIO = 0.1
 OTHERS_WEIGHT = 0.05
 WAIT_WEIGHT = 0.02
-MAX_WAIT_FACTOR = 4.0
+MAX_WAIT_FACTOR = 2.0
 """Bounds, with its inverse, of the correction of waits: pauses, and requests that no report tells
 of yet, make them longer than the requests known of do."""
 
-INITIAL_WAIT_MS = 1.0
+WAIT_MARGIN = 1.0
+"""Share of the service's mean cost added to both waits before they are compared: at low load, the
+uncertainty of the costs would be taken for a wait several times as long."""
+
 SHORT_WAIT_SHARE = 0.25
 """Share of a request's cost up to which an expected wait does not spoil a sample of the cost."""
 
@@ -72,14 +75,15 @@
         self.count = 0
         self.updated_ms = now_ms
         self.others = 0.0
-        self.expected_wait_ms = INITIAL_WAIT_MS
-        self.actual_wait_ms = INITIAL_WAIT_MS
+        self.expected_wait_ms = 0.0
+        self.actual_wait_ms = 0.0
         self.priority = 0
 
     @property
     def wait_factor(self) -> float:
         """Return how long waits at the service are, as a multiple of those expected."""
-        factor = self.actual_wait_ms / max(self.expected_wait_ms, INITIAL_WAIT_MS / 10)
+        margin_ms = WAIT_MARGIN * self.mean_ms
+        factor = (self.actual_wait_ms + margin_ms) / (self.expected_wait_ms + margin_ms)
         return min(MAX_WAIT_FACTOR, max(1.0 / MAX_WAIT_FACTOR, factor))
 
     def add(self, sample_ms: float, now_ms: float) -> None:
--- a/beechbridge/gateway/requests/hedges.py
+++ b/beechbridge/gateway/requests/hedges.py
@@ -8,6 +8,7 @@
 from .candidates import list_usable
 from .progress import check_gather
 from .sending import FOREVER_MS, dispatch_task
+from .work_estimates import usual_latency_ms
 from .works import CheckTimer, GatherWork, Task, Work
 
 HEDGE_FACTOR = 2.0
@@ -40,13 +41,9 @@
     task = exchange.owner
     route = task.work.route
     factor = HEDGE_FACTOR if route.is_gather else SINGLE_HEDGE_FACTOR
-    if exchange.cost_ms:
-        # The correction of waits stands for pauses among others, which hedges are to cut short.
-        wait_ms = exchange.wait_ms / exchange.wait_factor
-        delay_ms = wait_ms + factor * exchange.alone_ms + HEDGE_BASE_MS
-    else:
-        typical_ms = gateway.upstreams.typical_ms(route.name, exchange.replica.distance)
-        delay_ms = factor * typical_ms + HEDGE_BASE_MS
+    # The correction of waits stands for pauses among others, which hedges are to cut short.
+    wait_ms = exchange.wait_ms / exchange.wait_factor
+    delay_ms = wait_ms + factor * usual_latency_ms(exchange, gateway) + HEDGE_BASE_MS
     remaining_fraction = gateway.budget(task.service).remaining_fraction(share, gateway.now_ms)
     if remaining_fraction < 0.5:
         delay_ms *= 1.0 + HEDGE_SCARCITY_FACTOR * (0.5 - remaining_fraction)
--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -16,7 +16,7 @@
 from .evidence import REFUSED, acquit, confirm_end, record_loss
 from .sending import abandon_exchange, abort_exchange, dispatch_task, end_exchange
 from .withdrawal import settle_withdrawal, withdraw_unsent
-from .work_estimates import learn_reply
+from .work_estimates import learn_reply, usual_latency_ms
 from .works import CanaryTimer, DeadlineTimer, GatherWork, RetryTimer, SingleWork, Task, Work
 
 SUSPECT_WAIT_FACTOR = 2.0
@@ -299,7 +299,7 @@
             if may_answer(state, task, gateway):
                 return True
         for exchange in task.exchanges:
-            typical_ms = gateway.upstreams.typical_ms(work.route.name, exchange.replica.distance)
+            typical_ms = usual_latency_ms(exchange, gateway)
             if now_ms - exchange.sent_ms < SUSPECT_WAIT_FACTOR * typical_ms:
                 return True
     return False
--- a/beechbridge/gateway/requests/sending.py
+++ b/beechbridge/gateway/requests/sending.py
@@ -18,7 +18,7 @@
 from .candidates import allowed_zones, has_unrestricted, list_usable
 from .holding import hold_task, is_convicted, is_held_back
 from .permit_requests import request_permit
-from .work_estimates import expect_wait_ms, expect_work, is_hedge_late, note_estimate
+from .work_estimates import expect_wait_ms, expect_work, note_estimate
 from .works import OrderedWork, RetryTimer, Task
 
 FIRST_BACKOFF_MS = 10.0
@@ -52,9 +52,6 @@
         if not task.exchanges:
             wait_for_replica(task, gateway)
         return False
-    if is_hedge and is_hedge_late(task, gateway):
-        gateway.counters.add('late_hedges')
-        return False
     if state.notices.is_restricted and not is_open(state, gateway):
         request_permit(task, state, gateway)
         return False
--- a/beechbridge/gateway/requests/work_estimates.py
+++ b/beechbridge/gateway/requests/work_estimates.py
@@ -33,14 +33,6 @@
     )
 
 
-def is_hedge_late(task: Task, gateway: GatewayInterface) -> bool:
-    """Return whether the replica chosen for a hedge is expected to answer after the deadline."""
-    demand = task.demand
-    if demand is None or demand.chosen is None:
-        return False
-    return demand.chosen[0] > task.work.hard_at_ms - gateway.now_ms
-
-
 def expect_wait_ms(task: Task, state: ReplicaState, gateway: GatewayInterface) -> float:
     """Return how long a task that is about to be sent is expected to wait at its replica."""
     if task.demand is None:
@@ -65,6 +57,14 @@
     exchange.expected_ms = wait_ms + exchange.alone_ms
 
 
+def usual_latency_ms(exchange: Exchange, gateway: GatewayInterface) -> float:
+    """Return the expected time of a task's exchange without a wait, its typical one if unknown."""
+    if exchange.cost_ms:
+        return exchange.alone_ms
+    route_name = exchange.owner.work.route.name
+    return gateway.upstreams.typical_ms(route_name, exchange.replica.distance)
+
+
 def learn_reply(exchange: Exchange, reply: Reply, gateway: GatewayInterface) -> None:
     """Learn the load of a replica and the cost of a request from a complete reply."""
     book = gateway.upstreams.work_book
