--- a/beechbridge/gateway/requests/progress.py
+++ b/beechbridge/gateway/requests/progress.py
@@ -18,7 +18,7 @@
 from .room_queue import record_rejection, record_reply
 from .sending import abandon_exchange, abort_exchange, dispatch_task, end_exchange
 from .withdrawal import settle_withdrawal, withdraw_unsent
-from .work_estimates import learn_reply
+from .work_estimates import learn_reply, usual_latency_ms
 from .works import CanaryTimer, DeadlineTimer, GatherWork, RetryTimer, SingleWork, Task, Work
 
 SUSPECT_WAIT_FACTOR = 2.0
@@ -295,7 +295,7 @@
             if replica.is_evacuated and not replica.is_suspect(now_ms):
                 # It gets nothing new, but answers what it has.
                 return True
-            typical_ms = gateway.upstreams.typical_ms(work.route.name, exchange.replica.distance)
+            typical_ms = usual_latency_ms(exchange, gateway)
             if now_ms - exchange.sent_ms < SUSPECT_WAIT_FACTOR * typical_ms:
                 return True
     return False
