--- a/beechbridge/daemon/answer_clock.py
+++ b/beechbridge/daemon/answer_clock.py
@@ -47,6 +47,8 @@
 
 def time_answer(action: AnswerRequest, app: 'FrontApp') -> None:
     """Note when an answer was due, before it is delivered."""
+    if action.due_ms is None:
+        return
     caller = app.waiting.get(action.key)
     if caller is not None:
         caller.channel.due_ms = action.due_ms
