--- a/beechbridge/gateway/fleet/members.py
+++ b/beechbridge/gateway/fleet/members.py
@@ -15,8 +15,11 @@
 lost.
 """
 
-RELAY_MARGIN_MS = 250.0
-"""Time by which this timeout stays under the bound of the settings, for messages on their way."""
+DIRECTORY_SLACK_MS = 3_000.0
+"""Time beyond the bound of the settings for which a directory may name a VM that ended."""
+
+RELAY_MARGIN_MS = 1_000.0
+"""Time by which this timeout stays under that, for messages on their way and late timers."""
 
 MIN_RELAYED_ALIVE_TIMEOUT_MS = 2_800.0
 """Least timeout for a VM whose heartbeats are relayed: a record that two delegates relay every 2 s
@@ -35,8 +38,8 @@
     """
     if stable_ms is None:
         return RELAYED_ALIVE_TIMEOUT_MS
-    bound_ms = max(MIN_RELAYED_ALIVE_TIMEOUT_MS, stable_ms - RELAY_MARGIN_MS)
-    return min(RELAYED_ALIVE_TIMEOUT_MS, bound_ms)
+    bound_ms = stable_ms + DIRECTORY_SLACK_MS - RELAY_MARGIN_MS
+    return min(RELAYED_ALIVE_TIMEOUT_MS, max(MIN_RELAYED_ALIVE_TIMEOUT_MS, bound_ms))
 
 
 class Fleet:
