Choose the two ports of a front under test at once

Cause: a port that was closed again could be handed out a second time, so that one in some twenty runs of test_front failed with 'Address already in use'. Change: both ports are chosen while both sockets are open.

--- a/tests/test_early_listener.py
+++ b/tests/test_early_listener.py
@@ -13,7 +13,7 @@
 from beechbridge.platform.names import SETTINGS_VARIABLE
 
 from . import test_front
-from .test_front import HEAD, Front, free_port, read_response
+from .test_front import HEAD, Front, free_ports, read_response
 
 LISTEN = 'contracts = {}\n[listen]\nfront = "127.0.0.1:{}"\n'
 
@@ -30,14 +30,14 @@
 class EarlyListenerTest(unittest.TestCase):
     # A client that came back during the imports had no connection, at all VMs.
     def test_request_sent_before_the_server_runs_is_served(self):
-        port = free_port()
+        port, other_port = free_ports(2)
         early = listen(LISTEN.format('["places"]', port))
         sock = socket.create_connection(('127.0.0.1', port), timeout=5.0)
         self.addCleanup(sock.close)
         sock.sendall(f'{HEAD}\r\n'.encode())
         create = test_front.create_front
         with (
-            mock.patch.object(test_front, 'free_port', iter((port, free_port())).__next__),
+            mock.patch.object(test_front, 'free_ports', lambda count: [port, other_port]),
             mock.patch.object(
                 test_front, 'create_front', lambda app, addresses: create(app, addresses, early)
             ),
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -1,6 +1,7 @@
 """HTTP server over real sockets: complete answers, malformed input and disconnections."""
 
 import asyncio
+import contextlib
 import http.client
 import io
 import re
@@ -32,10 +33,13 @@
 HEAD = 'GET /a/x HTTP/1.1\r\nHost: h\r\nBeechbridge-Request-Id: q1\r\n'
 
 
-def free_port():
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return sock.getsockname()[1]
+def free_ports(count):
+    """Return different free ports: one that is closed again may be handed out a second time."""
+    with contextlib.ExitStack() as stack:
+        socks = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in socks:
+            sock.bind(('127.0.0.1', 0))
+        return [sock.getsockname()[1] for sock in socks]
 
 
 class Front:
@@ -46,7 +50,7 @@
         self.is_leaving = False
         self.arrived = threading.Semaphore(0)
         self.app = FrontApp(self.post, lambda: self.is_leaving, **options)
-        self.port, other_port = free_port(), free_port()
+        self.port, other_port = free_ports(2)
         self.app.callers_port = self.port
         self.app.endpoints[self.port] = (Endpoint(RequestReceived, read_request, write_answer),)
         self.app.handlers = {other_port: serve_other}
