Reject requests for lack of memory in the server's thread only

A worker thread that counted an untaken answer also rejected incomplete requests of other connections. The server's thread could complete such a request meanwhile: the worker then failed, rejected the next request, or left a deadline without a request, whose expiry ended the server's thread.

Worker threads now only count, and the server's thread makes room.

--- a/beechbridge/daemon/client_memory.py
+++ b/beechbridge/daemon/client_memory.py
@@ -68,12 +68,19 @@
         """Count a body that comes in; turn others away if there is too little memory."""
         self.hold(self.received, channel, channel.received_bytes(), channel.urgency)
 
-    def hold_unsent(self, channel: CallerChannel) -> None:
-        """Count an answer that its caller did not take at once; break off others if necessary."""
-        self.hold(self.unsent, channel, channel.held_bytes(), channel.urgency)
+    def hold_unsent(self, channel: CallerChannel) -> bool:
+        """
+        Count an answer that its caller did not take at once; return whether a limit is exceeded.
+
+        Worker threads call this. They turn nobody away, because an incomplete request may be
+        completed by the server's thread meanwhile.
+        """
+        byte_count = channel.held_bytes()
+        is_exceeded = self.unsent.note(channel, byte_count, read_clock_ms(), channel.urgency)
         if not channel.total_outbufs_len:
             # It was sent, or its connection closed, before it was counted.
             self.unsent.release(channel)
+        return is_exceeded
 
     def hold(
         self, part: HeldMemory, channel: CallerChannel, byte_count: int, urgency: int
--- a/beechbridge/daemon/front.py
+++ b/beechbridge/daemon/front.py
@@ -278,8 +278,9 @@
         self.memory.relieve()
 
     def hold_unsent(self, channel: CallerChannel) -> None:
-        """Count an answer that its caller did not take at once."""
-        self.memory.hold_unsent(channel)
+        """Count an answer that its caller did not take at once; make room for it if necessary."""
+        if self.memory.hold_unsent(channel):
+            self.schedule_relief()
 
     def find_urgency(self, channel: CallerChannel, request: HTTPRequestParser) -> int:
         """Return the priority of a request's route; paths on other ports are the least urgent."""
--- a/beechbridge/daemon/held_memory.py
+++ b/beechbridge/daemon/held_memory.py
@@ -55,6 +55,10 @@
         """Count the bytes of a connection; return whom to turn away, of whichever purpose."""
         return self.account.hold(self.purpose, channel, byte_count, now_ms, urgency)
 
+    def note(self, channel: object, byte_count: int, now_ms: float, urgency: int = 0) -> bool:
+        """Count the bytes of a connection; return whether a limit is exceeded."""
+        return self.account.note(self.purpose, channel, byte_count, now_ms, urgency)
+
     def shrink(self, channel: object, byte_count: int) -> None:
         """Count less for a connection, if it is counted."""
         self.account.shrink(self.purpose, channel, byte_count)
--- a/beechbridge/daemon/memory_account.py
+++ b/beechbridge/daemon/memory_account.py
@@ -101,17 +101,34 @@
         :return: connections to turn away because a limit is exceeded
         """
         with self.lock:
-            holdings = self.holdings[purpose]
-            known = holdings.get(channel)
-            if known is None:
-                holdings[channel] = Holding(byte_count, now_ms, urgency)
-                self.held_bytes[purpose] += byte_count
-            else:
-                self.held_bytes[purpose] += byte_count - known.byte_count
-                known.byte_count = byte_count
-                known.urgency = urgency
+            self.put(purpose, channel, byte_count, now_ms, urgency)
             return self.find_excess(now_ms)
 
+    def note(
+        self, purpose: str, channel: object, byte_count: int, now_ms: float, urgency: int = 0
+    ) -> bool:
+        """Count the bytes of a connection like `hold`; return whether a limit is exceeded."""
+        with self.lock:
+            self.put(purpose, channel, byte_count, now_ms, urgency)
+            if self.total_bytes > self.limit_bytes:
+                return True
+            limits = self.purpose_limits.items()
+            return any(self.held_bytes[one] > limit_bytes for one, limit_bytes in limits)
+
+    def put(
+        self, purpose: str, channel: object, byte_count: int, now_ms: float, urgency: int
+    ) -> None:
+        """Set what a connection holds for a purpose; call with the lock held."""
+        holdings = self.holdings[purpose]
+        known = holdings.get(channel)
+        if known is None:
+            holdings[channel] = Holding(byte_count, now_ms, urgency)
+            self.held_bytes[purpose] += byte_count
+            return
+        self.held_bytes[purpose] += byte_count - known.byte_count
+        known.byte_count = byte_count
+        known.urgency = urgency
+
     def count(self, purpose: str, byte_count: int) -> bool:
         """Count bytes of no connection; return whether all purposes exceed the limit."""
         with self.lock:
