Keep an error of one connection from ending the server's thread

A client that pipelined more requests than are parsed, the last of them with Expect: 100-continue, and then reset its connection ended the server's thread: closing the connection removed the parser that waitress was using, and waitress handles errors of reads and writes only. The process no longer served anybody.

The parser is kept until waitress is done with it, what a closed connection holds is not counted, and an error in readable() is logged and closes the connection. Both new tests found a dead server before the change.

--- a/beechbridge/daemon/caller_channel.py
+++ b/beechbridge/daemon/caller_channel.py
@@ -14,7 +14,9 @@
 from waitress.task import WSGITask
 from waitress.utilities import Error, RequestHeaderFieldsTooLarge
 
+from ..defects import describe_defect
 from .answer_clock import TimedChannel
+from .log_lines import write_line
 from .memory_account import LEAST_URGENT
 from .refusals import LateRequestError, RequestMemoryError
 from .request_parser import RequestParser
@@ -111,6 +113,10 @@
     def received(self, data: bytes) -> bool:
         """Process received data; set a deadline for incomplete headers or an incomplete body."""
         is_open = super().received(data)
+        if not self.connected:
+            # It was closed while 100 Continue was sent: nothing would stop counting it.
+            self.app.memory.release(self)
+            return is_open
         request = self.request
         if request is None or self.unparsed:
             self.deadline_s = math.inf
@@ -141,6 +147,16 @@
 
     def readable(self) -> bool:
         """Return whether to read more data; called in each iteration of the server's loop."""
+        try:
+            return self.advance()
+        except Exception as error:
+            # waitress handles errors of reads and writes only: this one would end its loop.
+            write_line('connection_failed', {'caller': self.addr[0], **describe_defect(error)})
+            self.handle_close()
+            return False
+
+    def advance(self) -> bool:
+        """Go on with what waits for time or for answers; return whether to read more data."""
         if time.monotonic() > self.deadline_s:
             self.reject_late_request()
         if self.is_parked:
@@ -152,7 +168,7 @@
             # waitress closes a connection once it can be written to, which may be never.
             with contextlib.suppress(OSError):
                 self.socket.shutdown(socket.SHUT_RDWR)
-        return super().readable()
+        return self.connected and super().readable()
 
     def park(self) -> bool:
         """Let the next request wait if the client has not taken the earlier answers."""
@@ -247,8 +263,11 @@
     def handle_close(self) -> None:
         """Notify the application of the disconnection."""
         super().handle_close()
-        # The parser refers to the connection: neither would be freed at once.
-        self.request = None
+        if self.request is not None:
+            # The parser refers to the connection: neither would be freed at once. waitress still
+            # uses the parser if sending 100 Continue has closed the connection.
+            self.request.channel = None
+        self.deadline_s = math.inf
         self.unparsed = b''
         if self.is_parked:
             self.requests = []
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -1,5 +1,7 @@
 """Connections of clients: what waits on them, what closes them, and what is counted for them."""
 
+import socket
+import struct
 import threading
 import unittest
 
@@ -7,6 +9,9 @@
 
 from .test_front import ANSWER, HEAD, LARGE_ANSWER, Front, read_response
 
+RESET = struct.pack('ii', 1, 0)
+"""Option with which the end of a connection is a reset."""
+
 
 def numbered(number, fields=''):
     return f'{HEAD.replace("q1", f"q{number}")}{fields}\r\n'.encode()
@@ -40,6 +45,48 @@
         self.assertEqual(read_response(sock)[0].status, 200)
 
 
+class ServerThreadTest(ConnectionCase):
+    # An error outside of reads and writes ended the server's thread, and with it the VM.
+    def test_error_of_one_connection_leaves_the_others(self):
+        self.start()
+        self.connect(numbered(0))
+        _, channel = self.next_channel()
+
+        def fail():
+            raise ValueError
+
+        channel.is_full = fail
+        channel.unparsed = b'x'
+        self.run_rounds()
+        self.assertFalse(channel.connected)
+        [record] = self.handler.records
+        self.assertEqual(record.message, 'connection_failed')
+        self.front.next_event()
+        sock = self.connect(numbered(1))
+        self.serve(sock, self.front.next_event())
+
+    # A client that reset its connection before 100 Continue was sent ended the server's thread,
+    # or stayed in the account.
+    def test_connection_that_ends_before_100_continue_is_closed(self):
+        self.start()
+        sock = self.connect(numbered(0))
+        event, channel = self.next_channel()
+        self.serve(sock, event)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        head = numbered(1, 'Expect: 100-continue\r\nContent-Length: 9\r\n')
+
+        def end():
+            channel.unparsed = head
+            sock.close()
+
+        self.front.run_in_server(end)
+        self.run_rounds()
+        self.assertFalse(channel.connected)
+        self.assertEqual(self.account.total_bytes, 0)
+        self.assertFalse(self.handler.records)
+        self.serve(self.connect(numbered(2)), self.front.next_event())
+
+
 class WorkerThreadTest(ConnectionCase):
     # A worker thread rejected a request that the server's thread was completing.
     def test_requests_are_rejected_in_the_servers_thread(self):
