Read no more of a connection while data of it waits to be parsed

With maxPipelined = 1 the server read on while data waited, and the new data replaced it: the requests in it were never answered. With 2, an answer written at that moment let new data be parsed before the data that waited.

The new test fails without the change: q3 was served where q1 was next.

--- a/beechbridge/daemon/caller_channel.py
+++ b/beechbridge/daemon/caller_channel.py
@@ -168,7 +168,8 @@
             # waitress closes a connection once it can be written to, which may be never.
             with contextlib.suppress(OSError):
                 self.socket.shutdown(socket.SHUT_RDWR)
-        return self.connected and super().readable()
+        # Data that is read now would come before the data that waits, or replace it.
+        return self.connected and not self.unparsed and super().readable()
 
     def park(self) -> bool:
         """Let the next request wait if the client has not taken the earlier answers."""
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -6,6 +6,7 @@
 import unittest
 
 import logbook
+from nose2.tools import params
 
 from .test_front import ANSWER, HEAD, LARGE_ANSWER, Front, read_response
 
@@ -45,6 +46,24 @@
         self.assertEqual(read_response(sock)[0].status, 200)
 
 
+class UnparsedDataTest(ConnectionCase):
+    # Data that was read while earlier data of the connection waited replaced it: its requests
+    # were never answered.
+    @params(1, 2)
+    def test_all_requests_are_answered_in_order(self, max_pipelined):
+        self.start(max_pipelined=max_pipelined)
+        sock = self.connect(b''.join(map(numbered, range(3))))
+        event, _ = self.next_channel()
+        self.run_rounds()
+        sock.sendall(b''.join(map(numbered, range(3, 6))))
+        self.run_rounds()
+        for number in range(6):
+            self.assertEqual(event.request.request_id, f'q{number}')
+            self.serve(sock, event)
+            if number < 5:
+                event = self.front.next_event()
+
+
 class ServerThreadTest(ConnectionCase):
     # An error outside of reads and writes ended the server's thread, and with it the VM.
     def test_error_of_one_connection_leaves_the_others(self):
