Turn a request away once, as a whole, and keep earlier ones counted

A request with a counted head and a counted body was turned away twice. The second time failed in the middle of another connection's read and closed that connection, or left the account exceeded. Heads of urgent requests counted as least urgent after their route was known. A request that was running was no longer counted once the next one of its connection was rejected. A single request counted as two holdings, so that it could be turned away.

A request now ranks by its body, leaves with all it holds, and the earlier requests of its connection are counted again.

--- a/beechbridge/daemon/caller_channel.py
+++ b/beechbridge/daemon/caller_channel.py
@@ -128,6 +128,7 @@
             self.timed_part = part
             self.deadline_s = time.monotonic() + self.part_timeout_s(request)
             self.urgency = self.app.find_urgency(self, request)
+            self.app.memory.heads.set_urgency(self, self.urgency)
         if not request.headers_finished:
             self.app.memory.hold_partial_head(self)
         elif request.body_bytes_received > SINGLE_READ_BYTES:
--- a/beechbridge/daemon/client_memory.py
+++ b/beechbridge/daemon/client_memory.py
@@ -56,6 +56,7 @@
             if one.channel is channel and one.purpose is not ANSWERS:
                 self.log(one, now_ms)
                 has_room = False
+                self.recount_earlier(channel, channel.request.head_cost_bytes, now_ms)
                 continue
             self.turn_away(one, now_ms)
         return has_room
@@ -87,14 +88,19 @@
     ) -> None:
         """Count what a connection holds, and turn away whom that leaves no room for."""
         now_ms = read_clock_ms()
-        for one in part.take(channel, byte_count, now_ms, urgency):
-            self.turn_away(one, now_ms)
+        self.turn_all_away(part.take(channel, byte_count, now_ms, urgency), now_ms)
 
     def relieve(self) -> None:
         """Turn connections away after replies have taken too much; call in the server's thread."""
         now_ms = read_clock_ms()
-        for one in self.account.relieve(now_ms):
-            self.turn_away(one, now_ms)
+        self.turn_all_away(self.account.relieve(now_ms), now_ms)
+
+    def turn_all_away(self, turned_away: list[TurnedAway], now_ms: float) -> None:
+        """Turn connections away, and more of them if that gives back less than was counted."""
+        while turned_away:
+            for one in turned_away:
+                self.turn_away(one, now_ms)
+            turned_away = self.account.relieve(now_ms)
 
     def turn_away(self, one: TurnedAway, now_ms: float) -> None:
         """Reject an incomplete request, or break off an answer."""
@@ -104,6 +110,23 @@
             channel.break_off()
             return
         channel.reject_request(RequestMemoryError('no memory for the rest of the request'))
+        with channel.requests_lock:
+            self.recount_earlier(channel, 0, now_ms)
+
+    def recount_earlier(self, channel: CallerChannel, rejected_bytes: int, now_ms: float) -> None:
+        """
+        Count again the earlier requests of a connection whose latest one was rejected.
+
+        They may be running. Call with the lock of the connection's requests held.
+
+        :param rejected_bytes: size of the head that was rejected, if it is still there
+        """
+        for part, byte_count in (
+            (self.heads, channel.head_bytes() - rejected_bytes),
+            (self.received, channel.received_bytes()),
+        ):
+            if byte_count > 0 and channel.connected:
+                part.note(channel, byte_count, now_ms, channel.urgency)
 
     def log(self, one: TurnedAway, now_ms: float) -> None:
         """Log who is turned away, and for what."""
--- a/beechbridge/daemon/held_memory.py
+++ b/beechbridge/daemon/held_memory.py
@@ -59,6 +59,10 @@
         """Count the bytes of a connection; return whether a limit is exceeded."""
         return self.account.note(self.purpose, channel, byte_count, now_ms, urgency)
 
+    def set_urgency(self, channel: object, urgency: int) -> None:
+        """Set the urgency of what is held for a connection, if it is counted."""
+        self.account.set_urgency(self.purpose, channel, urgency)
+
     def shrink(self, channel: object, byte_count: int) -> None:
         """Count less for a connection, if it is counted."""
         self.account.shrink(self.purpose, channel, byte_count)
--- a/beechbridge/daemon/memory_account.py
+++ b/beechbridge/daemon/memory_account.py
@@ -28,6 +28,9 @@
 STAGES = {HEADS: 0, BODIES: 1, ANSWERS: 2}
 """How far a request along is that is held for a purpose."""
 
+REQUEST_PURPOSES = (HEADS, BODIES)
+"""Purposes of a request that is not answered yet: it is turned away as a whole."""
+
 
 class Holding(Record):
     """
@@ -167,8 +170,9 @@
         self, purposes: list[str], now_ms: float, limit_bytes: int, turned_away: list[TurnedAway]
     ) -> bool:
         """Add the next connection to turn away to the list; return False if there is none."""
-        if sum(len(self.holdings[one]) for one in purposes) <= 1:
+        if len(set().union(*(self.holdings[one] for one in purposes))) <= 1:
             return False
+        bodies = self.holdings[BODIES] if BODIES in purposes else ()
         best = None
         best_rank = ()
         for purpose in purposes:
@@ -177,6 +181,9 @@
                 rank = (holding.urgency, -STAGES[purpose], holding.cost(now_ms))
                 if best is not None and rank <= best_rank:
                     continue
+                if purpose is HEADS and channel in bodies:
+                    # The request is as far along as its body.
+                    continue
                 if may_give_up is None or may_give_up(channel):
                     best, best_rank = (channel, purpose), rank
         if best is None:
@@ -185,9 +192,17 @@
         turned_away.append(
             TurnedAway(channel, purpose, self.holdings[purpose][channel], limit_bytes)
         )
-        self.remove(purpose, channel)
+        for one in REQUEST_PURPOSES if purpose in REQUEST_PURPOSES else (purpose,):
+            self.remove(one, channel)
         return True
 
+    def set_urgency(self, purpose: str, channel: object, urgency: int) -> None:
+        """Set the urgency of what is held for a connection, if it is counted."""
+        with self.lock:
+            holding = self.holdings[purpose].get(channel)
+            if holding is not None:
+                holding.urgency = urgency
+
     def shrink(self, purpose: str, channel: object, byte_count: int) -> None:
         """Count less for a connection, if it is counted."""
         with self.lock:
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -3,12 +3,22 @@
 import socket
 import struct
 import threading
+import time
 import unittest
 
 import logbook
 from nose2.tools import params
 
-from .test_front import ANSWER, HEAD, LARGE_ANSWER, Front, read_response
+from beechbridge.daemon.caller_channel import REQUEST_COPIES
+from beechbridge.daemon.memory_account import (
+    ANSWERS,
+    BODIES,
+    HEADS,
+    LEAST_URGENT,
+    MemoryAccount,
+)
+
+from .test_front import ANSWER, HEAD, LARGE_ANSWER, WAIT_S, Front, read_response
 
 RESET = struct.pack('ii', 1, 0)
 """Option with which the end of a connection is a reset."""
@@ -37,6 +47,13 @@
         for _ in range(count):
             self.front.run_in_server(lambda: None)
 
+    def wait_for_release(self):
+        """Wait until nothing is counted: a worker thread counts after it has answered."""
+        limit_s = time.monotonic() + WAIT_S
+        while self.account.total_bytes and time.monotonic() < limit_s:
+            self.run_rounds(1)
+        self.assertEqual(self.account.total_bytes, 0)
+
     def next_channel(self):
         event = self.front.next_event()
         return event, self.front.app.waiting[event.key].channel
@@ -101,7 +118,7 @@
         self.front.run_in_server(end)
         self.run_rounds()
         self.assertFalse(channel.connected)
-        self.assertEqual(self.account.total_bytes, 0)
+        self.wait_for_release()
         self.assertFalse(self.handler.records)
         self.serve(self.connect(numbered(2)), self.front.next_event())
 
@@ -128,3 +145,84 @@
         threads = []
         self.front.run_in_server(lambda: threads.append(threading.current_thread()))
         self.assertEqual(rejected, threads)
+
+
+class WholeRequestTest(ConnectionCase):
+    def send_body(self, sock, number, byte_count):
+        """Send a body and its head."""
+        sock.sendall(numbered(number, f'Content-Length: {byte_count}\r\n') + bytes(byte_count))
+
+    def send_part(self, sock, number, byte_count, expected_bytes):
+        """Send a body without its end, and wait until the bytes of all bodies are counted."""
+        fields = f'Content-Length: {byte_count + 1}\r\n'
+        sock.sendall(numbered(number, fields) + bytes(byte_count))
+        for _ in range(1_000):
+            if self.account.held_bytes[BODIES] == REQUEST_COPIES * expected_bytes:
+                return
+            self.run_rounds(1)
+        raise AssertionError(f'{self.account.held_bytes} are counted')
+
+    # A request was turned away once for its head and once for its body: the second time failed,
+    # and closed the connection that needed the room, whose request may have been running.
+    def test_request_with_head_and_body_is_turned_away_once(self):
+        self.start(held_memory_bytes=1_000_000)
+        sock = self.connect()
+        self.send_part(sock, 0, 150_000, 150_000)
+        running = self.connect()
+        self.send_body(running, 1, 100_000)
+        event = self.front.next_event()
+        self.front.run_in_server(self.exceed)
+        self.assertEqual(read_response(sock)[0].status, 503)
+        self.assertEqual(self.handler.records[-1].extra['fields']['reason'], 'memory_bodies')
+        self.front.next_event()
+        self.serve(running, event)
+        self.account.measure(ANSWERS, 0)
+        self.wait_for_release()
+        self.assertEqual(len(self.handler.records), 1)
+
+    def exceed(self):
+        """Make the account so full that incomplete requests are not enough."""
+        self.account.measure(ANSWERS, 999_000)
+        self.front.app.relieve()
+
+    # A request that ran was no longer counted once the next one of its connection was rejected,
+    # so that a crowd of such clients took several times the limit.
+    def test_earlier_request_stays_counted(self):
+        self.start(held_memory_bytes=1_000_000)
+        other = self.connect(numbered(9))
+        other_event = self.front.next_event()
+        sock = self.connect()
+        self.send_body(sock, 0, 100_000)
+        event = self.front.next_event()
+        head_bytes = self.account.held_bytes[HEADS]
+        self.send_part(sock, 1, 90_000, 190_000)
+        self.account.measure(ANSWERS, 600_000)
+        self.front.run_in_server(self.front.app.relieve)
+        self.account.measure(ANSWERS, 0)
+        self.assertEqual(self.account.held_bytes[BODIES], REQUEST_COPIES * 100_000)
+        self.assertLessEqual(self.account.held_bytes[HEADS], head_bytes)
+        self.assertGreater(self.account.held_bytes[HEADS], 0)
+        self.front.app.deliver(event.key, ANSWER)
+        self.assertEqual(read_response(sock)[0].status, 200)
+        self.front.next_event()
+        self.serve(other, other_event)
+        self.wait_for_release()
+
+
+class WholeRequestRulesTest(unittest.TestCase):
+    # The head of an urgent request, whose body was coming in, counted as least urgent: it was
+    # turned away before the bodies of less urgent ones.
+    def test_request_ranks_by_its_body(self):
+        account = MemoryAccount(100)
+        account.hold(HEADS, 'urgent', 10, 0, LEAST_URGENT)
+        account.hold(BODIES, 'urgent', 20, 0, 0)
+        account.hold(HEADS, 'other', 10, 50, LEAST_URGENT)
+        account.hold(BODIES, 'other', 40, 50, 1)
+        [one] = account.hold(BODIES, 'new', 30, 100, 0)
+        self.assertEqual((one.channel, one.purpose, account.total_bytes), ('other', BODIES, 60))
+
+    # A single request may take more than the limit, whatever it is made of.
+    def test_single_request_is_never_turned_away(self):
+        account = MemoryAccount(100)
+        account.hold(HEADS, 'only', 60, 0)
+        self.assertEqual(account.hold(BODIES, 'only', 60, 0), [])
