Keep connections of other VMs open when clients take too many

The limit on connections covers all ports. Connections on which orders and relays come idle for long, so that strangers displaced them first, and a relay sent at that moment ended as if it might have run. Their requests and the answers to pulls were also the first that were given up for lack of memory.

A connection that carried an order, a relay or a pull is now closed only if such connections are more than half of the limit, and counts as urgent as priority 0.

--- a/beechbridge/daemon/caller_channel.py
+++ b/beechbridge/daemon/caller_channel.py
@@ -56,6 +56,7 @@
     :param unparsed: data that waits until fewer requests of the connection are in hand
     :param is_parked: whether the next request waits until the earlier answers are taken
     :param urgency: priority of the route of the current request, as far as it is known
+    :param is_from_vm: whether a message of another VM has arrived on it
     """
 
     task_class = CallerTask
@@ -65,6 +66,7 @@
     unparsed = b''
     is_parked = False
     urgency = LEAST_URGENT
+    is_from_vm = False
 
     def __init__(
         self,
--- a/beechbridge/daemon/connections.py
+++ b/beechbridge/daemon/connections.py
@@ -6,6 +6,10 @@
 CLOSED_FRACTION = 64
 """One in so many connections is closed at once: a search for each would take too long."""
 
+VM_DIVISOR = 2
+"""Fraction of the limit, as a divisor, up to which connections of other VMs are never closed: they
+idle for long between orders. Beyond it they are, since anybody may send what looks like one."""
+
 ACCEPT_SLACK = 16
 """Connections beyond the limit that may wait until the closed ones are gone."""
 
@@ -17,11 +21,16 @@
     A connection with a request in hand is not among them, since a replica may be running it,
     unless its client takes none of the earlier answers. Those with an answer on its way come last.
 
-    :param channels: connections with `is_closable`, `total_outbufs_len` and `last_activity`
+    Those of other VMs come after all others.
+
+    :param channels: connections with `is_closable`, `is_from_vm`, `total_outbufs_len` and
+        `last_activity`
     """
     closable = [one for one in channels if one.is_closable()]
     return heapq.nsmallest(
-        count, closable, key=lambda one: (bool(one.total_outbufs_len), one.last_activity)
+        count,
+        closable,
+        key=lambda one: (one.is_from_vm, bool(one.total_outbufs_len), one.last_activity),
     )
 
 
@@ -47,6 +56,9 @@
         excess_count = len(others) + 1 - self.limit
         if excess_count <= 0:
             return []
+        vm_count = sum(one.is_from_vm for one in others)
+        if vm_count <= self.limit // VM_DIVISOR:
+            others = [one for one in others if not one.is_from_vm]
         return list_idlest(others, max(excess_count, self.limit // CLOSED_FRACTION))
 
     def remove(self, channel: object) -> None:
--- a/beechbridge/daemon/front.py
+++ b/beechbridge/daemon/front.py
@@ -37,7 +37,7 @@
 from .closing import BACKLOG, list_listeners
 from .connections import ACCEPT_SLACK, ConnectionLimit
 from .held_memory import HeldMemory
-from .memory_account import ANSWERS, LEAST_URGENT, MemoryAccount
+from .memory_account import ANSWERS, LEAST_URGENT, MOST_URGENT, MemoryAccount
 from .refusals import RefusalLog
 
 WORKER_THREADS = 4
@@ -233,6 +233,7 @@
             self.post(RequestMalformed(request.reason.value, request.detail))
             self.answers[channel] = (endpoint, request, '')
             return False
+        channel.is_from_vm = channel.adj is not self.callers_adjustments
         key = next(self.keys)
         self.waiting[key] = WaitingCaller(channel, endpoint, request.request_id)
         self.keys_by_channel[channel] = key
@@ -283,7 +284,14 @@
             self.schedule_relief()
 
     def find_urgency(self, channel: CallerChannel, request: HTTPRequestParser) -> int:
-        """Return the priority of a request's route; paths on other ports are the least urgent."""
+        """
+        Return the priority of a request's route.
+
+        Requests on other ports are the least urgent, but messages of other VMs are as urgent as
+        the requests of clients that depend on them may be.
+        """
+        if channel.is_from_vm:
+            return MOST_URGENT
         if not request.headers_finished or channel.adj is not self.callers_adjustments:
             return LEAST_URGENT
         host = request.headers.get('HOST', '').rsplit(':', 1)[0].lower()
--- a/beechbridge/daemon/memory_account.py
+++ b/beechbridge/daemon/memory_account.py
@@ -25,6 +25,8 @@
 LEAST_URGENT = 1_000_000
 """Urgency of a request without a route, or whose head is incomplete: above all priorities."""
 
+MOST_URGENT = 0
+
 STAGES = {HEADS: 0, BODIES: 1, ANSWERS: 2}
 """How far a request along is that is held for a purpose."""
 
--- a/beechbridge/daemon/pages.py
+++ b/beechbridge/daemon/pages.py
@@ -18,6 +18,7 @@
     write_changes,
 )
 from ..wire.http import HttpResponse
+from .caller_channel import CHANNEL_KEY
 from .clock import read_clock_ms
 from .front import FrontApp
 from .log_lines import write_line
@@ -107,6 +108,9 @@
             name: environ.get(f'HTTP_{name.upper().replace("-", "_")}', '') for name in names
         }
         request = read_pull(environ['QUERY_STRING'], headers)
+        channel = environ.get(CHANNEL_KEY)
+        if channel is not None:
+            channel.is_from_vm = True
         peer = environ['REMOTE_ADDR']
         found = asyncio.run_coroutine_threadsafe(self.list_changes(request, peer), self.loop)
         response = found.result()
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -226,3 +226,26 @@
         account = MemoryAccount(100)
         account.hold(HEADS, 'only', 60, 0)
         self.assertEqual(account.hold(BODIES, 'only', 60, 0), [])
+
+
+class MessagesOfVmsTest(ConnectionCase):
+    # Messages of other VMs came after those of strangers on any port.
+    @params((True, 0), (False, LEAST_URGENT))
+    def test_connection_that_carried_a_message_counts_as_one_of_a_vm(self, is_vm, urgency):
+        self.start()
+        app = self.front.app
+        if is_vm:
+            # The endpoint takes the place of the one for orders.
+            app.endpoints[self.front.other_port] = app.endpoints[self.front.port]
+        sock = self.front.connect(self.front.other_port)
+        self.addCleanup(sock.close)
+        sock.sendall(numbered(0))
+        if is_vm:
+            self.serve(sock, self.front.next_event())
+        else:
+            self.assertEqual(read_response(sock)[0].status, 200)
+        [channel] = app.connections.channels
+        self.assertEqual(channel.is_from_vm, is_vm)
+        self.assertEqual(app.find_urgency(channel, channel.parser_class(channel.adj)), urgency)
+        self.serve(self.connect(numbered(1)), self.front.next_event())
+        self.assertEqual(sum(one.is_from_vm for one in app.connections.channels), int(is_vm))
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -26,8 +26,9 @@
     __hash__ = object.__hash__
 
 
-def connection(last_activity, requests=0, unsent=0, is_parked=False):
+def connection(last_activity, requests=0, unsent=0, is_parked=False, is_from_vm=False):
     one = Connection(last_activity=last_activity, total_outbufs_len=unsent, will_close=False)
+    one.is_from_vm = is_from_vm
     one.is_closable = lambda: not requests or is_parked
     return one
 
@@ -87,6 +88,31 @@
         limit.remove(channels[0])
         self.assertEqual(limit.add(connection(9)), [channels[1]])
 
+    # Idle connections of other VMs, on which orders and relays come, were closed in favour of
+    # clients.
+    @params(
+        # Clients that are busy, or that were active later, and connections of VMs.
+        ('vvbbb', []),
+        ('vvcbb', [2]),
+        ('vvvbb', [0]),
+        ('vvvcb', [3, 0]),
+    )
+    def test_connections_of_vms_are_closed_last(self, kinds, expected):
+        limit = ConnectionLimit(len(kinds))
+        channels = []
+        for number, kind in enumerate(kinds):
+            one = connection(number, requests=int(kind == 'b'), is_from_vm=kind == 'v')
+            channels.append(one)
+            limit.add(one)
+        closed = []
+        for _ in range(max(1, len(expected))):
+            found = limit.add(connection(10, requests=1))
+            for one in found:
+                one.will_close = True
+                limit.remove(one)
+                closed.append(channels.index(one))
+        self.assertEqual(closed, expected)
+
 
 class RefusalLogTest(unittest.TestCase):
     # A crowd that is turned away must not displace all other lines.
