--- a/beechbridge/daemon/caller_channel.py
+++ b/beechbridge/daemon/caller_channel.py
@@ -14,7 +14,9 @@
 from waitress.task import WSGITask
 from waitress.utilities import Error, RequestHeaderFieldsTooLarge
 
+from ..defects import describe_defect
 from .answer_clock import TimedChannel
+from .log_lines import write_line
 from .memory_account import LEAST_URGENT
 from .refusals import LateRequestError, RequestMemoryError
 from .request_parser import RequestParser
@@ -54,6 +56,7 @@
     :param unparsed: data that waits until fewer requests of the connection are in hand
     :param is_parked: whether the next request waits until the earlier answers are taken
     :param urgency: priority of the route of the current request, as far as it is known
+    :param is_from_vm: whether a message of another VM has arrived on it
     """
 
     task_class = CallerTask
@@ -63,6 +66,7 @@
     unparsed = b''
     is_parked = False
     urgency = LEAST_URGENT
+    is_from_vm = False
 
     def __init__(
         self,
@@ -111,6 +115,10 @@
     def received(self, data: bytes) -> bool:
         """Process received data; set a deadline for incomplete headers or an incomplete body."""
         is_open = super().received(data)
+        if not self.connected:
+            # It was closed while 100 Continue was sent: nothing would stop counting it.
+            self.app.memory.release(self)
+            return is_open
         request = self.request
         if request is None or self.unparsed:
             self.deadline_s = math.inf
@@ -121,12 +129,11 @@
         if part != self.timed_part:
             self.timed_part = part
             self.deadline_s = time.monotonic() + self.part_timeout_s(request)
-            self.urgency = LEAST_URGENT
+            self.urgency = self.app.find_urgency(self, request)
+            self.app.memory.heads.set_urgency(self, self.urgency)
         if not request.headers_finished:
             self.app.memory.hold_partial_head(self)
         elif request.body_bytes_received > SINGLE_READ_BYTES:
-            if self.urgency == LEAST_URGENT:
-                self.urgency = self.app.find_urgency(self, request)
             self.app.memory.hold_request(self)
         return is_open
 
@@ -143,6 +150,16 @@
 
     def readable(self) -> bool:
         """Return whether to read more data; called in each iteration of the server's loop."""
+        try:
+            return self.advance()
+        except Exception as error:
+            # waitress handles errors of reads and writes only: this one would end its loop.
+            write_line('connection_failed', {'caller': self.addr[0], **describe_defect(error)})
+            self.handle_close()
+            return False
+
+    def advance(self) -> bool:
+        """Go on with what waits for time or for answers; return whether to read more data."""
         if time.monotonic() > self.deadline_s:
             self.reject_late_request()
         if self.is_parked:
@@ -154,7 +171,8 @@
             # waitress closes a connection once it can be written to, which may be never.
             with contextlib.suppress(OSError):
                 self.socket.shutdown(socket.SHUT_RDWR)
-        return super().readable()
+        # Data that is read now would come before the data that waits, or replace it.
+        return self.connected and not self.unparsed and super().readable()
 
     def park(self) -> bool:
         """Let the next request wait if the client has not taken the earlier answers."""
@@ -249,8 +267,11 @@
     def handle_close(self) -> None:
         """Notify the application of the disconnection."""
         super().handle_close()
-        # The parser refers to the connection: neither would be freed at once.
-        self.request = None
+        if self.request is not None:
+            # The parser refers to the connection: neither would be freed at once. waitress still
+            # uses the parser if sending 100 Continue has closed the connection.
+            self.request.channel = None
+        self.deadline_s = math.inf
         self.unparsed = b''
         if self.is_parked:
             self.requests = []
--- a/beechbridge/daemon/memory_account.py
+++ b/beechbridge/daemon/memory_account.py
@@ -25,9 +25,14 @@
 LEAST_URGENT = 1_000_000
 """Urgency of a request without a route, or whose head is incomplete: above all priorities."""
 
+MOST_URGENT = 0
+
 STAGES = {HEADS: 0, BODIES: 1, ANSWERS: 2}
 """How far a request along is that is held for a purpose."""
 
+REQUEST_PURPOSES = (HEADS, BODIES)
+"""Purposes of a request that is not answered yet: it is turned away as a whole."""
+
 
 class Holding(Record):
     """
@@ -107,32 +112,41 @@
         :return: connections to turn away because a limit is exceeded
         """
         with self.lock:
-            holdings = self.holdings[purpose]
-            known = holdings.get(channel)
-            if known is None:
-                holdings[channel] = Holding(byte_count, now_ms, urgency)
-                self.add(purpose, byte_count)
-            else:
-                self.add(purpose, byte_count - known.byte_count)
-                known.byte_count = byte_count
-                known.urgency = urgency
+            self.put(purpose, channel, byte_count, now_ms, urgency)
             if self.total_bytes <= self.limit_bytes and not self.purpose_limits:
                 return []
             return self.find_excess(now_ms)
 
+    def note(
+        self, purpose: str, channel: object, byte_count: int, now_ms: float, urgency: int = 0
+    ) -> bool:
+        """Count the bytes of a connection like `hold`; return whether a limit is exceeded."""
+        with self.lock:
+            self.put(purpose, channel, byte_count, now_ms, urgency)
+            if self.total_bytes > self.limit_bytes:
+                return True
+            limits = self.purpose_limits.items()
+            return any(self.held_bytes[one] > limit_bytes for one, limit_bytes in limits)
+
+    def put(
+        self, purpose: str, channel: object, byte_count: int, now_ms: float, urgency: int
+    ) -> None:
+        """Set what a connection holds for a purpose; call with the lock held."""
+        holdings = self.holdings[purpose]
+        known = holdings.get(channel)
+        if known is None:
+            holdings[channel] = Holding(byte_count, now_ms, urgency)
+            self.add(purpose, byte_count)
+            return
+        self.add(purpose, byte_count - known.byte_count)
+        known.byte_count = byte_count
+        known.urgency = urgency
+
     def add(self, purpose: str, byte_count: int) -> None:
         """Add to what a purpose takes; call with the lock held."""
         self.held_bytes[purpose] += byte_count
         self.total_bytes += byte_count
 
-    def restore(self, purpose: str, channel: object, holding: Holding, byte_count: int) -> None:
-        """Count what a connection that was turned away still holds, for its earlier requests."""
-        with self.lock:
-            if byte_count and channel not in self.holdings[purpose]:
-                left = Holding(byte_count, holding.since_ms, holding.urgency)
-                self.holdings[purpose][channel] = left
-                self.add(purpose, byte_count)
-
     def count(self, purpose: str, byte_count: int) -> bool:
         """Count bytes of no connection; return whether all purposes exceed the limit."""
         with self.lock:
@@ -171,8 +185,9 @@
         self, purposes: list[str], now_ms: float, limit_bytes: int, turned_away: list[TurnedAway]
     ) -> bool:
         """Add the next connection to turn away to the list; return False if there is none."""
-        if sum(len(self.holdings[one]) for one in purposes) <= 1:
+        if len(set().union(*(self.holdings[one] for one in purposes))) <= 1:
             return False
+        bodies = self.holdings[BODIES] if BODIES in purposes else ()
         best = None
         best_rank = ()
         for purpose in purposes:
@@ -181,6 +196,9 @@
                 rank = (holding.urgency, -STAGES[purpose], holding.cost(now_ms))
                 if best is not None and rank <= best_rank:
                     continue
+                if purpose is HEADS and channel in bodies:
+                    # The request is as far along as its body.
+                    continue
                 if may_give_up is None or may_give_up(channel):
                     best, best_rank = (channel, purpose), rank
         if best is None:
@@ -189,9 +207,17 @@
         turned_away.append(
             TurnedAway(channel, purpose, self.holdings[purpose][channel], limit_bytes)
         )
-        self.remove(purpose, channel)
+        for one in REQUEST_PURPOSES if purpose in REQUEST_PURPOSES else (purpose,):
+            self.remove(one, channel)
         return True
 
+    def set_urgency(self, purpose: str, channel: object, urgency: int) -> None:
+        """Set the urgency of what is held for a connection, if it is counted."""
+        with self.lock:
+            holding = self.holdings[purpose].get(channel)
+            if holding is not None:
+                holding.urgency = urgency
+
     def shrink(self, purpose: str, channel: object, byte_count: int) -> None:
         """Count less for a connection, if it is counted."""
         with self.lock:
