Estimate completion at replicas whose entry states 0 slots

The decoder accepts an entry with 0 slots. The estimate of the wait divided by them as soon as the replica had a request in progress and no recent load report, so that the event ended in ZeroDivisionError and the request was sent to no replica. Such an entry now counts as one slot.

The new test fails with ZeroDivisionError without the change.

--- a/beechbridge/gateway/replicas/expected_work.py
+++ b/beechbridge/gateway/replicas/expected_work.py
@@ -86,6 +86,18 @@
     return soonest[1]
 
 
+def known_slots(state: 'ReplicaState', now_ms: float) -> int:
+    """
+    Return how many requests a replica runs at once, by its latest report or by its entry.
+
+    An entry may state 0 slots; a replica that serves requests has at least one.
+    """
+    load = state.work.load
+    if load is not None and load.weight(now_ms) > 0.0:
+        return load.slots
+    return max(1, state.entry.slots)
+
+
 def estimate_wait_ms(state: 'ReplicaState', demand: Demand, factor: float, now_ms: float) -> float:
     """
     Return the time in milliseconds until a replica starts a request that is sent now.
@@ -94,12 +106,9 @@
     """
     load = state.work.load
     others = demand.others
-    slots = state.entry.slots
+    slots = known_slots(state, now_ms)
     if load is not None:
-        weight = load.weight(now_ms)
-        if weight > 0.0:
-            others += weight * (load.others - others)
-            slots = load.slots
+        others += load.weight(now_ms) * (load.others - others)
     work_ms = others * demand.mean_ms * factor
     count = others + len(state.busy)
     silence_ms = 0.0
@@ -152,7 +161,7 @@
     load = state.work.load
     is_known = load is not None and load.weight(now_ms) > 0.0
     others = load.others if is_known else demand.others
-    slots = load.slots if is_known else state.entry.slots
+    slots = known_slots(state, now_ms)
     return slots - 1.0 <= others + len(state.busy) < slots
 
 
--- a/model/mutants.py
+++ b/model/mutants.py
@@ -469,7 +469,7 @@
     Mutant(
         'a load report is not used',
         EXPECTED_WORK,
-        'others += weight * (load.others - others)',
+        'others += load.weight(now_ms) * (load.others - others)',
         'others += 0.0',
         ('test_expected_work',),
     ),
--- a/tests/test_expected_work.py
+++ b/tests/test_expected_work.py
@@ -196,6 +196,15 @@
         self.assertEqual(times_ms[-1], completion_ms(replica()))
         self.assertEqual(times_ms[-2], times_ms[-1])
 
+    # An entry may state 0 slots: the division by them ended the event, and no request was sent.
+    @params({}, {'is_long': True})
+    def test_entry_without_slots_counts_as_one_slot(self, fields):
+        times_ms = [
+            completion_ms(occupy(replica(slots=slots), 10.0), **fields) for slots in (0, 1, 2)
+        ]
+        self.assertEqual(times_ms[0], times_ms[1])
+        self.assertLess(times_ms[2], times_ms[1])
+
     # This VM's own requests are not to be counted twice, in its view and in the report.
     def test_own_requests_are_not_among_the_others(self):
         self.assertEqual(replica(report=(2, 1, 2), own=2).work.load.others, 1)
