Bound learned costs from below

A reply that is faster than the assumed network time counts as 0.1 times the expected work, so that the cost of a route with very short work fell without end. Costs now end at 0.1 ms.

The test of a first sample below zero now also demands the least share of the expected work, as it would not notice the mutant of that rule otherwise.

--- a/beechbridge/gateway/replicas/work_costs.py
+++ b/beechbridge/gateway/replicas/work_costs.py
@@ -23,6 +23,13 @@
 long request does not pass for the usual cost."""
 
 MIN_SAMPLE_RATIO = 0.1
+MIN_COST_MS = 0.1
+"""
+Least cost that is learned. Replies faster than the assumed network time would otherwise lower a
+cost without end; as samples are limited to a multiple of it, thousands of them would be needed to
+learn that the work has become longer.
+"""
+
 OTHERS_WEIGHT = 0.05
 WAIT_WEIGHT = 0.02
 MAX_WAIT_FACTOR = 4.0
@@ -275,4 +282,5 @@
 
 def limit_sample(sample_ms: float, expected_ms: float) -> float:
     """Return a sample, limited to what a request of the class may plausibly take."""
-    return min(MAX_SAMPLE_RATIO * expected_ms, max(MIN_SAMPLE_RATIO * expected_ms, sample_ms))
+    least_ms = max(MIN_COST_MS, MIN_SAMPLE_RATIO * expected_ms)
+    return max(least_ms, min(MAX_SAMPLE_RATIO * expected_ms, sample_ms))
--- a/tests/test_expected_work.py
+++ b/tests/test_expected_work.py
@@ -157,6 +157,18 @@
         ratio = (corrected_ms - alone_ms) / (plain_ms - alone_ms)
         self.assertAlmostEqual(ratio, factor, delta=0.05)
 
+    # After many replies faster than the assumed network time, a cost near 0 ms had to grow by 15
+    # percent a sample: work of 50 ms was taken for none during thousands of requests.
+    def test_longer_work_is_learned_after_very_short_work(self):
+        book = WorkBook()
+        for _ in range(20_000):
+            cost_ms = book.expect('r', 's', 0, 0, 1, NOW_MS).cost_ms
+            book.learn('r', 's', 0, 0, work_costs.MIN_SAMPLE_RATIO * cost_ms, NOW_MS)
+        self.assertGreater(book.expect('r', 's', 0, 0, 1, NOW_MS).cost_ms, 0.0)
+        for _ in range(60):
+            book.learn('r', 's', 0, 0, 50.0, NOW_MS)
+        self.assertGreater(book.expect('r', 's', 0, 0, 1, NOW_MS).cost_ms, 25.0)
+
     # A table of 60,000 routes must not fill the memory of a small VM.
     def test_the_latest_classes_are_kept(self):
         book = WorkBook()
@@ -410,7 +422,7 @@
         request.end(Reply(status, [], b'x', 's', **values))
         self.assertEqual(self.costs()['lookup', 0], before + learned)
 
-    # A first sample below zero made every estimate of its class negative.
+    # A first sample below zero made every estimate of its class negative, or as low as can be.
     def test_reply_sooner_than_its_expected_wait_costs_something(self):
         request = self.ask()
         book = self.gateway.upstreams.work_book
@@ -420,7 +432,8 @@
         exchange.wait_ms = 900.0
         request.wait(20.0)
         request.end(Reply(200, [], b'x', 's', 'request-x'))
-        self.assertGreater(book.classes['lookup', 0].mean_ms, 0.0)
+        least_ms = work_costs.MIN_SAMPLE_RATIO * exchange.cost_ms
+        self.assertGreaterEqual(book.classes['lookup', 0].mean_ms, least_ms)
 
     # A hedge sent by the median of all replicas would double the work of those that are busy.
     def test_hedge_is_due_after_the_expected_wait(self):
