Count no parts of gathers against the limit of a service

Parts of gathers are sent whether or not there is room, but were counted as requests at the replicas. Where gathers and other requests go to the same service, the parts alone could keep the count at the limit: the others waited until their deadline, and as their replies are what the limit is adjusted by, it did not grow either. Only requests that keep to the limit are counted now.

The new test finds a count of 1 instead of 0 without the change.

--- a/beechbridge/gateway/requests/room_queue.py
+++ b/beechbridge/gateway/requests/room_queue.py
@@ -2,7 +2,8 @@
 Applies the rules of `room` to the requests of this VM, except to gathers.
 
 The parts of a gather are sent at once: its latency goal is served by `gather_timing`, and a part
-that waits here for a replica in its pause would miss it.
+that waits here for a replica in its pause would miss it. They are not counted either: as they do
+not keep to the limit, they could otherwise use it up for good.
 """
 
 import heapq
@@ -103,16 +104,16 @@
     return take_next(queue, room, is_live, gateway.now_ms)
 
 
-def record_begin(service: str, gateway: GatewayInterface) -> None:
-    """Count a request that is sent to a replica of a service."""
-    if gateway.answer_time.is_in_force:
-        room_of(service, gateway).begin()
+def record_begin(task: Task, gateway: GatewayInterface) -> None:
+    """Count a request that is sent to a replica."""
+    if gateway.answer_time.is_in_force and not task.work.route.is_gather:
+        room_of(task.service, gateway).begin()
 
 
-def record_end(service: str, gateway: GatewayInterface) -> None:
-    """Count a request at a replica of a service that has ended."""
-    room = gateway.rooms.get(service)
-    if room is not None:
+def record_end(exchange: Exchange, gateway: GatewayInterface) -> None:
+    """Count a request at a replica that has ended."""
+    room = gateway.rooms.get(exchange.replica.entry.service)
+    if room is not None and not exchange.owner.work.route.is_gather:
         room.end()
 
 
--- a/beechbridge/gateway/requests/sending.py
+++ b/beechbridge/gateway/requests/sending.py
@@ -161,7 +161,7 @@
     wait_ms = expect_wait_ms(task, state, gateway)
     exchange = begin_exchange(task, state, idle, stalled_at_ms, gateway, kind)
     note_estimate(exchange, task, wait_ms, gateway)
-    record_begin(task.service, gateway)
+    record_begin(task, gateway)
     watch_reach(gateway)
     exchange.is_alone = work.is_trial
     exchange.round_number = work.round_number
@@ -274,7 +274,7 @@
     """Unregister an exchange, and reuse its connection or close it."""
     state = exchange.replica
     if gateway.upstreams.exchanges.pop(exchange.exchange_id, None) is not None:
-        record_end(state.entry.service, gateway)
+        record_end(exchange, gateway)
     if not state.release(exchange, keep_alive_ms, gateway.now_ms, is_reusable):
         gateway.drop_connection(exchange.connection_id)
     if exchange in exchange.owner.exchanges:
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -17,7 +17,7 @@
 )
 from beechbridge.gateway.requests.room_queue import room_of
 
-from .gateways import ManualRequest, single_route, start_register
+from .gateways import ManualRequest, single_route, start_register, start_sweeps
 
 WORK_MS = 20.0
 
@@ -137,6 +137,22 @@
         self.assertIsInstance(emulator.vms[0].answers[keys[1]][1], ForwardedAnswer)
         self.assertEqual(room_of('register', gateway).sent_count, 0)
 
+    # Parts of gathers, which do not keep to the limit, used it up: other requests to the same
+    # service waited until their deadline, and without their replies the limit never grew.
+    def test_parts_of_gathers_take_no_room(self):
+        emulator = start_sweeps(4)
+        gateway = emulator.vms[0].gateway
+        gateway.answer_time.is_in_force = True
+        service = 'shard-0'
+        gateway.rooms[service] = room_with(1.0)
+        emulator.send_request(0, '/sweep/x', 4_000.0)
+        self.assertTrue(gateway.upstreams.exchanges)
+        self.assertEqual(room_of(service, gateway).sent_count, 0)
+        room_of(service, gateway).begin()
+        emulator.run(2_000.0)
+        self.assertFalse(gateway.upstreams.exchanges)
+        self.assertEqual(room_of(service, gateway).sent_count, 1)
+
     # A count that is not given back at each end would shut a service for good.
     def test_all_room_is_given_back(self):
         emulator, gateway = self.start(math.inf, 0)
