Let the turn of a less urgent class include the room for it

The turn of a class that would starve, one in 25, was decided without regard to the room. While urgent requests used the room beyond the limit, which only they may use, the request taken was refused by the limit and queued again: its class starved, and the room stayed unused until the next reply. A request that is taken from the queue is now sent without a second look at the limit, and the next one is chosen among those for which there is room.

Two more faults in the same lines: an entry that was dropped because its task had been sent on another occasion stayed marked as waiting, so that the task was neither retried nor ended after a failure; and parts of gathers, which need no room, waited behind a request that did.

Each of the four new tests fails without its part of the change. The test of the order no longer passes a dropped entry, which a test of its own covers.

--- a/beechbridge/gateway/requests/room.py
+++ b/beechbridge/gateway/requests/room.py
@@ -173,24 +173,31 @@
 
 
 def take_next(
-    queue: list[tuple], room: Room, is_live: Callable[[tuple], bool], now_ms: float
+    queue: list[tuple], room: Room, is_exempt: Callable[[tuple], bool], now_ms: float
 ) -> tuple | None:
     """
-    Remove and return the next entry of a queue, None if none is left.
+    Remove and return the next entry of a queue, None if there is no room for any.
 
     Most turns go to the most urgent class, in it to those whose goal can still be met, and of
-    these to the one with the least time. One turn in `FAIR_TURN` goes to another class that waits.
+    these to the one with the least time. One turn in `FAIR_TURN` goes to another class that waits;
+    it includes the room, since most of the room beyond the limit is for the most urgent class.
 
     :param queue: entries that begin with their priority and soft deadline, in any order
-    :param is_live: whether somebody still waits for an entry; the others are dropped
+    :param is_exempt: whether an entry needs no room
     """
-    queue[:] = [entry for entry in queue if is_live(entry)]
-    if not queue:
+    has_room = room.has_room(False)
+    has_urgent_room = room.has_room(True)
+    ready = []
+    for entry in queue:
+        if has_room or (has_urgent_room and entry[0] <= room.most_urgent) or is_exempt(entry):
+            ready.append(entry)
+    if not ready:
         return None
-    chosen = min(queue, key=lambda entry: (entry[0], entry[1] <= now_ms, *entry[1:3]))
+    chosen = min(ready, key=lambda entry: (entry[0], entry[1] <= now_ms, *entry[1:3]))
     room.turn += 1
     if room.turn >= FAIR_TURN:
-        others = [entry for entry in queue if entry[0] > chosen[0]]
+        waiting = ready if is_exempt(chosen) else queue
+        others = [entry for entry in waiting if entry[0] > chosen[0]]
         if others:
             room.turn = 0
             chosen = min(others, key=lambda entry: entry[1:3])
--- a/beechbridge/gateway/requests/room_queue.py
+++ b/beechbridge/gateway/requests/room_queue.py
@@ -42,7 +42,7 @@
 def has_room(task: Task, gateway: GatewayInterface) -> bool:
     """Return whether a task may be sent now as far as the load of its service goes."""
     route = task.work.route
-    if route.is_gather or not gateway.answer_time.is_in_force:
+    if task.is_next or route.is_gather or not gateway.answer_time.is_in_force:
         return True
     room = room_of(task.service, gateway)
     room.most_urgent = min(room.most_urgent, route.priority)
@@ -90,6 +90,22 @@
     return task.is_open and not task.work.is_finished and not task.exchanges
 
 
+def is_exempt(entry: tuple) -> bool:
+    """Return whether a queued task needs no room: parts of gathers wait for a connection only."""
+    return entry[3].work.route.is_gather
+
+
+def drop_ended(queue: list[tuple]) -> None:
+    """Remove the tasks that are no longer wanted, or that were sent on another occasion."""
+    live = []
+    for entry in queue:
+        if is_live(entry):
+            live.append(entry)
+            continue
+        entry[3].is_waiting = False
+    queue[:] = live
+
+
 def pop_waiting(service: str, gateway: GatewayInterface) -> tuple | None:
     """Remove and return the queue's entry that is sent next, None if there is none."""
     queue = gateway.waiting.get(service)
@@ -97,11 +113,8 @@
         return None
     if not gateway.answer_time.is_in_force:
         return heapq.heappop(queue)
-    room = room_of(service, gateway)
-    first = min(queue)
-    if not first[3].work.route.is_gather and not room.has_room(first[0] <= room.most_urgent):
-        return None
-    return take_next(queue, room, is_live, gateway.now_ms)
+    drop_ended(queue)
+    return take_next(queue, room_of(service, gateway), is_exempt, gateway.now_ms)
 
 
 def record_begin(task: Task, gateway: GatewayInterface) -> None:
--- a/beechbridge/gateway/requests/waiting.py
+++ b/beechbridge/gateway/requests/waiting.py
@@ -28,7 +28,9 @@
                 passed_over.append(queued)
                 continue
             task.is_waiting = False
+            task.is_next = True
             resume_task(task, gateway, may_retry=has_time(task, gateway))
+            task.is_next = False
             if not task.is_waiting:
                 continue
             if zones is None:
--- a/beechbridge/gateway/requests/works.py
+++ b/beechbridge/gateway/requests/works.py
@@ -230,6 +230,7 @@
     :param failed_reply: reply of a replica that reports a failure
     :param demand: what it needs and which replica was chosen last, None without an estimate
     :param is_denied: whether a permit for it was denied
+    :param is_next: whether it was just taken from the queue, so that there is room for it
     """
 
     __slots__ = (
@@ -241,6 +242,7 @@
         'failed_reply',
         'fault',
         'is_denied',
+        'is_next',
         'is_open',
         'is_waiting',
         'reply',
@@ -262,6 +264,7 @@
         self.fault: LinkFault | None = None
         self.demand: Demand | None = None
         self.is_denied = False
+        self.is_next = False
         self.is_open = True
         self.is_waiting = False
 
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -16,6 +16,7 @@
     take_next,
 )
 from beechbridge.gateway.requests.room_queue import room_of
+from beechbridge.gateway.requests.sending import dispatch_task
 
 from .gateways import ManualRequest, single_route, start_register, start_sweeps
 
@@ -31,6 +32,11 @@
     return room
 
 
+def is_single(entry):
+    """Return False: no entry is exempt from the limit."""
+    return False
+
+
 class LimitTest(unittest.TestCase):
     # Without a limit replicas queue all that comes, first come, first served; a limit that falls
     # without end leaves their slots empty.
@@ -67,8 +73,8 @@
     def test_order_is_by_priority_then_by_goals_that_can_be_met(self):
         queue = [(1, 50.0, 0), (0, 300.0, 1), (1, 200.0, 2), (0, 250.0, 3), (1, 150.0, 4)]
         room = room_with(1.0)
-        taken = [take_next(queue, room, lambda entry: entry[2] != 3, 100.0) for _ in range(5)]
-        self.assertEqual([entry and entry[2] for entry in taken], [1, 4, 2, 0, None])
+        taken = [take_next(queue, room, is_single, 100.0) for _ in range(6)]
+        self.assertEqual([entry and entry[2] for entry in taken], [3, 1, 4, 2, 0, None])
 
     # Sustained urgent load starved the other classes; more than 5 in 100 is too much for them.
     def test_less_urgent_class_gets_a_share_and_no_more(self):
@@ -79,10 +85,29 @@
         for _ in range(20 * FAIR_TURN):
             queue.append((0, 500.0, next(numbers)))
             queue.append((0, 500.0, next(numbers)))
-            counts[take_next(queue, room, lambda entry: True, 100.0)[0]] += 1
+            counts[take_next(queue, room, is_single, 100.0)[0]] += 1
         self.assertGreater(counts[1], 0)
         self.assertLessEqual(counts[1], 0.05 * sum(counts))
 
+    # While urgent requests used all room beyond the limit, the turn of another class found none:
+    # it was queued again, the class starved, and the room stayed unused.
+    def test_turn_of_a_less_urgent_class_includes_the_room(self):
+        room = room_with(4.0, 4)
+        room.most_urgent = 0
+        queue = [(1, 900.0, 0), (1, 900.0, 1)]
+        self.assertIsNone(take_next(queue, room, is_single, 100.0))
+        for number in range(2, 2 + FAIR_TURN):
+            queue.append((0, 500.0, number))
+        taken = [take_next(queue, room, is_single, 100.0)[0] for _ in range(FAIR_TURN)]
+        self.assertEqual(taken, [0] * (FAIR_TURN - 1) + [1])
+
+    # A gather's part, for which a connection had become free, waited for room that it needs not.
+    def test_part_of_a_gather_does_not_wait_for_room(self):
+        queue = [(0, 500.0, 0), (1, 900.0, 1)]
+        room = room_with(1.0, 3)
+        self.assertEqual(take_next(queue, room, lambda entry: entry[0] == 1, 100.0)[2], 1)
+        self.assertIsNone(take_next(queue, room, lambda entry: entry[0] == 1, 100.0))
+
 
 class ReturnTest(unittest.TestCase):
     # Rejected clients that all return at once are all rejected again.
@@ -137,6 +162,35 @@
         self.assertIsInstance(emulator.vms[0].answers[keys[1]][1], ForwardedAnswer)
         self.assertEqual(room_of('register', gateway).sent_count, 0)
 
+    # A task that was sent while it was queued counted as waiting for ever: after a failure it was
+    # neither sent again nor ended.
+    def test_queued_task_that_was_sent_waits_no_longer(self):
+        emulator, gateway = self.start(1.0, 1)
+        emulator.send_request(0, '/lookup/x', 4_000.0)
+        (entry,) = gateway.waiting['register']
+        task = entry[3]
+        task.is_next = True
+        self.assertTrue(dispatch_task(task, gateway))
+        task.is_next = False
+        gateway.dispatch_waiting('register')
+        self.assertEqual(gateway.waiting['register'], [])
+        self.assertFalse(task.is_waiting)
+
+    # A class that got its turn was held back by the limit.
+    def test_turn_is_not_held_back_by_the_limit(self):
+        emulator, gateway = self.start(1.0, 1)
+        room = room_of('register', gateway)
+        emulator.send_request(0, '/lookup/x', 4_000.0)
+        (entry,) = gateway.waiting['register']
+        room.turn = FAIR_TURN - 1
+        urgent = emulator.send_request(0, '/lookup/y', 4_000.0)
+        (other,) = [queued for queued in gateway.waiting['register'] if queued is not entry]
+        gateway.waiting['register'].remove(other)
+        gateway.waiting['register'].append((0, *other[1:]))
+        gateway.dispatch_waiting('register')
+        self.assertEqual(len(entry[3].exchanges), 1)
+        self.assertEqual(gateway.works[urgent].exchanges, [])
+
     # Parts of gathers, which do not keep to the limit, used it up: other requests to the same
     # service waited until their deadline, and without their replies the limit never grew.
     def test_parts_of_gathers_take_no_room(self):
