Wake queues for which nothing is in flight

A queue is dispatched when an exchange of its service ends. If the request that is taken then has to wait for a permit or a retry and is ended after that, nothing wakes those behind it, which waited until their deadline unless another request came. The check every 250 ms now dispatches the queues too, where the limits of services are in force.

The new test leaves a queue of three with nothing in flight: without the change two of them are unanswered after 1 s.

--- a/beechbridge/gateway/maintenance.py
+++ b/beechbridge/gateway/maintenance.py
@@ -9,6 +9,7 @@
 from .requests.evidence import sweep_evidence
 from .requests.progress import sweep_exchanges
 from .requests.sending import enforce_connection_shares
+from .requests.waiting import dispatch_stranded
 from .requests.work_estimates import switch_balancing
 
 SWEEP_INTERVAL_MS = 250.0
@@ -50,9 +51,14 @@
 
 
 def fire_sweep(timer: SweepTimer, gateway: GatewayInterface) -> None:
-    """End overdue exchanges; close surplus connections if more VMs share the limits."""
+    """
+    End overdue exchanges; dispatch queues that nothing else would.
+
+    Surplus connections are closed if more VMs share the limits.
+    """
     gateway.timers.arm(gateway.now_ms + SWEEP_INTERVAL_MS, timer)
     sweep_exchanges(gateway)
+    dispatch_stranded(gateway)
     log_notices(gateway)
     sweep_evidence(gateway)
     repeat_reports(gateway)
--- a/beechbridge/gateway/requests/waiting.py
+++ b/beechbridge/gateway/requests/waiting.py
@@ -39,3 +39,16 @@
     finally:
         for queued in passed_over:
             heapq.heappush(gateway.waiting[service], queued)
+
+
+def dispatch_stranded(gateway: GatewayInterface) -> None:
+    """
+    Dispatch the queues of all services, where requests are queued for room.
+
+    The end of an exchange does so, too. But the task that is then taken may have to wait for a
+    permit or a retry and fail, after which nothing that is in flight would wake those behind it.
+    """
+    if not gateway.answer_time.is_in_force:
+        return
+    for service in list(gateway.waiting):
+        dispatch_waiting(service, gateway)
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -191,6 +191,17 @@
         self.assertEqual(len(entry[3].exchanges), 1)
         self.assertEqual(gateway.works[urgent].exchanges, [])
 
+    # If the request taken from the queue had to wait for a retry and was then ended, no reply was
+    # outstanding that would have woken those behind it: they waited until their deadline.
+    def test_queue_is_emptied_if_nothing_is_in_flight(self):
+        emulator, gateway = self.start(1.0, 1)
+        keys = [emulator.send_request(0, '/lookup/x', 4_000.0) for _ in range(3)]
+        room_of('register', gateway).end()
+        emulator.run(1_000.0)
+        self.assertEqual(gateway.waiting['register'], [])
+        for key in keys:
+            self.assertIsInstance(emulator.vms[0].answers[key][1], ForwardedAnswer)
+
     # Parts of gathers, which do not keep to the limit, used it up: other requests to the same
     # service waited until their deadline, and without their replies the limit never grew.
     def test_parts_of_gathers_take_no_room(self):
