--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -191,6 +191,17 @@
         self.assertEqual(len(entry[3].exchanges), 1)
         self.assertEqual(gateway.works[urgent].exchanges, [])
 
+    # A request that others overtook was rejected only when its client could not try again.
+    def test_queued_request_is_rejected_once_it_has_too_little_time(self):
+        emulator, _ = self.start(1.0, 1)
+        key = emulator.send_request(0, '/lookup/x', 400.0)
+        emulator.run(300.0)
+        self.assertNotIn(key, emulator.vms[0].answers)
+        emulator.run(75.0)
+        answer = emulator.vms[0].answers[key][1]
+        self.assertIs(answer.executed, Executed.NOT_RUN)
+        self.assertIs(answer.reason, Reason.OVERLOADED)
+
     # If the request taken from the queue had to wait for a retry and was then ended, no reply was
     # outstanding that would have woken those behind it: they waited until their deadline.
     def test_queue_is_emptied_if_nothing_is_in_flight(self):
