Bound the limit of a service by the slots that replicas state

The limit does not fall below this VM's share of what the replicas run at once, which was taken as two requests a replica. Where replicas have more slots and the work of a route varies, the measured latency is above 1.6 times the low quantile without any queue, so that the limit fell to that bound: requests waited while most slots were free. The bound now follows from the slots in load reports or entries, with two as the least.

With two replicas of 8 slots and latencies of 4 times the low quantile, the limit ends at 16 instead of 4.

--- a/beechbridge/gateway/requests/room.py
+++ b/beechbridge/gateway/requests/room.py
@@ -34,9 +34,9 @@
 """Ratio to the latency without load that counts at most: replicas pause, which is no queueing."""
 
 MIN_LIMIT = 1.0
-SLOTS_PER_REPLICA = 2.0
-"""Requests that a replica is taken to run at once: however much the work of a class varies, the
-limit of a VM does not fall below its share of them."""
+MIN_SLOTS = 2.0
+"""Requests that a replica is taken to run at once if it states fewer: however much the work of a
+class varies, the limit of a VM does not fall below its share of the slots of all replicas."""
 
 BINDING_SHARE = 0.7
 """Share of the limit that must have been used for the limit to grow."""
--- a/beechbridge/gateway/requests/room_queue.py
+++ b/beechbridge/gateway/requests/room_queue.py
@@ -11,7 +11,8 @@
 
 from ..interface import GatewayInterface
 from ..replicas.connections import Exchange
-from .room import SLOTS_PER_REPLICA, WORK_FACTOR, Room, take_next
+from ..replicas.expected_work import known_slots
+from .room import MIN_SLOTS, WORK_FACTOR, Room, take_next
 from .works import Task, Work
 
 TIME_FACTOR = 1.5
@@ -157,8 +158,10 @@
     """Adjust the limit of a service if it is due."""
     room = gateway.rooms[service]
     if room.is_due:
-        replica_count = len(gateway.upstreams.usable(service))
-        room.adjust(SLOTS_PER_REPLICA * replica_count / max(1, gateway.sharing_count))
+        slot_count = 0.0
+        for state in gateway.upstreams.usable(service):
+            slot_count += max(MIN_SLOTS, known_slots(state, gateway.now_ms))
+        room.adjust(slot_count / max(1, gateway.sharing_count))
 
 
 def describe_room(work: Work, gateway: GatewayInterface) -> dict:
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -8,6 +8,7 @@
 
 from beechbridge.failures import Executed, Reason
 from beechbridge.gateway.models import ForwardedAnswer
+from beechbridge.gateway.replicas.load_reports import ReplicaLoad
 from beechbridge.gateway.requests.room import (
     FAIR_TURN,
     INTERVAL_REPLIES,
@@ -15,8 +16,9 @@
     Room,
     take_next,
 )
-from beechbridge.gateway.requests.room_queue import room_of
+from beechbridge.gateway.requests.room_queue import adjust_room, room_of
 from beechbridge.gateway.requests.sending import dispatch_task
+from beechbridge.gateway.statements import LoadReport
 
 from .gateways import ManualRequest, single_route, start_register, start_sweeps
 
@@ -202,6 +204,22 @@
         self.assertIs(answer.executed, Executed.NOT_RUN)
         self.assertIs(answer.reason, Reason.OVERLOADED)
 
+    # Two slots a replica were assumed: where replicas have 8 and the work of a route varies, the
+    # limit fell to 4 of 16 slots, and requests waited while 12 slots were free.
+    @params((None, 1, 4.0), (None, 8, 16.0), (LoadReport(1, 0, 6), 8, 12.0))
+    def test_limit_does_not_fall_below_the_slots(self, report, slots, floor):
+        _, gateway = self.start(20.0, 20)
+        room = room_of('register', gateway)
+        for state in gateway.upstreams.usable('register'):
+            state.entry.slots = slots
+            if report is not None:
+                state.work.load = ReplicaLoad(report, 0, gateway.now_ms)
+        for _ in range(20 * INTERVAL_REPLIES):
+            room.record(4.0 * WORK_MS, WORK_MS)
+            room.sent_count = room.peak_count = int(room.limit)
+            adjust_room('register', gateway)
+        self.assertGreaterEqual(room.limit, floor)
+
     # If the request taken from the queue had to wait for a retry and was then ended, no reply was
     # outstanding that would have woken those behind it: they waited until their deadline.
     def test_queue_is_emptied_if_nothing_is_in_flight(self):
