Avoid paused replicas only if another one accepts requests

A replica in its pause was excluded when another replica was neither busy nor suspect, even if that one had asked for a pause or its permits were used up. The request was then sent to neither, and was queued until an exchange with the service ended. Only replicas that accept requests now, or once a permit is granted, count as an alternative.

The new test fails without the change.

--- a/beechbridge/gateway/requests/pauses.py
+++ b/beechbridge/gateway/requests/pauses.py
@@ -1,6 +1,7 @@
 """Keeps requests away from replicas that seem to be in a pause, if there is another one."""
 
 from ..interface import GatewayInterface
+from ..replicas.limits import is_available
 from ..replicas.pauses import is_pausing
 from .candidates import list_usable
 from .works import Task
@@ -24,6 +25,8 @@
     for state in list_usable(task, gateway):
         if id(state) in excluded or id(state) in pausing:
             continue
+        if not is_available(state, gateway):
+            continue
         if len(state.busy) < share and not state.is_suspect(now_ms):
             gateway.counters.add('pauses_avoided')
             return excluded | pausing
--- a/tests/test_answer_time.py
+++ b/tests/test_answer_time.py
@@ -186,6 +186,16 @@
         avoided = avoided_replicas(self.task, self.gateway)
         self.assertEqual(id(self.exchange.replica) in avoided, is_avoided)
 
+    # A replica that accepts no request now is no alternative: the task was sent to neither one.
+    def test_replica_is_not_avoided_for_one_that_accepts_nothing(self):
+        self.gateway.now_ms = self.exchange.sent_ms + 100.0
+        self.exchange.stalled_at_ms = self.gateway.now_ms + 1_000.0
+        for state in self.gateway.upstreams.by_service[self.task.service]:
+            if state is not self.exchange.replica:
+                state.notices.is_restricted = True
+                state.notices.paused_until_ms = self.gateway.now_ms + 500.0
+        self.assertNotIn(id(self.exchange.replica), avoided_replicas(self.task, self.gateway))
+
     # A replica without an alternative is used, and one that has answered is not avoided.
     def test_replica_is_not_avoided_in_vain(self):
         self.gateway.now_ms = self.exchange.sent_ms + 100.0
