Adapt the limits of services to a new routing table

The state of the limit of a service was kept for as long as the process ran, also when a table no longer had the service, and the most urgent priority ever seen there was never raised: once its routes were removed, no class could use the room beyond the limit. A new table now drops the state of removed services that have nothing at replicas, and the most urgent class is learned anew.

Both rows of the new test fail without the change.

--- a/beechbridge/gateway/replicas/store_updates.py
+++ b/beechbridge/gateway/replicas/store_updates.py
@@ -9,6 +9,7 @@
 from ..interface import GatewayInterface
 from ..models import Item, ReplicaEntry
 from ..requests.evidence import REMOVED, confirm_end
+from ..requests.room_queue import revise_rooms
 from ..requests.start_queue import release_requests
 from ..requests.unsent import dispatch_anew, withdraw_barred
 from ..routes import RoutingTable
@@ -218,6 +219,7 @@
     gateway.table = table
     refresh_limits(gateway)
     gateway.splits.reset()
+    revise_rooms(gateway)
     release_requests(gateway)
     if current is None or table.limits != current.limits:
         gateway.act(SetCallerLimits(table.limits))
--- a/beechbridge/gateway/requests/room_queue.py
+++ b/beechbridge/gateway/requests/room_queue.py
@@ -31,6 +31,19 @@
     return room
 
 
+def revise_rooms(gateway: GatewayInterface) -> None:
+    """
+    Adapt the rooms to a new routing table.
+
+    Those of services that it no longer has are dropped, once nothing is at their replicas. Which
+    class is the most urgent is learned anew: another one may be, if its routes were removed.
+    """
+    for service, room in list(gateway.rooms.items()):
+        room.most_urgent = math.inf
+        if service not in gateway.table.services and not room.sent_count:
+            del gateway.rooms[service]
+
+
 def work_ms(route_name: str, gateway: GatewayInterface) -> float:
     """Return the latency in ms of a route's requests at the nearest replica without load."""
     for distance in (0, 1, 2):
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -231,6 +231,19 @@
         for key in keys:
             self.assertIsInstance(emulator.vms[0].answers[key][1], ForwardedAnswer)
 
+    # Rooms of services that a table no longer has were kept for good, and a class whose routes had
+    # been removed kept the room beyond the limit from the one that was now the most urgent.
+    @params((0, {'register'}), (1, {'register', 'gone'}))
+    def test_new_table_drops_rooms(self, sent_count, left):
+        emulator, gateway = self.start(1.0, 1)
+        gateway.rooms['gone'] = room_with(1.0, sent_count)
+        emulator.put_table([single_route('lookup')], version=2)
+        emulator.run(1_000.0)
+        self.assertEqual(set(gateway.rooms), left)
+        self.assertEqual(room_of('register', gateway).sent_count, 1)
+        emulator.send_request(0, '/lookup/x', 4_000.0)
+        self.assertEqual(room_of('register', gateway).sent_count, 2)
+
     # Parts of gathers, which do not keep to the limit, used it up: other requests to the same
     # service waited until their deadline, and without their replies the limit never grew.
     def test_parts_of_gathers_take_no_room(self):
