Check evacuations in every run of the soak, with a mutant

Cause: the check was behind a flag while the product could not evacuate. Change: the flag and its row in the table of the test are gone; a mutant keeps evacuated replicas usable. The mutant was not run yet.

--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -154,7 +154,6 @@
     :param stops: planned stops by the VM's name
     :param vm_count: number of VMs; each learns what a replica says only from a reply to itself
     :param rules: what is checked of cold replicas, home regions, evacuations and bursts
-    :param checks_evacuations: whether the product evacuates data centres
     :param withdrawn_s: when the store acknowledged a replica's draining or removal, by replica id
     :param frozen_spans: spans in which the soak itself got no processor and saw nothing in time
     :param fault_spans: spans in which an unplanned fault affected a VM, by its name or `all`
@@ -176,7 +175,6 @@
         self.frozen_spans: list[tuple[float, float]] = []
         self.table_acknowledged_s: dict[str, float] = {}
         self.rules = Rules()
-        self.checks_evacuations = False
         self.min_share = 1.0
         self.top_records = 0
 
@@ -207,7 +205,7 @@
         if include_timing:
             violations.extend(self.check_withdrawn())
             violations.extend(self.check_limits())
-            violations.extend(self.rules.check(self, self.checks_evacuations))
+            violations.extend(self.rules.check(self))
             violations.extend(self.check_left())
             violations.extend(self.check_deadly())
             violations.extend(self.check_routes())
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -57,11 +57,22 @@
 STOPS = ('--faults=stop_series', '--faults=long_work', '--seconds=25')
 COLD = ('--shards=2', '--faults=cold_replica', '--seconds=25')
 HOMES = ('--shards=2', '--faults=moved_homes', '--seconds=25')
+EVACUATIONS = ('--shards=2', '--faults=evacuated_zone', '--seconds=25')
 BURSTS = ('--shards=2', '--faults=burst', '--seconds=20')
 DEADLY = ('--shards=2', '--faults=deadly_request', '--seconds=20')
 
 
 MUTANTS = (
+    SoakMutant(
+        'evacuated replicas get requests',
+        'was evacuated',
+        EVACUATIONS,
+        Edit(
+            f'{GATEWAY}/replicas/evacuations.py',
+            'state.is_evacuated = gateway.evacuations.is_evacuated(state.entry.zone)',
+            'state.is_evacuated = False',
+        ),
+    ),
     SoakMutant(
         'cold replicas get as much as warm ones',
         'while it was cold',
--- a/soak/rules.py
+++ b/soak/rules.py
@@ -90,16 +90,11 @@
         self.evacuations: list[EvacuationSpan] = []
         self.bursts: list[Burst] = []
 
-    def check(self, ledger: 'Ledger', checks_evacuations: bool = False) -> list[str]:
-        """
-        Return a sentence for every broken promise.
-
-        :param checks_evacuations: whether the product evacuates data centres
-        """
+    def check(self, ledger: 'Ledger') -> list[str]:
+        """Return a sentence for every broken promise."""
         violations = [*self.check_cold(ledger), *self.check_homes(ledger)]
         violations.extend(self.check_bursts(ledger))
-        if checks_evacuations:
-            violations.extend(self.check_evacuations(ledger))
+        violations.extend(self.check_evacuations(ledger))
         return violations
 
     def check_cold(self, ledger: 'Ledger') -> list[str]:
--- a/soak/run.py
+++ b/soak/run.py
@@ -49,7 +49,6 @@
         self.ledger.min_share = MIN_SHARE
         self.ledger.top_records = TOP_RECORDS
         self.ledger.vm_count = vm_count
-        self.ledger.checks_evacuations = FLAGS.evacuations
         self.vm_count = vm_count
         self.shard_count = shard_count
         self.store = Store(STAND_IN_HOST)
@@ -373,7 +372,6 @@
         'kind of fault to draw from; may be repeated',
     )
     flags.DEFINE_boolean('planned', False, 'draw only kinds that excuse no lost request')
-    flags.DEFINE_boolean('evacuations', False, 'check that evacuated data centres get nothing')
     flags.DEFINE_boolean('habits', True, 'add callers that stay, leave, hurry or read slowly')
     flags.DEFINE_integer('network', 1, "third byte of the VMs' addresses; runs at once need two")
     flags.DEFINE_boolean('timed', True, 'also check promises with a time limit')
--- a/tests/test_soak_rules.py
+++ b/tests/test_soak_rules.py
@@ -22,8 +22,8 @@
 
 
 class RulesTest(unittest.TestCase):
-    def assert_reported(self, ledger, is_reported, text, **options):
-        violations = ledger.rules.check(ledger, **options)
+    def assert_reported(self, ledger, is_reported, text):
+        violations = ledger.rules.check(ledger)
         self.assertEqual(any(text in one for one in violations), is_reported, violations)
 
     # A rate of 2 a second permits 8 requests in a second; before a VM can know, any number.
@@ -44,14 +44,11 @@
         ledger.rules.home_spans[0].until_s = 120.0
         self.assert_reported(ledger, is_reported, 'outside its home regions')
 
-    @params((107.0, 'r', True, True), (107.0, 'r', False, False), (107.0, 'home', True, False),
-            (105.0, 'r', True, False))  # fmt: skip
-    def test_evacuation(self, at_s, replica, checks_evacuations, is_reported):
+    @params((107.0, 'r', True), (107.0, 'home', False), (105.0, 'r', False))
+    def test_evacuation(self, at_s, replica, is_reported):
         ledger = make_ledger(replica=replica, times=[at_s])
         ledger.rules.evacuations.append(EvacuationSpan('notts-a', 100.0))
-        self.assert_reported(
-            ledger, is_reported, 'was evacuated', checks_evacuations=checks_evacuations
-        )
+        self.assert_reported(ledger, is_reported, 'was evacuated')
 
     # A fault of the VM that took a request excuses what it could not know.
     def test_fault_excuses(self):
