Accept checks, lookups and messages of VMs while clients wait

Once clients had requests in hand on all connections, no port accepted any more: readiness checks, directory lookups and messages of other VMs waited for them in the backlog. The other ports now accept an eighth of the limit beyond what the clients' port accepts. The new test timed out before the change.

--- a/beechbridge/daemon/connections.py
+++ b/beechbridge/daemon/connections.py
@@ -14,6 +14,13 @@
 """Connections beyond the limit that may wait until the closed ones are gone."""
 
 
+RESERVED_DIVISOR = 8
+"""Fraction of the limit, as a divisor, that the other ports accept beyond it: clients that have
+requests in hand on all connections must not delay readiness checks, the directory and VMs."""
+
+MIN_RESERVED = 8
+
+
 def list_idlest(channels: Iterable, count: int) -> list:
     """
     Return the connections to close first: those without a request that idle longest.
@@ -47,6 +54,11 @@
         self.limit = limit
         self.channels: set = set()
 
+    def accept_limit(self, is_for_clients: bool) -> int:
+        """Return how many connections may be open while a port still accepts further ones."""
+        limit = self.limit + ACCEPT_SLACK
+        return limit if is_for_clients else limit + max(MIN_RESERVED, limit // RESERVED_DIVISOR)
+
     def add(self, channel: object) -> list:
         """Count a new connection; return those to close."""
         self.channels.add(channel)
--- a/beechbridge/daemon/front.py
+++ b/beechbridge/daemon/front.py
@@ -35,7 +35,7 @@
 from .caller_channel import REQUEST_COPIES as REQUEST_COPIES
 from .client_memory import ClientMemory, measure_answer
 from .closing import BACKLOG, list_listeners
-from .connections import ACCEPT_SLACK, ConnectionLimit
+from .connections import ConnectionLimit
 from .held_memory import HeldMemory
 from .memory_account import ANSWERS, LEAST_URGENT, MOST_URGENT, MemoryAccount
 from .refusals import RefusalLog
@@ -334,7 +334,7 @@
         backlog=BACKLOG,
         channel_request_lookahead=1,
         channel_timeout=IDLE_TIMEOUT_S,
-        connection_limit=app.connections.limit + ACCEPT_SLACK + 2 * len(addresses),
+        connection_limit=app.connections.accept_limit(False) + 2 * len(addresses),
         max_request_header_size=MAX_HEADER_BYTES,
         max_request_body_size=MAX_BODY_BYTES,
         inbuf_overflow=MAX_BODY_BYTES + 1,
@@ -349,4 +349,6 @@
         listener.channel_class = channel_class
         if int(listener.effective_port) == app.callers_port:
             listener.adj = app.callers_adjustments = copy.copy(listener.adj)
+            accept_limit = app.connections.accept_limit(True)
+            app.callers_adjustments.connection_limit = accept_limit + 2 * len(addresses)
     return server
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -10,6 +10,7 @@
 from nose2.tools import params
 
 from beechbridge.daemon.caller_channel import REQUEST_COPIES
+from beechbridge.daemon.connections import ACCEPT_SLACK
 from beechbridge.daemon.memory_account import (
     ANSWERS,
     BODIES,
@@ -249,3 +250,16 @@
         self.assertEqual(app.find_urgency(channel, channel.parser_class(channel.adj)), urgency)
         self.serve(self.connect(numbered(1)), self.front.next_event())
         self.assertEqual(sum(one.is_from_vm for one in app.connections.channels), int(is_vm))
+
+    # Clients whose requests were all in hand kept readiness checks and other VMs waiting.
+    def test_other_ports_are_served_while_clients_hold_all_connections(self):
+        self.start(max_connections=4)
+        for number in range(4 + 2 * ACCEPT_SLACK):
+            self.connect(numbered(number))
+        for _ in range(4 + ACCEPT_SLACK):
+            self.front.next_event()
+        self.run_rounds()
+        sock = self.front.connect(self.front.other_port)
+        self.addCleanup(sock.close)
+        sock.sendall(numbered(0))
+        self.assertEqual(read_response(sock)[0].status, 200)
