Do not renew unused permits for cold replicas

Each permit renewed the unused ones before it, so that requests which asked together could keep permits for longer than the 0.5 s that rate and burst for a cold replica allow for. Unused ones now expire with the oldest. Permits for stated limits are renewed as before. The new test fails without the change: the permit of 0 s was valid until 0.9 s.

--- a/beechbridge/gateway/replicas/notices.py
+++ b/beechbridge/gateway/replicas/notices.py
@@ -51,9 +51,18 @@
         self.valid_until_ms = 0.0
         self.denied_until_ms = 0.0
 
-    def grant(self, now_ms: float) -> None:
-        """Add a permit; earlier ones that are void are dropped."""
-        self.count = self.count + 1 if now_ms < self.valid_until_ms else 1
+    def grant(self, now_ms: float, is_cold: bool = False) -> None:
+        """
+        Add a permit; earlier ones that are void are dropped.
+
+        :param is_cold: whether earlier ones are not renewed: the bound of a cold replica counts on
+            their lifetime
+        """
+        is_renewal = now_ms < self.valid_until_ms
+        if is_cold and is_renewal and self.count:
+            self.count += 1
+            return
+        self.count = self.count + 1 if is_renewal else 1
         self.valid_until_ms = now_ms + PERMIT_LIFETIME_MS
 
 
--- a/beechbridge/gateway/requests/permission.py
+++ b/beechbridge/gateway/requests/permission.py
@@ -186,7 +186,8 @@
         permits = request.state.notices.permits
         request.task.is_denied = wait_ms != 0
         if wait_ms == 0:
-            permits.grant(gateway.now_ms)
+            is_cold = request.state.notices.cold_terms_at(gateway.now_ms) is not None
+            permits.grant(gateway.now_ms, is_cold)
             continue
         request.task.exclude_replica(request.state)
         if wait_ms > 0:
--- a/tests/test_cold_rules.py
+++ b/tests/test_cold_rules.py
@@ -20,6 +20,7 @@
     make_limit,
 )
 from beechbridge.gateway.replicas.limits import LimitBucket
+from beechbridge.gateway.replicas.notices import Permits
 from beechbridge.platform.items import decode_item
 from beechbridge.platform.replicas import read_reply
 from beechbridge.platform.settings import parse_settings
@@ -89,6 +90,21 @@
         self.assertEqual(reported, [1_000, 1_500, 2_000, 2_500, 3_000])
 
 
+class PermitsTest(unittest.TestCase):
+    # A permit that was not used was renewed by each later one, so that more than the bound were
+    # valid at once; that of a stated limit is, as before.
+    @params((True, [500.0, 500.0, 950.0]), (False, [500.0, 900.0, 950.0]))
+    def test_permits_for_a_cold_replica_are_not_renewed(self, is_cold, valid_until_ms):
+        permits = Permits()
+        found = []
+        for now_ms, used_count in ((0.0, 0), (400.0, 2), (450.0, 0)):
+            permits.grant(now_ms, is_cold)
+            found.append(permits.valid_until_ms)
+            permits.count -= used_count
+        self.assertEqual(found, valid_until_ms)
+        self.assertEqual(permits.count, 1)
+
+
 class BucketTest(unittest.TestCase):
     # Tokens of the time in which the replica was warm would be a burst on top of warm traffic.
     @params((200.0, 0.0), (20_000.0, 4.0))
@@ -147,7 +163,13 @@
 
     # Terms out of their bounds would lift the limit of a replica.
     @params(
-        (math.nan, 0.0), (-1.0, 0.0), (math.inf, 0.0), (4.0, -1.0), (4.0, math.nan), (4.0, 1e12)
+        (math.nan, 0.0),
+        (-1.0, 0.0),
+        (0.5, 0.0),
+        (math.inf, 0.0),
+        (4.0, -1.0),
+        (4.0, math.nan),
+        (4.0, 1e12),
     )
     def test_odd_terms_grant_nothing(self, burst, age_ms):
         emulator = start_cold_fleet(1, 5.0)
