Ignore terms of a cold replica whose burst is below one permit

A bucket with such a burst never holds a permit, and a burst of 0 made the keeper divide by zero while ranking a request.

--- a/beechbridge/gateway/requests/permission.py
+++ b/beechbridge/gateway/requests/permission.py
@@ -15,6 +15,7 @@
 from ..interface import GatewayInterface
 from ..member import Member
 from ..permits import PermitsAnswered, PermitsWanted
+from ..replicas.cold import LEAST_BURST
 from ..replicas.limits import find_keeper, grant_permits, is_open
 from ..replicas.notices import MAX_LIMIT_PER_S
 from ..replicas.upstreams import INITIAL_ROUND_TRIP_MS
@@ -162,7 +163,10 @@
 def has_odd_terms(message: PermitsWanted) -> bool:
     """Return whether the terms of a cold replica are out of their bounds."""
     for terms in message.cold_terms.values():
-        if not 0.0 <= terms.burst <= MAX_LIMIT_PER_S or not 0.0 <= terms.age_ms <= MAX_COLD_AGE_MS:
+        if (
+            not LEAST_BURST <= terms.burst <= MAX_LIMIT_PER_S
+            or not 0.0 <= terms.age_ms <= MAX_COLD_AGE_MS
+        ):
             return True
     return False
 
