Choose the next queued request with native tuple comparisons

The order was decided by a key function that built a tuple for each entry. The order is the same: class, goals that can still be met, time.

--- a/beechbridge/gateway/requests/room.py
+++ b/beechbridge/gateway/requests/room.py
@@ -193,7 +193,9 @@
             ready.append(entry)
     if not ready:
         return None
-    chosen = min(ready, key=lambda entry: (entry[0], entry[1] <= now_ms, *entry[1:3]))
+    priority = min(ready)[0]
+    of_class = [entry for entry in ready if entry[0] == priority]
+    chosen = min([entry for entry in of_class if entry[1] > now_ms] or of_class)
     room.turn += 1
     if room.turn >= FAIR_TURN:
         waiting = ready if is_exempt(chosen) else queue
