Revert "Reject queued requests as soon as they have too little time"

Clients that were rejected earlier came back with too little time left, and what was then sent ended with an unknown outcome.

--- a/beechbridge/gateway/handlers.py
+++ b/beechbridge/gateway/handlers.py
@@ -86,8 +86,7 @@
 from .requests.starts import fire_start
 from .requests.unsent import resume_withdrawn
 from .requests.vm_requests import handle_order_received, handle_relay_received
-from .requests.waiting import fire_late
-from .requests.works import CanaryTimer, CheckTimer, DeadlineTimer, LateTimer, RetryTimer
+from .requests.works import CanaryTimer, CheckTimer, DeadlineTimer, RetryTimer
 
 
 @singledispatch
@@ -141,7 +140,6 @@
     CheckTimer: fire_check,
     DeadlineTimer: fire_deadline,
     RetryTimer: fire_retry,
-    LateTimer: fire_late,
     RemovalTimer: fire_removal,
     ConfirmationTimer: fire_confirmation,
     PermitTimer: fire_permit_timeout,
--- a/beechbridge/gateway/requests/room_queue.py
+++ b/beechbridge/gateway/requests/room_queue.py
@@ -76,27 +76,25 @@
 
 def may_finish(task: Task, gateway: GatewayInterface) -> bool:
     """Return whether a task that is queued now is expected to be answered in its time."""
-    latest_ms = latest_send_ms(task, gateway)
-    if latest_ms is None or gateway.now_ms + find_wait_ms(task, gateway) <= latest_ms:
-        return True
-    gateway.counters.add('requests_without_room', task.work.route.name)
-    return False
-
-
-def latest_send_ms(task: Task, gateway: GatewayInterface) -> float | None:
-    """Return until when a task can be sent to be answered in its time, None if that is open."""
     work = task.work
     if work.route.is_gather or not gateway.answer_time.is_in_force:
-        return None
-    return work.hard_at_ms - TIME_FACTOR * work_ms(work.route.name, gateway)
+        return True
+    needed_ms = find_wait_ms(task, gateway) + TIME_FACTOR * work_ms(work.route.name, gateway)
+    if gateway.now_ms + needed_ms <= work.hard_at_ms:
+        return True
+    gateway.counters.add('requests_without_room', work.route.name)
+    return False
 
 
 def has_time(task: Task, gateway: GatewayInterface) -> bool:
     """Return whether a queued task can still be answered in its time if it is sent now."""
-    latest_ms = latest_send_ms(task, gateway)
-    if latest_ms is None or gateway.now_ms <= latest_ms:
+    work = task.work
+    if work.route.is_gather or not gateway.answer_time.is_in_force:
+        return True
+    needed_ms = TIME_FACTOR * work_ms(work.route.name, gateway)
+    if gateway.now_ms + needed_ms <= work.hard_at_ms:
         return True
-    gateway.counters.add('requests_without_time', task.work.route.name)
+    gateway.counters.add('requests_without_time', work.route.name)
     return False
 
 
--- a/beechbridge/gateway/requests/sending.py
+++ b/beechbridge/gateway/requests/sending.py
@@ -19,9 +19,9 @@
 from .holding import hold_task, is_convicted, is_held_back
 from .pauses import avoided_replicas
 from .permit_requests import request_permit
-from .room_queue import has_room, latest_send_ms, may_finish, record_begin, record_end
+from .room_queue import has_room, may_finish, record_begin, record_end
 from .work_estimates import expect_wait_ms, expect_work, is_hedge_late, note_estimate
-from .works import LateTimer, OrderedWork, RetryTimer, Task
+from .works import OrderedWork, RetryTimer, Task
 
 FIRST_BACKOFF_MS = 10.0
 MAX_BACKOFF_MS = 160.0
@@ -34,9 +34,6 @@
 MIN_TIME_LEFT_MS = 4.0
 """Minimum time before the deadline for a task to be worth sending."""
 
-LATE_MS = 1.0
-"""Time after a queued task's latest time to be sent at which it is ended."""
-
 FOREVER_MS = float('inf')
 DISTANCE_NAMES = ('own_zone', 'own_region', 'other_region')
 
@@ -133,10 +130,6 @@
     queue = gateway.waiting.setdefault(task.service, [])
     order = (work.route.priority, work.soft_at_ms, gateway.upstreams.new_id())
     heapq.heappush(queue, (*order, task))
-    latest_ms = latest_send_ms(task, gateway)
-    if latest_ms is not None:
-        # Urgent requests that come later may make it wait longer than was expected.
-        gateway.timers.arm(latest_ms + LATE_MS, LateTimer(task))
     gateway.counters.add('tasks_queued')
 
 
--- a/beechbridge/gateway/requests/waiting.py
+++ b/beechbridge/gateway/requests/waiting.py
@@ -5,8 +5,7 @@
 from ..interface import GatewayInterface
 from .candidates import allowed_zones
 from .progress import resume_task
-from .room_queue import has_time, is_live, pop_waiting
-from .works import LateTimer
+from .room_queue import has_time, pop_waiting
 
 
 def dispatch_waiting(service: str, gateway: GatewayInterface) -> None:
@@ -42,17 +41,6 @@
             heapq.heappush(gateway.waiting[service], queued)
 
 
-def fire_late(timer: LateTimer, gateway: GatewayInterface) -> None:
-    """End a queued task that could not be answered in its time any more if it were sent."""
-    task = timer.task
-    queue = gateway.waiting.get(task.service, ())
-    if not any(entry[3] is task and is_live(entry) for entry in queue):
-        return
-    if not has_time(task, gateway):
-        task.is_waiting = False
-        resume_task(task, gateway, may_retry=False)
-
-
 def dispatch_stranded(gateway: GatewayInterface) -> None:
     """
     Dispatch the queues of all services, where requests are queued for room.
--- a/beechbridge/gateway/requests/works.py
+++ b/beechbridge/gateway/requests/works.py
@@ -307,12 +307,3 @@
 
     def __init__(self, task: Task):
         self.task = task
-
-
-class LateTimer(Record):
-    """Fires when a queued task could not be answered in its time any more if it were sent."""
-
-    __slots__ = ('task',)
-
-    def __init__(self, task: Task):
-        self.task = task
--- a/model/mutants.py
+++ b/model/mutants.py
@@ -1388,8 +1388,9 @@
     Mutant(
         'a request waits that cannot be served in time',
         ROOM_QUEUE,
-        'gateway.now_ms + find_wait_ms(task, gateway) <= latest_ms',
-        'True',
+        '    if gateway.now_ms + needed_ms <= work.hard_at_ms:\n        return True\n'
+        "    gateway.counters.add('requests_without_room'",
+        "    return True\n    gateway.counters.add('requests_without_room'",
         ('test_room',),
     ),
 )
