--- a/model/mutants.py
+++ b/model/mutants.py
@@ -1220,8 +1220,8 @@
     Mutant(
         'a running request is not counted beside one that was turned away',
         'beechbridge/daemon/client_memory.py',
-        'self.account.restore(one.purpose, channel, one.holding, left_bytes)',
-        'pass',
+        '                part.note(channel, byte_count, now_ms, channel.urgency)\n',
+        '                pass\n',
         ('test_memory_account',),
     ),
     Mutant(
