Wait for each request in the test of reserved connections

A connection whose request had not been read yet could be closed in favour of the next one, so that fewer requests arrived than the test waited for: it failed once with the machine overloaded. It now waits for each, and still times out without the reserve.

--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -254,11 +254,13 @@
     # Clients whose requests were all in hand kept readiness checks and other VMs waiting.
     def test_other_ports_are_served_while_clients_hold_all_connections(self):
         self.start(max_connections=4)
-        for number in range(4 + 2 * ACCEPT_SLACK):
+        for number in range(4 + ACCEPT_SLACK):
             self.connect(numbered(number))
-        for _ in range(4 + ACCEPT_SLACK):
             self.front.next_event()
+        for number in range(ACCEPT_SLACK):
+            self.connect(numbered(number))
         self.run_rounds()
+        self.assertEqual(len(self.front.app.connections.channels), 4 + ACCEPT_SLACK)
         sock = self.front.connect(self.front.other_port)
         self.addCleanup(sock.close)
         sock.sendall(numbered(0))
