Give a class its turn only when it is passed over

Since the turn of a less urgent class includes the room, one in 25 requests was taken from it even where it was served often enough without. The turns are now counted only while they pass over a less urgent class that waits.

The new test, in which both classes are served in turn, fails without the change. Two mutants are added, of the turn and of the parts of gathers.

--- a/beechbridge/gateway/requests/room.py
+++ b/beechbridge/gateway/requests/room.py
@@ -179,8 +179,9 @@
     Remove and return the next entry of a queue, None if there is no room for any.
 
     Most turns go to the most urgent class, in it to those whose goal can still be met, and of
-    these to the one with the least time. One turn in `FAIR_TURN` goes to another class that waits;
-    it includes the room, since most of the room beyond the limit is for the most urgent class.
+    these to the one with the least time. After `FAIR_TURN` - 1 turns in a row that passed over a
+    less urgent class, one goes to it. It includes the room: under sustained urgent load there is
+    only room beyond the limit, which is for the most urgent class.
 
     :param queue: entries that begin with their priority and soft deadline, in any order
     :param is_exempt: whether an entry needs no room
@@ -196,12 +197,12 @@
     priority = min(ready)[0]
     of_class = [entry for entry in ready if entry[0] == priority]
     chosen = min([entry for entry in of_class if entry[1] > now_ms] or of_class)
-    room.turn += 1
+    waiting = ready if is_exempt(chosen) else queue
+    others = [entry for entry in waiting if entry[0] > priority]
+    # A class that is served anyway needs no turn.
+    room.turn = room.turn + 1 if others else 0
     if room.turn >= FAIR_TURN:
-        waiting = ready if is_exempt(chosen) else queue
-        others = [entry for entry in waiting if entry[0] > chosen[0]]
-        if others:
-            room.turn = 0
-            chosen = min(others, key=lambda entry: entry[1:3])
+        room.turn = 0
+        chosen = min(others, key=lambda entry: entry[1:3])
     queue.remove(chosen)
     return chosen
--- a/model/mutants.py
+++ b/model/mutants.py
@@ -1353,8 +1353,22 @@
     Mutant(
         'less urgent classes starve',
         ROOM,
-        '        if others:',
-        '        if False:',
+        '    if room.turn >= FAIR_TURN:',
+        '    if False:',
+        ('test_room',),
+    ),
+    Mutant(
+        'the turn of a class is refused by the limit',
+        ROOM_QUEUE,
+        'if task.is_next or route.is_gather',
+        'if route.is_gather',
+        ('test_room',),
+    ),
+    Mutant(
+        'parts of gathers use up the limit',
+        ROOM_QUEUE,
+        'is_in_force and not task.work.route.is_gather:',
+        'is_in_force:',
         ('test_room',),
     ),
     Mutant(
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -103,6 +103,16 @@
         taken = [take_next(queue, room, is_single, 100.0)[0] for _ in range(FAIR_TURN)]
         self.assertEqual(taken, [0] * (FAIR_TURN - 1) + [1])
 
+    # Turns of a class that is served anyway delayed the more urgent ones without need.
+    def test_class_that_is_served_anyway_gets_no_turn(self):
+        numbers = itertools.count()
+        room = room_with(4.0)
+        queue = []
+        for _ in range(FAIR_TURN):
+            queue += [(1, 900.0, next(numbers)), (0, 500.0, next(numbers))]
+            taken = [take_next(queue, room, is_single, 100.0)[0] for _ in range(2)]
+            self.assertEqual(taken, [0, 1])
+
     # A gather's part, for which a connection had become free, waited for room that it needs not.
     def test_part_of_a_gather_does_not_wait_for_room(self):
         queue = [(0, 500.0, 0), (1, 900.0, 1)]
