--- a/beechbridge/daemon/front.py
+++ b/beechbridge/daemon/front.py
@@ -29,9 +29,7 @@
 )
 from ..record import Record
 from ..wire.http import HttpResponse
-from .caller_channel import BUFFER_BYTES as BUFFER_BYTES
 from .caller_channel import CHANNEL_KEY, CallerChannel, CallerTask
-from .caller_channel import REQUEST_COPIES as REQUEST_COPIES
 from .client_memory import ClientMemory, measure_answer
 from .closing import list_listeners
 from .connections import ConnectionLimit
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -13,11 +13,10 @@
 import logbook
 from nose2.tools import params
 
+from beechbridge.daemon.caller_channel import BUFFER_BYTES, REQUEST_COPIES
 from beechbridge.daemon.clock import read_clock_ms
 from beechbridge.daemon.closing import call_when_sent, close_idle_channels, list_listeners
 from beechbridge.daemon.front import (
-    BUFFER_BYTES,
-    REQUEST_COPIES,
     Endpoint,
     FrontApp,
     create_front,
