--- a/measure/emulator.py
+++ b/measure/emulator.py
@@ -154,7 +154,8 @@
         self.cold_rules = cold_rules
         self.stable_ms = stable_ms
         self.rng = random.Random(seed)
-        self.work_ms = work_ms
+        # A test that changes it must not change that of the tests after it.
+        self.work_ms = dict(work_ms)
         self.deadly_targets: set[str] = set()
         self.now_ms = 0.0
         self.events: list[tuple[float, int, object]] = []
