--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -25,9 +25,14 @@
 
 
 def find_host():
-    """Return a loopback address whose ports are free: another run may use some of them."""
+    """
+    Return a loopback address whose ports are free: another run may use some of them.
+
+    The third byte differs by process, since two runs that begin at once see the same free ports.
+    """
+    network = 1 + os.getpid() % 250
     for number in range(1, 250):
-        host = f'127.9.87.{number}'
+        host = f'127.9.{network}.{number}'
         with contextlib.ExitStack() as stack, contextlib.suppress(OSError):
             for port in (*PORTS.values(), METRICS_PORT):
                 probe = stack.enter_context(socket.socket())
