--- a/beechbridge/daemon/client_connection.py
+++ b/beechbridge/daemon/client_connection.py
@@ -8,6 +8,7 @@
 
 from ..gateway.events import ConnectionEnded, ExchangeEnded, RequestSent
 from ..gateway.models import LinkFailure, LinkFault, PartsReply, Reply
+from .memory_account import REPLIES, MemoryAccount
 
 TCP_USER_TIMEOUT_MS = 3_000
 """Time after which the kernel closes a connection whose sent data is not acknowledged."""
@@ -84,24 +85,32 @@
 
     :param limit_bytes: size above which the largest of them is given up
     :param relieve: called, later, if the limit is exceeded
+    :param account: account of the process's memory in which they are counted, too
+    :param relieve_account: called if that account is exceeded
     """
 
-    __slots__ = ('held_bytes', 'limit_bytes', 'relieve')
+    __slots__ = ('account', 'held_bytes', 'limit_bytes', 'relieve', 'relieve_account')
 
     def __init__(self, limit_bytes: int, relieve: Callable[[], None]):
         self.limit_bytes = limit_bytes
         self.held_bytes = 0
         self.relieve = relieve
+        self.account: MemoryAccount | None = None
+        self.relieve_account: Callable[[], None] = lambda: None
 
     def hold(self, byte_count: int) -> None:
         """Count bytes that were received."""
         self.held_bytes += byte_count
+        if self.account is not None and self.account.count(REPLIES, byte_count):
+            self.relieve_account()
         if self.held_bytes > self.limit_bytes:
             self.relieve()
 
     def release(self, byte_count: int) -> None:
         """Count bytes that are no longer kept here."""
         self.held_bytes -= byte_count
+        if self.account is not None:
+            self.account.count(REPLIES, -byte_count)
 
 
 class ClientConnection(asyncio.Protocol):
--- /dev/null
+++ b/beechbridge/daemon/client_memory.py
@@ -0,0 +1,134 @@
+"""What clients' connections hold of a process's memory; turns some away if it is too much."""
+
+from collections.abc import Callable
+
+from ..gateway.models import Answer, ForwardedAnswer, MergedAnswer, PartsAnswer
+from .caller_channel import CallerChannel
+from .clock import read_clock_ms
+from .held_memory import HeldMemory
+from .memory_account import ANSWERS, BODIES, HEADS, LEAST_URGENT, MemoryAccount, TurnedAway
+from .refusals import RefusalLog, RequestMemoryError
+
+
+def measure_answer(answer: Answer) -> int:
+    """Return the size of the body of an answer that waits to be written."""
+    if isinstance(answer, ForwardedAnswer):
+        return len(answer.reply.body)
+    return len(answer.body) if isinstance(answer, (MergedAnswer, PartsAnswer)) else 0
+
+
+class ClientMemory:
+    """
+    The heads, bodies and answers of clients' connections in the account of a process.
+
+    :param heads: heads of requests, as far as they have arrived, until these are answered
+    :param received: requests that are too large for a single read
+    :param unsent: answers that their callers do not take as fast as they are written
+    :param find_urgency: returns the priority of the route for a host and a path
+    """
+
+    __slots__ = ('account', 'find_urgency', 'heads', 'received', 'refusals', 'unsent')
+
+    def __init__(
+        self,
+        account: MemoryAccount,
+        refusals: RefusalLog,
+        answer_memory_bytes: int | None,
+        request_memory_bytes: int | None,
+    ):
+        self.account = account
+        self.refusals = refusals
+        self.find_urgency: Callable[[str, str], int] = lambda host, path: LEAST_URGENT
+        # What was received in full may be running: it is counted, but not given up.
+        self.heads = HeldMemory(None, is_incomplete, account, HEADS)
+        self.received = HeldMemory(request_memory_bytes, is_incomplete, account, BODIES)
+        self.unsent = HeldMemory(answer_memory_bytes, lambda one: True, account, ANSWERS)
+
+    def hold_head(self, channel: CallerChannel) -> bool:
+        """
+        Count a head that is complete; return False if there is no room for it.
+
+        Call in the server's thread, with the lock of the connection's requests held.
+        """
+        now_ms = read_clock_ms()
+        has_room = True
+        for one in self.heads.take(channel, channel.head_bytes(), now_ms, LEAST_URGENT):
+            if one.channel is channel and one.purpose is not ANSWERS:
+                self.log(one, now_ms)
+                has_room = False
+                continue
+            self.turn_away(one, now_ms)
+        return has_room
+
+    def hold_partial_head(self, channel: CallerChannel) -> None:
+        """Count a head that comes in; turn others away if there is too little memory."""
+        self.hold(self.heads, channel, channel.head_bytes(), LEAST_URGENT)
+
+    def hold_request(self, channel: CallerChannel) -> None:
+        """Count a body that comes in; turn others away if there is too little memory."""
+        self.hold(self.received, channel, channel.received_bytes(), channel.urgency)
+
+    def hold_unsent(self, channel: CallerChannel) -> None:
+        """Count an answer that its caller did not take at once; break off others if necessary."""
+        self.hold(self.unsent, channel, channel.held_bytes(), channel.urgency)
+        if not channel.total_outbufs_len:
+            # It was sent, or its connection closed, before it was counted.
+            self.unsent.release(channel)
+
+    def hold(
+        self, part: HeldMemory, channel: CallerChannel, byte_count: int, urgency: int
+    ) -> None:
+        """Count what a connection holds, and turn away whom that leaves no room for."""
+        now_ms = read_clock_ms()
+        for one in part.take(channel, byte_count, now_ms, urgency):
+            self.turn_away(one, now_ms)
+
+    def relieve(self) -> None:
+        """Turn connections away after replies have taken too much; call in the server's thread."""
+        now_ms = read_clock_ms()
+        for one in self.account.relieve(now_ms):
+            self.turn_away(one, now_ms)
+
+    def turn_away(self, one: TurnedAway, now_ms: float) -> None:
+        """Reject an incomplete request, or break off an answer."""
+        channel = one.channel
+        self.log(one, now_ms)
+        if one.purpose is ANSWERS:
+            channel.break_off()
+            return
+        channel.reject_request(RequestMemoryError('no memory for the rest of the request'))
+
+    def log(self, one: TurnedAway, now_ms: float) -> None:
+        """Log who is turned away, and for what."""
+        fields = {
+            'bytes': one.holding.byte_count,
+            'ms': round(now_ms - one.holding.since_ms),
+            'limit_bytes': one.limit_bytes,
+        }
+        if one.purpose is ANSWERS:
+            answer = {'request': one.channel.answered_id, 'unsent': one.channel.total_outbufs_len}
+            self.refusals.add('answer_given_up', 'memory_answers', {**answer, **fields})
+            return
+        fields['caller'] = one.channel.addr[0]
+        self.refusals.add('request_unread', f'memory_{one.purpose}', fields)
+
+    def recount_requests(self, channel: CallerChannel) -> None:
+        """Count what is left once a request was served or rejected."""
+        for part, byte_count in (
+            (self.heads, channel.head_bytes()),
+            (self.received, channel.received_bytes()),
+        ):
+            if byte_count and channel.connected:
+                part.shrink(channel, byte_count)
+            elif channel in part.by_channel:
+                part.release(channel)
+
+    def release(self, channel: CallerChannel) -> None:
+        """Stop counting a connection that is closed."""
+        for part in (self.heads, self.received, self.unsent):
+            part.release(channel)
+
+
+def is_incomplete(channel: CallerChannel) -> bool:
+    """Return whether a connection has a request that was not received in full."""
+    return channel.request is not None
--- a/beechbridge/daemon/front.py
+++ b/beechbridge/daemon/front.py
@@ -5,41 +5,39 @@
 to the gateway, and hands the connection to a worker thread once the answer can be written.
 """
 
-import contextlib
 import copy
 import itertools
 import logging
-import math
-import socket
-import sys
-import time
 from collections.abc import Callable
 
 import waitress
 from waitress.adjustments import Adjustments
-from waitress.buffers import OverflowableBuffer
-from waitress.channel import HTTPChannel
 from waitress.parser import HTTPRequestParser
 from waitress.server import BaseWSGIServer
-from waitress.task import ThreadedTaskDispatcher, WSGITask
-from waitress.utilities import Error
+from waitress.task import ThreadedTaskDispatcher
 
 from ..failures import Failure
 from ..gateway.events import CallerDisconnected, RequestMalformed
 from ..gateway.models import Answer
 from ..gateway.routes import CallerLimits
 from ..gateway.settings import (
-    DEFAULT_ANSWER_MEMORY_BYTES,
-    DEFAULT_REQUEST_MEMORY_BYTES,
+    DEFAULT_HELD_MEMORY_BYTES,
+    DEFAULT_MAX_CONNECTIONS,
+    DEFAULT_MAX_HEADER_FIELDS,
+    DEFAULT_MAX_PIPELINED,
     Address,
 )
 from ..record import Record
 from ..wire.http import HttpResponse
-from .clock import read_clock_ms
+from .caller_channel import BUFFER_BYTES as BUFFER_BYTES
+from .caller_channel import CHANNEL_KEY, CallerChannel, CallerTask
+from .caller_channel import REQUEST_COPIES as REQUEST_COPIES
+from .client_memory import ClientMemory, measure_answer
 from .closing import BACKLOG, list_listeners
+from .connections import ACCEPT_SLACK, ConnectionLimit
 from .held_memory import HeldMemory
-from .log_lines import write_line
-from .request_parser import RequestParser
+from .memory_account import ANSWERS, LEAST_URGENT, MemoryAccount
+from .refusals import RefusalLog
 
 WORKER_THREADS = 4
 """Worker threads, which write answers and serve requests that need no waiting."""
@@ -58,186 +56,9 @@
 BODY_TIMEOUT_S = 30.0
 """Time within which the whole body of a request must arrive, however steadily it does."""
 
-SINGLE_READ_BYTES = 8_192
-"""Bodies up to this size are not counted: what waitress reads at once."""
-
-REQUEST_COPIES = 3
-"""A body is held as it was received, as part of the request, and to be sent to a replica."""
-
-MEMORY_RETRY_S = '1'
-
-BUFFER_BYTES = 256 * 1024
-"""Size of the buffers of a large answer, which are freed one by one as they are sent."""
-
 WRITER_WAIT_BYTES = 1024 * 1024 * 1024
 """Unsent bytes of a connection for which a worker thread waits: more than there ever are."""
 
-CONNECTION_LIMIT = 2_000
-CHANNEL_KEY = 'beechbridge.channel'
-
-
-class LateRequestError(Error):
-    """A request was not received in time; it has not been executed."""
-
-    code = 408
-    reason = 'Request Timeout'
-
-
-class RequestMemoryError(Error):
-    """There is no memory for the rest of a request; it has not been executed."""
-
-    code = 503
-    reason = 'Service Unavailable'
-
-    def to_response(self, ident: str | None = None) -> tuple[str, list, bytes]:
-        """Return status, headers and body, with the time at which to try again."""
-        status, headers, body = super().to_response(ident)
-        return status, [*headers, ('Retry-After', MEMORY_RETRY_S)], body
-
-
-class CallerTask(WSGITask):
-    """Makes the channel available to the application."""
-
-    def get_environment(self) -> dict:
-        """Return the WSGI environment, including the channel."""
-        environ = super().get_environment()
-        environ[CHANNEL_KEY] = self.channel
-        return environ
-
-
-class CallerChannel(HTTPChannel):
-    """
-    A caller's connection; notifies the application when it is closed.
-
-    :cvar app: application that serves the connection
-    :param timed_part: request, and whether its headers are complete, whose rest has a deadline
-    :param deadline_s: deadline for the current headers or body, in seconds of the monotonic clock
-    :param answered_id: ID of the request whose answer was written last
-    """
-
-    parser_class = RequestParser
-    task_class = CallerTask
-    app: 'FrontApp'
-    timed_part: tuple[HTTPRequestParser, bool] | None = None
-    deadline_s = math.inf
-    answered_id = ''
-
-    def received(self, data: bytes) -> bool:
-        """Process received data; set a deadline for incomplete headers or an incomplete body."""
-        is_open = super().received(data)
-        request = self.request
-        if request is None:
-            self.deadline_s = math.inf
-            return is_open
-        part = (request, request.headers_finished)
-        if part != self.timed_part:
-            self.timed_part = part
-            self.deadline_s = time.monotonic() + self.part_timeout_s(request)
-        if request.body_bytes_received > SINGLE_READ_BYTES:
-            self.app.hold_request(self)
-        return is_open
-
-    def received_bytes(self) -> int:
-        """Return the memory that the bodies of the requests in hand need until they are sent."""
-        byte_count = sum(request.body_bytes_received for request in list(self.requests))
-        if self.request is not None:
-            byte_count += self.request.body_bytes_received
-        return REQUEST_COPIES * byte_count
-
-    def part_timeout_s(self, request: HTTPRequestParser) -> float:
-        """Return how long the headers or the body of a request may take."""
-        return self.app.body_timeout_s if request.headers_finished else self.app.header_timeout_s
-
-    def readable(self) -> bool:
-        """Return whether to read more data; called in each iteration of the server's loop."""
-        if time.monotonic() > self.deadline_s:
-            self.reject_late_request()
-        if self.will_close and self.total_outbufs_len:
-            # waitress closes a connection once it can be written to, which may be never.
-            with contextlib.suppress(OSError):
-                self.socket.shutdown(socket.SHUT_RDWR)
-        return super().readable()
-
-    def reject_late_request(self) -> None:
-        """Answer a request that is late with an error; do not read the rest of it."""
-        part = 'body' if self.request.headers_finished else 'headers'
-        timeout_s = self.part_timeout_s(self.request)
-        self.reject_request(LateRequestError(f'{part} incomplete after {timeout_s} s'))
-
-    def reject_request(self, error: Error) -> None:
-        """Answer an incomplete request with an error; call in the server's thread."""
-        self.deadline_s = math.inf
-        with self.requests_lock:
-            request, self.request = self.request, None
-            if not request.headers_finished:
-                request.parse_header(b'GET / HTTP/1.0\r\n')
-            request.close()
-            request.error = error
-            request.completed = True
-            self.requests.append(request)
-            is_first = len(self.requests) == 1
-        if is_first:
-            self.server.add_task(self)
-
-    def service(self) -> None:
-        """Serve a request; close the connection after the last one if the VM is leaving."""
-        if self.app.is_leaving() and len(self.requests) == 1:
-            self.requests[0].headers['CONNECTION'] = 'close'
-        super().service()
-        if not self.connected:
-            self.app.drop_answer(self)
-        if self in self.app.received.by_channel:
-            self.app.recount_request(self)
-        self.drop_sent()
-        if self.total_outbufs_len:
-            self.app.hold_unsent(self)
-
-    def handle_write(self) -> None:
-        """Send more of an answer that its caller did not take at once."""
-        super().handle_write()
-        if self.total_outbufs_len:
-            self.app.unsent.shrink(self, self.held_bytes())
-            return
-        self.drop_sent()
-        self.app.unsent.release(self)
-
-    def write_soon(self, data: bytes) -> int:
-        """Send data, or keep it until it can be sent; a lot of it in several buffers."""
-        if len(data) <= BUFFER_BYTES:
-            return super().write_soon(data)
-        view = memoryview(data)
-        for start in range(0, len(data), BUFFER_BYTES):
-            # waitress begins another buffer.
-            self.current_outbuf_count = self.adj.outbuf_high_watermark
-            super().write_soon(view[start : start + BUFFER_BYTES])
-        return len(data)
-
-    def held_bytes(self) -> int:
-        """Return the memory of the buffers, each of which is kept until all of it is sent."""
-        with self.outbuf_lock:
-            held = 0
-            for buffer in self.outbufs:
-                # Not by its position: the server's thread may be sending from it.
-                held += sys.getsizeof(buffer.strbuf if buffer.buf is None else buffer.buf.file)
-            return max(held, self.total_outbufs_len)
-
-    def break_off(self) -> None:
-        """Close the connection, whether or not its caller takes more of its answer."""
-        self.will_close = True
-        self.server.pull_trigger()
-
-    def drop_sent(self) -> None:
-        """Drop an answer that was sent in full: waitress keeps it until it sends another one."""
-        with self.outbuf_lock:
-            if not self.total_outbufs_len and len(self.outbufs) == 1:
-                self.outbufs[0] = OverflowableBuffer(self.adj.outbuf_overflow)
-                self.current_outbuf_count = 0
-
-    def handle_close(self) -> None:
-        """Notify the application of the disconnection."""
-        super().handle_close()
-        self.app.handle_disconnect(self)
-
 
 class DeferredDispatcher(ThreadedTaskDispatcher):
     """Passes a caller's connection to a worker thread only once its answer is available."""
@@ -249,7 +70,7 @@
 
     def add_task(self, task: CallerChannel) -> None:
         """Start processing the first request of a connection."""
-        if not self.app.submit(task):
+        if not task.park() and not self.app.submit(task):
             super().add_task(task)
 
 
@@ -299,8 +120,11 @@
     :param header_timeout_s: timeout in seconds for receiving the headers of a request
     :param body_timeout_s: timeout in seconds for receiving the body of a request
     :param dispatch: passes a connection to a worker thread
-    :param received: requests that are too large for a single read
-    :param unsent: answers that their callers do not take as fast as they are written
+    :param memory: what the connections hold of the process's memory
+    :param connections: open connections of callers, on all ports
+    :param pull_trigger: runs a call in the server's thread
+    :param max_header_fields: header fields of one request
+    :param max_pipelined: requests of one connection that are parsed before they are answered
     """
 
     __slots__ = (
@@ -308,16 +132,21 @@
         'body_timeout_s',
         'callers_adjustments',
         'callers_port',
+        'connections',
         'dispatch',
         'endpoints',
         'handlers',
         'header_timeout_s',
         'is_leaving',
+        'is_relief_due',
         'keys',
         'keys_by_channel',
+        'max_header_fields',
+        'max_pipelined',
+        'memory',
         'post',
-        'received',
-        'unsent',
+        'pull_trigger',
+        'refusals',
         'waiting',
     )
 
@@ -325,8 +154,12 @@
         self,
         post: Callable[[object], None],
         is_leaving: Callable[[], bool],
-        answer_memory_bytes: int = DEFAULT_ANSWER_MEMORY_BYTES,
-        request_memory_bytes: int = DEFAULT_REQUEST_MEMORY_BYTES,
+        answer_memory_bytes: int | None = None,
+        request_memory_bytes: int | None = None,
+        held_memory_bytes: int = DEFAULT_HELD_MEMORY_BYTES,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
+        max_header_fields: int = DEFAULT_MAX_HEADER_FIELDS,
+        max_pipelined: int = DEFAULT_MAX_PIPELINED,
     ):
         self.post = post
         self.is_leaving = is_leaving
@@ -341,9 +174,28 @@
         self.waiting: dict[int, WaitingCaller] = {}
         self.keys_by_channel: dict[CallerChannel, int] = {}
         self.answers: dict[CallerChannel, tuple[Endpoint, Answer, str]] = {}
-        self.unsent = HeldMemory(answer_memory_bytes)
-        # What was received in full may be running: it is counted, but not given up.
-        self.received = HeldMemory(request_memory_bytes, lambda one: one.request is not None)
+        self.refusals = RefusalLog()
+        self.memory = ClientMemory(
+            MemoryAccount(held_memory_bytes),
+            self.refusals,
+            answer_memory_bytes,
+            request_memory_bytes,
+        )
+        self.connections = ConnectionLimit(max_connections)
+        self.max_header_fields = max_header_fields
+        self.max_pipelined = max_pipelined
+        self.is_relief_due = False
+        self.pull_trigger: Callable[[Callable[[], None]], None] | None = None
+
+    @property
+    def received(self) -> HeldMemory:
+        """Return what requests that are too large for a single read hold."""
+        return self.memory.received
+
+    @property
+    def unsent(self) -> HeldMemory:
+        """Return what answers hold that callers do not take as fast as they are written."""
+        return self.memory.unsent
 
     def __call__(self, environ: dict, start_response: Callable) -> list[bytes]:
         """Write the available answer, or call the port's handler."""
@@ -353,6 +205,7 @@
         if stored is None:
             return self.handlers[port](environ, start_response)
         endpoint, answer, channel.answered_id = stored
+        self.memory.account.count(ANSWERS, -measure_answer(answer))
         wire = endpoint.encode(answer, channel.answered_id)
         wire.headers.append(('Content-Length', str(len(wire.body))))
         start_response(wire.status, wire.headers)
@@ -403,55 +256,49 @@
         if caller is None:
             return
         self.keys_by_channel.pop(caller.channel, None)
+        self.memory.account.count(ANSWERS, measure_answer(answer))
         self.answers[caller.channel] = (caller.endpoint, answer, caller.request_id)
         self.dispatch(caller.channel)
 
     def drop_answer(self, channel: CallerChannel) -> None:
         """Drop the answer that a closed connection did not take."""
-        self.answers.pop(channel, None)
-
-    def hold_request(self, channel: CallerChannel) -> None:
-        """Count a request that comes in; reject others that do if there is too little memory."""
-        now_ms = read_clock_ms()
-        for other, holding in self.received.hold(channel, channel.received_bytes(), now_ms):
-            fields = {
-                'caller': other.addr[0],
-                'bytes': holding.byte_count,
-                'ms': round(now_ms - holding.since_ms),
-                'limit_bytes': self.received.limit_bytes,
-            }
-            write_line('request_unread', fields)
-            other.reject_request(RequestMemoryError('no memory for the rest of the request'))
-
-    def recount_request(self, channel: CallerChannel) -> None:
-        """Count what is left once a request was served."""
-        byte_count = channel.received_bytes()
-        if byte_count and channel.connected:
-            self.received.shrink(channel, byte_count)
-            return
-        self.received.release(channel)
+        stored = self.answers.pop(channel, None)
+        if stored is not None:
+            self.memory.account.count(ANSWERS, -measure_answer(stored[1]))
+
+    def schedule_relief(self) -> None:
+        """Turn connections away in the server's thread: replies need the memory."""
+        if not self.is_relief_due and self.pull_trigger is not None:
+            self.is_relief_due = True
+            self.pull_trigger(self.relieve)
+
+    def relieve(self) -> None:
+        """Turn connections away until the account is not exceeded; in the server's thread."""
+        self.is_relief_due = False
+        self.memory.relieve()
 
     def hold_unsent(self, channel: CallerChannel) -> None:
-        """Count an answer that its caller did not take at once; break off others if necessary."""
-        now_ms = read_clock_ms()
-        for other, unsent in self.unsent.hold(channel, channel.held_bytes(), now_ms):
-            fields = {
-                'request': other.answered_id,
-                'bytes': unsent.byte_count,
-                'unsent': other.total_outbufs_len,
-                'ms': round(now_ms - unsent.since_ms),
-                'limit_bytes': self.unsent.limit_bytes,
-            }
-            write_line('answer_given_up', fields)
-            other.break_off()
-        if not channel.total_outbufs_len:
-            # It was sent, or its connection closed, before it was counted.
-            self.unsent.release(channel)
+        """Count an answer that its caller did not take at once."""
+        self.memory.hold_unsent(channel)
+
+    def find_urgency(self, channel: CallerChannel, request: HTTPRequestParser) -> int:
+        """Return the priority of a request's route; paths on other ports are the least urgent."""
+        if not request.headers_finished or channel.adj is not self.callers_adjustments:
+            return LEAST_URGENT
+        host = request.headers.get('HOST', '').rsplit(':', 1)[0].lower()
+        return self.memory.find_urgency(host, request.path)
+
+    def admit_connection(self, channel: CallerChannel) -> None:
+        """Count a new connection; close those that idle longest if there are too many."""
+        for other in self.connections.add(channel):
+            fields = {'caller': other.addr[0], 'limit': self.connections.limit}
+            self.refusals.add('connection_closed', 'descriptors', fields)
+            other.will_close = True
 
     def handle_disconnect(self, channel: CallerChannel) -> None:
         """End the request of a caller that closed its connection."""
-        self.unsent.release(channel)
-        self.received.release(channel)
+        self.connections.remove(channel)
+        self.memory.release(channel)
         self.drop_answer(channel)
         key = self.keys_by_channel.pop(channel, None)
         if key is None:
@@ -476,7 +323,7 @@
         backlog=BACKLOG,
         channel_request_lookahead=1,
         channel_timeout=IDLE_TIMEOUT_S,
-        connection_limit=CONNECTION_LIMIT,
+        connection_limit=app.connections.limit + ACCEPT_SLACK + 2 * len(addresses),
         max_request_header_size=MAX_HEADER_BYTES,
         max_request_body_size=MAX_BODY_BYTES,
         inbuf_overflow=MAX_BODY_BYTES + 1,
@@ -485,7 +332,9 @@
         ident=None,
     )
     channel_class = type('FrontChannel', (CallerChannel,), {'app': app})
-    for listener in list_listeners(server):
+    listeners = list_listeners(server)
+    app.pull_trigger = listeners[0].trigger.pull_trigger
+    for listener in listeners:
         listener.channel_class = channel_class
         if int(listener.effective_port) == app.callers_port:
             listener.adj = app.callers_adjustments = copy.copy(listener.adj)
--- a/beechbridge/daemon/gateway.py
+++ b/beechbridge/daemon/gateway.py
@@ -70,6 +70,7 @@
 from .exchanges import Codec, ExchangeClient
 from .front import Endpoint, FrontApp, create_front
 from .log_lines import LineHandler, write_line
+from .memory_account import LEAST_URGENT, PARTS
 from .pages import GatewayPages
 from .pulls import pull_changes
 from .store_reader import StoreReader
@@ -133,10 +134,16 @@
         self.front = FrontApp(
             self.post,
             lambda: self.core.stopping.is_leaving,
-            settings.answer_memory_bytes,
-            settings.request_memory_bytes,
+            held_memory_bytes=settings.held_memory_bytes,
+            max_connections=settings.max_connections,
+            max_header_fields=settings.max_header_fields,
+            max_pipelined=settings.max_pipelined,
         )
-        self.pages = GatewayPages(self.core, self.loop, settings)
+        self.front.memory.find_urgency = self.find_urgency
+        self.account = self.front.memory.account
+        self.exchanges.memory.account = self.account
+        self.exchanges.memory.relieve_account = self.front.schedule_relief
+        self.pages = GatewayPages(self.core, self.loop, settings, self.front)
         self.server = self.open_server()
         self.listeners = list_listeners(self.server)
         self.store_reader = StoreReader(
@@ -176,6 +183,12 @@
             )
         return create_front(self.front, addresses)
 
+    def find_urgency(self, host: str, path: str) -> int:
+        """Return the priority of a route; thread-safe, since a table never changes."""
+        table = self.core.table
+        route = table.find_route(host, path) if table is not None else None
+        return LEAST_URGENT if route is None else route.priority
+
     def run(self) -> ExitStatus:
         """Serve until a stop is requested."""
         settings = self.settings
@@ -265,6 +278,7 @@
         self.last_check_ms = now_ms
         if late_ms > PAUSE_THRESHOLD_MS:
             self.handle(PauseDetected(late_ms))
+        self.account.measure(PARTS, measure_parts(self.core))
         self.loop.call_later(PAUSE_CHECK_INTERVAL_S, self.check_pause)
 
     def send_datagrams(self, data: bytes, hosts: list[str]) -> None:
@@ -294,6 +308,16 @@
         self.loop.stop()
 
 
+def measure_parts(core: Gateway) -> int:
+    """Return the size of the parts that are kept until the last one of a request arrives."""
+    byte_count = 0
+    for work in core.works.values():
+        for task in work.tasks:
+            if task.reply is not None:
+                byte_count += len(task.reply.body)
+    return byte_count
+
+
 def log_loop_error(loop: asyncio.AbstractEventLoop, context: dict) -> None:
     """Log an exception in a callback of the event loop, which goes on."""
     error = context.get('exception')
--- a/beechbridge/daemon/metrics.py
+++ b/beechbridge/daemon/metrics.py
@@ -2,6 +2,7 @@
 
 from ..gateway.latencies import BUCKETS_MS, Histogram
 from ..gateway.node import Gateway
+from .front import FrontApp
 
 METRIC_PREFIX = 'beechbridge_'
 
@@ -30,6 +31,15 @@
 
         self.families.append(GaugeMetricFamily(METRIC_PREFIX + name, name, value=value))
 
+    def add_gauges(self, name: str, label: str, values: dict[str, float]) -> None:
+        """Add a gauge with one value for each value of a label."""
+        from prometheus_client.core import GaugeMetricFamily
+
+        family = GaugeMetricFamily(METRIC_PREFIX + name, name, labels=[label])
+        self.families.append(family)
+        for key, value in values.items():
+            family.add_metric([key], value)
+
     def add_counters(self, values: dict[tuple[str, str], float]) -> None:
         """Add counters, with one family per name and one label per kind."""
         from prometheus_client.core import CounterMetricFamily
@@ -69,10 +79,22 @@
     return content_type, encode(families)
 
 
-def render_gateway(core: Gateway) -> tuple[str, bytes]:
-    """Return the content type and body of the gateway's metrics."""
+def render_gateway(core: Gateway, front: FrontApp | None = None) -> tuple[str, bytes]:
+    """
+    Return the content type and body of the gateway's metrics.
+
+    :param front: server whose memory, connections and refusals are shown, None: without them
+    """
     families = Families()
     families.add_counters(core.counters.values)
+    if front is not None:
+        account = front.memory.account
+        families.add_gauges('memory_held_bytes', 'purpose', account.held_bytes)
+        families.add_gauge('memory_limit_bytes', account.limit_bytes)
+        families.add_gauge('client_connections', len(front.connections.channels))
+        families.add_gauge('client_connections_limit', front.connections.limit)
+        refusals = front.refusals.counts.copy()
+        families.add_counters({('clients_refused', one): n for one, n in refusals.items()})
     gauges = {
         'active_requests': len(core.works),
         'exchanges': len(core.upstreams.exchanges),
--- a/beechbridge/daemon/pages.py
+++ b/beechbridge/daemon/pages.py
@@ -19,6 +19,7 @@
 )
 from ..wire.http import HttpResponse
 from .clock import read_clock_ms
+from .front import FrontApp
 from .log_lines import write_line
 from .metrics import render_gateway
 
@@ -36,14 +37,22 @@
     """
     WSGI applications of one process, one for each kind of address.
 
+    :param front: server whose memory and refusals the metrics show, None: neither
     :param loop: event loop in whose thread the core is accessed
     :param cached_changes: responses by the key of their request: many peers send the same one
     :param cached_update_count: number of updates of the core's view that these responses include
     """
 
-    __slots__ = ('cached_changes', 'cached_update_count', 'core', 'loop', 'settings')
+    __slots__ = ('cached_changes', 'cached_update_count', 'core', 'front', 'loop', 'settings')
 
-    def __init__(self, core: Gateway, loop: asyncio.AbstractEventLoop, settings: GatewaySettings):
+    def __init__(
+        self,
+        core: Gateway,
+        loop: asyncio.AbstractEventLoop,
+        settings: GatewaySettings,
+        front: FrontApp | None = None,
+    ):
+        self.front = front
         self.core = core
         self.loop = loop
         self.settings = settings
@@ -81,7 +90,7 @@
             start_response('200 OK', [('Content-Type', 'application/json')])
             return [msgspec.json.encode(state)]
         if path == METRICS_PATH:
-            content_type, body = render_gateway(self.core)
+            content_type, body = render_gateway(self.core, self.front)
             start_response('200 OK', [('Content-Type', content_type)])
             return [body]
         return self.serve_unknown(environ, start_response)
--- a/beechbridge/gateway/settings.py
+++ b/beechbridge/gateway/settings.py
@@ -5,8 +5,12 @@
 from .requests.budgets import BudgetRules
 
 DEFAULT_REPLY_MEMORY_BYTES = 64 * 1024 * 1024
-DEFAULT_ANSWER_MEMORY_BYTES = 64 * 1024 * 1024
-DEFAULT_REQUEST_MEMORY_BYTES = 64 * 1024 * 1024
+DEFAULT_HELD_MEMORY_BYTES = 128 * 1024 * 1024
+DEFAULT_MAX_CONNECTIONS = 2_000
+DEFAULT_MAX_HEADER_FIELDS = 4_096
+"""A head of 16,384 bytes has fewer."""
+
+DEFAULT_MAX_PIPELINED = 8
 
 
 class Address(Record):
@@ -35,20 +39,25 @@
     :param max_ttl_s: maximum lifetime of a directory answer in seconds
     :param max_reply_bytes: largest reply of a replica that is forwarded to a caller
     :param reply_memory_bytes: memory for the replies that are being received
-    :param request_memory_bytes: memory for the bodies of requests that come in and wait
-    :param answer_memory_bytes: memory for the answers that callers have not taken yet
+    :param held_memory_bytes: memory for requests, answers and replies together
+    :param max_connections: connections of clients on all ports
+    :param max_header_fields: header fields of one request
+    :param max_pipelined: requests of one connection that are parsed before they are answered
     :param is_first_start: whether the whole system starts for the first time
     """
 
     __slots__ = (
-        'answer_memory_bytes',
         'budget',
         'callers',
         'capacity_millicores',
         'directory',
         'grace_ms',
+        'held_memory_bytes',
         'host',
         'is_first_start',
+        'max_connections',
+        'max_header_fields',
+        'max_pipelined',
         'max_reply_bytes',
         'max_ttl_s',
         'name',
@@ -57,7 +66,6 @@
         'readiness',
         'regions',
         'reply_memory_bytes',
-        'request_memory_bytes',
         'seeds',
         'store',
         'zone',
@@ -82,9 +90,11 @@
         capacity_millicores: int = 1000,
         max_reply_bytes: int = MAX_REPLY_BYTES,
         reply_memory_bytes: int = DEFAULT_REPLY_MEMORY_BYTES,
-        answer_memory_bytes: int = DEFAULT_ANSWER_MEMORY_BYTES,
-        request_memory_bytes: int = DEFAULT_REQUEST_MEMORY_BYTES,
         is_first_start: bool = True,
+        held_memory_bytes: int = DEFAULT_HELD_MEMORY_BYTES,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
+        max_header_fields: int = DEFAULT_MAX_HEADER_FIELDS,
+        max_pipelined: int = DEFAULT_MAX_PIPELINED,
     ):
         self.is_first_start = is_first_start
         self.name = name
@@ -104,5 +114,7 @@
         self.capacity_millicores = capacity_millicores
         self.max_reply_bytes = max_reply_bytes
         self.reply_memory_bytes = reply_memory_bytes
-        self.answer_memory_bytes = answer_memory_bytes
-        self.request_memory_bytes = request_memory_bytes
+        self.held_memory_bytes = held_memory_bytes
+        self.max_connections = max_connections
+        self.max_header_fields = max_header_fields
+        self.max_pipelined = max_pipelined
--- a/beechbridge/platform/settings.py
+++ b/beechbridge/platform/settings.py
@@ -12,7 +12,13 @@
 from ..fields import decode_toml, describe_read_error
 from ..gateway.actions import MAX_REPLY_BYTES
 from ..gateway.requests.budgets import BudgetRules
-from ..gateway.settings import Address, GatewaySettings
+from ..gateway.settings import (
+    DEFAULT_MAX_CONNECTIONS,
+    DEFAULT_MAX_HEADER_FIELDS,
+    DEFAULT_MAX_PIPELINED,
+    Address,
+    GatewaySettings,
+)
 from ..hosts import ADDRESS_PATTERN, HOST_PATTERN
 from ..wire.members import MAX_NAME_LENGTH
 from .names import SETTINGS_VARIABLE
@@ -32,11 +38,19 @@
 """Fraction of the process's memory for replies that are being received: the rest is for the
 interpreter, the store's items, callers and what is copied on the way."""
 
-ANSWER_MEMORY_FRACTION = 0.25
-"""Fraction of the process's memory for answers that callers have not taken yet."""
+BASE_MEMORY_MB = 40.0
+"""Memory of a process without load, with the interpreter, a small table and few replicas."""
 
-REQUEST_MEMORY_FRACTION = 0.25
-"""Fraction of the process's memory for the bodies of requests that come in and wait."""
+HELD_MEMORY_FRACTION = 0.6
+"""Fraction of the rest for requests, answers and replies: they leave gaps, and are copied."""
+
+MIN_HELD_MEMORY_MB = 8.0
+
+FILE_DESCRIPTORS = 200
+"""Descriptors that the platform reserves for files."""
+
+CLIENT_FRACTION = 0.6
+"""Fraction of the other descriptors for clients; the rest is for replicas, peers and the store."""
 
 MAX_REPLY_VARIABLE = 'BEECHBRIDGE_MAX_REPLY_BYTES'
 BYTE_COUNT = re.compile(r'[1-9][0-9]{0,14}')
@@ -64,7 +78,7 @@
 
 
 class Limits(msgspec.Struct):
-    """CPU and memory of this process."""
+    """CPU, memory and descriptors of this process, and limits on clients."""
 
     cpu_share: PositiveAmount = msgspec.field(name='cpuShare', default=1.0)
     """Fraction of a core that the process may use."""
@@ -73,6 +87,20 @@
     """Speed factor of that core, not a number of cores."""
 
     memory_mb: PositiveAmount = msgspec.field(name='memoryMb', default=256.0)
+    max_fds: Annotated[int, Meta(ge=256, le=1_000_000)] = msgspec.field(
+        name='maxFds', default=4_096
+    )
+    max_connections: Annotated[int, Meta(ge=1, le=100_000)] | None = msgspec.field(
+        name='maxConnections', default=None
+    )
+    """Connections of clients; by default a fraction of the descriptors, 2,000 at most."""
+
+    max_header_fields: Annotated[int, Meta(ge=8, le=1_000_000)] = msgspec.field(
+        name='maxHeaderFields', default=DEFAULT_MAX_HEADER_FIELDS
+    )
+    max_pipelined: Annotated[int, Meta(ge=1, le=1_000)] = msgspec.field(
+        name='maxPipelined', default=DEFAULT_MAX_PIPELINED
+    )
 
 
 class Platform(msgspec.Struct):
@@ -108,6 +136,19 @@
     return Address(host, int(port))
 
 
+def derive_held_memory_bytes(limits: Limits) -> int:
+    """Return the memory for requests, answers and replies."""
+    held_mb = HELD_MEMORY_FRACTION * (limits.memory_mb - BASE_MEMORY_MB)
+    return int(max(MIN_HELD_MEMORY_MB, held_mb) * BYTES_PER_MB)
+
+
+def derive_max_connections(limits: Limits) -> int:
+    """Return how many connections of clients leave descriptors for replicas, peers and store."""
+    derived = int(CLIENT_FRACTION * (limits.max_fds - FILE_DESCRIPTORS))
+    wanted = DEFAULT_MAX_CONNECTIONS if limits.max_connections is None else limits.max_connections
+    return max(1, min(wanted, derived))
+
+
 def parse_settings(
     text: str, source: str, max_reply_bytes: int = MAX_REPLY_BYTES
 ) -> GatewaySettings | InputFailure:
@@ -140,8 +181,10 @@
         max_reply_bytes=max_reply_bytes,
         is_first_start=file.bootstrap,
         reply_memory_bytes=int(REPLY_MEMORY_FRACTION * file.limits.memory_mb * BYTES_PER_MB),
-        request_memory_bytes=int(REQUEST_MEMORY_FRACTION * file.limits.memory_mb * BYTES_PER_MB),
-        answer_memory_bytes=int(ANSWER_MEMORY_FRACTION * file.limits.memory_mb * BYTES_PER_MB),
+        held_memory_bytes=derive_held_memory_bytes(file.limits),
+        max_connections=derive_max_connections(file.limits),
+        max_header_fields=file.limits.max_header_fields,
+        max_pipelined=file.limits.max_pipelined,
     )
 
 
--- a/model/mutants.py
+++ b/model/mutants.py
@@ -71,6 +71,10 @@
 WITHDRAWAL = 'beechbridge/gateway/requests/withdrawal.py'
 WORKS = 'beechbridge/gateway/requests/works.py'
 CLIENT_CONNECTION = 'beechbridge/daemon/client_connection.py'
+CALLER_CHANNEL = 'beechbridge/daemon/caller_channel.py'
+CONNECTIONS = 'beechbridge/daemon/connections.py'
+MEMORY_ACCOUNT = 'beechbridge/daemon/memory_account.py'
+PLATFORM_SETTINGS = 'beechbridge/platform/settings.py'
 
 BODIES = 'beechbridge/daemon/bodies.py'
 REPLY_HEADS = 'beechbridge/platform/replicas.py'
@@ -768,6 +772,55 @@
         'self.items[key] = item',
         ('test_epochs',),
     ),
+    Mutant(
+        'no account for heads',
+        CALLER_CHANNEL,
+        'if not self.app.memory.hold_head(self):',
+        'if False:',
+        ('test_memory_account',),
+    ),
+    Mutant(
+        'no account for pipelined requests',
+        CALLER_CHANNEL,
+        'for request in list(self.requests):\n            byte_count += request.head_bytes()',
+        'pass',
+        ('test_memory_account',),
+    ),
+    Mutant(
+        'any number of pipelined requests is parsed',
+        CALLER_CHANNEL,
+        'return len(requests) >= self.app.max_pipelined or',
+        'return',
+        ('test_memory_account',),
+    ),
+    Mutant(
+        'descriptors are not kept for replicas, peers and the store',
+        PLATFORM_SETTINGS,
+        'derived = int(CLIENT_FRACTION * (limits.max_fds - FILE_DESCRIPTORS))',
+        'derived = limits.max_fds',
+        ('test_platform_items',),
+    ),
+    Mutant(
+        'connections that send are closed first',
+        CONNECTIONS,
+        'return heapq.nsmallest(',
+        'return heapq.nlargest(',
+        ('test_memory_account',),
+    ),
+    Mutant(
+        'the most urgent are turned away first',
+        MEMORY_ACCOUNT,
+        'rank = (holding.urgency,',
+        'rank = (-holding.urgency,',
+        ('test_memory_account',),
+    ),
+    Mutant(
+        'a request that may run is turned away',
+        MEMORY_ACCOUNT,
+        'if may_give_up is None or may_give_up(channel):',
+        'if True:',
+        ('test_memory_account',),
+    ),
 )
 
 
