--- a/review/6/case.py
+++ b/review/6/case.py
@@ -3,16 +3,14 @@
 import asyncio
 import itertools
 import random
-import sys
 import time
 from collections import Counter
 from pathlib import Path
 
-FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / 'lib_2'))
+import stand_ins
+from stand_ins import BEAT_S, BROKEN, NOT_RUN, PASSED, Replica, Store, now_s
 
-import stand_ins  # noqa: E402
-from stand_ins import BEAT_S, BROKEN, NOT_RUN, PASSED, Replica, Store, now_s  # noqa: E402
+FOLDER = Path(__file__).resolve().parent
 
 MACHINES = 3
 REGISTER_REPLICAS = 5
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 # deploy file.
 set -eu
 cd "$(dirname "$0")"
-python3 -m compileall -q lib_2 6 7 8 9 10
+python3 -m compileall -q 6 7 8 9 10
